--- /dev/null
+++ b/cmd/chicoryctl/main.go
@@ -0,0 +1,4 @@
+// Command chicoryctl is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/chicoryrock/main.go
@@ -0,0 +1,4 @@
+// Command chicoryrock is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,4 @@
+// Command standin is described in the README.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/ops/event/catalogue.go
@@ -0,0 +1,20 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// The events, by area: 1xx a process's life, 2xx configuration, 3xx requests,
+// 4xx backend servers, 5xx control duties, 6xx usage.
+var (
+	Started      = Event{101, zapcore.InfoLevel, "process started"}
+	Ready        = Event{102, zapcore.InfoLevel, "process ready"}
+	Draining     = Event{103, zapcore.InfoLevel, "graceful shutdown began"}
+	Stopped      = Event{104, zapcore.InfoLevel, "process stopped"}
+	ConfigTaken  = Event{201, zapcore.InfoLevel, "configuration in force"}
+	ConfigFailed = Event{202, zapcore.WarnLevel, "configuration could not be read"}
+	Refused      = Event{301, zapcore.InfoLevel, "request refused"}
+	Failed       = Event{302, zapcore.WarnLevel, "request failed"}
+	Panicked     = Event{303, zapcore.ErrorLevel, "handler panicked"}
+	ServersRead  = Event{401, zapcore.DebugLevel, "list of VMs read"}
+	ServersLost  = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
+	EngineFailed = Event{403, zapcore.WarnLevel, "backend server failed"}
+)
--- /dev/null
+++ b/reason.go
@@ -0,0 +1,72 @@
+package chicoryrock
+
+// Reason is why a request was refused or failed. The list is closed: every
+// refusal carries exactly one of these codes and its sentence.
+type Reason int
+
+// The reasons, in the order in which a request can meet them.
+const (
+	ReasonNone Reason = iota
+	ReasonMalformed
+	ReasonTooLarge
+	ReasonUnknownKey
+	ReasonWithdrawn
+	ReasonNoRoute
+	ReasonStaleConfig
+	ReasonLimit
+	ReasonLate
+	ReasonQueueFull
+	ReasonNoServer
+	ReasonSuspect
+	ReasonClaimed
+	ReasonNoStore
+	ReasonShutdown
+	ReasonRetries
+	ReasonBroken
+	ReasonUnknownOutcome
+)
+
+type reasonText struct {
+	code     string
+	sentence string
+	status   int
+}
+
+var reasonTexts = []reasonText{
+	ReasonNone:           {"none", "The request was served.", 200},
+	ReasonMalformed:      {"malformed", "The request could not be read: its body or headers are not in the expected form.", 400},
+	ReasonTooLarge:       {"too-large", "The request is larger than this system accepts.", 413},
+	ReasonUnknownKey:     {"unknown-key", "The key that came with the request belongs to no workspace.", 401},
+	ReasonWithdrawn:      {"withdrawn", "The key that came with the request has been withdrawn.", 401},
+	ReasonNoRoute:        {"no-route", "No route for this model or service is open to the workspace.", 404},
+	ReasonStaleConfig:    {"stale-config", "This process has been cut off from the configuration for too long to serve safely.", 503},
+	ReasonLimit:          {"limit", "The workspace has used up its limit for now.", 429},
+	ReasonLate:           {"late", "The answer could not have begun within the class's target.", 503},
+	ReasonQueueFull:      {"queue-full", "Too many requests of the same or a higher tier were already waiting.", 503},
+	ReasonNoServer:       {"no-server", "No backend server of the route's pools could be reached.", 503},
+	ReasonSuspect:        {"suspect", "This same request was running when backend servers crashed, so it is not run again.", 422},
+	ReasonClaimed:        {"claimed", "A request with the same idempotency key has already been started.", 409},
+	ReasonNoStore:        {"no-store", "The call must run at most once, and the store that guards this cannot be reached.", 503},
+	ReasonShutdown:       {"shutdown", "This process is shutting down and takes no new requests.", 503},
+	ReasonRetries:        {"retries", "The request failed on a backend server and the allowance for retries is used up.", 503},
+	ReasonBroken:         {"broken", "The answer broke off and could not be resumed elsewhere.", 502},
+	ReasonUnknownOutcome: {"unknown-outcome", "The call may have run, but its answer was lost.", 502},
+}
+
+// String returns the reason's stable code, as found in headers and records.
+func (r Reason) String() string { return reasonTexts[r].code }
+
+// Sentence returns one plain sentence for a reader without technical background.
+func (r Reason) Sentence() string { return reasonTexts[r].sentence }
+
+// Status returns the HTTP status that goes with the reason.
+func (r Reason) Status() int { return reasonTexts[r].status }
+
+// Reasons returns every reason but ReasonNone, in order.
+func Reasons() []Reason {
+	all := make([]Reason, 0, len(reasonTexts)-1)
+	for r := ReasonNone + 1; int(r) < len(reasonTexts); r++ {
+		all = append(all, r)
+	}
+	return all
+}
