Forward a caller's request from entry to agent to engine

Cause: the whole path comes first, thin. Ruled out: rest's own server loop, since it owns the listener and can only be stopped by process-wide signals; its router serves under a server of ours.

--- /dev/null
+++ b/internal/policy/dispatch/dispatch.go
@@ -0,0 +1,218 @@
+// Package dispatch is the core that matches waiting requests with backend
+// servers: a queue for each pool, this entry's view of the pool's replicas, and
+// a Picker. It does no input or output and takes the time as an argument, so
+// that the same code runs in an entry, under trace replay and under fuzzing.
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// probeInterval is how long an agent's report that it is full keeps this entry
+// from asking it again. Without a limit, an entry with nothing open on a replica
+// would never hear that the replica has become free.
+const probeInterval = 50 * time.Millisecond
+
+// Grant sends one request to one replica.
+type Grant struct {
+	Request *chicoryrock.Request
+	Replica chicoryrock.Replica
+}
+
+// Dispatcher matches requests with replicas. It is not safe for concurrent use.
+type Dispatcher struct {
+	NewQueue func(pool string) chicoryrock.Queue
+	Picker   chicoryrock.Picker
+
+	pools map[string]*pool
+}
+
+type pool struct {
+	queue    chicoryrock.Queue
+	replicas []chicoryrock.Replica
+	tried    map[string][]string // request ID to the replicas that already failed it
+}
+
+// SetReplicas replaces the list of a pool's replicas. What is already known of a
+// replica that stays is kept.
+func (d *Dispatcher) SetReplicas(name string, replicas []chicoryrock.Replica) {
+	target := d.pool(name)
+	for i := range replicas {
+		if known := target.find(replicas[i].Name); known != nil {
+			replicas[i].Open = known.Open
+			replicas[i].Running = known.Running
+			replicas[i].Waiting = known.Waiting
+			replicas[i].Seen = known.Seen
+			replicas[i].Leaving = replicas[i].Leaving || known.Leaving
+		}
+	}
+	target.replicas = replicas
+}
+
+// Replicas returns a copy of what is known of a pool's replicas.
+func (d *Dispatcher) Replicas(name string) []chicoryrock.Replica {
+	return slices.Clone(d.pool(name).replicas)
+}
+
+// Live says whether a pool has a replica that takes new work.
+func (d *Dispatcher) Live(name string) bool {
+	return slices.ContainsFunc(d.pool(name).replicas, func(r chicoryrock.Replica) bool {
+		return !r.Leaving
+	})
+}
+
+// Offer takes a request in, or returns the reason why it is refused at once.
+func (d *Dispatcher) Offer(now time.Time, request *chicoryrock.Request) chicoryrock.Reason {
+	if !d.Live(request.Pool) {
+		return chicoryrock.ReasonNoServer
+	}
+	return d.pool(request.Pool).queue.Push(now, request)
+}
+
+// Next returns every request that can be sent now, with its replica.
+func (d *Dispatcher) Next(now time.Time) []Grant {
+	var grants []Grant
+	for _, name := range slices.Sorted(maps.Keys(d.pools)) {
+		grants = d.pools[name].grant(now, d.Picker, grants)
+	}
+	return grants
+}
+
+// Expire returns every waiting request that can no longer meet its deadline.
+func (d *Dispatcher) Expire(now time.Time) []*chicoryrock.Request {
+	var late []*chicoryrock.Request
+	for _, name := range slices.Sorted(maps.Keys(d.pools)) {
+		for _, request := range d.pools[name].queue.Expire(now) {
+			delete(d.pools[name].tried, request.ID)
+			late = append(late, request)
+		}
+	}
+	return late
+}
+
+// Cancel takes out a waiting request and says whether it was waiting.
+func (d *Dispatcher) Cancel(now time.Time, request *chicoryrock.Request) bool {
+	target := d.pool(request.Pool)
+	delete(target.tried, request.ID)
+	return target.queue.Remove(now, request)
+}
+
+// Heard takes in the load that an agent stated.
+func (d *Dispatcher) Heard(now time.Time, poolName, replica string, load chicoryrock.Load) {
+	known := d.pool(poolName).find(replica)
+	if known == nil {
+		return
+	}
+	known.Slots = load.Slots
+	known.Running = load.Running
+	known.Waiting = load.Waiting
+	known.Leaving = known.Leaving || load.Leaving
+	known.Seen = now
+}
+
+// Finish ends a request that was granted. The replica's slot is free again.
+func (d *Dispatcher) Finish(now time.Time, request *chicoryrock.Request, replica string) {
+	target := d.pool(request.Pool)
+	delete(target.tried, request.ID)
+	target.release(replica)
+	target.queue.Finish(now, request)
+}
+
+// Return puts back a granted request that certainly did not run, or that may run
+// again. The replica that failed it is not chosen for it again while others are
+// left.
+func (d *Dispatcher) Return(now time.Time, request *chicoryrock.Request, replica string) {
+	target := d.pool(request.Pool)
+	target.release(replica)
+	target.tried[request.ID] = append(target.tried[request.ID], replica)
+	target.queue.Return(now, request)
+}
+
+// Charge passes the tokens that a request has produced to its pool's accounts.
+func (d *Dispatcher) Charge(now time.Time, request *chicoryrock.Request, tokens int) {
+	d.pool(request.Pool).queue.Charge(now, request, tokens)
+}
+
+// Waiting returns how many requests wait for a pool.
+func (d *Dispatcher) Waiting(name string) int { return d.pool(name).queue.Len() }
+
+func (d *Dispatcher) pool(name string) *pool {
+	if d.pools == nil {
+		d.pools = make(map[string]*pool)
+	}
+	target, found := d.pools[name]
+	if !found {
+		target = &pool{queue: d.NewQueue(name), tried: make(map[string][]string)}
+		d.pools[name] = target
+	}
+	return target
+}
+
+// grant pops requests as long as the picker finds a replica for them. A request
+// for which none is free goes back, and the pool is left until something changes.
+func (p *pool) grant(now time.Time, picker chicoryrock.Picker, grants []Grant) []Grant {
+	p.forgetOldReports(now)
+	for p.queue.Len() > 0 {
+		request, found := p.queue.Pop(now)
+		if !found {
+			break
+		}
+		at, free := p.pick(now, picker, request)
+		if !free {
+			p.queue.Return(now, request)
+			break
+		}
+		p.replicas[at].Open++
+		grants = append(grants, Grant{Request: request, Replica: p.replicas[at]})
+	}
+	return grants
+}
+
+// pick prefers replicas that have not failed this request yet.
+func (p *pool) pick(now time.Time, picker chicoryrock.Picker, request *chicoryrock.Request) (int, bool) {
+	tried := p.tried[request.ID]
+	if len(tried) == 0 {
+		return picker.Pick(now, request, p.replicas)
+	}
+	fresh := make([]chicoryrock.Replica, 0, len(p.replicas))
+	places := make([]int, 0, len(p.replicas))
+	for i := range p.replicas {
+		if !slices.Contains(tried, p.replicas[i].Name) {
+			fresh = append(fresh, p.replicas[i])
+			places = append(places, i)
+		}
+	}
+	if at, free := picker.Pick(now, request, fresh); free {
+		return places[at], true
+	}
+	return picker.Pick(now, request, p.replicas)
+}
+
+// forgetOldReports lets an entry ask a replica again whose last report has aged.
+func (p *pool) forgetOldReports(now time.Time) {
+	for i := range p.replicas {
+		replica := &p.replicas[i]
+		if now.Sub(replica.Seen) > probeInterval {
+			replica.Running = min(replica.Running, max(replica.Open, replica.Slots-1))
+		}
+	}
+}
+
+func (p *pool) release(replica string) {
+	if known := p.find(replica); known != nil && known.Open > 0 {
+		known.Open--
+	}
+}
+
+func (p *pool) find(name string) *chicoryrock.Replica {
+	for i := range p.replicas {
+		if p.replicas[i].Name == name {
+			return &p.replicas[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/serve/entry/call.go
@@ -0,0 +1,230 @@
+package entry
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+const (
+	// maxAttempts bounds how often one request is sent to a backend server.
+	maxAttempts = 4
+	// maxWhole is the largest answer that is held until it is complete, in bytes.
+	maxWhole = 64 << 20
+)
+
+// call is one request on its way through the entry.
+type call struct {
+	entry      *Entry
+	w          http.ResponseWriter
+	r          *http.Request
+	request    *chicoryrock.Request
+	pool       *object.Pool
+	path       string
+	name       string // the model as the caller named it
+	body       []byte
+	model      bool // a completion, not a plain service
+	stream     bool
+	wantsUsage bool
+
+	sent    int  // output tokens that the caller has
+	started bool // the answer's header has gone out
+	load    *chicoryrock.Load
+}
+
+// run sends the request to one replica after another until it is answered,
+// refused, or may not be tried again.
+func (c *call) run() {
+	replica, err := c.entry.gate.acquire(c.r.Context(), time.Now(), c.request)
+	for attempt := 1; err == nil; attempt++ {
+		err = c.attempt(&replica)
+		if err == nil {
+			c.entry.gate.finish(time.Now(), c.request, replica.Name)
+			return
+		}
+		if attempt == maxAttempts || !c.mayRetry(err) {
+			c.entry.gate.finish(time.Now(), c.request, replica.Name)
+			break
+		}
+		replica, err = c.entry.gate.reacquire(c.r.Context(), time.Now(), c.request, replica.Name)
+	}
+	c.fail(err)
+}
+
+// attempt sends the request to one replica and relays the answer. Errors:
+// chicoryrock.ErrNotRun, chicoryrock.ErrTruncated, chicoryrock.ErrUnknownOutcome,
+// or the context's.
+func (c *call) attempt(replica *chicoryrock.Replica) error {
+	request, err := c.newRequest(replica)
+	if err != nil {
+		return err
+	}
+	response, err := c.entry.agents.DoRequest(request)
+	if err != nil {
+		return c.classify(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	defer c.hear(replica, response)
+	if response.Header.Get(wire.Outcome) == wire.OutcomeNotRun {
+		return errors.Wrap(chicoryrock.ErrNotRun, response.Header.Get(wire.Reason))
+	}
+	if response.Header.Get(wire.Outcome) == wire.OutcomeUnknown {
+		return errors.Wrap(chicoryrock.ErrUnknownOutcome, response.Header.Get(wire.Reason))
+	}
+	if c.stream && response.StatusCode == http.StatusOK {
+		return c.relayStream(response.Body)
+	}
+	return c.relayWhole(response)
+}
+
+func (c *call) newRequest(replica *chicoryrock.Replica) (*http.Request, error) {
+	scheme := "http"
+	if c.entry.AgentTLS != nil {
+		scheme = "https"
+	}
+	address := scheme + "://" + replica.Address.String() + c.path
+	request, err := http.NewRequestWithContext(c.r.Context(), c.r.Method, address, bytes.NewReader(c.body))
+	if err != nil {
+		return nil, errors.Wrap(chicoryrock.ErrNotRun, err.Error())
+	}
+	// The transport would silently send a call again on a broken connection if it
+	// could rewind the body.
+	request.GetBody = nil
+	copyHeaders(request.Header, c.r.Header)
+	request.Header.Set(wire.RequestID, c.request.ID)
+	request.Header.Set(wire.Workspace, c.request.Workspace)
+	request.Header.Set(wire.Class, c.request.Class)
+	request.Header.Set(wire.Tier, strconv.Itoa(c.request.Tier))
+	if !c.request.Repeat {
+		request.Header.Set(wire.Once, "1")
+	}
+	if c.sent > 0 {
+		request.Header.Set(wire.Resume, strconv.Itoa(c.sent))
+	}
+	return request, nil
+}
+
+// copyHeaders copies the caller's headers that a backend server may see.
+func copyHeaders(to, from http.Header) {
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", wire.IdempotencyKey} {
+		if value := from.Get(name); value != "" {
+			to.Set(name, value)
+		}
+	}
+}
+
+// classify says what a transport error means for the request.
+func (c *call) classify(err error) error {
+	if c.r.Context().Err() != nil {
+		return errors.WithStack(c.r.Context().Err())
+	}
+	if dialFailed(err) {
+		return errors.Wrap(chicoryrock.ErrNotRun, err.Error())
+	}
+	return errors.Wrap(chicoryrock.ErrUnknownOutcome, err.Error())
+}
+
+// hear takes in the load that the agent stated, in the header or, after a long
+// answer, in the trailer.
+func (c *call) hear(replica *chicoryrock.Replica, response *http.Response) {
+	load, found := wire.ReadLoad(response.Trailer)
+	if !found {
+		load, found = wire.ReadLoad(response.Header)
+	}
+	if found {
+		c.entry.gate.heard(time.Now(), replica.Pool, replica.Name, load)
+	}
+}
+
+// relayWhole reads the answer to its end before the caller gets any of it, so
+// that a broken one can be asked for again.
+func (c *call) relayWhole(response *http.Response) error {
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxWhole+1))
+	if err != nil {
+		return c.classify(errors.Wrap(chicoryrock.ErrTruncated, err.Error()))
+	}
+	if len(data) > maxWhole {
+		return errors.Wrap(chicoryrock.ErrUnknownOutcome, "the answer is too large")
+	}
+	if c.model && response.StatusCode == http.StatusOK {
+		if err := c.countWhole(data); err != nil {
+			return err
+		}
+	}
+	header := c.w.Header()
+	header.Set("Content-Type", response.Header.Get("Content-Type"))
+	header.Set("Content-Length", strconv.Itoa(len(data)))
+	c.started = true
+	c.w.WriteHeader(response.StatusCode)
+	// The caller may be gone already; nothing is left to tell it then.
+	_, _ = c.w.Write(data)
+	return nil
+}
+
+// countWhole checks that an answer is whole and charges its tokens.
+func (c *call) countWhole(data []byte) error {
+	chunk, err := wire.ParseChunk(data)
+	if err != nil || len(chunk.Choices) == 0 {
+		return errors.Wrap(chicoryrock.ErrUnknownOutcome, "the answer is not a completion")
+	}
+	if chunk.Usage != nil {
+		c.entry.gate.charge(time.Now(), c.request, chunk.Usage.Output)
+	}
+	return nil
+}
+
+// mayRetry says whether the request may be sent again after an error: it never
+// ran, or it may run more than once and the caller has nothing of the answer, or
+// the engines can go on where the answer broke off.
+func (c *call) mayRetry(err error) bool {
+	switch {
+	case c.r.Context().Err() != nil:
+		return false
+	case errors.Is(err, chicoryrock.ErrNotRun):
+		return true
+	case !c.request.Repeat:
+		return false
+	case c.started:
+		return c.pool.Save
+	default:
+		return true
+	}
+}
+
+// fail tells the caller why it gets no answer, or no whole one.
+func (c *call) fail(err error) {
+	if c.r.Context().Err() != nil {
+		return
+	}
+	refusal := c.refusalFor(err)
+	if !c.started {
+		c.entry.answer(c.w, c.request.ID, refusal)
+		return
+	}
+	c.entry.Log.Write(event.Failed, zap.String("ref", c.request.ID), zap.Error(err))
+	c.breakStream(refusal)
+}
+
+func (c *call) refusalFor(err error) wire.Refusal {
+	var refused *errRefused
+	switch {
+	case c.started:
+		return wire.Refusal{Reason: chicoryrock.ReasonBroken, Outcome: wire.OutcomeUnknown}
+	case errors.As(err, &refused):
+		return wire.Refusal{Reason: refused.reason, Outcome: wire.OutcomeNotRun}
+	case errors.Is(err, chicoryrock.ErrNotRun):
+		return wire.Refusal{Reason: chicoryrock.ReasonRetries, Outcome: wire.OutcomeNotRun}
+	default:
+		return wire.Refusal{Reason: chicoryrock.ReasonUnknownOutcome, Outcome: wire.OutcomeUnknown}
+	}
+}
--- /dev/null
+++ b/internal/serve/entry/gate.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
+)
+
+// errRefused carries the reason of a refusal through an error return.
+type errRefused struct {
+	reason chicoryrock.Reason
+}
+
+func (e *errRefused) Error() string { return e.reason.Sentence() }
+
+// verdict is what a waiting request is told.
+type verdict struct {
+	grant  dispatch.Grant
+	reason chicoryrock.Reason
+}
+
+// gate puts a lock round the dispatch core and wakes the goroutines whose
+// requests it grants or gives up.
+type gate struct {
+	mu         sync.Mutex
+	dispatcher *dispatch.Dispatcher
+	waiters    map[*chicoryrock.Request]chan verdict
+}
+
+func newGate(dispatcher *dispatch.Dispatcher) *gate {
+	return &gate{
+		dispatcher: dispatcher,
+		waiters:    make(map[*chicoryrock.Request]chan verdict),
+	}
+}
+
+// acquire waits until a replica is granted. Errors: *errRefused; the context's
+// error when the caller has gone.
+func (g *gate) acquire(ctx context.Context, now time.Time, request *chicoryrock.Request) (chicoryrock.Replica, error) {
+	g.mu.Lock()
+	reason := g.dispatcher.Offer(now, request)
+	if reason != chicoryrock.ReasonNone {
+		g.mu.Unlock()
+		return chicoryrock.Replica{}, &errRefused{reason: reason}
+	}
+	wait := g.await(request)
+	g.pump(now)
+	g.mu.Unlock()
+	return g.wait(ctx, request, wait)
+}
+
+// reacquire puts a granted request back and waits for another replica.
+func (g *gate) reacquire(ctx context.Context, now time.Time, request *chicoryrock.Request, failed string) (chicoryrock.Replica, error) {
+	g.mu.Lock()
+	g.dispatcher.Return(now, request, failed)
+	wait := g.await(request)
+	g.pump(now)
+	g.mu.Unlock()
+	return g.wait(ctx, request, wait)
+}
+
+func (g *gate) await(request *chicoryrock.Request) chan verdict {
+	wait := make(chan verdict, 1)
+	g.waiters[request] = wait
+	return wait
+}
+
+func (g *gate) wait(ctx context.Context, request *chicoryrock.Request, wait chan verdict) (chicoryrock.Replica, error) {
+	select {
+	case answer := <-wait:
+		return answer.result()
+	case <-ctx.Done():
+		return chicoryrock.Replica{}, g.abandon(ctx, request, wait)
+	}
+}
+
+// abandon withdraws a request whose caller has gone. A grant that came in the
+// same moment is given back.
+func (g *gate) abandon(ctx context.Context, request *chicoryrock.Request, wait chan verdict) error {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.waiters, request)
+	if !g.dispatcher.Cancel(now, request) {
+		if answer := <-wait; answer.reason == chicoryrock.ReasonNone {
+			g.dispatcher.Finish(now, request, answer.grant.Replica.Name)
+			g.pump(now)
+		}
+	}
+	return errors.WithStack(ctx.Err())
+}
+
+func (v verdict) result() (chicoryrock.Replica, error) {
+	if v.reason != chicoryrock.ReasonNone {
+		return chicoryrock.Replica{}, &errRefused{reason: v.reason}
+	}
+	return v.grant.Replica, nil
+}
+
+// finish ends a granted request.
+func (g *gate) finish(now time.Time, request *chicoryrock.Request, replica string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatcher.Finish(now, request, replica)
+	g.pump(now)
+}
+
+func (g *gate) heard(now time.Time, pool, replica string, load chicoryrock.Load) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatcher.Heard(now, pool, replica, load)
+}
+
+func (g *gate) charge(now time.Time, request *chicoryrock.Request, tokens int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatcher.Charge(now, request, tokens)
+}
+
+func (g *gate) setReplicas(pools map[string][]chicoryrock.Replica) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for name, replicas := range pools {
+		g.dispatcher.SetReplicas(name, replicas)
+	}
+	g.pump(now)
+}
+
+// live returns the first of the pools that has a live replica.
+func (g *gate) live(pools []string) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, pool := range pools {
+		if g.dispatcher.Live(pool) {
+			return pool, true
+		}
+	}
+	return "", false
+}
+
+func (g *gate) expire(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, request := range g.dispatcher.Expire(now) {
+		g.tell(request, verdict{reason: chicoryrock.ReasonLate})
+	}
+	g.pump(now)
+}
+
+// pump hands out every grant that is possible now. The lock is held.
+func (g *gate) pump(now time.Time) {
+	for _, grant := range g.dispatcher.Next(now) {
+		g.tell(grant.Request, verdict{grant: grant})
+	}
+}
+
+func (g *gate) tell(request *chicoryrock.Request, answer verdict) {
+	if wait, found := g.waiters[request]; found {
+		delete(g.waiters, request)
+		wait <- answer
+	}
+}
--- /dev/null
+++ b/internal/serve/entry/handler.go
@@ -0,0 +1,257 @@
+package entry
+
+import (
+	"crypto/rand"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+const (
+	// bytesPerToken turns a prompt's length into an estimate of its tokens.
+	bytesPerToken = 4
+	// prefixBytes is how much of a body's beginning identifies its prompt prefix.
+	prefixBytes = 1024
+	// retryAfter is when a refused caller should come back.
+	retryAfter  = time.Second
+	servicePath = "/svc/"
+)
+
+// caller is who sent a request, taken from the key alone.
+type caller struct {
+	key       *object.Key
+	workspace *object.Workspace
+	table     *object.Table
+}
+
+// handleModel serves the two completion calls.
+func (e *Entry) handleModel(w http.ResponseWriter, r *http.Request) {
+	ref := e.begin(w)
+	who, ok := e.admit(w, r, ref)
+	if !ok {
+		return
+	}
+	data, ok := e.readBody(w, r, ref)
+	if !ok {
+		return
+	}
+	body, model, stream, err := parseModelBody(data)
+	if err != nil {
+		e.refuse(w, ref, chicoryrock.ReasonMalformed, err.Error())
+		return
+	}
+	route, err := who.table.Model(model, who.workspace.Name)
+	if err != nil {
+		e.refuse(w, ref, chicoryrock.ReasonNoRoute, "")
+		return
+	}
+	call := e.newCall(w, r, ref, who, route)
+	if call == nil {
+		return
+	}
+	call.prepareModel(body, stream, model)
+	call.run()
+}
+
+// handleModels lists the models that are open to the caller's workspace.
+func (e *Entry) handleModels(w http.ResponseWriter, r *http.Request) {
+	ref := e.begin(w)
+	who, ok := e.admit(w, r, ref)
+	if !ok {
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, name := range who.table.Models(who.workspace.Name) {
+		list.Data = append(list.Data, modelItem{ID: name, Object: "model", OwnedBy: "chicoryrock"})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	// The caller may be gone already; nothing is left to tell it then.
+	_ = json.NewEncoder(w).Encode(list)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// handleOther serves the plain services, whose paths are free below /svc/ROUTE/.
+func (e *Entry) handleOther(w http.ResponseWriter, r *http.Request) {
+	ref := e.begin(w)
+	name, _, found := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePath), "/")
+	if !strings.HasPrefix(r.URL.Path, servicePath) || !found || name == "" {
+		e.refuse(w, ref, chicoryrock.ReasonNoRoute, "The path is none that this system serves.")
+		return
+	}
+	who, ok := e.admit(w, r, ref)
+	if !ok {
+		return
+	}
+	data, ok := e.readBody(w, r, ref)
+	if !ok {
+		return
+	}
+	route, err := who.table.Service(name, who.workspace.Name)
+	if err != nil {
+		e.refuse(w, ref, chicoryrock.ReasonNoRoute, "")
+		return
+	}
+	call := e.newCall(w, r, ref, who, route)
+	if call == nil {
+		return
+	}
+	call.body = data
+	call.run()
+}
+
+// begin names the request; the name is the reference for chicoryctl explain.
+func (e *Entry) begin(w http.ResponseWriter) string {
+	ref := rand.Text()
+	w.Header().Set(wire.RequestID, ref)
+	return ref
+}
+
+// admit finds the caller's workspace from its key and nothing else.
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, ref string) (caller, bool) {
+	table := e.Tables.Table()
+	if table == nil {
+		e.refuse(w, ref, chicoryrock.ReasonStaleConfig, "")
+		return caller{}, false
+	}
+	if e.draining.Load() {
+		e.refuse(w, ref, chicoryrock.ReasonShutdown, "")
+		return caller{}, false
+	}
+	headers := r.Header.Values("Authorization")
+	if len(headers) != 1 || !strings.HasPrefix(headers[0], "Bearer ") {
+		e.refuse(w, ref, chicoryrock.ReasonUnknownKey, "Exactly one bearer key is expected.")
+		return caller{}, false
+	}
+	secret := strings.TrimPrefix(headers[0], "Bearer ")
+	key, workspace, err := table.Authenticate(object.Digest(secret))
+	if err != nil {
+		e.refuse(w, ref, chicoryrock.ReasonUnknownKey, "")
+		return caller{}, false
+	}
+	return caller{key: key, workspace: workspace, table: table}, true
+}
+
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, ref string) ([]byte, bool) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.MaxBody))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		e.refuse(w, ref, chicoryrock.ReasonTooLarge, "")
+		return nil, false
+	case err != nil:
+		e.refuse(w, ref, chicoryrock.ReasonMalformed, "The body ended early.")
+		return nil, false
+	}
+	return data, true
+}
+
+func parseModelBody(data []byte) (body *wire.Body, model string, stream bool, err error) {
+	if body, err = wire.ParseBody(data); err != nil {
+		return nil, "", false, err
+	}
+	if model, err = body.String("model"); err != nil {
+		return nil, "", false, err
+	}
+	if stream, err = body.Bool("stream"); err != nil {
+		return nil, "", false, err
+	}
+	return body, model, stream, nil
+}
+
+// newCall classifies a request. It refuses, and returns nil, when no backend
+// server of the route's pools is known.
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, ref string, who caller, route *object.Route) *call {
+	now := time.Now()
+	class := who.table.Class(route.Class)
+	pool, found := e.gate.live(route.Pools)
+	if !found {
+		e.refuse(w, ref, chicoryrock.ReasonNoServer, "")
+		return nil
+	}
+	return &call{
+		entry: e,
+		w:     w,
+		r:     r,
+		path:  r.URL.RequestURI(),
+		pool:  who.table.Pool(pool),
+		request: &chicoryrock.Request{
+			ID:        ref,
+			Workspace: who.workspace.Name,
+			Class:     class.Name,
+			Route:     route.Name,
+			Pool:      pool,
+			Tier:      class.Tier,
+			Arrived:   now,
+			Deadline:  now.Add(class.First),
+			Repeat:    route.Repeat,
+		},
+	}
+}
+
+// prepareModel writes the body that the engine gets: its own name of the model,
+// and a usage count also for streams.
+func (c *call) prepareModel(body *wire.Body, stream bool, model string) {
+	c.model = true
+	c.stream = stream
+	c.wantsUsage = asksForUsage(body)
+	c.name = model
+	if c.pool.Model != "" && c.pool.Model != model {
+		// A string always has a JSON form.
+		name, _ := json.Marshal(c.pool.Model)
+		body.Set("model", name)
+	}
+	if stream && !c.wantsUsage {
+		body.Set("stream_options", json.RawMessage(`{"include_usage":true}`))
+	}
+	c.body = body.Bytes()
+	c.request.Prompt = len(c.body) / bytesPerToken
+	c.request.Prefix = xxhash.Sum64(c.body[:min(len(c.body), prefixBytes)])
+}
+
+func asksForUsage(body *wire.Body) bool {
+	var options struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	if err := json.Unmarshal(body.Get("stream_options"), &options); err != nil {
+		return false
+	}
+	return options.IncludeUsage
+}
+
+// refuse answers a request that certainly did not run.
+func (e *Entry) refuse(w http.ResponseWriter, ref string, reason chicoryrock.Reason, detail string) {
+	e.answer(w, ref, wire.Refusal{Reason: reason, Detail: detail, Outcome: wire.OutcomeNotRun})
+}
+
+func (e *Entry) answer(w http.ResponseWriter, ref string, refusal wire.Refusal) {
+	if refusal.Reason.Status() >= http.StatusInternalServerError || refusal.Reason == chicoryrock.ReasonLimit {
+		refusal.After = retryAfter
+	}
+	e.Log.Write(event.Refused,
+		zap.String("ref", ref),
+		zap.Stringer("reason", refusal.Reason),
+		zap.String("outcome", refusal.Outcome))
+	refusal.Write(w)
+}
--- /dev/null
+++ b/internal/serve/entry/stream.go
@@ -0,0 +1,101 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+)
+
+// relayStream passes events on as they come. The answer's header goes out with
+// the first event, so that a stream that breaks before it can start elsewhere.
+func (c *call) relayStream(stream io.Reader) error {
+	events := wire.NewEventReader(stream)
+	for {
+		data, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			return c.endStream()
+		}
+		if err != nil {
+			return c.classify(err)
+		}
+		if err := c.relayEvent(data); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *call) relayEvent(data []byte) error {
+	chunk, err := wire.ParseChunk(data)
+	if err != nil {
+		return errors.Wrap(chicoryrock.ErrTruncated, err.Error())
+	}
+	if tokens := chunk.Tokens(); tokens > 0 {
+		c.sent += tokens
+		c.entry.gate.charge(time.Now(), c.request, tokens)
+	}
+	if isUsageOnly(&chunk) && !c.wantsUsage {
+		return nil
+	}
+	c.startStream()
+	if err := wire.WriteEvent(c.w, data); err != nil {
+		return errors.WithStack(err)
+	}
+	c.flush()
+	return nil
+}
+
+// isUsageOnly says whether a chunk only carries the usage that the entry itself
+// asked for.
+func isUsageOnly(chunk *wire.Chunk) bool {
+	return chunk.Usage != nil && len(chunk.Choices) == 0
+}
+
+func (c *call) startStream() {
+	if c.started {
+		return
+	}
+	c.started = true
+	header := c.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	c.w.WriteHeader(http.StatusOK)
+}
+
+func (c *call) endStream() error {
+	c.startStream()
+	if err := wire.WriteDone(c.w); err != nil {
+		return errors.WithStack(err)
+	}
+	c.flush()
+	return nil
+}
+
+// breakStream ends a stream that cannot be completed: an error event in the
+// usual shape, then a cut connection, so that no caller takes it for whole.
+func (c *call) breakStream(refusal wire.Refusal) {
+	if c.stream {
+		// The error body always has a JSON form, and the caller may be gone.
+		data, _ := json.Marshal(refusal.Body())
+		_ = wire.WriteEvent(c.w, data)
+		c.flush()
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (c *call) flush() {
+	// A writer that cannot flush delivers at the end of the answer.
+	_ = http.NewResponseController(c.w).Flush()
+}
+
+// dialFailed says whether an error arose before a connection stood.
+func dialFailed(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- /dev/null
+++ b/internal/serve/web/client.go
@@ -0,0 +1,48 @@
+package web
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+)
+
+const (
+	// dialTimeout bounds the wait for a connection. A peer that cannot be reached
+	// in this time gets the request's next choice tried instead.
+	dialTimeout = time.Second
+	// idlePerHost is how many idle connections are kept to one peer.
+	idlePerHost = 64
+	// idleLife is how long an idle connection is kept.
+	idleLife = 90 * time.Second
+)
+
+// NewClient returns an HTTP client for the system's own hops. It takes no proxy
+// from the environment, follows no redirects and waits without limit for slow
+// answers, since deadlines are set by each request's context.
+func NewClient(config *tls.Config) *http.Client {
+	transport := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig:     config,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleLife,
+		DisableCompression:  true,
+	}
+	return &http.Client{
+		Transport: transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+}
+
+// NewService wraps a client in go-zero's httpc under a name. The library's
+// circuit breaker is switched off for the name: it refuses at random and counts
+// one peer's faults against all.
+func NewService(name string, client *http.Client) httpc.Service {
+	breaker.NoBreakerFor(name)
+	return httpc.NewServiceWithClient(name, client)
+}
--- /dev/null
+++ b/internal/serve/web/web.go
@@ -0,0 +1,145 @@
+// Package web starts HTTP servers whose routes are served by go-zero's rest.
+//
+// rest's own middlewares that shed, break circuits, time out or cap bodies stay
+// off: each of them would refuse or cut requests without regard to tiers. What
+// they covered is done here: panic recovery, header deadline, body limit by the
+// handlers themselves.
+package web
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/service"
+	"github.com/zeromicro/go-zero/rest"
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+)
+
+const (
+	// headerTimeout bounds how long a client may take to send its headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes connections on which nothing is asked for.
+	idleTimeout = 2 * time.Minute
+	// maxHeader is the largest request header, in bytes.
+	maxHeader = 64 << 10
+)
+
+// Server is one HTTP listener. Set the exported fields, then call Run.
+type Server struct {
+	Name     string
+	Listen   netip.AddrPort
+	Routes   []rest.Route
+	NotFound http.HandlerFunc // answers what no route matches; nil for the usual 404
+	TLS      *tls.Config      // nil for plain HTTP
+	Log      *event.Log
+	Drain    time.Duration // longest wait for open requests after the context ends
+
+	listener net.Listener
+}
+
+// Open binds the listener, so that the address is known before Run.
+func (s *Server) Open() (netip.AddrPort, error) {
+	listener, err := net.Listen("tcp", s.Listen.String())
+	if err != nil {
+		return netip.AddrPort{}, errors.Wrapf(err, "listen for %s", s.Name)
+	}
+	s.listener = listener
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
+}
+
+// Run serves until the context ends, then waits for open requests.
+func (s *Server) Run(ctx context.Context) error {
+	if s.listener == nil {
+		if _, err := s.Open(); err != nil {
+			return err
+		}
+	}
+	handler, err := s.handler()
+	if err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           handler,
+		TLSConfig:         s.TLS,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          zap.NewStdLog(s.Log.Zap),
+	}
+	done := make(chan error, 1)
+	go func() { done <- s.serve(server) }()
+	select {
+	case err := <-done:
+		return errors.Wrapf(err, "serve %s", s.Name)
+	case <-ctx.Done():
+	}
+	return s.shutdown(server)
+}
+
+func (s *Server) serve(server *http.Server) error {
+	if s.TLS != nil {
+		return server.ServeTLS(s.listener, "", "")
+	}
+	return server.Serve(s.listener)
+}
+
+// shutdown waits for open requests, and closes what is still open when the
+// drain time is over.
+func (s *Server) shutdown(server *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), s.Drain)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		return errors.Wrapf(server.Close(), "close %s", s.Name)
+	}
+	return nil
+}
+
+func (s *Server) handler() (http.Handler, error) {
+	// rest replaces the log's writer when it is set up; the Log field is the one
+	// that counts, so rest gets a configuration that writes nothing of its own.
+	conf := rest.RestConf{ServiceConf: service.ServiceConf{
+		Name: s.Name,
+		Log:  logx.LogConf{Mode: "console", Level: "severe", Stat: false},
+	}}
+	var options []rest.RunOption
+	if s.NotFound != nil {
+		options = append(options, rest.WithNotFoundHandler(s.NotFound))
+	}
+	server, err := rest.NewServer(conf, options...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "set up %s", s.Name)
+	}
+	server.AddRoutes(s.Routes)
+	serverless, err := rest.NewServerless(server)
+	if err != nil {
+		return nil, errors.Wrapf(err, "bind routes of %s", s.Name)
+	}
+	return s.recover(http.HandlerFunc(serverless.Serve)), nil
+}
+
+// recover turns a panic into one failed request instead of a dead process. The
+// deliberate abort of a connection passes through.
+func (s *Server) recover(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			cause := recover()
+			if cause == nil {
+				return
+			}
+			if cause == http.ErrAbortHandler {
+				panic(cause)
+			}
+			s.Log.Write(event.Panicked, zap.String("path", r.URL.Path), zap.Any("cause", cause), zap.Stack("stack"))
+			panic(http.ErrAbortHandler)
+		}()
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/internal/serve/wire/events.go
@@ -0,0 +1,105 @@
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// maxEvent is the longest server-sent event that is relayed, in bytes.
+const maxEvent = 4 << 20
+
+var (
+	dataPrefix = []byte("data:")
+	doneData   = []byte("[DONE]")
+)
+
+// EventReader reads the data of server-sent events, one event at a time.
+type EventReader struct {
+	scanner *bufio.Scanner
+}
+
+// NewEventReader reads events from a stream.
+func NewEventReader(stream io.Reader) *EventReader {
+	scanner := bufio.NewScanner(stream)
+	scanner.Buffer(make([]byte, 0, 4<<10), maxEvent)
+	return &EventReader{scanner: scanner}
+}
+
+// Next returns the data of the next event; the slice is valid until the next
+// call. The end marker gives io.EOF; a stream that ends or breaks before it
+// gives chicoryrock.ErrTruncated.
+func (r *EventReader) Next() ([]byte, error) {
+	for r.scanner.Scan() {
+		line := r.scanner.Bytes()
+		if !bytes.HasPrefix(line, dataPrefix) {
+			continue
+		}
+		data := bytes.TrimSpace(line[len(dataPrefix):])
+		if bytes.Equal(data, doneData) {
+			return nil, io.EOF
+		}
+		return data, nil
+	}
+	if err := r.scanner.Err(); err != nil {
+		return nil, errors.Wrap(chicoryrock.ErrTruncated, err.Error())
+	}
+	return nil, errors.WithStack(chicoryrock.ErrTruncated)
+}
+
+// Chunk is the part of a streamed chunk or a whole answer that the router reads.
+type Chunk struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text  string `json:"text"`
+		Delta struct {
+			Content string `json:"content"`
+		} `json:"delta"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *Usage `json:"usage"`
+}
+
+// Usage is the token count of one answer as the engine states it.
+type Usage struct {
+	Prompt int `json:"prompt_tokens"`
+	Output int `json:"completion_tokens"`
+}
+
+// ParseChunk reads one chunk. Error: chicoryrock.ErrInvalid.
+func ParseChunk(data []byte) (Chunk, error) {
+	var chunk Chunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return chunk, errors.Wrap(chicoryrock.ErrInvalid, err.Error())
+	}
+	return chunk, nil
+}
+
+// Tokens returns how many output tokens the chunk carries: engines send one
+// token in each chunk that has text.
+func (c Chunk) Tokens() int {
+	for i := range c.Choices {
+		if c.Choices[i].Text != "" || c.Choices[i].Delta.Content != "" {
+			return 1
+		}
+	}
+	return 0
+}
+
+// WriteEvent writes one event.
+func WriteEvent(w io.Writer, data []byte) error {
+	line := make([]byte, 0, len(data)+8)
+	line = append(line, "data: "...)
+	line = append(line, data...)
+	line = append(line, "\n\n"...)
+	_, err := w.Write(line)
+	return err
+}
+
+// WriteDone writes the end marker.
+func WriteDone(w io.Writer) error { return WriteEvent(w, doneData) }
--- /dev/null
+++ b/internal/serve/wire/wire.go
@@ -0,0 +1,119 @@
+// Package wire names the HTTP headers that callers, entries, agents and backend
+// servers exchange, and the error body that callers get.
+package wire
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// Headers that callers see.
+const (
+	RequestID      = "X-Request-Id"      // reference for chicoryctl explain
+	Outcome        = "X-Chicory-Outcome" // OutcomeNotRun or OutcomeUnknown, on refusals and failures
+	Reason         = "X-Chicory-Reason"  // code of a chicoryrock.Reason
+	IdempotencyKey = "Idempotency-Key"
+	RetryAfter     = "Retry-After" // whole seconds
+)
+
+// Headers between the system's own processes and towards backend servers.
+const (
+	Workspace = "X-Chicory-Workspace"
+	Class     = "X-Chicory-Class"
+	Tier      = "X-Chicory-Tier"
+	Load      = "X-Chicory-Load"   // JSON of chicoryrock.Load
+	Resume    = "X-Chicory-Resume" // output tokens that the caller already has
+	Once      = "X-Chicory-Once"   // "1" on a call that may not be repeated
+)
+
+// Values of the Outcome header.
+const (
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+// ErrorBody is the usual error shape that callers' tools expect.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail is the inner object of ErrorBody.
+type ErrorDetail struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Param   string `json:"param,omitempty"`
+}
+
+// Refusal is everything that a caller is told when a request is not served.
+type Refusal struct {
+	Reason  chicoryrock.Reason
+	Detail  string        // added to the reason's sentence, may be empty
+	Outcome string        // OutcomeNotRun or OutcomeUnknown
+	After   time.Duration // when to come back; zero for never
+}
+
+// Body returns the error body of the refusal.
+func (r Refusal) Body() ErrorBody {
+	message := r.Reason.Sentence()
+	if r.Detail != "" {
+		message += " " + r.Detail
+	}
+	return ErrorBody{Error: ErrorDetail{
+		Message: message,
+		Type:    errorType(r.Reason.Status()),
+		Code:    r.Reason.String(),
+	}}
+}
+
+// Write sends the refusal as the whole answer.
+func (r Refusal) Write(w http.ResponseWriter) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(Reason, r.Reason.String())
+	header.Set(Outcome, r.Outcome)
+	if r.After > 0 {
+		header.Set(RetryAfter, strconv.Itoa(int(math.Ceil(r.After.Seconds()))))
+	}
+	w.WriteHeader(r.Reason.Status())
+	// The caller may be gone already; nothing is left to tell it then.
+	_ = json.NewEncoder(w).Encode(r.Body())
+}
+
+func errorType(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status < http.StatusInternalServerError:
+		return "invalid_request_error"
+	default:
+		return "server_error"
+	}
+}
+
+// SetLoad writes an agent's load into a header.
+func SetLoad(header http.Header, load chicoryrock.Load) {
+	text, err := json.Marshal(load)
+	if err != nil {
+		return
+	}
+	header.Set(Load, string(text))
+}
+
+// ReadLoad reads an agent's load from a header.
+func ReadLoad(header http.Header) (chicoryrock.Load, bool) {
+	var load chicoryrock.Load
+	text := header.Get(Load)
+	if text == "" {
+		return load, false
+	}
+	err := json.Unmarshal([]byte(text), &load)
+	return load, err == nil
+}
--- a/request.go
+++ b/request.go
@@ -50,3 +50,27 @@
 type Picker interface {
 	Pick(now time.Time, request *Request, replicas []Replica) (int, bool)
 }
+
+// Queue holds the requests of one pool that wait for a backend server and says
+// which goes next. Implementations stand below internal/policy.
+type Queue interface {
+	// Push takes a request in, or returns the reason why it is refused at once.
+	Push(now time.Time, request *Request) Reason
+	// Pop removes and returns the request that should be served next.
+	Pop(now time.Time) (*Request, bool)
+	// Return puts back a request that Pop gave out and that certainly did not
+	// run. It keeps its place and is not charged twice.
+	Return(now time.Time, request *Request)
+	// Remove takes out a request that its caller has given up, or whose key was
+	// withdrawn, and says whether it was waiting.
+	Remove(now time.Time, request *Request) bool
+	// Expire removes and returns every request that can no longer meet its
+	// deadline, so that it can be refused without delay.
+	Expire(now time.Time) []*Request
+	// Charge adds tokens to a workspace's account as they are produced.
+	Charge(now time.Time, request *Request, tokens int)
+	// Finish tells the queue that a request it gave out has ended.
+	Finish(now time.Time, request *Request)
+	// Len returns how many requests wait.
+	Len() int
+}
