--- a/cmd/chicoryrock/main.go
+++ b/cmd/chicoryrock/main.go
@@ -1,4 +1,13 @@
-// Command chicoryrock is described in the README.
+// Command chicoryrock runs one process of the router: an entry, an agent, or the
+// demonstration of the whole path.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"github.com/chicoryrock/chicoryrock/internal/serve/program"
+)
+
+func main() {
+	os.Exit(program.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -105,3 +105,6 @@
 	defer s.mu.Unlock()
 	return chicoryrock.Load{Slots: s.total, Running: s.running}
 }
+
+// Ready says whether the agent takes requests.
+func (a *Agent) Ready() bool { return !a.draining.Load() }
