--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -7,6 +7,12 @@
 	"time"
 )
 
+// Highest and lowest tier of a class. Tier 1 is served first.
+const (
+	TierFirst = 1
+	TierLast  = 7
+)
+
 // Kind names one of the five kinds of object.
 type Kind string
 
@@ -22,26 +28,29 @@
 // Workspace is one customer of the platform.
 type Workspace struct {
 	Name  string  `json:"name" yaml:"name"`
-	Share float64 `json:"share" yaml:"share"` // weight among the workspaces of a tier; 0 means 1
-	Rate  float64 `json:"rate" yaml:"rate"`   // tokens per second over all entries; 0 means no limit
-	Burst float64 `json:"burst" yaml:"burst"` // tokens that may be used at once above the rate
+	Share float64 `json:"share" yaml:"share"`      // weight among the workspaces of a tier; 0 means 1
+	Rate  float64 `json:"rate" yaml:"rate"`        // tokens per second over all entries; 0 means no limit
+	Burst float64 `json:"burst" yaml:"burst"`      // tokens that may be used at once above the rate
+	File  string  `json:"file,omitempty" yaml:"-"` // where the object is declared, below the folder
 }
 
 // Key gives a workspace access. Only the digest of the key is ever stored.
 type Key struct {
 	Name      string `json:"name" yaml:"name"`
 	Workspace string `json:"workspace" yaml:"workspace"`
-	Digest    string `json:"digest" yaml:"digest"` // SHA-256 of the key, lower-case hex
+	Digest    string `json:"digest" yaml:"digest"`    // SHA-256 of the key, lower-case hex
+	File      string `json:"file,omitempty" yaml:"-"` // where the object is declared, below the folder
 }
 
 // Class is a kind of traffic with its own service level.
 type Class struct {
 	Name  string        `json:"name" yaml:"name"`
-	Tier  int           `json:"tier" yaml:"tier"`   // 1 is the highest
-	First time.Duration `json:"first" yaml:"first"` // target for the first token
-	Token time.Duration `json:"token" yaml:"token"` // target between tokens
-	Goal  float64       `json:"goal" yaml:"goal"`   // share of requests that should meet the targets, e.g. 0.95
-	Floor float64       `json:"floor" yaml:"floor"` // share of a pool's slots that the class always gets
+	Tier  int           `json:"tier" yaml:"tier"`        // 1 is the highest
+	First time.Duration `json:"first" yaml:"first"`      // target for the first token
+	Token time.Duration `json:"token" yaml:"token"`      // target between tokens
+	Goal  float64       `json:"goal" yaml:"goal"`        // share of requests that should meet the targets, e.g. 0.95
+	Floor float64       `json:"floor" yaml:"floor"`      // share of a pool's slots that the class always gets
+	File  string        `json:"file,omitempty" yaml:"-"` // where the object is declared, below the folder
 }
 
 // Route ties a model or a plain service to a class and to the pools that serve it.
@@ -53,7 +62,8 @@
 	Class      string   `json:"class" yaml:"class"`
 	Pools      []string `json:"pools" yaml:"pools"` // in order of preference
 	Workspaces []string `json:"workspaces,omitempty" yaml:"workspaces"`
-	Repeat     bool     `json:"repeat" yaml:"repeat"` // calls are idempotent and may run more than once
+	Repeat     bool     `json:"repeat" yaml:"repeat"`    // calls are idempotent and may run more than once
+	File       string   `json:"file,omitempty" yaml:"-"` // where the object is declared, below the folder
 }
 
 // Pool is a group of like backend servers.
@@ -63,10 +73,11 @@
 	Slots int           `json:"slots" yaml:"slots"`           // streams that one backend server runs at once
 	Min   int           `json:"min" yaml:"min"`               // backend servers kept in each data centre
 	Max   int           `json:"max" yaml:"max"`
-	Start time.Duration `json:"start" yaml:"start"` // from the order to the first request
-	Cost  float64       `json:"cost" yaml:"cost"`   // money per backend server and hour
-	Fence bool          `json:"fence" yaml:"fence"` // the engines refuse orders with an old fencing number
-	Save  bool          `json:"save" yaml:"save"`   // the engines can resume a stream
+	Start time.Duration `json:"start" yaml:"start"`      // from the order to the first request
+	Cost  float64       `json:"cost" yaml:"cost"`        // money per backend server and hour
+	Fence bool          `json:"fence" yaml:"fence"`      // the engines refuse orders with an old fencing number
+	Save  bool          `json:"save" yaml:"save"`        // the engines can resume a stream
+	File  string        `json:"file,omitempty" yaml:"-"` // where the object is declared, below the folder
 }
 
 // Set is one whole configuration.
