Add chicoryctl check and declarations for both deployments

Operators and pipelines need to check a folder before anything is published. Flags may stand before or after the folder, since "check DIR -json" is what people type; the flag package alone stops at the first argument.

A test checks both and holds the invented keys on the page to their digests; it was seen failing with a field renamed in trap/pools.yaml.

--- /dev/null
+++ b/internal/ops/ctl/ctl_test.go
@@ -0,0 +1,89 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+const examples = "../../../examples"
+
+var clock = time.Date(2026, time.March, 1, 4, 0, 0, 0, time.UTC)
+
+// run calls chicoryctl and returns its exit code, output and error output.
+func run(env *Env, args ...string) (int, string, string) {
+	var out, errOut bytes.Buffer
+	if env == nil {
+		env = &Env{}
+	}
+	env.Out, env.Err = &out, &errOut
+	if env.Now == nil {
+		env.Now = func() time.Time { return clock }
+	}
+	code := Run(context.Background(), env, args)
+	return code, out.String(), errOut.String()
+}
+
+func expectExit(t *testing.T, want int, part string, args ...string) {
+	t.Helper()
+	code, out, errOut := run(nil, args...)
+	require.Equal(t, want, code, out+errOut)
+	require.Contains(t, out+errOut, part)
+}
+
+func TestUsage(t *testing.T) {
+	expectExit(t, ExitUsage, "Usage: chicoryctl")
+	expectExit(t, ExitFine, "check     DIR", "help")
+	expectExit(t, ExitUsage, `no command "chek"`, "chek")
+	expectExit(t, ExitUsage, "Expected 1 arguments", "check")
+	expectExit(t, ExitUsage, "-colour", "check", "x", "-colour")
+	expectExit(t, ExitUsage, "no such file", "check", "/nonexistent")
+	expectExit(t, ExitFine, "-json", "check", "-h")
+	code, _, errOut := run(&Env{Environ: []string{"CHICORYROCK_JSON=often"}}, "check", examples+"/trap")
+	require.Equal(t, ExitUsage, code)
+	require.Contains(t, errOut, "CHICORYROCK_JSON")
+}
+
+func TestCheckExamples(t *testing.T) {
+	expectExit(t, ExitFine, "no faults", "check", examples+"/phoolgadi")
+	expectExit(t, ExitFine, `"faults": []`, "check", examples+"/trap", "-json")
+}
+
+// TestExampleKeys holds the keys of the examples' page to their digests.
+func TestExampleKeys(t *testing.T) {
+	page, err := os.ReadFile(examples + "/README.md")
+	require.NoError(t, err)
+	digests := map[string]bool{}
+	for _, word := range strings.Split(string(page), "`") {
+		digests[object.Digest(word)] = true
+	}
+	for _, folder := range []string{"phoolgadi", "trap"} {
+		set, _, err := loadFolder(filepath.Join(examples, folder))
+		require.NoError(t, err)
+		require.Len(t, set.Keys, 10)
+		for _, key := range set.Keys {
+			require.True(t, digests[key.Digest], key.Name)
+		}
+	}
+}
+
+func TestCheckFaults(t *testing.T) {
+	dir := t.TempDir()
+	require.NoError(t, os.WriteFile(dir+"/a.yaml", []byte("kind: workspace\nname: x\nrate: -1\ncolour: red"), 0o600))
+	expectExit(t, ExitFaults, "a.yaml:3: workspace/x: The rate", "check", dir)
+	code, out, _ := run(&Env{Environ: []string{"CHICORYROCK_JSON=true"}}, "check", dir)
+	require.Equal(t, ExitFaults, code)
+	var result checkResult
+	require.NoError(t, json.Unmarshal([]byte(out), &result))
+	require.Len(t, result.Faults, 2)
+	require.Equal(t, 4, result.Faults[1].Line)
+}
