--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -10,6 +10,8 @@
 	Ready        = Event{102, zapcore.InfoLevel, "process ready"}
 	Draining     = Event{103, zapcore.InfoLevel, "graceful shutdown began"}
 	Stopped      = Event{104, zapcore.InfoLevel, "process stopped"}
+	CertTaken    = Event{105, zapcore.InfoLevel, "certificate read again"}
+	CertFailed   = Event{106, zapcore.WarnLevel, "certificate could not be read again"}
 	LibraryDebug = Event{190, zapcore.DebugLevel, "message of a library"}
 	LibraryInfo  = Event{191, zapcore.InfoLevel, "message of a library"}
 	LibraryWarn  = Event{192, zapcore.WarnLevel, "warning of a library"}
--- a/internal/ops/event/event_test.go
+++ b/internal/ops/event/event_test.go
@@ -85,6 +85,14 @@
 	}
 }
 
+func TestStdNumbersLines(t *testing.T) {
+	var out bytes.Buffer
+	New(zapcore.InfoLevel, &out).Std().Println("http: TLS handshake error")
+	all := lines(t, &out)
+	require.InDelta(t, 192, all[0]["event"], 0)
+	require.Equal(t, "http: TLS handshake error", all[0]["message"])
+}
+
 func TestAttachTakesLibraryMessages(t *testing.T) {
 	var out bytes.Buffer
 	require.NoError(t, Attach(New(zapcore.DebugLevel, &out)))
--- a/internal/ops/event/library.go
+++ b/internal/ops/event/library.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"log"
+	"strings"
 
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/logx"
@@ -22,6 +24,21 @@
 	return nil
 }
 
+// Std returns a logger of the standard library that writes each line as an event
+// LibraryWarn, for instance for http.Server.ErrorLog.
+func (l *Log) Std() *log.Logger { return log.New(lineWriter{log: l}, "", 0) }
+
+// lineWriter writes each line that it gets as one event.
+type lineWriter struct {
+	log *Log
+}
+
+// Write logs one line.
+func (w lineWriter) Write(line []byte) (int, error) {
+	w.log.Write(LibraryWarn, zap.String("message", strings.TrimSpace(string(line))))
+	return len(line), nil
+}
+
 // library is a logx.Writer that writes to a Log.
 type library struct {
 	log *Log
