--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -24,4 +24,5 @@
 	ServersRead  = Event{401, zapcore.DebugLevel, "list of VMs read"}
 	ServersLost  = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
 	EngineFailed = Event{403, zapcore.WarnLevel, "backend server failed"}
+	PeerFailed   = Event{404, zapcore.DebugLevel, "answer to a peer could not be sent"}
 )
