Add the platform's clients and the first stand-ins

Cause: every other part needs the platform's interfaces and an engine to run against, in tests and in the demo, with failures that can be switched on.

Ruled out: a breaker in the clients, since it refuses at random and such a refusal says nothing of the platform; a body that the transport may rewind and send again by itself; one error for all lost calls. A call that never got a connection is unavailable (no effect), a write without a sensible answer is of unknown outcome, and a read never has an effect.

Change: clients of the key-value service, the list of VMs, the ordering and the intake; stand-ins for the store, the list of VMs and the model engine, each a core without sockets inside an HTTP server, with switches; a host that resets all its connections and comes back on the same port, as a crash does.

Conclusion: the other parts can be built against these.

--- /dev/null
+++ b/internal/serve/platform/others.go
@@ -0,0 +1,94 @@
+package platform
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// Directory is a client of the platform's list of VMs. Errors: ErrUnavailable,
+// ErrInvalid.
+type Directory struct {
+	Address netip.AddrPort
+	Client  *http.Client // nil means a client shared by this package
+	Timeout time.Duration
+}
+
+var _ chicoryrock.Directory = (*Directory)(nil)
+
+// List implements chicoryrock.Directory.
+func (d *Directory) List(ctx context.Context) ([]chicoryrock.VM, error) {
+	var list []chicoryrock.VM
+	call := &call{
+		address:  d.Address,
+		client:   d.Client,
+		timeout:  d.Timeout,
+		method:   http.MethodGet,
+		path:     PathVMs,
+		effect:   reads,
+		conflict: chicoryrock.ErrInvalid,
+		limit:    maxList,
+		output:   &list,
+	}
+	if err := call.do(ctx); err != nil {
+		return nil, err
+	}
+	return list, nil
+}
+
+// Orderer is a client of the platform's ordering of backend servers.
+type Orderer struct {
+	Address netip.AddrPort
+	Client  *http.Client // nil means a client shared by this package
+	Timeout time.Duration
+}
+
+var _ chicoryrock.Orderer = (*Orderer)(nil)
+
+// Order implements chicoryrock.Orderer.
+func (o *Orderer) Order(ctx context.Context, order chicoryrock.Order) error {
+	var answer struct{}
+	call := &call{
+		address:  o.Address,
+		client:   o.Client,
+		timeout:  o.Timeout,
+		method:   http.MethodPost,
+		path:     PathOrder,
+		effect:   writes,
+		conflict: chicoryrock.ErrFenced,
+		limit:    maxAnswer,
+		input:    order,
+		output:   &answer,
+	}
+	return call.do(ctx)
+}
+
+// Intake is a client of the platform's intake of usage reports.
+type Intake struct {
+	Address netip.AddrPort
+	Client  *http.Client // nil means a client shared by this package
+	Timeout time.Duration
+}
+
+var _ chicoryrock.Intake = (*Intake)(nil)
+
+// Report implements chicoryrock.Intake.
+func (i *Intake) Report(ctx context.Context, report chicoryrock.UsageReport) error {
+	var answer struct{}
+	call := &call{
+		address:  i.Address,
+		client:   i.Client,
+		timeout:  i.Timeout,
+		method:   http.MethodPost,
+		path:     PathReport,
+		effect:   writes,
+		conflict: chicoryrock.ErrConflict,
+		limit:    maxAnswer,
+		input:    report,
+		output:   &answer,
+	}
+	return call.do(ctx)
+}
--- /dev/null
+++ b/internal/serve/platform/platform_test.go
@@ -0,0 +1,206 @@
+package platform_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/standin/store"
+	"github.com/chicoryrock/chicoryrock/internal/standin/vms"
+)
+
+// patience ends a test that hangs; no test waits for it.
+const patience = 30 * time.Second
+
+func startStore(t *testing.T) (*store.Server, *platform.Store) {
+	t.Helper()
+	server := &store.Server{Listen: host.Loopback()}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Close)
+	return server, &platform.Store{Address: server.Addr(), Timeout: patience}
+}
+
+func put(t *testing.T, client *platform.Store, key string, prior uint64) uint64 {
+	t.Helper()
+	revision, err := client.Put(t.Context(), chicoryrock.Change{Key: key, Value: []byte("v"), Prior: prior})
+	require.NoError(t, err)
+	return revision
+}
+
+func TestStoreRoundTrip(t *testing.T) {
+	server, client := startStore(t)
+	_, err := client.Get(t.Context(), "a/1")
+	require.ErrorIs(t, err, chicoryrock.ErrNotFound)
+	first := put(t, client, "a/1", 0)
+	put(t, client, "b/1", 0)
+	_, err = client.Put(t.Context(), chicoryrock.Change{Key: "a/1"})
+	require.ErrorIs(t, err, chicoryrock.ErrConflict)
+	entries, err := client.List(t.Context(), "a/")
+	require.NoError(t, err)
+	require.Equal(t, []chicoryrock.Entry{{Key: "a/1", Value: []byte("v"), Revision: first}}, entries)
+	require.ErrorIs(t, client.Delete(t.Context(), "a/1", first+9), chicoryrock.ErrConflict)
+	require.NoError(t, client.Delete(t.Context(), "a/1", first))
+	require.Equal(t, 3, server.Calls()[platform.PathPut])
+}
+
+func TestWatchEndsWithTheWrite(t *testing.T) {
+	server, client := startStore(t)
+	first := put(t, client, "a", 0)
+	seen := make(chan uint64, 1)
+	go func() {
+		entry, err := client.Watch(context.Background(), "a", first, 10*patience)
+		if err == nil {
+			seen <- entry.Revision
+		}
+		close(seen)
+	}()
+	require.Eventually(t, func() bool { return server.Calls()[platform.PathWatch] == 1 }, patience, time.Millisecond)
+	second := put(t, client, "a", first)
+	select {
+	case revision := <-seen:
+		require.Equal(t, second, revision)
+	case <-time.After(patience):
+		require.Fail(t, "the watch goes on after the write")
+	}
+	unchanged, err := client.Watch(t.Context(), "a", second, 0)
+	require.NoError(t, err)
+	require.Equal(t, second, unchanged.Revision)
+}
+
+func TestLostAnswerOfAWriteIsUnknown(t *testing.T) {
+	server, client := startStore(t)
+	put(t, client, "warm", 0) // a kept connection is the case that is sent again by itself
+	server.Switch(store.Switches{Lose: 1})
+	_, err := client.Put(t.Context(), chicoryrock.Change{Key: "a", Value: []byte("v")})
+	require.ErrorIs(t, err, chicoryrock.ErrUnknownOutcome)
+	require.Equal(t, 2, server.Calls()[platform.PathPut])
+	entry, err := client.Get(t.Context(), "a")
+	require.NoError(t, err, "the write took effect")
+	require.Equal(t, "v", string(entry.Value))
+}
+
+func TestStoreFailures(t *testing.T) {
+	server, client := startStore(t)
+	for _, test := range []struct {
+		name        string
+		switches    store.Switches
+		read, write error
+	}{
+		{"outage", store.Switches{Outage: true}, chicoryrock.ErrUnavailable, chicoryrock.ErrUnavailable},
+		{"rubbish", store.Switches{Rubbish: true}, chicoryrock.ErrInvalid, chicoryrock.ErrUnknownOutcome},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server.Switch(test.switches)
+			_, err := client.Get(t.Context(), "a")
+			require.ErrorIs(t, err, test.read)
+			_, err = client.List(t.Context(), "a")
+			require.ErrorIs(t, err, test.read)
+			_, err = client.Watch(t.Context(), "a", 0, 0)
+			require.ErrorIs(t, err, test.read)
+			_, err = client.Put(t.Context(), chicoryrock.Change{Key: test.name})
+			require.ErrorIs(t, err, test.write)
+			require.ErrorIs(t, client.Delete(t.Context(), test.name, 1), test.write)
+		})
+	}
+}
+
+// Gives up on a call that the slow store has taken in, and returns its error.
+func giveUp(t *testing.T, server *store.Server, path string, call func(context.Context) error) error {
+	t.Helper()
+	server.Switch(store.Switches{Slow: patience})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	failed := make(chan error, 1)
+	go func() { failed <- call(ctx) }()
+	require.Eventually(t, func() bool { return server.Calls()[path] == 1 }, patience, time.Millisecond)
+	cancel()
+	return <-failed
+}
+
+func TestSlowStoreIsUnknownForAWrite(t *testing.T) {
+	server, client := startStore(t)
+	err := giveUp(t, server, platform.PathGet, func(ctx context.Context) error {
+		_, err := client.Get(ctx, "a")
+		return err
+	})
+	require.ErrorIs(t, err, chicoryrock.ErrUnavailable)
+	require.ErrorIs(t, err, context.Canceled)
+	err = giveUp(t, server, platform.PathDelete, func(ctx context.Context) error {
+		return client.Delete(ctx, "a", 1)
+	})
+	require.ErrorIs(t, err, chicoryrock.ErrUnknownOutcome)
+}
+
+func TestNoListenerMeansNoEffect(t *testing.T) {
+	server, client := startStore(t)
+	server.Close()
+	_, err := client.Put(t.Context(), chicoryrock.Change{Key: "a"})
+	require.ErrorIs(t, err, chicoryrock.ErrUnavailable)
+}
+
+// expectReads expects the error of a read whose answer is the given text.
+func expectReads(t *testing.T, body string, want error) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(body))
+	}))
+	defer server.Close()
+	client := &platform.Store{Address: address(server.Listener.Addr()), Timeout: patience}
+	_, err := client.Get(t.Context(), "a")
+	if want == nil {
+		require.NoError(t, err)
+		return
+	}
+	require.ErrorIs(t, err, want)
+}
+
+func address(addr net.Addr) netip.AddrPort { return netip.MustParseAddrPort(addr.String()) }
+
+func TestRubbishAnswers(t *testing.T) {
+	expectReads(t, `{"key":"a","revision":1}`, nil)
+	expectReads(t, `{"key":"b","revision":1}`, chicoryrock.ErrInvalid)
+	expectReads(t, `{"key":"a"}`, chicoryrock.ErrInvalid)
+	expectReads(t, `{"key":"a","revision":-1}`, chicoryrock.ErrInvalid)
+	expectReads(t, `[]`, chicoryrock.ErrInvalid)
+	expectReads(t, `null`, chicoryrock.ErrInvalid)
+	expectReads(t, ``, chicoryrock.ErrInvalid)
+	expectReads(t, `{"key":"a","revision":1}`+strings.Repeat(" ", 3<<20), chicoryrock.ErrInvalid)
+}
+
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var reached atomic.Int32
+	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }))
+	defer target.Close()
+	server := httptest.NewServer(http.RedirectHandler(target.URL, http.StatusTemporaryRedirect))
+	defer server.Close()
+	client := &platform.Directory{Address: address(server.Listener.Addr()), Timeout: patience}
+	_, err := client.List(t.Context())
+	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
+	require.Zero(t, reached.Load())
+}
+
+func TestDirectory(t *testing.T) {
+	server := &vms.Server{Listen: host.Loopback()}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Close)
+	list := []chicoryrock.VM{{Name: "e1", Role: "entry", Address: server.Addr(), State: chicoryrock.VMLive}}
+	server.Set(list)
+	client := &platform.Directory{Address: server.Addr(), Timeout: patience}
+	got, err := client.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, list, got)
+	server.Outage(true)
+	_, err = client.List(t.Context())
+	require.ErrorIs(t, err, chicoryrock.ErrUnavailable)
+}
--- /dev/null
+++ b/internal/standin/engine/messages.go
@@ -0,0 +1,174 @@
+package engine
+
+import (
+	"hash"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers that the engine understands.
+const (
+	HeaderRequest = "X-Request-Id"     // names the request; the output derives from it
+	HeaderTier    = "X-Chicory-Tier"   // 1 is the highest
+	HeaderResume  = "X-Chicory-Resume" // number of tokens that the caller has
+	HeaderUsage   = "X-Chicory-Usage"  // "1" asks for usage at the end of a stream
+)
+
+// request is the body of a chat or text completion, as far as the engine reads it.
+type request struct {
+	Model               string        `json:"model"`
+	Messages            []message     `json:"messages"`
+	Prompt              string        `json:"prompt"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Stream              bool          `json:"stream"`
+	StreamOptions       streamOptions `json:"stream_options"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// work is one request as the engine runs it.
+type work struct {
+	id     string // names the request
+	chat   bool
+	tier   int
+	first  int // first token that is made
+	total  int // tokens of the whole answer
+	prompt int // tokens of the prompt
+	stream bool
+	usage  bool // a stream ends with its usage
+	model  string
+	text   string // the whole prompt
+	source string // the request whose words are sent; differs only when answers cross
+}
+
+func newWork(header http.Header, body *request, chat bool, output int) *work {
+	texts := []string{body.Prompt}
+	for _, message := range body.Messages {
+		texts = append(texts, message.Content)
+	}
+	text := strings.Join(texts, "\n")
+	work := &work{
+		id:     header.Get(HeaderRequest),
+		chat:   chat,
+		tier:   number(header, HeaderTier),
+		first:  number(header, HeaderResume),
+		total:  output,
+		prompt: len(strings.Fields(text)),
+		stream: body.Stream,
+		usage:  body.StreamOptions.IncludeUsage || header.Get(HeaderUsage) == "1",
+		model:  body.Model,
+		text:   text,
+	}
+	switch {
+	case body.MaxCompletionTokens > 0:
+		work.total = body.MaxCompletionTokens
+	case body.MaxTokens > 0:
+		work.total = body.MaxTokens
+	}
+	if work.id == "" {
+		work.id = "prompt-" + strconv.FormatUint(digest(text), 16)
+	}
+	work.source = work.id
+	return work
+}
+
+// number returns a header's value as a number, or zero.
+func number(header http.Header, name string) int {
+	value, err := strconv.Atoi(header.Get(name))
+	if err != nil || value < 0 {
+		return 0
+	}
+	return value
+}
+
+func digest(text string) uint64 {
+	var sum hash.Hash64 = xxhash.New()
+	_, _ = sum.Write([]byte(text))
+	return sum.Sum64()
+}
+
+// answer is a whole answer or one chunk of a stream.
+type answer struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []choice `json:"choices"`
+	Usage   *usage   `json:"usage,omitempty"`
+}
+
+type choice struct {
+	Index        int      `json:"index"`
+	Message      *message `json:"message,omitempty"`
+	Delta        *delta   `json:"delta,omitempty"`
+	Text         string   `json:"text,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+type delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// usage counts the tokens of this answer. A resumed one counts only those that
+// it made itself.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+	TotalTokens      int `json:"total_tokens"`
+}
+
+// finish is the reason with which every whole answer ends.
+var finish = "stop"
+
+func (w *work) whole(text string, made int) answer {
+	answer := w.frame("text_completion", "chat.completion")
+	answer.Usage = w.used(made)
+	choice := choice{FinishReason: &finish}
+	if w.chat {
+		choice.Message = &message{Role: "assistant", Content: text}
+	} else {
+		choice.Text = text
+	}
+	answer.Choices = append(answer.Choices, choice)
+	return answer
+}
+
+// chunk is one part of a stream; the last one has no text and a finish reason.
+func (w *work) chunk(text string, last bool) answer {
+	answer := w.frame("text_completion", "chat.completion.chunk")
+	choice := choice{}
+	if w.chat {
+		choice.Delta = &delta{Content: text}
+	} else {
+		choice.Text = text
+	}
+	if last {
+		choice.FinishReason = &finish
+	}
+	answer.Choices = append(answer.Choices, choice)
+	return answer
+}
+
+func (w *work) frame(text, chat string) answer {
+	prefix, object := "cmpl-", text
+	if w.chat {
+		prefix, object = "chatcmpl-", chat
+	}
+	return answer{ID: prefix + w.source, Object: object, Model: w.model, Choices: []choice{}}
+}
+
+func (w *work) used(made int) *usage {
+	return &usage{PromptTokens: w.prompt, CompletionTokens: made, TotalTokens: w.prompt + made}
+}
--- /dev/null
+++ b/internal/standin/vms/vms.go
@@ -0,0 +1,108 @@
+// Package vms is the stand-in for the platform's lagging list of VMs.
+package vms
+
+import (
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+)
+
+// Core is the list without sockets. It is not safe for concurrent use.
+type Core struct {
+	Lag     time.Duration // after which a change shows
+	history []version     // oldest first; the first one shows now
+}
+
+type version struct {
+	at   time.Time
+	list []chicoryrock.VM
+}
+
+// Set replaces the list; readers see it after the lag.
+func (c *Core) Set(now time.Time, list []chicoryrock.VM) {
+	c.history = append(c.history, version{at: now, list: list})
+}
+
+// List returns the list as it was a lag ago.
+func (c *Core) List(now time.Time) []chicoryrock.VM {
+	for len(c.history) > 1 && !now.Before(c.history[1].at.Add(c.Lag)) {
+		c.history = c.history[1:]
+	}
+	if len(c.history) == 0 || now.Before(c.history[0].at.Add(c.Lag)) {
+		return []chicoryrock.VM{}
+	}
+	return c.history[0].list
+}
+
+// Server serves a Core over HTTP. The exported fields are set before Start.
+type Server struct {
+	Listen netip.AddrPort
+	Lag    time.Duration
+
+	host   host.Host
+	mutex  sync.Mutex
+	core   Core
+	outage bool
+}
+
+// Start listens and serves in the background.
+func (s *Server) Start() error {
+	s.core.Lag = s.Lag
+	handler, err := host.Routes(nil,
+		rest.Route{Method: http.MethodGet, Path: platform.PathVMs, Handler: s.list},
+		rest.Route{Method: http.MethodPost, Path: platform.PathVMs, Handler: s.set},
+	)
+	if err != nil {
+		return err
+	}
+	s.host.Listen = s.Listen
+	s.host.Handler = handler
+	return s.host.Start()
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
+
+// Close stops the server at once.
+func (s *Server) Close() { s.host.Close() }
+
+// Set replaces the list; readers see it after the lag.
+func (s *Server) Set(list []chicoryrock.VM) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core.Set(time.Now(), list)
+}
+
+// Outage makes every reading fail with status 503, or ends that.
+func (s *Server) Outage(outage bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.outage = outage
+}
+
+func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	list := s.core.List(time.Now())
+	outage := s.outage
+	s.mutex.Unlock()
+	if outage {
+		host.WriteError(w, http.StatusServiceUnavailable, "outage")
+		return
+	}
+	host.WriteJSON(w, http.StatusOK, list)
+}
+
+func (s *Server) set(w http.ResponseWriter, r *http.Request) {
+	var list []chicoryrock.VM
+	if host.ReadJSON(w, r, &list) {
+		s.Set(list)
+		host.WriteJSON(w, http.StatusOK, struct{}{})
+	}
+}
