Add the other stand-ins and their command

Cause: bookings, backend orders, usage reports and weights need receivers too, and tests with separate processes need them behind a command.

Ruled out: a plain service that suppresses repeats itself, since it would hide the second run that a test looks for; one fencing number over all data centres, since two lease holders of two data centres may both be right.

Change: stand-ins for a plain service, the ordering of backend servers, the intake of usage reports and the weight store; the failures that the platform's stand-ins share are one package, which the store and the list of VMs now use too; `standin NAME -listen ADDR` prints its address and serves until a signal.

Conclusion: every interface of the platform has a receiver whose failures can be switched on.

--- a/internal/serve/platform/platform_test.go
+++ b/internal/serve/platform/platform_test.go
@@ -15,7 +15,10 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
+	"github.com/chicoryrock/chicoryrock/internal/standin/fault"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/standin/intake"
+	"github.com/chicoryrock/chicoryrock/internal/standin/orderer"
 	"github.com/chicoryrock/chicoryrock/internal/standin/store"
 	"github.com/chicoryrock/chicoryrock/internal/standin/vms"
 )
@@ -200,7 +203,41 @@
 	got, err := client.List(t.Context())
 	require.NoError(t, err)
 	require.Equal(t, list, got)
-	server.Outage(true)
+	server.Switch(fault.Switches{Outage: true})
 	_, err = client.List(t.Context())
 	require.ErrorIs(t, err, chicoryrock.ErrUnavailable)
 }
+
+func TestOrderer(t *testing.T) {
+	server := &orderer.Server{Listen: host.Loopback(), Fence: true}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Close)
+	client := &platform.Orderer{Address: server.Addr(), Timeout: patience}
+	order := chicoryrock.Order{ID: "1", Pool: "garland", Centre: "jamalpur", Wanted: 2, Fence: 7}
+	require.NoError(t, client.Order(t.Context(), order))
+	order.Fence = 6
+	require.ErrorIs(t, client.Order(t.Context(), order), chicoryrock.ErrFenced)
+	order.Wanted, order.Fence = 3, 8
+	server.Switch(fault.Switches{Lose: 1})
+	require.ErrorIs(t, client.Order(t.Context(), order), chicoryrock.ErrUnknownOutcome)
+	require.Equal(t, 3, server.Count("garland", "jamalpur"))
+	server.Switch(fault.Switches{Outage: true})
+	require.ErrorIs(t, client.Order(t.Context(), order), chicoryrock.ErrUnavailable)
+	require.Len(t, server.Orders(), 2)
+}
+
+func TestIntake(t *testing.T) {
+	server := &intake.Server{Listen: host.Loopback()}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Close)
+	client := &platform.Intake{Address: server.Addr(), Timeout: patience}
+	report := chicoryrock.UsageReport{ID: "w/1", Workspace: "w", Start: time.Unix(60, 0), Window: time.Minute, Output: 5}
+	server.Switch(fault.Switches{Lose: 1})
+	require.ErrorIs(t, client.Report(t.Context(), report), chicoryrock.ErrUnknownOutcome)
+	report.Fence = 9
+	require.NoError(t, client.Report(t.Context(), report), "the same figures may come again")
+	report.Output = 6
+	require.ErrorIs(t, client.Report(t.Context(), report), chicoryrock.ErrConflict)
+	require.Equal(t, int64(5), server.Taken()["w/1"].Output)
+	require.Len(t, server.Received(), 3)
+}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -11,8 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/openai/openai-go/v3/packages/ssestream"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/internal/standin/word"
 )
@@ -45,9 +46,9 @@
 		return result{err: err}
 	}
 	request.GetBody = nil
-	request.Header.Set(HeaderRequest, id)
+	request.Header.Set(wire.RequestID, id)
 	request.Header.Set(HeaderUsage, "1")
-	request.Header.Set(HeaderResume, fmt.Sprint(resume))
+	request.Header.Set(wire.Resume, fmt.Sprint(resume))
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return result{err: err}
@@ -75,20 +76,14 @@
 
 func readStream(response *http.Response) result {
 	out := result{status: response.StatusCode}
-	lines := bufio.NewScanner(response.Body)
-	for lines.Scan() {
-		data, found := strings.CutPrefix(lines.Text(), "data: ")
-		if !found {
-			continue
-		}
-		if data == "[DONE]" {
-			out.done = true
+	events := ssestream.NewDecoder(response)
+	for out.err == nil && events.Next() {
+		data := events.Event().Data
+		if out.done = string(data) == "[DONE]\n"; out.done {
 			break
 		}
 		var chunk answer
-		if out.err = json.Unmarshal([]byte(data), &chunk); out.err != nil {
-			return out
-		}
+		out.err = json.Unmarshal(data, &chunk)
 		if len(chunk.Choices) == 1 {
 			out.text += chunk.Choices[0].Delta.Content
 		}
@@ -97,7 +92,7 @@
 		}
 	}
 	if out.err == nil {
-		out.err = lines.Err()
+		out.err = events.Err()
 	}
 	return out
 }
--- a/internal/standin/engine/messages.go
+++ b/internal/standin/engine/messages.go
@@ -1,22 +1,20 @@
 package engine
 
 import (
-	"hash"
 	"net/http"
 	"strconv"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
-)
 
-// Headers that the engine understands.
-const (
-	HeaderRequest = "X-Request-Id"     // names the request; the output derives from it
-	HeaderTier    = "X-Chicory-Tier"   // 1 is the highest
-	HeaderResume  = "X-Chicory-Resume" // number of tokens that the caller has
-	HeaderUsage   = "X-Chicory-Usage"  // "1" asks for usage at the end of a stream
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
 
+// HeaderUsage set to "1" asks for usage at the end of a stream. Besides it the
+// engine understands wire.RequestID, which names the request and so its words,
+// wire.Tier and wire.Resume.
+const HeaderUsage = "X-Chicory-Usage"
+
 // request is the body of a chat or text completion, as far as the engine reads it.
 type request struct {
 	Model               string        `json:"model"`
@@ -59,10 +57,10 @@
 	}
 	text := strings.Join(texts, "\n")
 	work := &work{
-		id:     header.Get(HeaderRequest),
+		id:     header.Get(wire.RequestID),
 		chat:   chat,
-		tier:   number(header, HeaderTier),
-		first:  number(header, HeaderResume),
+		tier:   number(header, wire.Tier),
+		first:  number(header, wire.Resume),
 		total:  output,
 		prompt: len(strings.Fields(text)),
 		stream: body.Stream,
@@ -77,7 +75,7 @@
 		work.total = body.MaxTokens
 	}
 	if work.id == "" {
-		work.id = "prompt-" + strconv.FormatUint(digest(text), 16)
+		work.id = "prompt-" + strconv.FormatUint(xxhash.Sum64String(text), 16)
 	}
 	work.source = work.id
 	return work
@@ -92,12 +90,6 @@
 	return value
 }
 
-func digest(text string) uint64 {
-	var sum hash.Hash64 = xxhash.New()
-	_, _ = sum.Write([]byte(text))
-	return sum.Sum64()
-}
-
 // answer is a whole answer or one chunk of a stream.
 type answer struct {
 	ID      string   `json:"id"`
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/internal/standin/word"
 )
@@ -35,7 +36,7 @@
 		s.cancelled()
 		return
 	}
-	w.Header().Set(HeaderRequest, work.source)
+	w.Header().Set(wire.RequestID, work.source)
 	if work.stream {
 		s.stream(w, r, work)
 		return
--- a/internal/standin/vms/vms.go
+++ b/internal/standin/vms/vms.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
+	"github.com/chicoryrock/chicoryrock/internal/standin/fault"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 )
 
@@ -46,19 +47,19 @@
 	Listen netip.AddrPort
 	Lag    time.Duration
 
-	host   host.Host
-	mutex  sync.Mutex
-	core   Core
-	outage bool
+	fault.Gate
+	host  host.Host
+	mutex sync.Mutex
+	core  Core
 }
 
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	s.core.Lag = s.Lag
-	handler, err := host.Routes(nil,
+	handler, err := host.Routes(nil, append(s.Routes(),
 		rest.Route{Method: http.MethodGet, Path: platform.PathVMs, Handler: s.list},
 		rest.Route{Method: http.MethodPost, Path: platform.PathVMs, Handler: s.set},
-	)
+	)...)
 	if err != nil {
 		return err
 	}
@@ -71,7 +72,10 @@
 func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
 
 // Close stops the server at once.
-func (s *Server) Close() { s.host.Close() }
+func (s *Server) Close() {
+	s.Gate.Close()
+	s.host.Close()
+}
 
 // Set replaces the list; readers see it after the lag.
 func (s *Server) Set(list []chicoryrock.VM) {
@@ -80,23 +84,14 @@
 	s.core.Set(time.Now(), list)
 }
 
-// Outage makes every reading fail with status 503, or ends that.
-func (s *Server) Outage(outage bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.outage = outage
-}
-
-func (s *Server) list(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	if !s.Enter(w, r, nil) {
+		return
+	}
 	s.mutex.Lock()
 	list := s.core.List(time.Now())
-	outage := s.outage
 	s.mutex.Unlock()
-	if outage {
-		host.WriteError(w, http.StatusServiceUnavailable, "outage")
-		return
-	}
-	host.WriteJSON(w, http.StatusOK, list)
+	s.Answer(w, list, nil)
 }
 
 func (s *Server) set(w http.ResponseWriter, r *http.Request) {
