Prove the thin path with separate processes

Ruled out: a 404 seen at first came from the engine, which did not hold the pool's model; it is started with it now.

--- a/internal/serve/program/path_test.go
+++ b/internal/serve/program/path_test.go
@@ -34,7 +34,7 @@
 	p := &path{
 		store:  start(t, "standin", "store", "-listen", "127.0.0.1:0"),
 		vms:    start(t, "standin", "vms", "-listen", "127.0.0.1:0"),
-		engine: start(t, "standin", "engine", "-listen", "127.0.0.1:0"),
+		engine: start(t, "standin", "engine", "-listen", "127.0.0.1:0", "-model", "garland-7b"),
 		plain:  start(t, "standin", "plain", "-listen", "127.0.0.1:0"),
 	}
 	p.agent = startAgent(t, "agent-1", "garland", p.engine)
