--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -70,7 +70,7 @@
 
 func (a *Agent) newRequest(r *http.Request) (*http.Request, error) {
 	address := "http://" + a.Settings.Engine.String() + r.URL.RequestURI()
-	request, err := http.NewRequestWithContext(r.Context(), r.Method, address, r.Body)
+	request, err := http.NewRequestWithContext(r.Context(), r.Method, address, r.Body) //nolint:gosec // the address is the agent's setting, only the path is the caller's
 	if err != nil {
 		return nil, err
 	}
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -39,7 +39,6 @@
 
 	sent    int  // output tokens that the caller has
 	started bool // the answer's header has gone out
-	load    *chicoryrock.Load
 }
 
 // run sends the request to one replica after another until it is answered,
@@ -93,7 +92,7 @@
 		scheme = "https"
 	}
 	address := scheme + "://" + replica.Address.String() + c.path
-	request, err := http.NewRequestWithContext(c.r.Context(), c.r.Method, address, bytes.NewReader(c.body))
+	request, err := http.NewRequestWithContext(c.r.Context(), c.r.Method, address, bytes.NewReader(c.body)) //nolint:gosec // the address is the replica's, only the path is the caller's
 	if err != nil {
 		return nil, errors.Wrap(chicoryrock.ErrNotRun, err.Error())
 	}
@@ -216,7 +215,7 @@
 }
 
 func (c *call) refusalFor(err error) wire.Refusal {
-	var refused *errRefused
+	var refused *refusedError
 	switch {
 	case c.started:
 		return wire.Refusal{Reason: chicoryrock.ReasonBroken, Outcome: wire.OutcomeUnknown}
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -11,12 +11,12 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
 )
 
-// errRefused carries the reason of a refusal through an error return.
-type errRefused struct {
+// refusedError carries the reason of a refusal through an error return.
+type refusedError struct {
 	reason chicoryrock.Reason
 }
 
-func (e *errRefused) Error() string { return e.reason.Sentence() }
+func (e *refusedError) Error() string { return e.reason.Sentence() }
 
 // verdict is what a waiting request is told.
 type verdict struct {
@@ -39,14 +39,14 @@
 	}
 }
 
-// acquire waits until a replica is granted. Errors: *errRefused; the context's
+// acquire waits until a replica is granted. Errors: *refusedError; the context's
 // error when the caller has gone.
 func (g *gate) acquire(ctx context.Context, now time.Time, request *chicoryrock.Request) (chicoryrock.Replica, error) {
 	g.mu.Lock()
 	reason := g.dispatcher.Offer(now, request)
 	if reason != chicoryrock.ReasonNone {
 		g.mu.Unlock()
-		return chicoryrock.Replica{}, &errRefused{reason: reason}
+		return chicoryrock.Replica{}, &refusedError{reason: reason}
 	}
 	wait := g.await(request)
 	g.pump(now)
@@ -97,7 +97,7 @@
 
 func (v verdict) result() (chicoryrock.Replica, error) {
 	if v.reason != chicoryrock.ReasonNone {
-		return chicoryrock.Replica{}, &errRefused{reason: v.reason}
+		return chicoryrock.Replica{}, &refusedError{reason: v.reason}
 	}
 	return v.grant.Replica, nil
 }
--- a/internal/serve/peer/server.go
+++ b/internal/serve/peer/server.go
@@ -36,7 +36,8 @@
 
 // Open binds the listener, so that the address is known before Run.
 func (s *Server) Open() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", s.Listen.String())
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", s.Listen.String())
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "listen for peers")
 	}
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"flag"
-	"fmt"
 	"io"
 	"os"
 	"os/signal"
@@ -43,7 +42,7 @@
 // Main runs one subcommand and returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
 	if len(args) == 0 {
-		fmt.Fprint(stderr, usage)
+		show(stderr, usage)
 		return exitUsage
 	}
 	proc.SetTimeToForceQuit(never)
@@ -55,10 +54,10 @@
 	case "agent":
 		return exitCode(runAgent(ctx, args[1:], os.Environ(), stderr), stderr)
 	case "-h", "--help", "help":
-		fmt.Fprint(stdout, usage)
+		show(stdout, usage)
 		return exitFine
 	default:
-		fmt.Fprint(stderr, usage)
+		show(stderr, usage)
 		return exitUsage
 	}
 }
@@ -68,10 +67,10 @@
 	case err == nil, errors.Is(err, flag.ErrHelp):
 		return exitFine
 	case errors.Is(err, chicoryrock.ErrInvalid):
-		fmt.Fprintln(stderr, err)
+		show(stderr, err.Error()+"\n")
 		return exitUsage
 	default:
-		fmt.Fprintln(stderr, err)
+		show(stderr, err.Error()+"\n")
 		return exitFault
 	}
 }
@@ -87,3 +86,8 @@
 		level)
 	return &event.Log{Zap: zap.New(core)}
 }
+
+// show writes to the terminal, which may have been closed by its owner.
+func show(out io.Writer, text string) {
+	_, _ = io.WriteString(out, text)
+}
--- a/internal/serve/web/web.go
+++ b/internal/serve/web/web.go
@@ -47,7 +47,8 @@
 
 // Open binds the listener, so that the address is known before Run.
 func (s *Server) Open() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", s.Listen.String())
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", s.Listen.String())
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrapf(err, "listen for %s", s.Name)
 	}
@@ -134,7 +135,7 @@
 			if cause == nil {
 				return
 			}
-			if cause == http.ErrAbortHandler {
+			if isAbort(cause) {
 				panic(cause)
 			}
 			s.Log.Write(event.Panicked, zap.String("path", r.URL.Path), zap.Any("cause", cause), zap.Stack("stack"))
@@ -143,3 +144,9 @@
 		next.ServeHTTP(w, r)
 	})
 }
+
+// isAbort says whether a panic is the library's way to cut a connection.
+func isAbort(cause any) bool {
+	err, isError := cause.(error)
+	return isError && errors.Is(err, http.ErrAbortHandler)
+}
