Publish sets through the store, with deltas, rollback and withdrawal

An accepted configuration must never be lost or go back, although the store's answers get lost, writes land late and operators race. A set is split into immutable chunks under their digests and put in force by one compare-and-swap of a small head, which also carries the publication's id and the digest of the head before it. After a lost answer, and also after a plain conflict (a transport may send a write twice), the chain of heads says whether the publication took effect. If the head hasn't moved and the write may still be on its way, the outcome is reported as unknown.

Ruled out: merging edits that don't clash, since the set in force would then match no one's folder; one value for the whole set, since each change would rewrite it. Objects are spread over chunks by the hash of their names, so one changed object of 2,000 rewrites one chunk (TestChunksStay).

A withdrawn key's digest is barred in the set itself. Without that, a folder from before the withdrawal or a rollback would have brought the key back.

Chunks that no head of use refers to are not removed yet.

--- a/internal/state/object/check.go
+++ b/internal/state/object/check.go
@@ -112,6 +112,10 @@
 
 // checkKeys says nothing of a digest's value: it may be the key itself.
 func (c *checker) checkKeys() {
+	barred := map[string]bool{}
+	for _, withdrawal := range c.set.Withdrawn {
+		barred[withdrawal.Digest] = true
+	}
 	first := map[string]string{}
 	for i, key := range c.set.Keys {
 		at := c.place(KindKey, i, key.Name)
@@ -125,6 +129,7 @@
 			continue
 		}
 		first[key.Digest] = key.Name
+		c.expectf(!barred[key.Digest], at, "digest", "The key was withdrawn: remove it here and give the workspace a new key.")
 	}
 }
 
--- a/internal/state/object/object.go
+++ b/internal/state/object/object.go
@@ -80,11 +80,21 @@
 	File  string        `json:"file,omitempty" yaml:"-"` // where the object is declared, below the folder
 }
 
+// Withdrawal bars a key for good. It is made by withdrawing a key and never
+// declared in a file, so that a folder from before the withdrawal, or a return to
+// an older revision, cannot bring the key back.
+type Withdrawal struct {
+	Key       string `json:"key"` // the name it had
+	Workspace string `json:"workspace"`
+	Digest    string `json:"digest"`
+}
+
 // Set is one whole configuration.
 type Set struct {
-	Workspaces []Workspace `json:"workspaces"`
-	Keys       []Key       `json:"keys"`
-	Classes    []Class     `json:"classes"`
-	Routes     []Route     `json:"routes"`
-	Pools      []Pool      `json:"pools"`
+	Workspaces []Workspace  `json:"workspaces,omitempty"`
+	Keys       []Key        `json:"keys,omitempty"`
+	Classes    []Class      `json:"classes,omitempty"`
+	Routes     []Route      `json:"routes,omitempty"`
+	Pools      []Pool       `json:"pools,omitempty"`
+	Withdrawn  []Withdrawal `json:"withdrawn,omitempty"`
 }
--- a/internal/state/object/set.go
+++ b/internal/state/object/set.go
@@ -11,7 +11,7 @@
 	Index int // among the objects of its kind
 }
 
-// Refs names every object of the set, kind by kind, in the set's order.
+// Refs names every declared object of the set, kind by kind, in the set's order.
 func (s *Set) Refs() []Position {
 	var all []Position
 	add := func(kind Kind, index int, name string) {
@@ -44,11 +44,13 @@
 		Classes:    slices.Clone(s.Classes),
 		Routes:     slices.Clone(s.Routes),
 		Pools:      slices.Clone(s.Pools),
+		Withdrawn:  slices.Clone(s.Withdrawn),
 	}
 	slices.SortFunc(sorted.Workspaces, func(a, b Workspace) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(sorted.Keys, func(a, b Key) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(sorted.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(sorted.Routes, func(a, b Route) int { return cmp.Compare(a.Name, b.Name) })
 	slices.SortFunc(sorted.Pools, func(a, b Pool) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(sorted.Withdrawn, func(a, b Withdrawal) int { return cmp.Compare(a.Digest, b.Digest) })
 	return sorted
 }
--- a/internal/state/object/table.go
+++ b/internal/state/object/table.go
@@ -17,6 +17,7 @@
 	Set        *Set
 	workspaces map[string]*Workspace
 	keys       map[string]*Key
+	withdrawn  map[string]bool
 	classes    map[string]*Class
 	pools      map[string]*Pool
 	models     map[string][]*Route
@@ -36,6 +37,7 @@
 		Set:        set,
 		workspaces: make(map[string]*Workspace, len(set.Workspaces)),
 		keys:       make(map[string]*Key, len(set.Keys)),
+		withdrawn:  make(map[string]bool, len(set.Withdrawn)),
 		classes:    make(map[string]*Class, len(set.Classes)),
 		pools:      make(map[string]*Pool, len(set.Pools)),
 		models:     make(map[string][]*Route),
@@ -47,6 +49,9 @@
 	for i := range set.Keys {
 		table.keys[set.Keys[i].Digest] = &set.Keys[i]
 	}
+	for _, withdrawal := range set.Withdrawn {
+		table.withdrawn[withdrawal.Digest] = true
+	}
 	for i := range set.Classes {
 		table.classes[set.Classes[i].Name] = &set.Classes[i]
 	}
@@ -68,7 +73,7 @@
 // ErrUnknownKey.
 func (t *Table) Authenticate(digest string) (*Key, *Workspace, error) {
 	key, found := t.keys[digest]
-	if !found {
+	if !found || t.withdrawn[digest] {
 		return nil, nil, errors.WithStack(chicoryrock.ErrUnknownKey)
 	}
 	workspace, found := t.workspaces[key.Workspace]
@@ -78,6 +83,10 @@
 	return key, workspace, nil
 }
 
+// Withdrawn reports whether a digest is that of a withdrawn key. It tells a
+// caller whose key was taken back from one whose key never was.
+func (t *Table) Withdrawn(digest string) bool { return t.withdrawn[digest] }
+
 // Model returns the route for a model that is open to the workspace. A route
 // that names the workspace goes before one that is open to all. Error: ErrNoRoute.
 func (t *Table) Model(model, workspace string) (*Route, error) {
--- /dev/null
+++ b/internal/state/publish/change.go
@@ -0,0 +1,102 @@
+package publish
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+// Rollback publishes the set of an earlier revision as a new one. Keys withdrawn
+// since then stay withdrawn; their names are returned. Errors: those of Publish;
+// chicoryrock.ErrNotFound when there is no such revision.
+func (p *Publisher) Rollback(ctx context.Context, now time.Time, publication Publication, revision uint64) (Head, []string, error) {
+	found, err := p.current(ctx)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	if publication.Again {
+		head, done, err := p.search(ctx, found.head, publication.ID, floorOf(found.head.Revision))
+		if err != nil || done {
+			return head, nil, err
+		}
+	}
+	head, err := find(ctx, p.Store, found.head, revision)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	reader := Reader{Store: p.Store}
+	set, err := reader.load(ctx, head)
+	if err != nil {
+		return Head{}, nil, err
+	}
+	set.Withdrawn = found.set.Withdrawn
+	kept := dropWithdrawn(set)
+	head, err = p.move(ctx, now, publication, found, set)
+	return head, kept, err
+}
+
+// dropWithdrawn removes the withdrawn keys of a set and returns their names.
+func dropWithdrawn(set *object.Set) []string {
+	barred := make(map[string]bool, len(set.Withdrawn))
+	for _, withdrawal := range set.Withdrawn {
+		barred[withdrawal.Digest] = true
+	}
+	var names []string
+	set.Keys = slices.DeleteFunc(slices.Clone(set.Keys), func(key object.Key) bool {
+		if barred[key.Digest] {
+			names = append(names, key.Name)
+		}
+		return barred[key.Digest]
+	})
+	return names
+}
+
+// withdrawAttempts is how many racing publications a withdrawal outlasts.
+const withdrawAttempts = 10
+
+// Withdraw publishes the set in force without a key and bars its digest for good.
+// It cannot clash with another edit, so it is tried again when one goes first.
+// Errors: those of Publish; chicoryrock.ErrNotFound when there is no such key. A key that is withdrawn
+// already makes no new revision.
+func (p *Publisher) Withdraw(ctx context.Context, now time.Time, publication Publication, name string) (Head, error) {
+	var head Head
+	var err error
+	for range withdrawAttempts {
+		head, err = p.withdraw(ctx, now, publication, name)
+		if !errors.Is(err, chicoryrock.ErrConflict) {
+			break
+		}
+	}
+	return head, err
+}
+
+func (p *Publisher) withdraw(ctx context.Context, now time.Time, publication Publication, name string) (Head, error) {
+	found, err := p.current(ctx)
+	if err != nil {
+		return Head{}, err
+	}
+	if publication.Again {
+		head, done, err := p.search(ctx, found.head, publication.ID, floorOf(found.head.Revision))
+		if err != nil || done {
+			return head, err
+		}
+	}
+	position := slices.IndexFunc(found.set.Keys, func(key object.Key) bool { return key.Name == name })
+	if position < 0 && slices.ContainsFunc(found.set.Withdrawn, func(w object.Withdrawal) bool { return w.Key == name }) {
+		return found.head, nil
+	}
+	if position < 0 {
+		return Head{}, errors.Wrapf(chicoryrock.ErrNotFound, "key %s", name)
+	}
+	key := found.set.Keys[position]
+	next := *found.set
+	next.Keys = slices.Delete(slices.Clone(next.Keys), position, position+1)
+	withdrawal := object.Withdrawal{Key: key.Name, Workspace: key.Workspace, Digest: key.Digest}
+	next.Withdrawn = append(slices.Clone(next.Withdrawn), withdrawal)
+	return p.move(ctx, now, publication, found, &next)
+}
--- /dev/null
+++ b/internal/state/publish/delta.go
@@ -0,0 +1,108 @@
+package publish
+
+import (
+	"encoding/json"
+	"slices"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+// Delta leads from one revision to a later one. Processes send it to one another
+// in place of the whole set, which is a few hundred times as large.
+type Delta struct {
+	From uint64       `json:"from"`
+	To   uint64       `json:"to"`
+	Base string       `json:"base"` // ID of the publication that made revision From
+	Head Head         `json:"head"` // of revision To
+	Put  object.Set   `json:"put"`  // objects added or changed
+	Drop []object.Ref `json:"drop,omitempty"`
+}
+
+// NewDelta returns what leads from one revision to another. Error:
+// chicoryrock.ErrStale when the second isn't later.
+func NewDelta(fromHead Head, from *object.Set, toHead Head, to *object.Set) (Delta, error) {
+	if toHead.Revision <= fromHead.Revision {
+		return Delta{}, errors.Wrapf(chicoryrock.ErrStale, "no delta from revision %d to %d", fromHead.Revision, toHead.Revision)
+	}
+	delta := Delta{From: fromHead.Revision, To: toHead.Revision, Base: fromHead.ID, Head: toHead}
+	texts, err := index(to)
+	if err != nil {
+		return Delta{}, err
+	}
+	for _, change := range Diff(from, to) {
+		if change.Action == Removed {
+			delta.Drop = append(delta.Drop, change.Ref)
+			continue
+		}
+		if err := put(&delta.Put, change.Kind, texts[change.Ref]); err != nil {
+			return Delta{}, err
+		}
+	}
+	return delta, nil
+}
+
+// Apply returns the set that follows from a delta and leaves the old one alone.
+// The result is split again and must have the very chunks that the head lists, so
+// a damaged delta cannot pass for a published set. Whether the sender may be
+// trusted is for the connection to say: the head comes with the delta.
+//
+// Errors: chicoryrock.ErrStale when the delta leads to nothing newer;
+// chicoryrock.ErrConflict when it begins at another revision, so that the whole
+// set is needed; chicoryrock.ErrInvalid.
+func (d Delta) Apply(head Head, set *object.Set) (*object.Set, Head, error) {
+	if d.To <= head.Revision {
+		return nil, Head{}, errors.Wrapf(chicoryrock.ErrStale, "delta to revision %d, %d is in force", d.To, head.Revision)
+	}
+	if d.From != head.Revision || d.Base != head.ID {
+		return nil, Head{}, errors.Wrapf(chicoryrock.ErrConflict, "delta from revision %d, %d is in force", d.From, head.Revision)
+	}
+	if d.Head.Revision != d.To {
+		return nil, Head{}, errors.Wrap(chicoryrock.ErrInvalid, "delta with the head of another revision")
+	}
+	result, err := d.patch(set)
+	if err != nil {
+		return nil, Head{}, err
+	}
+	chunks, err := split(result)
+	if err != nil {
+		return nil, Head{}, err
+	}
+	if !slices.Equal(digests(chunks), d.Head.Chunks) {
+		return nil, Head{}, errors.Wrap(chicoryrock.ErrInvalid, "delta does not lead to the published set")
+	}
+	if err := checkSet(result); err != nil {
+		return nil, Head{}, err
+	}
+	return result, d.Head, nil
+}
+
+func (d Delta) patch(set *object.Set) (*object.Set, error) {
+	texts, err := index(set)
+	if err != nil {
+		return nil, err
+	}
+	for _, ref := range d.Drop {
+		delete(texts, ref)
+	}
+	puts, err := records(&d.Put)
+	if err != nil {
+		return nil, err
+	}
+	for _, one := range puts {
+		texts[one.ref] = one.text
+	}
+	return assemble(texts)
+}
+
+func assemble(texts map[object.Ref]json.RawMessage) (*object.Set, error) {
+	set := &object.Set{}
+	for ref, text := range texts {
+		if err := put(set, ref.Kind, text); err != nil {
+			return nil, err
+		}
+	}
+	return set.Sorted(), nil
+}
--- /dev/null
+++ b/internal/state/publish/diff.go
@@ -0,0 +1,118 @@
+package publish
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+// Action is what happens to an object between two sets.
+type Action string
+
+// The actions.
+const (
+	Added   Action = "added"
+	Changed Action = "changed"
+	Removed Action = "removed"
+)
+
+// Change is what happens to one object between two sets.
+type Change struct {
+	object.Ref
+	Action Action  `json:"action"`
+	Fields []Field `json:"fields,omitempty"` // of a changed object, sorted by name
+}
+
+// Field is one field with another value. Old and New are written as in the files
+// of declarations; an empty one stands for a field left out.
+type Field struct {
+	Name string `json:"name"`
+	Old  string `json:"old"`
+	New  string `json:"new"`
+}
+
+// Diff returns what changes from one set to another, by kind and name. Sets that
+// can't be encoded, which no checked set is, have no changes.
+func Diff(from, to *object.Set) []Change {
+	before, err := index(from)
+	if err != nil {
+		return nil
+	}
+	after, err := index(to)
+	if err != nil {
+		return nil
+	}
+	var changes []Change
+	for ref, text := range after {
+		old, found := before[ref]
+		switch {
+		case !found:
+			changes = append(changes, Change{Ref: ref, Action: Added})
+		case !bytes.Equal(old, text):
+			changes = append(changes, Change{Ref: ref, Action: Changed, Fields: compareFields(old, text)})
+		}
+	}
+	for ref := range before {
+		if _, found := after[ref]; !found {
+			changes = append(changes, Change{Ref: ref, Action: Removed})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return compareRefs(a.Ref, b.Ref) })
+	return changes
+}
+
+func compareFields(old, text json.RawMessage) []Field {
+	var before, after map[string]json.RawMessage
+	if json.Unmarshal(old, &before) != nil || json.Unmarshal(text, &after) != nil {
+		return nil
+	}
+	names := map[string]bool{}
+	for name := range before {
+		names[name] = true
+	}
+	for name := range after {
+		names[name] = true
+	}
+	var fields []Field
+	for name := range names {
+		if !bytes.Equal(before[name], after[name]) {
+			fields = append(fields, Field{Name: name, Old: written(name, before[name]), New: written(name, after[name])})
+		}
+	}
+	slices.SortFunc(fields, func(a, b Field) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	return fields
+}
+
+// written gives a value as it stands in a file: durations have a unit there.
+func written(name string, value json.RawMessage) string {
+	if name == "first" || name == "token" || name == "start" {
+		var duration time.Duration
+		if json.Unmarshal(value, &duration) == nil {
+			return duration.String()
+		}
+	}
+	return string(value)
+}
+
+// clashes returns the objects that two edits of the same base both changed, and
+// not to the same result.
+func clashes(base, mine, theirs *object.Set) []object.Ref {
+	other := map[object.Ref]bool{}
+	for _, change := range Diff(base, theirs) {
+		other[change.Ref] = true
+	}
+	unlike := map[object.Ref]bool{}
+	for _, change := range Diff(theirs, mine) {
+		unlike[change.Ref] = true
+	}
+	var both []object.Ref
+	for _, change := range Diff(base, mine) {
+		if other[change.Ref] && unlike[change.Ref] {
+			both = append(both, change.Ref)
+		}
+	}
+	return both
+}
--- /dev/null
+++ b/internal/state/publish/machine_test.go
@@ -0,0 +1,291 @@
+package publish
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+var (
+	clock      = time.Date(2026, time.March, 1, 4, 0, 0, 0, time.UTC)
+	background = context.Background()
+)
+
+// outcome is what a publisher was told.
+type outcome int
+
+const (
+	accepted outcome = iota
+	refused
+	unsure
+)
+
+// accept is one revision as the oracle knows it.
+type accept struct {
+	head Head
+	set  *object.Set
+}
+
+// machine drives racing publishers against a failing store. Its oracle is the
+// list of accepted revisions, which may only grow.
+type machine struct {
+	store    *memory
+	chain    []accept           // chain[i] is revision i+1
+	told     map[string]outcome // by publication
+	withdrew map[string]bool    // digests
+	ids      int
+	known    Head
+	reader   Reader
+}
+
+func newMachine() *machine {
+	store := newMemory()
+	return &machine{store: store, told: map[string]outcome{}, withdrew: map[string]bool{}, reader: Reader{Store: store}}
+}
+
+func (m *machine) publisher() *Publisher { return &Publisher{Store: m.store} }
+
+func (m *machine) next() Publication {
+	m.ids++
+	return Publication{ID: fmt.Sprintf("p%d", m.ids), Author: "rapid"}
+}
+
+// note records what a publisher was told. A head with another ID says that the
+// set was in force already.
+func (m *machine) note(t *rapid.T, publication Publication, head Head, err error) {
+	switch {
+	case err == nil && head.ID == publication.ID:
+		m.told[publication.ID] = accepted
+	case errors.Is(err, chicoryrock.ErrUnknownOutcome):
+		m.told[publication.ID] = unsure
+	case publication.Again:
+		// The earlier attempt stays in doubt.
+	case err == nil,
+		errors.Is(err, chicoryrock.ErrConflict),
+		errors.Is(err, chicoryrock.ErrUnavailable),
+		errors.Is(err, chicoryrock.ErrNotFound),
+		errors.Is(err, chicoryrock.ErrInvalid):
+		m.told[publication.ID] = refused
+	default:
+		t.Fatalf("unexpected error: %v", err)
+	}
+}
+
+// edit draws a valid set that differs from the newest one.
+func (m *machine) edit(t *rapid.T) *object.Set {
+	set := &object.Set{}
+	for i := range rapid.IntRange(1, 4).Draw(t, "workspaces") {
+		name := fmt.Sprintf("w%d", i)
+		share := float64(rapid.IntRange(0, 3).Draw(t, "share"))
+		set.Workspaces = append(set.Workspaces, object.Workspace{Name: name, Share: share})
+		digest := object.Digest(fmt.Sprintf("%s-%d", name, rapid.IntRange(0, 2).Draw(t, "key")))
+		if !m.withdrew[digest] {
+			set.Keys = append(set.Keys, object.Key{Name: "k-" + name, Workspace: name, Digest: digest})
+		}
+	}
+	return set
+}
+
+func (m *machine) publish(t *rapid.T) {
+	publication, set := m.next(), m.edit(t)
+	head, err := m.publisher().Publish(background, clock, publication, set)
+	m.note(t, publication, head, err)
+}
+
+// race lets another publisher go first, between the reading and the writing.
+func (m *machine) race(t *rapid.T) {
+	other, set := m.next(), m.edit(t)
+	m.store.race = func() {
+		head, err := m.publisher().Publish(background, clock, other, set)
+		m.note(t, other, head, err)
+	}
+	m.publish(t)
+	m.store.race = nil
+}
+
+func (m *machine) rollback(t *rapid.T) {
+	publication := m.next()
+	revision := uint64(rapid.IntRange(1, len(m.chain)+1).Draw(t, "revision"))
+	head, _, err := m.publisher().Rollback(background, clock, publication, revision)
+	m.note(t, publication, head, err)
+}
+
+func (m *machine) withdraw(t *rapid.T) {
+	publication := m.next()
+	head, err := m.publisher().Withdraw(background, clock, publication, fmt.Sprintf("k-w%d", rapid.IntRange(0, 3).Draw(t, "key")))
+	m.note(t, publication, head, err)
+}
+
+// again repeats a publication whose outcome is unknown, with any set: if the
+// first attempt took effect the second must not.
+func (m *machine) again(t *rapid.T) {
+	var open []string
+	for id, told := range m.told {
+		if told == unsure {
+			open = append(open, id)
+		}
+	}
+	if len(open) != 1 {
+		t.Skip("no publication in doubt")
+	}
+	publication := Publication{ID: open[0], Again: true}
+	head, err := m.publisher().Publish(background, clock, publication, m.edit(t))
+	m.note(t, publication, head, err)
+}
+
+func (m *machine) fail(t *rapid.T) {
+	m.store.down = rapid.Bool().Draw(t, "down") && rapid.Bool().Draw(t, "really")
+	m.store.blind = rapid.Bool().Draw(t, "blind") && rapid.Bool().Draw(t, "really")
+	m.store.lost = rapid.IntRange(0, 4).Draw(t, "lost")
+	m.store.late = rapid.IntRange(0, 4).Draw(t, "late")
+	m.store.twice = rapid.IntRange(0, 1).Draw(t, "twice")
+}
+
+func (m *machine) heal(*rapid.T) {
+	m.store.down, m.store.blind = false, false
+	m.store.lost, m.store.late, m.store.twice = 0, 0, 0
+}
+
+func (m *machine) land(*rapid.T) { m.store.land() }
+
+// read lets one process read on, sometimes from a store that answers an old head.
+func (m *machine) read(t *rapid.T) {
+	if len(m.chain) > 0 && rapid.Bool().Draw(t, "stale") {
+		old := m.chain[rapid.IntRange(0, len(m.chain)-1).Draw(t, "old")]
+		content, err := encode(old.head)
+		require.NoError(t, err)
+		m.store.stale = &chicoryrock.Entry{Key: HeadKey, Value: content}
+	}
+	set, head, err := m.reader.Read(background, m.known)
+	m.store.stale = nil
+	if err != nil {
+		return
+	}
+	require.GreaterOrEqual(t, head.Revision, m.known.Revision, "a reader went back")
+	require.Equal(t, m.chain[head.Revision-1].set, set)
+	m.known = head
+}
+
+// check walks the whole chain in the store past its failures and compares it with
+// what was there before and with what the publishers were told.
+func (m *machine) check(t *rapid.T) {
+	whole := &memory{entries: m.store.entries}
+	head, _, err := readHead(background, whole)
+	if errors.Is(err, chicoryrock.ErrNotFound) {
+		require.Empty(t, m.chain)
+		return
+	}
+	require.NoError(t, err)
+	m.extend(t, whole, head)
+	seen := map[string]bool{}
+	for _, one := range m.chain {
+		require.False(t, seen[one.head.ID], "publication %s took effect twice", one.head.ID)
+		seen[one.head.ID] = true
+		require.NotEqual(t, refused, m.told[one.head.ID], "publication %s was refused but is in force", one.head.ID)
+	}
+	for id, told := range m.told {
+		require.False(t, told == accepted && !seen[id], "accepted publication %s is lost", id)
+	}
+}
+
+// extend reads the revisions that are new and holds them against the oracle's.
+func (m *machine) extend(t *rapid.T, whole *memory, head Head) {
+	require.GreaterOrEqual(t, int(head.Revision), len(m.chain), "the head went back")
+	var fresh []accept
+	for int(head.Revision) > len(m.chain) {
+		reader := Reader{Store: whole}
+		set, err := reader.load(background, head)
+		require.NoError(t, err)
+		fresh = append(fresh, accept{head, set})
+		if head.Revision == 1 {
+			break
+		}
+		head, err = previous(background, whole, head)
+		require.NoError(t, err)
+	}
+	if len(m.chain) > 0 {
+		require.Equal(t, m.chain[len(m.chain)-1].head, head, "an accepted revision changed")
+	}
+	for i := len(fresh) - 1; i >= 0; i-- {
+		m.accept(t, fresh[i])
+	}
+}
+
+func (m *machine) accept(t *rapid.T, one accept) {
+	for _, key := range one.set.Keys {
+		require.False(t, m.withdrew[key.Digest], "a withdrawn key came back")
+	}
+	for _, withdrawal := range one.set.Withdrawn {
+		m.withdrew[withdrawal.Digest] = true
+	}
+	m.chain = append(m.chain, one)
+	for _, from := range m.chain[:len(m.chain)-1] {
+		delta, err := NewDelta(from.head, from.set, one.head, one.set)
+		require.NoError(t, err)
+		set, head, err := delta.Apply(from.head, from.set)
+		require.NoError(t, err)
+		require.Equal(t, one.set, set)
+		require.Equal(t, one.head, head)
+	}
+}
+
+// checkAll walks the chain to its beginning, at the end of a run.
+func (m *machine) checkAll(t *rapid.T) {
+	if len(m.chain) == 0 {
+		return
+	}
+	whole := &memory{entries: m.store.entries}
+	head, _, err := readHead(background, whole)
+	require.NoError(t, err)
+	for i := len(m.chain) - 1; i >= 0; i-- {
+		require.Equal(t, m.chain[i].head, head)
+		reader := Reader{Store: whole}
+		set, err := reader.load(background, head)
+		require.NoError(t, err)
+		require.Equal(t, m.chain[i].set, set)
+		if i > 0 {
+			head, err = previous(background, whole, head)
+			require.NoError(t, err)
+		}
+	}
+}
+
+func TestPublishMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"":         m.check,
+			"publish":  m.publish,
+			"race":     m.race,
+			"rollback": m.rollback,
+			"withdraw": m.withdraw,
+			"again":    m.again,
+			"fail":     m.fail,
+			"heal":     m.heal,
+			"land":     m.land,
+			"read":     m.read,
+		})
+		m.checkAll(t)
+	})
+}
+
+// TestMain gives the properties a fixed seed, so that each run has the same
+// verdict. A longer run, with RAPID_CHECKS set, draws a seed of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("RAPID_SEED") == "" && os.Getenv("RAPID_CHECKS") == "" {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	m.Run()
+}
--- /dev/null
+++ b/internal/state/publish/publish_test.go
@@ -0,0 +1,203 @@
+package publish
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+func workspaces(shares ...float64) *object.Set {
+	set := &object.Set{}
+	for i, share := range shares {
+		set.Workspaces = append(set.Workspaces, object.Workspace{Name: fmt.Sprintf("w%d", i), Share: share})
+	}
+	return set
+}
+
+func mustPublish(t *testing.T, store *memory, id string, set *object.Set) Head {
+	t.Helper()
+	head, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: id, Author: id}, set)
+	require.NoError(t, err)
+	return head
+}
+
+// expectClash publishes mine from revision 1 after theirs made revision 2.
+func expectClash(t *testing.T, base, mine, theirs *object.Set, want ...string) {
+	t.Helper()
+	store := newMemory()
+	mustPublish(t, store, "first", base)
+	mustPublish(t, store, "theirs", theirs)
+	_, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: "mine", Base: 1}, mine)
+	require.ErrorIs(t, err, chicoryrock.ErrConflict)
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, "theirs", conflict.Head.ID)
+	var names []string
+	for _, ref := range conflict.Clashes {
+		names = append(names, ref.String())
+	}
+	require.Equal(t, want, names)
+}
+
+func TestClashes(t *testing.T) {
+	expectClash(t, workspaces(1, 1), workspaces(2, 1), workspaces(3, 1), "workspace/w0")
+	expectClash(t, workspaces(1, 1), workspaces(2, 1), workspaces(1, 3))
+	expectClash(t, workspaces(1, 1), workspaces(2, 3), workspaces(2, 4), "workspace/w1")
+	expectClash(t, workspaces(1, 1), workspaces(1), workspaces(1, 2), "workspace/w1")
+	expectClash(t, workspaces(1), workspaces(1, 2), workspaces(1, 3), "workspace/w1")
+}
+
+func TestPublishFromTheFuture(t *testing.T) {
+	store := newMemory()
+	mustPublish(t, store, "first", workspaces(1))
+	_, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: "x", Base: 2}, workspaces(2))
+	require.ErrorIs(t, err, chicoryrock.ErrStale)
+}
+
+func TestPublishSameAgain(t *testing.T) {
+	store := newMemory()
+	first := mustPublish(t, store, "first", workspaces(1, 2))
+	require.Equal(t, first, mustPublish(t, store, "second", workspaces(1, 2)))
+}
+
+func TestPublishRejectsFaults(t *testing.T) {
+	_, err := (&Publisher{Store: newMemory()}).Publish(background, clock, Publication{ID: "x"}, workspaces(-1))
+	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
+	_, err = (&Publisher{Store: newMemory()}).Publish(background, clock, Publication{}, workspaces(1))
+	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
+}
+
+// TestWithdrawnKeyStays tries to bring a withdrawn key back on every way.
+func TestWithdrawnKeyStays(t *testing.T) {
+	store := newMemory()
+	publisher := &Publisher{Store: store}
+	set := workspaces(1)
+	set.Keys = []object.Key{{Name: "desk", Workspace: "w0", Digest: object.Digest("invented")}}
+	mustPublish(t, store, "first", set)
+	head, err := publisher.Withdraw(background, clock, Publication{ID: "away"}, "desk")
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), head.Revision)
+
+	again, err := publisher.Withdraw(background, clock, Publication{ID: "twice"}, "desk")
+	require.NoError(t, err)
+	require.Equal(t, head, again)
+	_, err = publisher.Withdraw(background, clock, Publication{ID: "other"}, "nobody")
+	require.ErrorIs(t, err, chicoryrock.ErrNotFound)
+	_, err = publisher.Publish(background, clock, Publication{ID: "back"}, set)
+	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
+	mustPublish(t, store, "third", workspaces(2))
+	_, kept, err := publisher.Rollback(background, clock, Publication{ID: "rollback"}, 1)
+	require.NoError(t, err)
+	require.Equal(t, []string{"desk"}, kept)
+	now, _, err := Read(background, store, head)
+	require.NoError(t, err)
+	require.Empty(t, now.Keys)
+	require.Len(t, now.Withdrawn, 1)
+	require.True(t, object.NewTable(1, now).Withdrawn(object.Digest("invented")))
+}
+
+// expectRubbish puts something damaged into the store and expects that neither a
+// reader nor a publisher takes it.
+func expectRubbish(t *testing.T, want error, damage func(store *memory, head Head)) {
+	t.Helper()
+	store := newMemory()
+	mustPublish(t, store, "first", workspaces(1))
+	head := mustPublish(t, store, "second", workspaces(2))
+	damage(store, head)
+	_, _, err := Read(background, store, head)
+	require.ErrorIs(t, err, want)
+	_, err = (&Publisher{Store: store}).Publish(background, clock, Publication{ID: "x", Base: 2}, workspaces(3))
+	require.Error(t, err)
+}
+
+func TestRubbish(t *testing.T) {
+	set := func(store *memory, key, value string) {
+		store.entries[key] = chicoryrock.Entry{Key: key, Value: []byte(value), Revision: store.entries[key].Revision}
+	}
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, _ Head) { set(store, HeadKey, "{") })
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, _ Head) { set(store, HeadKey, "null") })
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, _ Head) {
+		set(store, HeadKey, `{"revision":3,"id":"x","prior":"y","chunks":["../head"]}`)
+	})
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, head Head) { set(store, ChunkPrefix+head.Chunks[0], "{}") })
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, head Head) { delete(store.entries, ChunkPrefix+head.Chunks[0]) })
+	expectRubbish(t, chicoryrock.ErrStale, func(store *memory, _ Head) { delete(store.entries, HeadKey) })
+	expectRubbish(t, chicoryrock.ErrStale, func(store *memory, head Head) {
+		set(store, HeadKey, string(store.entries[ChunkPrefix+head.Prior].Value))
+	})
+}
+
+// TestReadFork has the store answer another publication of the revision in force,
+// as one would that lost its last write and took another.
+func TestReadFork(t *testing.T) {
+	store := newMemory()
+	head := mustPublish(t, store, "first", workspaces(1))
+	head.ID = "fork"
+	_, _, err := Read(background, store, head)
+	require.ErrorIs(t, err, chicoryrock.ErrStale)
+}
+
+func TestDeltaRefused(t *testing.T) {
+	store := newMemory()
+	first := mustPublish(t, store, "first", workspaces(1, 1))
+	second := mustPublish(t, store, "second", workspaces(2))
+	delta, err := NewDelta(first, workspaces(1, 1), second, workspaces(2))
+	require.NoError(t, err)
+	require.Equal(t, []object.Ref{{Kind: object.KindWorkspace, Name: "w1"}}, delta.Drop)
+
+	_, _, err = delta.Apply(second, workspaces(2))
+	require.ErrorIs(t, err, chicoryrock.ErrStale)
+	_, _, err = delta.Apply(Head{}, workspaces())
+	require.ErrorIs(t, err, chicoryrock.ErrConflict)
+	_, _, err = delta.Apply(first, workspaces(1, 1, 1))
+	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
+	_, err = NewDelta(second, workspaces(2), first, workspaces(1, 1))
+	require.ErrorIs(t, err, chicoryrock.ErrStale)
+
+	content, err := json.Marshal(delta)
+	require.NoError(t, err)
+	var received Delta
+	require.NoError(t, json.Unmarshal(content, &received))
+	set, _, err := received.Apply(first, workspaces(1, 1))
+	require.NoError(t, err)
+	require.Equal(t, workspaces(2), set)
+}
+
+func TestDiff(t *testing.T) {
+	old := &object.Set{Classes: []object.Class{{Name: "c", Tier: 2, First: 400e6}}, Pools: []object.Pool{{Name: "p"}}}
+	changed := &object.Set{Classes: []object.Class{{Name: "c", Tier: 2, First: 1500e6}}, Workspaces: []object.Workspace{{Name: "w"}}}
+	require.Equal(t, []Change{
+		{Ref: object.Ref{Kind: object.KindWorkspace, Name: "w"}, Action: Added},
+		{Ref: object.Ref{Kind: object.KindClass, Name: "c"}, Action: Changed, Fields: []Field{{Name: "first", Old: "400ms", New: "1.5s"}}},
+		{Ref: object.Ref{Kind: object.KindPool, Name: "p"}, Action: Removed},
+	}, Diff(old, changed))
+}
+
+// TestChunksStay changes one object of many and expects that one chunk differs,
+// and that none is above the target by more than one object.
+func TestChunksStay(t *testing.T) {
+	shares := make([]float64, 2000)
+	before, err := split(workspaces(shares...))
+	require.NoError(t, err)
+	shares[700] = 5
+	after, err := split(workspaces(shares...))
+	require.NoError(t, err)
+	require.Greater(t, len(before), 2)
+	old := map[string]bool{}
+	for _, digest := range digests(before) {
+		old[digest] = true
+	}
+	fresh := 0
+	for i, digest := range digests(after) {
+		require.LessOrEqual(t, len(after[i]), 2*targetChunkBytes)
+		if !old[digest] {
+			fresh++
+		}
+	}
+	require.Equal(t, 1, fresh)
+}
--- /dev/null
+++ b/internal/state/publish/write.go
@@ -0,0 +1,185 @@
+package publish
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+// attempts is how often a write without an answer is settled before the outcome
+// is reported as unknown.
+const attempts = 3
+
+// lookback is how many revisions are searched for a publication that may have
+// taken effect earlier.
+const lookback = 256
+
+// Publication is one operator's edit.
+type Publication struct {
+	ID     string // unique; the same on every attempt of the same edit
+	Author string
+	Note   string
+	Base   uint64 // the revision that the edit began from; 0 means the one in force
+	Again  bool   // an earlier attempt with this ID may have taken effect
+}
+
+// Publisher moves the head. Set Store before use.
+type Publisher struct {
+	Store chicoryrock.Store
+}
+
+// state is what the store holds, and what the next compare-and-swap must name.
+type state struct {
+	head  Head
+	set   *object.Set
+	prior uint64
+}
+
+// Current returns the set in force. Before the first publication the head is
+// zero and the set empty. Errors: those of Reader.Read but ErrNotFound.
+func (p *Publisher) Current(ctx context.Context) (*object.Set, Head, error) {
+	now, err := p.current(ctx)
+	return now.set, now.head, err
+}
+
+func (p *Publisher) current(ctx context.Context) (state, error) {
+	head, prior, err := readHead(ctx, p.Store)
+	if errors.Is(err, chicoryrock.ErrNotFound) {
+		return state{set: &object.Set{}}, nil
+	}
+	if err != nil {
+		return state{}, err
+	}
+	reader := Reader{Store: p.Store}
+	set, err := reader.load(ctx, head)
+	return state{head: head, set: set, prior: prior}, err
+}
+
+// Publish puts a set in force and returns its head. A set that equals the one in
+// force makes no new revision; then the returned head has another ID.
+//
+// Withdrawn keys stay withdrawn: a set that holds one fails its checks.
+//
+// Errors: *FaultError; *ConflictError when another publication went first;
+// chicoryrock.ErrStale when the store is behind Base; chicoryrock.ErrUnavailable,
+// nothing was changed; chicoryrock.ErrUnknownOutcome, settled by publishing again
+// with the same ID and Again.
+func (p *Publisher) Publish(ctx context.Context, now time.Time, publication Publication, set *object.Set) (Head, error) {
+	if err := checkSet(set); err != nil {
+		return Head{}, err
+	}
+	found, err := p.current(ctx)
+	if err != nil {
+		return Head{}, err
+	}
+	if publication.Again {
+		head, done, err := p.search(ctx, found.head, publication.ID, floorOf(found.head.Revision))
+		if err != nil || done {
+			return head, err
+		}
+	}
+	if publication.Base > found.head.Revision {
+		return Head{}, errors.Wrapf(chicoryrock.ErrStale, "the store answered revision %d, the edit began from %d", found.head.Revision, publication.Base)
+	}
+	if publication.Base != 0 && publication.Base != found.head.Revision {
+		return Head{}, p.conflict(ctx, publication.Base, set, found)
+	}
+	next := *set
+	next.Withdrawn = found.set.Withdrawn
+	return p.move(ctx, now, publication, found, &next)
+}
+
+func floorOf(revision uint64) uint64 {
+	if revision < lookback {
+		return 0
+	}
+	return revision - lookback
+}
+
+// move writes the chunks of a set and then the head.
+func (p *Publisher) move(ctx context.Context, now time.Time, publication Publication, from state, set *object.Set) (Head, error) {
+	if err := checkSet(set); err != nil {
+		return Head{}, err
+	}
+	chunks, err := split(set)
+	if err != nil {
+		return Head{}, err
+	}
+	head := Head{
+		Revision: from.head.Revision + 1,
+		ID:       publication.ID,
+		Time:     now.UTC(),
+		Author:   publication.Author,
+		Note:     publication.Note,
+		Chunks:   digests(chunks),
+	}
+	if slices.Equal(head.Chunks, from.head.Chunks) {
+		return from.head, nil
+	}
+	if err := checkWords(publication, head); err != nil {
+		return Head{}, err
+	}
+	if head.Prior, err = p.writeAll(ctx, from.head, chunks); err != nil {
+		return Head{}, err
+	}
+	return p.swap(ctx, from, head, set)
+}
+
+func checkWords(publication Publication, head Head) error {
+	switch {
+	case publication.ID == "" || len(publication.ID) > maxAuthorBytes:
+		return errors.Wrap(chicoryrock.ErrInvalid, "a publication needs a short id")
+	case len(publication.Author) > maxAuthorBytes || len(publication.Note) > maxNoteBytes:
+		return errors.Wrap(chicoryrock.ErrInvalid, "author or note is too long")
+	case len(head.Chunks) == 0 || len(head.Chunks) > maxChunks:
+		return errors.Wrapf(chicoryrock.ErrInvalid, "a set of %d chunks", len(head.Chunks))
+	}
+	return nil
+}
+
+// writeAll writes what the next head refers to: the new chunks and the head in
+// force, whose digest it returns. The chunks of the head in force are there.
+func (p *Publisher) writeAll(ctx context.Context, head Head, chunks [][]byte) (string, error) {
+	for _, content := range chunks {
+		if slices.Contains(head.Chunks, digestOf(content)) {
+			continue
+		}
+		if err := p.writeChunk(ctx, content); err != nil {
+			return "", err
+		}
+	}
+	if head.Revision == 0 {
+		return "", nil
+	}
+	content, err := encode(head)
+	if err != nil {
+		return "", err
+	}
+	return digestOf(content), p.writeChunk(ctx, content)
+}
+
+// writeChunk makes sure that a chunk is in the store. While the head doesn't
+// refer to it a chunk has no effect, so a write without an answer is simply done
+// again, and failing for good means that nothing was changed.
+func (p *Publisher) writeChunk(ctx context.Context, content []byte) error {
+	digest := digestOf(content)
+	var err error
+	for range attempts {
+		_, err = p.Store.Put(ctx, chicoryrock.Change{Key: ChunkPrefix + digest, Value: content})
+		if errors.Is(err, chicoryrock.ErrConflict) {
+			_, err = readChunk(ctx, p.Store, digest)
+		}
+		if !errors.Is(err, chicoryrock.ErrUnknownOutcome) {
+			break
+		}
+	}
+	if errors.Is(err, chicoryrock.ErrUnknownOutcome) {
+		return errors.Wrap(chicoryrock.ErrUnavailable, "a chunk got no answer, and the head was not moved")
+	}
+	return errors.Wrap(err, "write a chunk")
+}
