Count requests, tokens and control state for Prometheus

Ruled out: a gauge of burn per process, which cannot be added up over entries; burn is computed by the alert rules from counters of good and bad requests. Labels straight from requests: 570 workspaces that change would leave series behind for good.

Change: internal/ops/metrics with a registry of its own and series of requests, verdicts, goals, first token, gaps, queues, running, tokens, bytes across regions, retries, duties and configuration. Each label has a limited number of values; the rest count as "other", and Forget frees the place of a workspace.

--- /dev/null
+++ b/internal/ops/metrics/define.go
@@ -0,0 +1,52 @@
+package metrics
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// The names of the labels.
+const (
+	labelClass     = "class"
+	labelWorkspace = "workspace"
+	labelPool      = "pool"
+)
+
+// The upper bounds of the histograms' buckets, in seconds. They are closest
+// together round the targets that classes usually have.
+var (
+	firstBuckets = []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 0.8, 1.2, 2, 4, 8, 16, 32}
+	gapBuckets   = []float64{0.005, 0.01, 0.02, 0.03, 0.04, 0.05, 0.06, 0.08, 0.1, 0.2, 0.4, 1}
+)
+
+// define creates all series but those that are computed at a scrape.
+func (m *Metrics) define() {
+	m.requests = counter("requests_total", "Requests that have ended.", labelClass, labelWorkspace, "outcome", "reason")
+	m.verdicts = counter("objective_requests_total", "Requests judged against the class's service level.", labelClass, "verdict")
+	m.goals = gauge("objective_goal_ratio", "Share of the class's requests that should be good.", labelClass)
+	m.first = histogram("first_token_seconds", "Time from a request's arrival to its first token.", firstBuckets)
+	m.gap = histogram("token_gap_seconds", "Time between two tokens of an answer.", gapBuckets)
+	m.queue = gauge("queue_length", "Requests waiting for a backend server.", labelPool, "tier")
+	m.running = gauge("running_requests", "Requests running on backend servers for this process.", labelPool)
+	m.tokens = counter("tokens_total", "Tokens of requests; wasted ones are part of the output.", labelClass, labelWorkspace, "kind")
+	m.across = counter("region_bytes_total", "Bytes sent over the link between regions.", "from", "to")
+	m.retries = counter("retries_total", "Requests sent to another backend server after a failure.", labelClass)
+	m.held = gauge("duty_held", "1 while this process holds the control duty.", "duty")
+	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      "configuration_revision",
+		Help:      "Revision of the configuration in force.",
+	})
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func gauge(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, buckets []float64) *prometheus.HistogramVec {
+	options := prometheus.HistogramOpts{Namespace: namespace, Name: name, Help: help, Buckets: buckets}
+	return prometheus.NewHistogramVec(options, []string{labelClass})
+}
--- /dev/null
+++ b/internal/ops/metrics/metrics.go
@@ -0,0 +1,199 @@
+// Package metrics counts what a process does, for Prometheus. Every label takes
+// its values from a closed or limited set, so that neither a caller nor an
+// operator's typing error can make the number of series grow without bound.
+package metrics
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	namespace = "chicoryrock"
+	// maxScrapes is how many scrapes are answered at once.
+	maxScrapes = 2
+	// maxWorkspaces is how many workspaces have series of their own.
+	maxWorkspaces = 1000
+	// maxNames is how many classes, pools, regions or duties have series of their own.
+	maxNames = 64
+)
+
+// Ended is one request that has ended. Class and Workspace are empty when the
+// request was refused before they were known.
+type Ended struct {
+	Class     string
+	Workspace string
+	Outcome   chicoryrock.Outcome
+	Reason    chicoryrock.Reason
+}
+
+// Tokens is what one request used, in tokens. Wasted output is what no caller got
+// or what came after the caller's deadline.
+type Tokens struct {
+	Prompt int
+	Output int
+	Wasted int
+}
+
+// Metrics is the series of one process. It is safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	clock    func() time.Time
+
+	workspaces *limit
+	classes    *limit
+	pools      *limit
+	regions    *limit
+	duties     *limit
+
+	requests *prometheus.CounterVec
+	verdicts *prometheus.CounterVec
+	goals    *prometheus.GaugeVec
+	first    *prometheus.HistogramVec
+	gap      *prometheus.HistogramVec
+	queue    *prometheus.GaugeVec
+	running  *prometheus.GaugeVec
+	tokens   *prometheus.CounterVec
+	across   *prometheus.CounterVec
+	retries  *prometheus.CounterVec
+	held     *prometheus.GaugeVec
+	revision prometheus.Gauge
+
+	confirmed atomic.Int64 // Unix time in nanoseconds; zero before the first configuration
+}
+
+// New returns the series of one process, all registered. The clock gives the
+// present time when a scrape asks how old the configuration is.
+func New(clock func() time.Time) *Metrics {
+	m := &Metrics{
+		registry:   prometheus.NewRegistry(),
+		clock:      clock,
+		workspaces: newLimit(maxWorkspaces),
+		classes:    newLimit(maxNames),
+		pools:      newLimit(maxNames),
+		regions:    newLimit(maxNames),
+		duties:     newLimit(maxNames),
+	}
+	m.define()
+	m.registry.MustRegister(
+		m.requests, m.verdicts, m.goals, m.first, m.gap, m.queue, m.running,
+		m.tokens, m.across, m.retries, m.held, m.revision,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace,
+			Name:      "configuration_age_seconds",
+			Help:      "Time since the configuration was last confirmed to be the newest; -1 before the first one.",
+		}, m.age),
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+// Handler answers scrapes.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
+}
+
+// Request counts a request that has ended.
+func (m *Metrics) Request(ended Ended) {
+	class := m.classes.value(ended.Class)
+	workspace := m.workspaces.value(ended.Workspace)
+	m.requests.WithLabelValues(class, workspace, string(ended.Outcome), ended.Reason.String()).Inc()
+}
+
+// Verdict counts a request against its class's service level.
+func (m *Metrics) Verdict(class string, good bool) {
+	verdict := "bad"
+	if good {
+		verdict = "good"
+	}
+	m.verdicts.WithLabelValues(m.classes.value(class), verdict).Inc()
+}
+
+// Goal sets the share of a class's requests that should be good, from 0 to 1.
+func (m *Metrics) Goal(class string, share float64) {
+	m.goals.WithLabelValues(m.classes.value(class)).Set(share)
+}
+
+// First records the time from a request's arrival to its first token.
+func (m *Metrics) First(class string, after time.Duration) {
+	m.first.WithLabelValues(m.classes.value(class)).Observe(after.Seconds())
+}
+
+// Gap records the time between two tokens of an answer.
+func (m *Metrics) Gap(class string, between time.Duration) {
+	m.gap.WithLabelValues(m.classes.value(class)).Observe(between.Seconds())
+}
+
+// Queue sets how many requests wait for a pool in a tier.
+func (m *Metrics) Queue(pool string, tier, length int) {
+	m.queue.WithLabelValues(m.pools.value(pool), strconv.Itoa(tier)).Set(float64(length))
+}
+
+// Running sets how many requests run in a pool for this process.
+func (m *Metrics) Running(pool string, count int) {
+	m.running.WithLabelValues(m.pools.value(pool)).Set(float64(count))
+}
+
+// Used counts the tokens of a request.
+func (m *Metrics) Used(class, workspace string, used Tokens) {
+	class = m.classes.value(class)
+	workspace = m.workspaces.value(workspace)
+	m.tokens.WithLabelValues(class, workspace, "prompt").Add(float64(used.Prompt))
+	m.tokens.WithLabelValues(class, workspace, "output").Add(float64(used.Output))
+	m.tokens.WithLabelValues(class, workspace, "wasted").Add(float64(used.Wasted))
+}
+
+// Across counts bytes sent over the link between two regions.
+func (m *Metrics) Across(from, to string, bytes int64) {
+	m.across.WithLabelValues(m.regions.value(from), m.regions.value(to)).Add(float64(bytes))
+}
+
+// Retry counts a request that is sent to another backend server.
+func (m *Metrics) Retry(class string) {
+	m.retries.WithLabelValues(m.classes.value(class)).Inc()
+}
+
+// Duty says whether this process holds a control duty.
+func (m *Metrics) Duty(name string, held bool) {
+	value := 0.0
+	if held {
+		value = 1
+	}
+	m.held.WithLabelValues(m.duties.value(name)).Set(value)
+}
+
+// Configuration sets the revision in force and when it was last confirmed to be
+// the newest.
+func (m *Metrics) Configuration(revision uint64, confirmed time.Time) {
+	m.revision.Set(float64(revision))
+	m.confirmed.Store(confirmed.UnixNano())
+}
+
+// Forget removes the series of a workspace that is no longer configured and frees
+// its place among the limited number.
+func (m *Metrics) Forget(workspace string) {
+	if !m.workspaces.remove(workspace) {
+		return
+	}
+	labels := prometheus.Labels{"workspace": workspace}
+	m.requests.DeletePartialMatch(labels)
+	m.tokens.DeletePartialMatch(labels)
+}
+
+// age returns how old the configuration is, in seconds.
+func (m *Metrics) age() float64 {
+	confirmed := m.confirmed.Load()
+	if confirmed == 0 {
+		return -1
+	}
+	return m.clock().Sub(time.Unix(0, confirmed)).Seconds()
+}
