Wire entry and agent to peers, TLS, metrics and withdrawal

Cause: configuration, certificates and keys were parts without a process. Change: one roster of VMs a process; agents learn the configuration from entries; mutual TLS from the settings; a call ends when its key is withdrawn, also while it waits or runs; an entry that can't tell an outage from being cut off refuses.

--- a/internal/ops/settings/check.go
+++ b/internal/ops/settings/check.go
@@ -15,6 +15,7 @@
 // commonOptions holds the options of Common for the checks after reading.
 type commonOptions struct {
 	name, centre, region   *option
+	home                   *option
 	peer, admin            *option
 	store, vms, peers      *option
 	cert, secret, ca, wait *option
@@ -27,6 +28,7 @@
 		region: p.text(&c.Region, "region", "name", "region of this process"),
 		peer:   p.address(&c.Peer, "peer", "address where peers and agents reach this process"),
 		admin:  p.address(&c.Admin, "admin", "address of /metrics, /healthz and /readyz"),
+		home:   p.text(&c.Home, "home", "name", "region of the platform's store; without it the region of this process"),
 		store:  p.address(&c.Store, "store", "address of the platform's key-value service"),
 		vms:    p.address(&c.VMs, "vms", "address of the platform's list of VMs"),
 		peers:  p.addresses(&c.Peers, "peers", "processes to learn the configuration from at the start"),
@@ -44,6 +46,11 @@
 	checkName(options.name, c.Name)
 	checkName(options.centre, c.Centre)
 	checkName(options.region, c.Region)
+	if c.Home == "" {
+		c.Home = c.Region
+	} else {
+		checkName(options.home, c.Home)
+	}
 	checkListening(options.admin, c.Admin, c.Plain)
 	for _, peer := range c.Peers {
 		checkDialled(options.peers, peer, c.Plain, true)
--- a/internal/ops/settings/settings.go
+++ b/internal/ops/settings/settings.go
@@ -17,6 +17,7 @@
 	Store   netip.AddrPort   // the platform's key-value service
 	VMs     netip.AddrPort   // the platform's list of VMs
 	Peers   []netip.AddrPort // processes to learn the configuration from at the start
+	Home    string           // region of the platform's store; empty means this process's own
 	Plain   bool             // no TLS; loopback addresses only
 	Cert    string           // file with the certificate chain, PEM
 	Secret  string           // file with the private key, PEM
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -37,15 +38,31 @@
 	stream     bool
 	wantsUsage bool
 
-	sent    int  // output tokens that the caller has
-	started bool // the answer's header has gone out
+	ctx     context.Context // ends when the caller goes or its key is withdrawn
+	granted bool            // a replica was given the request
+	sent    int             // output tokens that the caller has
+	started bool            // the answer's header has gone out
 }
 
-// run sends the request to one replica after another until it is answered,
+// run serves the call under its key's watch: it ends when the key is withdrawn,
+// also while the request waits or runs.
+func (c *call) run(who caller) {
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	defer cancel(nil)
+	c.ctx = ctx
+	c.entry.calls.add(who.key.Digest, c, cancel)
+	defer c.entry.calls.remove(who.key.Digest, c)
+	// The key may have been withdrawn between its check and the line above.
+	c.entry.calls.withdraw(c.entry.Tables.Table())
+	c.serve()
+}
+
+// serve sends the request to one replica after another until it is answered,
 // refused, or may not be tried again.
-func (c *call) run() {
-	replica, err := c.entry.gate.acquire(c.r.Context(), time.Now(), c.request)
+func (c *call) serve() {
+	replica, err := c.entry.gate.acquire(c.ctx, time.Now(), c.request)
 	for attempt := 1; err == nil; attempt++ {
+		c.granted = true
 		err = c.attempt(&replica)
 		if err == nil {
 			c.entry.gate.finish(time.Now(), c.request, replica.Name)
@@ -55,7 +72,7 @@
 			c.entry.gate.finish(time.Now(), c.request, replica.Name)
 			break
 		}
-		replica, err = c.entry.gate.reacquire(c.r.Context(), time.Now(), c.request, replica.Name)
+		replica, err = c.entry.gate.reacquire(c.ctx, time.Now(), c.request, replica.Name)
 	}
 	c.fail(err)
 }
@@ -92,7 +109,7 @@
 		scheme = "https"
 	}
 	address := scheme + "://" + replica.Address.String() + c.path
-	request, err := http.NewRequestWithContext(c.r.Context(), c.r.Method, address, bytes.NewReader(c.body)) //nolint:gosec // the address is the replica's, only the path is the caller's
+	request, err := http.NewRequestWithContext(c.ctx, c.r.Method, address, bytes.NewReader(c.body)) //nolint:gosec // the address is the replica's, only the path is the caller's
 	if err != nil {
 		return nil, errors.Wrap(chicoryrock.ErrNotRun, err.Error())
 	}
@@ -124,8 +141,8 @@
 
 // classify says what a transport error means for the request.
 func (c *call) classify(err error) error {
-	if c.r.Context().Err() != nil {
-		return errors.WithStack(c.r.Context().Err())
+	if c.ctx.Err() != nil {
+		return errors.WithStack(c.ctx.Err())
 	}
 	if dialFailed(err) {
 		return errors.Wrap(chicoryrock.ErrNotRun, err.Error())
@@ -187,7 +204,7 @@
 // the engines can go on where the answer broke off.
 func (c *call) mayRetry(err error) bool {
 	switch {
-	case c.r.Context().Err() != nil:
+	case c.ctx.Err() != nil:
 		return false
 	case errors.Is(err, chicoryrock.ErrNotRun):
 		return true
@@ -214,9 +231,20 @@
 	c.breakStream(refusal)
 }
 
+// outcome says what is certain of a call that was ended from here: one that never
+// got a replica did not run.
+func (c *call) outcome() string {
+	if c.granted {
+		return wire.OutcomeUnknown
+	}
+	return wire.OutcomeNotRun
+}
+
 func (c *call) refusalFor(err error) wire.Refusal {
-	var refused *refusedError
+	var refused, withdrawn *refusedError
 	switch {
+	case errors.As(context.Cause(c.ctx), &withdrawn):
+		return wire.Refusal{Reason: withdrawn.reason, Outcome: c.outcome()}
 	case c.started:
 		return wire.Refusal{Reason: chicoryrock.ReasonBroken, Outcome: wire.OutcomeUnknown}
 	case errors.As(err, &refused):
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -11,7 +11,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"go.uber.org/zap"
@@ -21,36 +20,42 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
+	"github.com/chicoryrock/chicoryrock/internal/serve/roster"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
+	"github.com/chicoryrock/chicoryrock/internal/state/member"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
-const (
-	// serversInterval is how often the platform's list of VMs is read.
-	serversInterval = time.Second
-	// expireInterval is how often waiting requests are checked for lateness.
-	expireInterval = 10 * time.Millisecond
-)
+// expireInterval is how often waiting requests are checked for lateness.
+const expireInterval = 10 * time.Millisecond
 
 // Entry is one entry process. Set the exported fields, then call Run.
 type Entry struct {
 	Settings   *settings.Entry
 	Log        *event.Log
 	Tables     *object.Holder
-	Directory  chicoryrock.Directory
+	Roster     *roster.Roster
+	Safe       func(now time.Time) bool // whether the configuration may be acted on
 	Dispatcher *dispatch.Dispatcher
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
 	Opened     func(callers netip.AddrPort)
 
 	gate     *gate
+	calls    *registry
 	agents   httpc.Service
 	draining atomic.Bool
 }
 
-// Run serves until the context ends, then drains and returns.
-func (e *Entry) Run(ctx context.Context) error {
+// Prepare makes the entry ready for ServersChanged and ConfigChanged, which may
+// come before Run.
+func (e *Entry) Prepare() {
 	e.gate = newGate(e.Dispatcher)
+	e.calls = newRegistry()
+}
+
+// Run serves until the context ends, then drains and returns. Prepare goes first.
+func (e *Entry) Run(ctx context.Context) error {
 	e.agents = web.NewService("agent", web.NewClient(e.AgentTLS))
 	server := &web.Server{
 		Name:     "entry",
@@ -77,7 +82,6 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return e.followServers(background) })
 	group.Go(func() error { return e.expire(background) })
 	group.Go(func() error {
 		defer cancel()
@@ -108,45 +112,32 @@
 
 // Ready says whether the entry can serve: it has a configuration and is not
 // shutting down.
-func (e *Entry) Ready() bool { return e.Tables.Table() != nil && !e.draining.Load() }
+func (e *Entry) Ready() bool { return e.Safe(time.Now()) && !e.draining.Load() }
 
-// followServers reads the list of VMs again and again.
-func (e *Entry) followServers(ctx context.Context) error {
-	ticker := time.NewTicker(serversInterval)
-	defer ticker.Stop()
-	for {
-		if err := e.readServers(ctx); err != nil && ctx.Err() == nil {
-			e.Log.Write(event.ServersLost, zap.Error(err))
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
+// ServersChanged takes in a list of VMs.
+func (e *Entry) ServersChanged(vms []chicoryrock.VM) { e.place(e.Tables.Table(), vms) }
+
+// ConfigChanged takes in a configuration: calls whose key it no longer has are
+// ended, and the list of VMs is sorted into its pools.
+func (e *Entry) ConfigChanged(table *object.Table) {
+	e.calls.withdraw(table)
+	e.place(table, e.Roster.VMs())
 }
 
-func (e *Entry) readServers(ctx context.Context) error {
-	vms, err := e.Directory.List(ctx)
-	if err != nil {
-		return errors.Wrap(err, "read the list of VMs")
-	}
-	table := e.Tables.Table()
+func (e *Entry) place(table *object.Table, vms []chicoryrock.VM) {
 	if table == nil {
-		return nil
+		return
 	}
 	pools := make(map[string][]chicoryrock.Replica)
 	for i := range table.Set.Pools {
 		pools[table.Set.Pools[i].Name] = nil
 	}
 	for i := range vms {
-		if pool := table.Pool(vms[i].Pool); pool != nil && vms[i].Role == "agent" {
+		if pool := table.Pool(vms[i].Pool); pool != nil && vms[i].Role == member.RoleAgent {
 			pools[pool.Name] = append(pools[pool.Name], replicaOf(&vms[i], pool))
 		}
 	}
 	e.gate.setReplicas(pools)
-	e.Log.Write(event.ServersRead, zap.Int("vms", len(vms)))
-	return nil
 }
 
 func replicaOf(vm *chicoryrock.VM, pool *object.Pool) chicoryrock.Replica {
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -61,7 +61,7 @@
 		return
 	}
 	call.prepareModel(body, stream, model)
-	call.run()
+	call.run(who)
 }
 
 // handleModels lists the models that are open to the caller's workspace.
@@ -118,7 +118,7 @@
 		return
 	}
 	call.body = data
-	call.run()
+	call.run(who)
 }
 
 // begin names the request; the name is the reference for chicoryctl explain.
@@ -131,7 +131,7 @@
 // admit finds the caller's workspace from its key and nothing else.
 func (e *Entry) admit(w http.ResponseWriter, r *http.Request, ref string) (caller, bool) {
 	table := e.Tables.Table()
-	if table == nil {
+	if table == nil || !e.Safe(time.Now()) {
 		e.refuse(w, ref, chicoryrock.ReasonStaleConfig, "")
 		return caller{}, false
 	}
--- a/internal/serve/feed/feed.go
+++ b/internal/serve/feed/feed.go
@@ -43,10 +43,11 @@
 	Store   chicoryrock.Store // nil in a process that never reads the store
 	Holder  *object.Holder
 	Log     *event.Log
-	TLS     *tls.Config             // towards peers; nil for plain connections
-	Reader  func() bool             // whether this process reads the store now
-	Sources func() []netip.AddrPort // peers to ask, the best first
-	Home    bool                    // this process stands in the store's region
+	TLS     *tls.Config               // towards peers; nil for plain connections
+	Reader  func() bool               // whether this process reads the store now
+	Sources func() []netip.AddrPort   // peers to ask, the best first
+	Home    bool                      // this process stands in the store's region
+	Changed func(table *object.Table) // called with each table put in force; may be nil
 
 	reader publish.Reader
 	peers  map[netip.AddrPort]*peer.Client
@@ -129,9 +130,13 @@
 	if f.set != nil && head.Revision == f.head.Revision && head.ID == f.head.ID {
 		return nil
 	}
-	if err := f.Holder.Take(object.NewTable(head.Revision, set)); err != nil {
+	table := object.NewTable(head.Revision, set)
+	if err := f.Holder.Take(table); err != nil {
 		return err
 	}
+	if f.Changed != nil {
+		f.Changed(table)
+	}
 	f.remember(head, set)
 	f.head, f.set = head, set
 	f.wake()
--- a/internal/serve/program/path_test.go
+++ b/internal/serve/program/path_test.go
@@ -2,20 +2,22 @@
 
 import (
 	"context"
-	"encoding/json"
+	"crypto/rand"
 	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock"
-	"github.com/chicoryrock/chicoryrock/internal/serve/feed"
+	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
+	"github.com/chicoryrock/chicoryrock/internal/state/publish"
 )
 
 const (
@@ -46,9 +48,9 @@
 }
 
 func (p *path) putConfig(set *object.Set) {
-	value, err := json.Marshal(set)
+	publisher := publish.Publisher{Store: &platform.Store{Address: p.store.address}}
+	_, err := publisher.Publish(context.Background(), time.Now(), publish.Publication{ID: rand.Text()}, set)
 	require.NoError(p.store.t, err)
-	p.store.post("/put", chicoryrock.Change{Key: feed.HeadKey, Value: value}, nil)
 }
 
 func startAgent(t *testing.T, name, pool string, engine *process) *process {
@@ -82,7 +84,7 @@
 			{Name: "private", Model: "private", Class: "quick", Pools: []string{"garland"}, Workspaces: []string{"lens"}, Repeat: true},
 			{Name: "orders", Service: "orders", Class: "quick", Pools: []string{"orders"}},
 		},
-		Pools: []object.Pool{{Name: "garland", Model: "garland-7b", Slots: 8}, {Name: "orders", Slots: 8}},
+		Pools: []object.Pool{{Name: "garland", Model: "garland-7b", Slots: 8, Max: 4}, {Name: "orders", Slots: 8, Max: 4}},
 	}
 }
 
