--- a/internal/ops/explain/recorder.go
+++ b/internal/ops/explain/recorder.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
 )
 
 const (
@@ -33,7 +34,7 @@
 	next  int            // slot of the ring that is reused next
 	index map[string]int // slot of each reference
 	gone  []uint64       // hashes of expired references, each at its own remainder
-	cells cells
+	cells cell.Table[tally]
 }
 
 // Begin opens the record of a request. When room is needed, the oldest record that
@@ -91,7 +92,7 @@
 	}
 	record.Ended = now
 	record.Result = result
-	r.cells.add(record)
+	r.cells.At(cell.KeyAt(record.Arrived, record.Class, record.Workspace)).add(record)
 }
 
 // Find returns a copy of a record. Error: MissingError.
@@ -122,6 +123,7 @@
 func (r *Recorder) room() int {
 	if r.ring == nil {
 		r.index = make(map[string]int)
+		r.cells.Limit = maxCells
 		r.gone = make([]uint64, max(minGone, r.Capacity*goneFactor))
 	}
 	if len(r.ring) < r.Capacity {
--- a/internal/ops/explain/summary.go
+++ b/internal/ops/explain/summary.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
 )
 
 // ReasonCount is how many requests ended with a reason.
@@ -49,16 +50,16 @@
 func (r *Recorder) Summary(from, to time.Time, class, workspace string) (Summary, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	summary := Summary{From: from.Truncate(cellSpan), To: widen(to), Class: class, Workspace: workspace, Whole: r.cells.whole}
-	for key, cell := range r.cells.table {
-		start := time.Unix(key.start, 0)
+	summary := Summary{From: from.Truncate(cell.Span), To: widen(to), Class: class, Workspace: workspace, Whole: r.cells.Whole()}
+	for key, tally := range r.cells.All() {
+		start := key.Begins()
 		if start.Before(summary.From) || !start.Before(summary.To) {
 			continue
 		}
-		if class != "" && key.class != class || workspace != "" && key.workspace != workspace {
+		if class != "" && key.Class != class || workspace != "" && key.Workspace != workspace {
 			continue
 		}
-		summary.Merge(cell.summary())
+		summary.Merge(tally.summary())
 	}
 	if summary.Requests() == 0 {
 		return summary, errors.Wrapf(ErrEmpty, "no request of %s ended here that came between %s and %s",
@@ -119,24 +120,24 @@
 	})
 }
 
-// summary returns the cell's counts alone.
-func (c *cell) summary() Summary {
+// summary returns the counts of one cell alone.
+func (t *tally) summary() Summary {
 	summary := Summary{
-		Served:    int(c.outcomes[0]),
-		Refused:   int(c.outcomes[1]),
-		Failed:    int(c.outcomes[2]),
-		Unknown:   int(c.outcomes[3]),
-		Cancelled: int(c.outcomes[4]),
-		Late:      int(c.late),
-		Slowest:   c.slowest,
-		Delay:     c.delay,
-	}
-	for reason, count := range c.reasons {
+		Served:    int(t.outcomes[0]),
+		Refused:   int(t.outcomes[1]),
+		Failed:    int(t.outcomes[2]),
+		Unknown:   int(t.outcomes[3]),
+		Cancelled: int(t.outcomes[4]),
+		Late:      int(t.late),
+		Slowest:   t.slowest,
+		Delay:     t.delay,
+	}
+	for reason, count := range t.reasons {
 		if count > 0 {
 			summary.Reasons = append(summary.Reasons, ReasonCount{chicoryrock.Reason(reason), int(count)})
 		}
 	}
-	for i, total := range c.waits {
+	for i, total := range t.waits {
 		if total > 0 {
 			summary.Waits = append(summary.Waits, CauseWait{waitCauses[i], total})
 		}
@@ -212,9 +213,9 @@
 
 // widen returns the end of the five minutes in which t lies.
 func widen(t time.Time) time.Time {
-	start := t.Truncate(cellSpan)
+	start := t.Truncate(cell.Span)
 	if start.Equal(t) {
 		return t
 	}
-	return start.Add(cellSpan)
+	return start.Add(cell.Span)
 }
--- a/internal/ops/explain/summary_test.go
+++ b/internal/ops/explain/summary_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
 )
 
 // run records a request that waits, begins and ends after the given times.
@@ -107,12 +109,12 @@
 func TestCellsAreBounded(t *testing.T) {
 	recorder := &Recorder{Capacity: 1}
 	for i := range maxCells + 2 {
-		run(recorder, "x", fmt.Sprint("class", i%3), "hanoi", at(time.Duration(i/3)*cellSpan), 0, served)
+		run(recorder, "x", fmt.Sprint("class", i%3), "hanoi", at(time.Duration(i/3)*cell.Span), 0, served)
 	}
-	require.Len(t, recorder.cells.table, maxCells)
-	summary, err := recorder.Summary(start, at(cellSpan), "class2", "")
+	require.Len(t, maps.Collect(recorder.cells.All()), maxCells)
+	summary, err := recorder.Summary(start, at(cell.Span), "class2", "")
 	require.NoError(t, err, "the third of the first span is still kept")
 	require.Contains(t, strings.Join(summary.Story(time.UTC), "\n"), "What came before 09:05:00 is no longer counted in full.")
-	_, err = recorder.Summary(start, at(cellSpan), "class1", "")
+	_, err = recorder.Summary(start, at(cell.Span), "class1", "")
 	require.ErrorIs(t, err, ErrEmpty)
 }
