Keep the axis of time even in the burn plot

Cause: five minutes without requests have no point, and the plot put the next one right beside the last.

Change: a gap stands for each such span. Seen failing with the gaps left out.

--- a/internal/ops/page/page.go
+++ b/internal/ops/page/page.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
 )
 
 const (
@@ -134,13 +135,12 @@
 
 // plotBurn draws burn over time beside the line at which the budget lasts exactly.
 func plotBurn(trend []burn.Point, zone *time.Location) ([]byte, error) {
-	values := make([]float64, len(trend))
-	limit := make([]float64, len(trend))
-	labels := make([]string, len(trend))
-	for i, point := range trend {
-		values[i] = point.Burn
+	values := gapped(trend)
+	limit := make([]float64, len(values))
+	labels := make([]string, len(values))
+	for i := range values {
 		limit[i] = 1
-		labels[i] = point.Start.In(zone).Format("15:04")
+		labels[i] = trend[0].Start.Add(time.Duration(i) * cell.Span).In(zone).Format("15:04")
 	}
 	option := charts.NewLineChartOptionWithData([][]float64{values, limit})
 	option.XAxis.Labels = labels
@@ -153,3 +153,17 @@
 	svg, err := painter.Bytes()
 	return svg, errors.Wrap(err, "draw a plot")
 }
+
+// gapped returns one value for each cell from the first point to the last, and the
+// plotting library's mark of a gap where there were no requests. Without the gaps
+// the plot's axis of time would be uneven.
+func gapped(trend []burn.Point) []float64 {
+	var values []float64
+	for _, point := range trend {
+		for trend[0].Start.Add(time.Duration(len(values)) * cell.Span).Before(point.Start) {
+			values = append(values, charts.GetNullValue())
+		}
+		values = append(values, point.Burn)
+	}
+	return values
+}
--- a/internal/ops/page/page_test.go
+++ b/internal/ops/page/page_test.go
@@ -8,9 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/go-analyze/charts"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
@@ -58,3 +60,9 @@
 func TestPlotOfOnePoint(t *testing.T) {
 	require.Contains(t, draw(t, 1), "<svg")
 }
+
+func TestPlotKeepsTimeEven(t *testing.T) {
+	gap := charts.GetNullValue()
+	trend := []burn.Point{{Start: start, Burn: 1}, {Start: start.Add(cell.Span), Burn: 2}, {Start: start.Add(4 * cell.Span), Burn: 3}}
+	require.Equal(t, []float64{1, 2, gap, gap, 3}, gapped(trend))
+}
