Record every decision of an entry for explain, metrics and burn

Cause: operators must be able to say why a request was served, delayed or refused. Change: each call leaves its steps in a bounded recorder, its verdict in the burn counter and its figures in the metrics; the operators' address answers /explain, /summary and /burn.

--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -31,6 +32,7 @@
 	r          *http.Request
 	request    *chicoryrock.Request
 	pool       *object.Pool
+	progress   *progress
 	path       string
 	name       string // the model as the caller named it
 	body       []byte
@@ -60,21 +62,33 @@
 // serve sends the request to one replica after another until it is answered,
 // refused, or may not be tried again.
 func (c *call) serve() {
-	replica, err := c.entry.gate.acquire(c.ctx, time.Now(), c.request)
+	now := time.Now()
+	c.progress.begin(now)
+	c.progress.queued(now, explain.CauseCapacity)
+	replica, err := c.entry.gate.acquire(c.ctx, now, c.request)
 	for attempt := 1; err == nil; attempt++ {
 		c.granted = true
+		c.progress.sent(time.Now(), &replica, c.sent > 0)
 		err = c.attempt(&replica)
-		if err == nil {
-			c.entry.gate.finish(time.Now(), c.request, replica.Name)
-			return
-		}
-		if attempt == maxAttempts || !c.mayRetry(err) {
+		if err == nil || attempt == maxAttempts || !c.mayRetry(err) {
 			c.entry.gate.finish(time.Now(), c.request, replica.Name)
 			break
 		}
+		c.progress.retried(time.Now(), replica.Name, causeOf(err))
 		replica, err = c.entry.gate.reacquire(c.ctx, time.Now(), c.request, replica.Name)
 	}
-	c.fail(err)
+	if err != nil {
+		c.fail(err)
+		return
+	}
+	c.progress.end(time.Now(), chicoryrock.OutcomeServed, chicoryrock.ReasonNone)
+}
+
+func causeOf(err error) explain.Cause {
+	if errors.Is(err, chicoryrock.ErrNotRun) {
+		return explain.CauseBusy
+	}
+	return explain.CauseFailure
 }
 
 // attempt sends the request to one replica and relays the answer. Errors:
@@ -194,7 +208,10 @@
 		return errors.Wrap(chicoryrock.ErrUnknownOutcome, "the answer is not a completion")
 	}
 	if chunk.Usage != nil {
-		c.entry.gate.charge(time.Now(), c.request, chunk.Usage.Output)
+		now := time.Now()
+		c.entry.gate.charge(now, c.request, chunk.Usage.Output)
+		c.progress.prompt = chunk.Usage.Prompt
+		c.progress.tokens(now, chunk.Usage.Output)
 	}
 	return nil
 }
@@ -220,11 +237,13 @@
 // fail tells the caller why it gets no answer, or no whole one.
 func (c *call) fail(err error) {
 	if c.r.Context().Err() != nil {
+		c.progress.end(time.Now(), chicoryrock.OutcomeCancelled, chicoryrock.ReasonNone)
 		return
 	}
 	refusal := c.refusalFor(err)
+	c.progress.end(time.Now(), outcomeOf(refusal, c.started), refusal.Reason)
 	if !c.started {
-		c.entry.answer(c.w, c.request.ID, refusal)
+		c.entry.answer(c.w, c.request, refusal)
 		return
 	}
 	c.entry.Log.Write(event.Failed, zap.String("ref", c.request.ID), zap.Error(err))
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -37,6 +37,7 @@
 	Roster     *roster.Roster
 	Safe       func(now time.Time) bool // whether the configuration may be acted on
 	Dispatcher *dispatch.Dispatcher
+	Observer   *Observer
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
 	Opened     func(callers netip.AddrPort)
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -37,26 +37,26 @@
 
 // handleModel serves the two completion calls.
 func (e *Entry) handleModel(w http.ResponseWriter, r *http.Request) {
-	ref := e.begin(w)
-	who, ok := e.admit(w, r, ref)
+	request := e.begin(w)
+	who, ok := e.admit(w, r, request)
 	if !ok {
 		return
 	}
-	data, ok := e.readBody(w, r, ref)
+	data, ok := e.readBody(w, r, request)
 	if !ok {
 		return
 	}
 	body, model, stream, err := parseModelBody(data)
 	if err != nil {
-		e.refuse(w, ref, chicoryrock.ReasonMalformed, err.Error())
+		e.refuse(w, request, chicoryrock.ReasonMalformed, err.Error())
 		return
 	}
 	route, err := who.table.Model(model, who.workspace.Name)
 	if err != nil {
-		e.refuse(w, ref, chicoryrock.ReasonNoRoute, "")
+		e.refuse(w, request, chicoryrock.ReasonNoRoute, "")
 		return
 	}
-	call := e.newCall(w, r, ref, who, route)
+	call := e.newCall(w, r, request, who, route)
 	if call == nil {
 		return
 	}
@@ -66,8 +66,8 @@
 
 // handleModels lists the models that are open to the caller's workspace.
 func (e *Entry) handleModels(w http.ResponseWriter, r *http.Request) {
-	ref := e.begin(w)
-	who, ok := e.admit(w, r, ref)
+	request := e.begin(w)
+	who, ok := e.admit(w, r, request)
 	if !ok {
 		return
 	}
@@ -94,26 +94,26 @@
 
 // handleOther serves the plain services, whose paths are free below /svc/ROUTE/.
 func (e *Entry) handleOther(w http.ResponseWriter, r *http.Request) {
-	ref := e.begin(w)
+	request := e.begin(w)
 	name, _, found := strings.Cut(strings.TrimPrefix(r.URL.Path, servicePath), "/")
 	if !strings.HasPrefix(r.URL.Path, servicePath) || !found || name == "" {
-		e.refuse(w, ref, chicoryrock.ReasonNoRoute, "The path is none that this system serves.")
+		e.refuse(w, request, chicoryrock.ReasonNoRoute, "The path is none that this system serves.")
 		return
 	}
-	who, ok := e.admit(w, r, ref)
+	who, ok := e.admit(w, r, request)
 	if !ok {
 		return
 	}
-	data, ok := e.readBody(w, r, ref)
+	data, ok := e.readBody(w, r, request)
 	if !ok {
 		return
 	}
 	route, err := who.table.Service(name, who.workspace.Name)
 	if err != nil {
-		e.refuse(w, ref, chicoryrock.ReasonNoRoute, "")
+		e.refuse(w, request, chicoryrock.ReasonNoRoute, "")
 		return
 	}
-	call := e.newCall(w, r, ref, who, route)
+	call := e.newCall(w, r, request, who, route)
 	if call == nil {
 		return
 	}
@@ -122,46 +122,47 @@
 }
 
 // begin names the request; the name is the reference for chicoryctl explain.
-func (e *Entry) begin(w http.ResponseWriter) string {
-	ref := rand.Text()
-	w.Header().Set(wire.RequestID, ref)
-	return ref
+func (e *Entry) begin(w http.ResponseWriter) *chicoryrock.Request {
+	request := &chicoryrock.Request{ID: rand.Text(), Arrived: time.Now()}
+	w.Header().Set(wire.RequestID, request.ID)
+	return request
 }
 
 // admit finds the caller's workspace from its key and nothing else.
-func (e *Entry) admit(w http.ResponseWriter, r *http.Request, ref string) (caller, bool) {
+func (e *Entry) admit(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request) (caller, bool) {
 	table := e.Tables.Table()
 	if table == nil || !e.Safe(time.Now()) {
-		e.refuse(w, ref, chicoryrock.ReasonStaleConfig, "")
+		e.refuse(w, request, chicoryrock.ReasonStaleConfig, "")
 		return caller{}, false
 	}
 	if e.draining.Load() {
-		e.refuse(w, ref, chicoryrock.ReasonShutdown, "")
+		e.refuse(w, request, chicoryrock.ReasonShutdown, "")
 		return caller{}, false
 	}
 	headers := r.Header.Values("Authorization")
 	if len(headers) != 1 || !strings.HasPrefix(headers[0], "Bearer ") {
-		e.refuse(w, ref, chicoryrock.ReasonUnknownKey, "Exactly one bearer key is expected.")
+		e.refuse(w, request, chicoryrock.ReasonUnknownKey, "Exactly one bearer key is expected.")
 		return caller{}, false
 	}
 	secret := strings.TrimPrefix(headers[0], "Bearer ")
 	key, workspace, err := table.Authenticate(object.Digest(secret))
 	if err != nil {
-		e.refuse(w, ref, chicoryrock.ReasonUnknownKey, "")
+		e.refuse(w, request, chicoryrock.ReasonUnknownKey, "")
 		return caller{}, false
 	}
+	request.Workspace = workspace.Name
 	return caller{key: key, workspace: workspace, table: table}, true
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, ref string) ([]byte, bool) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request) ([]byte, bool) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		e.refuse(w, ref, chicoryrock.ReasonTooLarge, "")
+		e.refuse(w, request, chicoryrock.ReasonTooLarge, "")
 		return nil, false
 	case err != nil:
-		e.refuse(w, ref, chicoryrock.ReasonMalformed, "The body ended early.")
+		e.refuse(w, request, chicoryrock.ReasonMalformed, "The body ended early.")
 		return nil, false
 	}
 	return data, true
@@ -182,31 +183,28 @@
 
 // newCall classifies a request. It refuses, and returns nil, when no backend
 // server of the route's pools is known.
-func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, ref string, who caller, route *object.Route) *call {
-	now := time.Now()
-	class := who.table.Class(route.Class)
+func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request, who caller, route *object.Route) *call {
 	pool, found := e.gate.live(route.Pools)
 	if !found {
-		e.refuse(w, ref, chicoryrock.ReasonNoServer, "")
+		e.refuse(w, request, chicoryrock.ReasonNoServer, "")
 		return nil
 	}
+	class := who.table.Class(route.Class)
+	request.Class = class.Name
+	request.Route = route.Name
+	request.Pool = pool
+	request.Tier = class.Tier
+	request.Arrived = time.Now()
+	request.Deadline = request.Arrived.Add(class.First)
+	request.Repeat = route.Repeat
 	return &call{
-		entry: e,
-		w:     w,
-		r:     r,
-		path:  r.URL.RequestURI(),
-		pool:  who.table.Pool(pool),
-		request: &chicoryrock.Request{
-			ID:        ref,
-			Workspace: who.workspace.Name,
-			Class:     class.Name,
-			Route:     route.Name,
-			Pool:      pool,
-			Tier:      class.Tier,
-			Arrived:   now,
-			Deadline:  now.Add(class.First),
-			Repeat:    route.Repeat,
-		},
+		entry:    e,
+		w:        w,
+		r:        r,
+		path:     r.URL.RequestURI(),
+		pool:     who.table.Pool(pool),
+		request:  request,
+		progress: &progress{observer: e.Observer, request: request, class: class},
 	}
 }
 
@@ -240,17 +238,18 @@
 	return options.IncludeUsage
 }
 
-// refuse answers a request that certainly did not run.
-func (e *Entry) refuse(w http.ResponseWriter, ref string, reason chicoryrock.Reason, detail string) {
-	e.answer(w, ref, wire.Refusal{Reason: reason, Detail: detail, Outcome: wire.OutcomeNotRun})
+// refuse answers a request that was not classified and certainly did not run.
+func (e *Entry) refuse(w http.ResponseWriter, request *chicoryrock.Request, reason chicoryrock.Reason, detail string) {
+	e.Observer.refused(time.Now(), request, reason)
+	e.answer(w, request, wire.Refusal{Reason: reason, Detail: detail, Outcome: wire.OutcomeNotRun})
 }
 
-func (e *Entry) answer(w http.ResponseWriter, ref string, refusal wire.Refusal) {
+func (e *Entry) answer(w http.ResponseWriter, request *chicoryrock.Request, refusal wire.Refusal) {
 	if refusal.Reason.Status() >= http.StatusInternalServerError || refusal.Reason == chicoryrock.ReasonLimit {
 		refusal.After = retryAfter
 	}
 	e.Log.Write(event.Refused,
-		zap.String("ref", ref),
+		zap.String("ref", request.ID),
 		zap.Stringer("reason", refusal.Reason),
 		zap.String("outcome", refusal.Outcome))
 	refusal.Write(w)
--- /dev/null
+++ b/internal/serve/entry/observe.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
+	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+// Observer keeps what operators ask about: metrics, the records of the newest
+// requests, and the counts against service levels.
+type Observer struct {
+	Metrics *metrics.Metrics
+	Records *explain.Recorder
+	Burn    *burn.Counter
+}
+
+// refused notes a request that was refused before it was classified.
+func (o *Observer) refused(now time.Time, request *chicoryrock.Request, reason chicoryrock.Reason) {
+	o.Records.Begin(now, request)
+	o.Records.End(now, request.ID, explain.Result{Outcome: chicoryrock.OutcomeRefused, Reason: reason})
+	o.Metrics.Request(metrics.Ended{Workspace: request.Workspace, Outcome: chicoryrock.OutcomeRefused, Reason: reason})
+}
+
+// progress is what is noted of one call on its way.
+type progress struct {
+	observer *Observer
+	request  *chicoryrock.Request
+	class    *object.Class
+	first    time.Time // of the first token
+	last     time.Time // of the newest token
+	output   int       // tokens that the caller got
+	prompt   int       // tokens as the engine counted them
+}
+
+func (p *progress) begin(now time.Time) {
+	p.observer.Records.Begin(now, p.request)
+	p.observer.Metrics.Goal(p.class.Name, p.class.Goal)
+}
+
+func (p *progress) step(now time.Time, step explain.Step) {
+	p.observer.Records.Step(now, p.request.ID, step)
+}
+
+// queued notes that the request waits under its class's rule.
+func (p *progress) queued(now time.Time, cause explain.Cause) {
+	p.step(now, explain.Step{
+		Action: explain.ActionQueue,
+		Cause:  cause,
+		Rule:   explain.Object{Kind: string(object.KindClass), Name: p.class.Name},
+	})
+}
+
+// sent notes the replica that was chosen and what was known of it then.
+func (p *progress) sent(now time.Time, replica *chicoryrock.Replica, resume bool) {
+	action := explain.ActionSend
+	if resume {
+		action = explain.ActionResume
+	}
+	known := explain.Known{Running: max(replica.Running, replica.Open), Slots: replica.Slots}
+	if !replica.Seen.IsZero() {
+		known.Age = now.Sub(replica.Seen)
+	}
+	p.step(now, explain.Step{
+		Action: action,
+		Choice: replica.Name,
+		Cause:  explain.CauseLoad,
+		Known:  known,
+		Rule:   explain.Object{Kind: string(object.KindRoute), Name: p.request.Route},
+	})
+}
+
+// retried notes that a replica did not serve the request.
+func (p *progress) retried(now time.Time, replica string, cause explain.Cause) {
+	p.step(now, explain.Step{Action: explain.ActionRetry, Choice: replica, Cause: cause})
+	p.observer.Metrics.Retry(p.class.Name)
+}
+
+// tokens notes output that goes to the caller now.
+func (p *progress) tokens(now time.Time, count int) {
+	if p.first.IsZero() {
+		p.first = now
+		p.observer.Metrics.First(p.class.Name, now.Sub(p.request.Arrived))
+		p.step(now, explain.Step{Action: explain.ActionToken})
+	} else {
+		p.observer.Metrics.Gap(p.class.Name, now.Sub(p.last))
+	}
+	p.last = now
+	p.output += count
+}
+
+// end notes how the call ended.
+func (p *progress) end(now time.Time, outcome chicoryrock.Outcome, reason chicoryrock.Reason) {
+	if p.first.IsZero() {
+		p.first = now
+		p.last = now
+	}
+	verdict := burn.Judge(p.class, burn.Observed{
+		Outcome: outcome,
+		Reason:  reason,
+		First:   p.first.Sub(p.request.Arrived),
+		Last:    p.last.Sub(p.request.Arrived),
+		Tokens:  p.output,
+	})
+	p.observer.Burn.Add(now, p.class.Name, p.request.Workspace, verdict)
+	if verdict != burn.VerdictVoid {
+		p.observer.Metrics.Verdict(p.class.Name, verdict == burn.VerdictGood)
+	}
+	p.observer.Metrics.Request(metrics.Ended{Class: p.class.Name, Workspace: p.request.Workspace, Outcome: outcome, Reason: reason})
+	p.observer.Metrics.Used(p.class.Name, p.request.Workspace, p.used(outcome))
+	p.observer.Records.End(now, p.request.ID, explain.Result{
+		Outcome: outcome,
+		Reason:  reason,
+		Rule:    explain.Object{Kind: string(object.KindClass), Name: p.class.Name},
+		Output:  p.output,
+	})
+}
+
+// used returns the tokens of the call; output that reached its caller late or
+// never is wasted.
+func (p *progress) used(outcome chicoryrock.Outcome) metrics.Tokens {
+	used := metrics.Tokens{Prompt: p.prompt, Output: p.output}
+	if outcome != chicoryrock.OutcomeServed || p.first.After(p.request.Deadline) {
+		used.Wasted = p.output
+	}
+	return used
+}
+
+// outcomeOf translates what the caller is told into what is recorded.
+func outcomeOf(refusal wire.Refusal, started bool) chicoryrock.Outcome {
+	switch {
+	case started:
+		return chicoryrock.OutcomeFailed
+	case refusal.Outcome == wire.OutcomeNotRun:
+		return chicoryrock.OutcomeRefused
+	default:
+		return chicoryrock.OutcomeUnknown
+	}
+}
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -37,8 +37,13 @@
 		return errors.Wrap(chicoryrock.ErrTruncated, err.Error())
 	}
 	if tokens := chunk.Tokens(); tokens > 0 {
+		now := time.Now()
 		c.sent += tokens
-		c.entry.gate.charge(time.Now(), c.request, tokens)
+		c.progress.tokens(now, tokens)
+		c.entry.gate.charge(now, c.request, tokens)
+	}
+	if chunk.Usage != nil {
+		c.progress.prompt = chunk.Usage.Prompt
 	}
 	if isUsageOnly(&chunk) && !c.wantsUsage {
 		return nil
--- a/internal/serve/program/entry.go
+++ b/internal/serve/program/entry.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/policy/baseline"
@@ -27,6 +30,8 @@
 	callTimeout = 2 * time.Second
 	// rosterInterval is how often the platform's list of VMs is read.
 	rosterInterval = time.Second
+	// recordCapacity is how many requests an entry can explain.
+	recordCapacity = 8192
 )
 
 // entryParts is everything that makes up an entry.
@@ -36,6 +41,8 @@
 	secrets *secrets
 	tables  *object.Holder
 	metrics *metrics.Metrics
+	records *explain.Recorder
+	burn    *burn.Counter
 	roster  *roster.Roster
 	feed    *feed.Feed
 	entry   *entry.Entry
@@ -59,7 +66,15 @@
 }
 
 func newEntryParts(config *settings.Entry, log *event.Log, secrets *secrets) *entryParts {
-	p := &entryParts{config: config, log: log, secrets: secrets, tables: &object.Holder{}, metrics: metrics.New(time.Now)}
+	p := &entryParts{
+		config:  config,
+		log:     log,
+		secrets: secrets,
+		tables:  &object.Holder{},
+		metrics: metrics.New(time.Now),
+		records: &explain.Recorder{Capacity: recordCapacity},
+		burn:    &burn.Counter{Process: config.Name + "/" + rand.Text()},
+	}
 	p.roster = &roster.Roster{
 		Self:      member.Self{Name: config.Name, Centre: config.Centre, Region: config.Region},
 		Directory: &platform.Directory{Address: config.VMs, Timeout: callTimeout},
@@ -82,6 +97,11 @@
 		Tables:   p.tables,
 		Roster:   p.roster,
 		Safe:     p.feed.Safe,
+		Observer: &entry.Observer{
+			Metrics: p.metrics,
+			Records: p.records,
+			Burn:    p.burn,
+		},
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: func(string) chicoryrock.Queue { return &baseline.Queue{} },
 			Picker:   baseline.LeastOutstanding{},
@@ -121,6 +141,7 @@
 			}
 		},
 		Metrics: p.metricsHandler(),
+		Extra:   p.questions(),
 	}
 	return operators.Server()
 }
