Add plan, publish, rollback, withdraw and status to chicoryctl

Operators put a folder in force, see beforehand what it changes and whom it touches, go back by a new revision, withdraw a key, and see which processes have taken a revision. publish, rollback and withdraw share one result, so that each tells a clash, a failure without effect and a lost answer apart, in words, in JSON and by exit code. A lost answer names the ID with which the same command finds out without publishing twice.

-base is offered by plan and not required: a folder published without it replaces whatever is in force, which is what a single pipeline wants, and with it a stale folder is told the objects that clash.

--- a/cmd/chicoryctl/main.go
+++ b/cmd/chicoryctl/main.go
@@ -4,14 +4,20 @@
 
 import (
 	"context"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
 	"time"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/ctl"
+	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
 )
 
+// storeTimeout bounds the wait for one answer of the store.
+const storeTimeout = 5 * time.Second
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	env := &ctl.Env{
@@ -19,6 +25,9 @@
 		Err:     os.Stderr,
 		Environ: os.Environ(),
 		Now:     time.Now,
+		Connect: func(address netip.AddrPort) chicoryrock.Store {
+			return &platform.Store{Address: address, Timeout: storeTimeout}
+		},
 	}
 	code := ctl.Run(ctx, env, os.Args[1:])
 	stop()
--- a/internal/ops/ctl/check.go
+++ b/internal/ops/ctl/check.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -28,11 +29,12 @@
 	if !goOn {
 		return code
 	}
-	set, faults, err := loadFolder(positional[0])
+	declared, faults, err := loadFolder(positional[0])
 	if err != nil {
 		_, _ = fmt.Fprintln(env.Err, err)
 		return ExitUsage
 	}
+	set := declared.Set
 	if *asJSON {
 		printJSON(env.Out, checkResult{Objects: len(set.Refs()), Faults: faults})
 	} else {
@@ -46,7 +48,7 @@
 
 // loadFolder reads and checks a folder of declarations. Links that lead out of
 // the folder are not followed. The slice of faults is never nil.
-func loadFolder(dir string) (*object.Set, []object.Fault, error) {
+func loadFolder(dir string) (*object.Declared, []object.Fault, error) {
 	root, err := os.OpenRoot(dir)
 	if err != nil {
 		return nil, nil, err
@@ -56,7 +58,7 @@
 	if faults == nil {
 		faults = []object.Fault{}
 	}
-	return declared.Set, faults, nil
+	return declared, faults, nil
 }
 
 func printFaults(env *Env, dir string, set *object.Set, faults []object.Fault) {
@@ -75,5 +77,8 @@
 	if number == 1 {
 		return "1 " + noun
 	}
+	if strings.HasSuffix(noun, "s") {
+		return fmt.Sprintf("%d %ses", number, noun)
+	}
 	return fmt.Sprintf("%d %ss", number, noun)
 }
--- a/internal/ops/ctl/ctl.go
+++ b/internal/ops/ctl/ctl.go
@@ -19,6 +19,7 @@
 	ExitUsage   = 2 // the command line or the environment is wrong
 	ExitFailed  = 3 // the store or a process could not be reached; nothing was changed
 	ExitUnknown = 4 // a change was sent, but its answer was lost
+	ExitPending = 5 // the revision in force is not yet known to be in force everywhere
 )
 
 // Env is what a command gets from outside, so that tests can supply it.
@@ -28,7 +29,7 @@
 	Environ []string // NAME=value, as os.Environ returns it
 	Now     func() time.Time
 	// Connect makes a client of the platform's key-value service.
-	Connect func(address netip.AddrPort) (chicoryrock.Store, error)
+	Connect func(address netip.AddrPort) chicoryrock.Store
 }
 
 // Command is one subcommand. Run gets the arguments after the command's name
@@ -45,6 +46,11 @@
 func commands() []Command {
 	return []Command{
 		checkCommand,
+		planCommand,
+		publishCommand,
+		rollbackCommand,
+		withdrawCommand,
+		statusCommand,
 	}
 }
 
@@ -74,5 +80,5 @@
 		_, _ = fmt.Fprintf(out, "  %-9s %-8s %s\n", command.Name, command.Args, command.Summary)
 	}
 	_, _ = fmt.Fprint(out, "\nEach command explains its flags with -h.\n"+
-		"Exit codes: 0 done, 1 faults or a clash, 2 wrong usage, 3 not reached and nothing changed, 4 outcome unknown.\n")
+		"Exit codes: 0 done, 1 faults or a clash, 2 wrong usage, 3 not reached and nothing changed, 4 outcome unknown, 5 not yet in force everywhere.\n")
 }
--- a/internal/ops/ctl/ctl_test.go
+++ b/internal/ops/ctl/ctl_test.go
@@ -67,10 +67,10 @@
 		digests[object.Digest(word)] = true
 	}
 	for _, folder := range []string{"phoolgadi", "trap"} {
-		set, _, err := loadFolder(filepath.Join(examples, folder))
+		declared, _, err := loadFolder(filepath.Join(examples, folder))
 		require.NoError(t, err)
-		require.Len(t, set.Keys, 10)
-		for _, key := range set.Keys {
+		require.Len(t, declared.Set.Keys, 10)
+		for _, key := range declared.Set.Keys {
 			require.True(t, digests[key.Digest], key.Name)
 		}
 	}
--- a/internal/state/publish/publish_test.go
+++ b/internal/state/publish/publish_test.go
@@ -201,3 +201,21 @@
 	}
 	require.Equal(t, 1, fresh)
 }
+
+func TestTouched(t *testing.T) {
+	from := workspaces(1, 1, 1)
+	from.Routes = []object.Route{
+		{Name: "open", Model: "garland", Class: "c", Pools: []string{"p"}},
+		{Name: "own", Model: "garland", Class: "d", Pools: []string{"p"}, Workspaces: []string{"w1"}},
+	}
+	expect := func(kind object.Kind, name string, want ...string) {
+		t.Helper()
+		changes := []Change{{Ref: object.Ref{Kind: kind, Name: name}}}
+		require.Equal(t, want, Touched(from, workspaces(1), changes)[0])
+	}
+	expect(object.KindRoute, "open", "w0", "w2")
+	expect(object.KindRoute, "own", "w1")
+	expect(object.KindClass, "d", "w1")
+	expect(object.KindPool, "p", "w0", "w1", "w2")
+	expect(object.KindWorkspace, "w2", "w2")
+}
--- a/internal/state/publish/read.go
+++ b/internal/state/publish/read.go
@@ -84,6 +84,13 @@
 	return set, nil
 }
 
+// ReadHead reads the head in force without its set. Errors: chicoryrock.ErrNotFound
+// before the first publication; chicoryrock.ErrInvalid; those of the store.
+func ReadHead(ctx context.Context, store chicoryrock.Store) (Head, error) {
+	head, _, err := readHead(ctx, store)
+	return head, err
+}
+
 // readHead also returns the store's own revision of the head, which the next
 // compare-and-swap must name.
 func readHead(ctx context.Context, store chicoryrock.Store) (Head, uint64, error) {
--- /dev/null
+++ b/internal/state/publish/touch.go
@@ -0,0 +1,67 @@
+package publish
+
+import (
+	"slices"
+
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+// reach says which objects each workspace meets in one set.
+type reach map[object.Ref]map[string]bool
+
+func (r reach) add(ref object.Ref, workspace string) {
+	if r[ref] == nil {
+		r[ref] = map[string]bool{}
+	}
+	r[ref][workspace] = true
+}
+
+// newReach looks every route up as a request of each workspace would, so that a
+// route open to all is not put down to those who have one of their own.
+func newReach(set *object.Set) reach {
+	table := object.NewTable(0, set)
+	found := reach{}
+	for _, workspace := range set.Workspaces {
+		found.add(object.Ref{Kind: object.KindWorkspace, Name: workspace.Name}, workspace.Name)
+		for i := range set.Routes {
+			route, err := table.Model(set.Routes[i].Model, workspace.Name)
+			if set.Routes[i].Service != "" {
+				route, err = table.Service(set.Routes[i].Service, workspace.Name)
+			}
+			if err == nil {
+				found.addRoute(route, workspace.Name)
+			}
+		}
+	}
+	for _, key := range set.Keys {
+		found.add(object.Ref{Kind: object.KindKey, Name: key.Name}, key.Workspace)
+	}
+	return found
+}
+
+func (r reach) addRoute(route *object.Route, workspace string) {
+	r.add(object.Ref{Kind: object.KindRoute, Name: route.Name}, workspace)
+	r.add(object.Ref{Kind: object.KindClass, Name: route.Class}, workspace)
+	for _, pool := range route.Pools {
+		r.add(object.Ref{Kind: object.KindPool, Name: pool}, workspace)
+	}
+}
+
+// Touched returns, for each change, the names of the workspaces whose requests
+// meet the object before or after it, sorted.
+func Touched(from, to *object.Set, changes []Change) [][]string {
+	before, after := newReach(from), newReach(to)
+	all := make([][]string, 0, len(changes))
+	for _, change := range changes {
+		names := []string{}
+		for name := range before[change.Ref] {
+			names = append(names, name)
+		}
+		for name := range after[change.Ref] {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		all = append(all, slices.Compact(names))
+	}
+	return all
+}
