--- a/internal/policy/baseline/queue.go
+++ b/internal/policy/baseline/queue.go
@@ -10,6 +10,9 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
+// retryAfter is what every refused caller is told.
+const retryAfter = time.Second
+
 // Queue serves requests in the order of their arrival, whatever their tier,
 // class or workspace. Requests whose deadline has passed are given up.
 type Queue struct {
@@ -21,12 +24,20 @@
 var _ chicoryrock.Queue = (*Queue)(nil)
 
 // Push implements chicoryrock.Queue.
-func (q *Queue) Push(_ time.Time, request *chicoryrock.Request) chicoryrock.Reason {
+func (q *Queue) Push(_ time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	if q.Limit > 0 && len(q.waiting) >= q.Limit {
-		return chicoryrock.ReasonQueueFull
+		return nil, chicoryrock.ReasonQueueFull
 	}
 	q.waiting = append(q.waiting, request)
-	return chicoryrock.ReasonNone
+	return nil, chicoryrock.ReasonNone
+}
+
+// Peek implements chicoryrock.Queue.
+func (q *Queue) Peek(time.Time) (*chicoryrock.Request, bool) {
+	if len(q.waiting) == 0 {
+		return nil, false
+	}
+	return q.waiting[0], true
 }
 
 // Pop implements chicoryrock.Queue.
@@ -73,5 +84,8 @@
 // Finish implements chicoryrock.Queue; this queue keeps no accounts.
 func (q *Queue) Finish(time.Time, *chicoryrock.Request) {}
 
+// After implements chicoryrock.Queue: every caller is told the same.
+func (q *Queue) After(time.Time, *chicoryrock.Request) time.Duration { return retryAfter }
+
 // Len implements chicoryrock.Queue.
 func (q *Queue) Len() int { return len(q.waiting) }
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -65,12 +65,25 @@
 	})
 }
 
-// Offer takes a request in, or returns the reason why it is refused at once.
-func (d *Dispatcher) Offer(now time.Time, request *chicoryrock.Request) chicoryrock.Reason {
+// Offer takes a request in, or returns the reason why it is refused at once. A
+// full queue may give up a waiting request in its place: that one is returned,
+// and is to be refused with ReasonQueueFull at once.
+func (d *Dispatcher) Offer(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	if !d.Live(request.Pool) {
-		return chicoryrock.ReasonNoServer
+		return nil, chicoryrock.ReasonNoServer
 	}
-	return d.pool(request.Pool).queue.Push(now, request)
+	target := d.pool(request.Pool)
+	displaced, reason := target.queue.Push(now, request)
+	if displaced != nil {
+		delete(target.tried, displaced.ID)
+	}
+	return displaced, reason
+}
+
+// After returns how long the caller of a refused request should wait before it
+// asks again.
+func (d *Dispatcher) After(now time.Time, request *chicoryrock.Request) time.Duration {
+	return d.pool(request.Pool).queue.After(now, request)
 }
 
 // Next returns every request that can be sent now, with its replica.
@@ -153,19 +166,19 @@
 }
 
 // grant pops requests as long as the picker finds a replica for them. A request
-// for which none is free goes back, and the pool is left until something changes.
+// for which none is free stays, and the pool is left until something changes.
 func (p *pool) grant(now time.Time, picker chicoryrock.Picker, grants []Grant) []Grant {
 	p.forgetOldReports(now)
 	for p.queue.Len() > 0 {
-		request, found := p.queue.Pop(now)
+		request, found := p.queue.Peek(now)
 		if !found {
 			break
 		}
 		at, free := p.pick(now, picker, request)
 		if !free {
-			p.queue.Return(now, request)
 			break
 		}
+		request, _ = p.queue.Pop(now)
 		p.replicas[at].Open++
 		grants = append(grants, Grant{Request: request, Replica: p.replicas[at]})
 	}
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -43,7 +43,10 @@
 // error when the caller has gone.
 func (g *gate) acquire(ctx context.Context, now time.Time, request *chicoryrock.Request) (chicoryrock.Replica, error) {
 	g.mu.Lock()
-	reason := g.dispatcher.Offer(now, request)
+	displaced, reason := g.dispatcher.Offer(now, request)
+	if displaced != nil {
+		g.tell(displaced, verdict{reason: chicoryrock.ReasonQueueFull})
+	}
 	if reason != chicoryrock.ReasonNone {
 		g.mu.Unlock()
 		return chicoryrock.Replica{}, &errRefused{reason: reason}
--- a/request.go
+++ b/request.go
@@ -55,7 +55,12 @@
 // which goes next. Implementations stand below internal/policy.
 type Queue interface {
 	// Push takes a request in, or returns the reason why it is refused at once.
-	Push(now time.Time, request *Request) Reason
+	// A full queue may give up a waiting request of the same or a lower tier in
+	// its place: that one is returned, is no longer held, and gets its refusal
+	// (ReasonQueueFull) at once.
+	Push(now time.Time, request *Request) (*Request, Reason)
+	// Peek returns the request that Pop would give out, and leaves it in place.
+	Peek(now time.Time) (*Request, bool)
 	// Pop removes and returns the request that should be served next.
 	Pop(now time.Time) (*Request, bool)
 	// Return puts back a request that Pop gave out and that certainly did not
@@ -71,6 +76,9 @@
 	Charge(now time.Time, request *Request, tokens int)
 	// Finish tells the queue that a request it gave out has ended.
 	Finish(now time.Time, request *Request)
+	// After returns how long the caller of a refused request should wait before
+	// it asks again. Callers refused together are told different times.
+	After(now time.Time, request *Request) time.Duration
 	// Len returns how many requests wait.
 	Len() int
 }
