Replay recorded traces through the dispatch cores

Cause: the decisions under load had no measure. A change of policy could not be told from noise, and there was nothing to compare with.

Change: internal/policy/replay runs a recorded trace in virtual time through the real dispatch cores of several entries, against fake engines (slots, prompt cache, stragglers, crashes, cuts, late load reports). The report gives attainment by class, goodput against a clairvoyant schedule, wasted tokens, refusals, the worst-served workspace against max-min fairness, bytes between regions and server-hours. Seven traces are kept in testdata/traces; a test compares them with their generator.

Ruled out: a limit from linear programming in place of the clairvoyant schedule; it would be tighter to prove but harder to explain.

Seen failing first: the test by hand failed while the clairvoyant schedule rounded a run up by a whole step too much.

--- /dev/null
+++ b/internal/policy/replay/entry.go
@@ -0,0 +1,189 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// retryAfter is when a refused caller comes again.
+const retryAfter = time.Second
+
+func (e *entry) now() time.Time { return epoch.Add(e.world.now) }
+
+// offer hands a request to the dispatch core.
+func (e *entry) offer(now time.Time, c *call) {
+	if reason := e.core.Offer(now, c.request); reason != chicoryrock.ReasonNone {
+		e.refuse(c, reason)
+		return
+	}
+	e.calls[c.request] = c
+	e.pump(now)
+}
+
+// refuse gives the caller its final answer at once. Some callers come again, at
+// the next entry, when they were told to.
+func (e *entry) refuse(c *call, reason chicoryrock.Reason) {
+	w := e.world
+	w.report.refused(c, reason)
+	if c.comings >= c.record.Again {
+		w.open--
+		return
+	}
+	number := w.report.number[c.record]
+	w.after(retryAfter, func() { w.arrive(c.record, number, c.comings+1) })
+}
+
+// tick refuses what has become late, as the entry's timer does.
+func (e *entry) tick() {
+	now := e.now()
+	for _, request := range e.core.Expire(now) {
+		e.refuse(e.calls[request], chicoryrock.ReasonLate)
+		delete(e.calls, request)
+	}
+	e.pump(now)
+	if e.world.open > 0 {
+		e.world.after(tick, e.tick)
+	}
+}
+
+func (e *entry) pump(now time.Time) {
+	for _, grant := range e.core.Next(now) {
+		c := e.calls[grant.Request]
+		c.tries++
+		a := &attempt{call: c, engine: e.world.engine(grant.Replica.Name), from: c.has}
+		a.send()
+	}
+}
+
+func (w *world) engine(name string) *engine {
+	for _, engine := range w.engines {
+		if engine.Name == name {
+			return engine
+		}
+	}
+	return nil
+}
+
+// attempt is one sending of a call to an engine.
+type attempt struct {
+	call   *call
+	engine *engine
+	from   int // tokens that the caller had when it began
+	made   int
+}
+
+func (a *attempt) delay() time.Duration {
+	switch {
+	case a.engine.Centre == a.call.entry.Centre:
+		return delayCentre
+	case a.engine.Region == a.call.entry.Region:
+		return delayRegion
+	default:
+		return delayFar
+	}
+}
+
+// send carries the call to the agent, which takes it, or says that it did not run.
+func (a *attempt) send() {
+	w := a.call.entry.world
+	wait := a.delay()
+	if a.engine.Region != a.call.entry.Region {
+		bytes := a.call.record.Prompt * bytesPerToken
+		w.report.crossed += bytes
+		wait += time.Duration(float64(bytes) / linkRate * float64(time.Second))
+	}
+	if a.engine.cut {
+		w.after(dialTimeout, func() { a.notRun(nil) })
+		return
+	}
+	w.after(wait, func() {
+		switch {
+		case a.engine.down || a.engine.cut:
+			w.after(a.delay(), func() { a.notRun(nil) })
+		case len(a.engine.streams) >= a.engine.Slots:
+			load := a.engine.load()
+			load.Running = a.engine.Slots
+			w.after(a.delay(), func() { a.notRun(&load) })
+		default:
+			a.engine.start(a)
+		}
+	})
+}
+
+// notRun tells the entry that the call did not begin. A full agent states so.
+func (a *attempt) notRun(load *chicoryrock.Load) {
+	e := a.call.entry
+	w := e.world
+	if load != nil {
+		w.report.corrected++
+		e.core.Heard(e.now(), a.call.request.Pool, a.engine.Name, *load)
+	}
+	a.again(chicoryrock.ErrNotRun)
+}
+
+// produced carries tokens to the caller.
+func (a *attempt) produced(tokens int, ended bool) {
+	e := a.call.entry
+	load := a.engine.load()
+	e.world.report.made += tokens
+	e.world.after(a.delay(), func() {
+		c := a.call
+		if c.has == 0 {
+			c.first = e.world.now
+		}
+		c.has += tokens
+		c.last = e.world.now
+		now := e.now()
+		e.core.Charge(now, c.request, tokens)
+		e.core.Heard(now, c.request.Pool, a.engine.Name, load)
+		if ended {
+			a.end(now)
+		}
+	})
+}
+
+func (a *attempt) end(now time.Time) {
+	e := a.call.entry
+	e.core.Finish(now, a.call.request, a.engine.Name)
+	delete(e.calls, a.call.request)
+	e.world.report.served(a.call)
+	e.world.open--
+	e.pump(now)
+}
+
+// broke tells the entry that the stream ended before its end.
+func (a *attempt) broke() {
+	a.call.entry.world.after(a.delay(), func() { a.again(chicoryrock.ErrTruncated) })
+}
+
+// again sends the call elsewhere when that is allowed, and fails it otherwise.
+func (a *attempt) again(cause error) {
+	e := a.call.entry
+	now := e.now()
+	if a.call.tries < maxAttempts && a.mayRepeat(cause) {
+		e.core.Return(now, a.call.request, a.engine.Name)
+		e.pump(now)
+		return
+	}
+	e.core.Finish(now, a.call.request, a.engine.Name)
+	delete(e.calls, a.call.request)
+	if cause == chicoryrock.ErrNotRun { //nolint:errorlint // the cause is never wrapped here
+		e.refuse(a.call, chicoryrock.ReasonRetries)
+	} else {
+		e.world.report.broken(a.call)
+		e.world.open--
+	}
+	e.pump(now)
+}
+
+func (a *attempt) mayRepeat(cause error) bool {
+	switch {
+	case cause == chicoryrock.ErrNotRun: //nolint:errorlint // the cause is never wrapped here
+		return true
+	case a.call.has > 0:
+		return a.engine.Resume
+	default:
+		return a.call.class.Repeat
+	}
+}
--- /dev/null
+++ b/internal/policy/replay/scenarios.go
@@ -0,0 +1,83 @@
+package replay
+
+import (
+	"strconv"
+	"time"
+)
+
+// The machines of the standard scenarios: three data centres in two regions,
+// with one entry and two engines each.
+const (
+	slots         = 8
+	tokenTime     = 40 * time.Millisecond
+	prefillTime   = 200 * time.Microsecond
+	restartTime   = 6 * time.Second
+	enginesCentre = 2
+	poolName      = "small"
+)
+
+func sites() []Site {
+	return []Site{
+		{Centre: "jamalpur", Region: "ahmedabad"},
+		{Centre: "kalupur", Region: "ahmedabad"},
+		{Centre: "varachha", Region: "surat"},
+	}
+}
+
+func engines() []Engine {
+	var list []Engine
+	for _, site := range sites() {
+		for i := range enginesCentre {
+			list = append(list, Engine{
+				Name:    site.Centre + "-" + strconv.Itoa(i+1),
+				Pool:    poolName,
+				Centre:  site.Centre,
+				Region:  site.Region,
+				Slots:   slots,
+				Token:   tokenTime,
+				Prefill: prefillTime,
+				Restart: restartTime,
+				Resume:  true,
+			})
+		}
+	}
+	return list
+}
+
+func classes() []Class {
+	return []Class{
+		{Name: "orders", Pool: poolName, Tier: 1, First: 2 * time.Second, Token: time.Second, Floor: 0.1},
+		{Name: "questions", Pool: poolName, Tier: 2, First: 400 * time.Millisecond, Token: 50 * time.Millisecond, Floor: 0.2, Repeat: true},
+		{Name: "sheets", Pool: poolName, Tier: 4, First: 8 * time.Second, Token: 80 * time.Millisecond, Floor: 0.2, Repeat: true},
+		{Name: "office", Pool: poolName, Tier: 6, First: 20 * time.Second, Token: 200 * time.Millisecond, Floor: 0.05, Repeat: true},
+	}
+}
+
+// Scenarios returns the standard scenarios without their traces, which are kept
+// in testdata/traces under the scenario's name.
+func Scenarios() []Scenario {
+	list := []Scenario{
+		{Name: "morning"},
+		{Name: "rival"},
+		{Name: "straggler", Lag: 3 * time.Second, Faults: []Fault{
+			{Kind: Slow, Target: "jamalpur-1", From: 5 * time.Second, Until: 25 * time.Second, Factor: 4},
+		}},
+		{Name: "crash", Faults: []Fault{
+			{Kind: Crash, Target: "kalupur-1", From: 8 * time.Second},
+			{Kind: Crash, Target: "varachha-2", From: 15 * time.Second},
+		}},
+		{Name: "cut", Faults: []Fault{
+			{Kind: Cut, Target: "varachha", From: 8 * time.Second, Until: 20 * time.Second},
+		}},
+		{Name: "storm", Faults: []Fault{
+			{Kind: Crash, Target: "jamalpur", From: 8 * time.Second},
+		}},
+		{Name: "poison"},
+	}
+	for i := range list {
+		list[i].Classes = classes()
+		list[i].Entries = sites()
+		list[i].Engines = engines()
+	}
+	return list
+}
