Let the replay follow the queue's own Retry-After

Cause: the queue's interface now gives up a waiting request and says when to come back; the replay was written against the older one. Change: the replay refuses a displaced request at once and lets its callers come again when the dispatch core says; the bound keeps a fixed second. Result: go test ./... passes, lint clean.

--- a/internal/policy/replay/clairvoyant.go
+++ b/internal/policy/replay/clairvoyant.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// retryAfter is when a caller whom the bound refused comes again.
+const retryAfter = time.Second
+
 // grid is the resolution of the clairvoyant schedule.
 const grid = 10 * time.Millisecond
 
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -6,14 +6,16 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
-// retryAfter is when a refused caller comes again.
-const retryAfter = time.Second
-
 func (e *entry) now() time.Time { return epoch.Add(e.world.now) }
 
 // offer hands a request to the dispatch core.
 func (e *entry) offer(now time.Time, c *call) {
-	if reason := e.core.Offer(now, c.request); reason != chicoryrock.ReasonNone {
+	displaced, reason := e.core.Offer(now, c.request)
+	if displaced != nil {
+		e.refuse(e.calls[displaced], chicoryrock.ReasonQueueFull)
+		delete(e.calls, displaced)
+	}
+	if reason != chicoryrock.ReasonNone {
 		e.refuse(c, reason)
 		return
 	}
@@ -31,7 +33,8 @@
 		return
 	}
 	number := w.report.number[c.record]
-	w.after(retryAfter, func() { w.arrive(c.record, number, c.comings+1) })
+	after := e.core.After(e.now(), c.request)
+	w.after(after, func() { w.arrive(c.record, number, c.comings+1) })
 }
 
 // tick refuses what has become late, as the entry's timer does.
