Move the assembly of processes out of the command

Cause: the demonstration and tests need whole processes inside one program. Change: internal/serve/assembly builds entry and agent from settings; the command only reads them.

--- a/internal/serve/program/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -1,10 +1,11 @@
-package program
+// Package assembly puts the processes of the system together from their parts.
+package assembly
 
 import (
 	"context"
 	"crypto/rand"
-	"io"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -34,10 +35,13 @@
 	recordCapacity = 8192
 )
 
-// entryParts is everything that makes up an entry.
-type entryParts struct {
-	config  *settings.Entry
-	log     *event.Log
+// Entry is everything that makes up an entry process. Set the exported fields,
+// then call Run.
+type Entry struct {
+	Settings *settings.Entry
+	Log      *event.Log
+	Opened   func(callers netip.AddrPort) // told the callers' address once it is open; may be nil
+
 	secrets *secrets
 	tables  *object.Holder
 	metrics *metrics.Metrics
@@ -48,94 +52,95 @@
 	entry   *entry.Entry
 }
 
-func runEntry(ctx context.Context, args, environ []string, stderr io.Writer) error {
-	config, err := settings.ParseEntry(args, environ, stderr)
-	if err != nil {
+// Run builds the parts and runs them until the context ends and the open requests
+// are answered.
+func (p *Entry) Run(ctx context.Context) error {
+	if err := p.build(); err != nil {
 		return err
 	}
-	log := newLog(config.Verbose, stderr)
-	secrets, err := loadSecrets(&config.Common, log)
+	return runAll(ctx, p.entry.Run, p.roster.Run, p.feed.Run, p.peers().Run, p.operators().Run)
+}
+
+func (p *Entry) build() error {
+	secrets, err := loadEntrySecrets(p.Settings, p.Log)
 	if err != nil {
 		return err
 	}
-	if err := secrets.loadCallers(config); err != nil {
-		return err
-	}
-	parts := newEntryParts(config, log, secrets)
-	return runAll(ctx, parts.entry.Run, parts.roster.Run, parts.feed.Run, parts.peers().Run, parts.operators().Run)
+	p.secrets = secrets
+	p.tables = &object.Holder{}
+	p.metrics = metrics.New(time.Now)
+	p.records = &explain.Recorder{Capacity: recordCapacity}
+	p.burn = &burn.Counter{Process: p.Settings.Name + "/" + rand.Text()}
+	p.roster = p.newRoster()
+	p.feed = p.newFeed()
+	p.entry = p.newEntry()
+	p.entry.Prepare()
+	p.roster.Changed = p.entry.ServersChanged
+	p.feed.Changed = p.entry.ConfigChanged
+	return nil
 }
 
-func newEntryParts(config *settings.Entry, log *event.Log, secrets *secrets) *entryParts {
-	p := &entryParts{
-		config:  config,
-		log:     log,
-		secrets: secrets,
-		tables:  &object.Holder{},
-		metrics: metrics.New(time.Now),
-		records: &explain.Recorder{Capacity: recordCapacity},
-		burn:    &burn.Counter{Process: config.Name + "/" + rand.Text()},
-	}
-	p.roster = &roster.Roster{
-		Self:      member.Self{Name: config.Name, Centre: config.Centre, Region: config.Region},
-		Directory: &platform.Directory{Address: config.VMs, Timeout: callTimeout},
+func (p *Entry) newRoster() *roster.Roster {
+	return &roster.Roster{
+		Self:      selfOf(&p.Settings.Common),
+		Directory: directoryOf(&p.Settings.Common),
 		Interval:  rosterInterval,
-		Seeds:     config.Peers,
-		Log:       log,
+		Seeds:     p.Settings.Peers,
+		Log:       p.Log,
 	}
-	p.feed = &feed.Feed{
-		Store:   &platform.Store{Address: config.Store, Timeout: callTimeout},
+}
+
+func (p *Entry) newFeed() *feed.Feed {
+	return &feed.Feed{
+		Store:   &platform.Store{Address: p.Settings.Store, Timeout: callTimeout},
 		Holder:  p.tables,
-		Log:     log,
-		TLS:     secrets.dialPeers,
+		Log:     p.Log,
+		TLS:     p.secrets.dialPeers,
 		Reader:  p.roster.Reader,
 		Sources: p.roster.Sources,
-		Home:    config.Home == config.Region,
+		Home:    p.Settings.Home == p.Settings.Region,
 	}
-	p.entry = &entry.Entry{
-		Settings: config,
-		Log:      log,
+}
+
+func (p *Entry) newEntry() *entry.Entry {
+	return &entry.Entry{
+		Settings: p.Settings,
+		Log:      p.Log,
 		Tables:   p.tables,
 		Roster:   p.roster,
 		Safe:     p.feed.Safe,
-		Observer: &entry.Observer{
-			Metrics: p.metrics,
-			Records: p.records,
-			Burn:    p.burn,
-		},
+		Opened:   p.Opened,
+		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn},
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: func(string) chicoryrock.Queue { return &baseline.Queue{} },
 			Picker:   baseline.LeastOutstanding{},
 		},
-		CallerTLS: secrets.callers,
-		AgentTLS:  secrets.dialAgents,
+		CallerTLS: p.secrets.callers,
+		AgentTLS:  p.secrets.dialAgents,
 	}
-	p.entry.Prepare()
-	p.roster.Changed = p.entry.ServersChanged
-	p.feed.Changed = p.entry.ConfigChanged
-	return p
 }
 
 // peers serves the other processes of the system.
-func (p *entryParts) peers() *peer.Server {
+func (p *Entry) peers() *peer.Server {
 	return &peer.Server{
-		Listen:   p.config.Peer,
+		Listen:   p.Settings.Peer,
 		TLS:      p.secrets.acceptPeers,
 		Handlers: map[string]peer.Handler{feed.MethodWatch: p.feed.HandleWatch},
-		Log:      p.log,
+		Log:      p.Log,
 	}
 }
 
 // operators serves those who run the system.
-func (p *entryParts) operators() interface{ Run(context.Context) error } {
+func (p *Entry) operators() interface{ Run(context.Context) error } {
 	operators := &admin.Admin{
-		Listen: p.config.Admin,
-		Log:    p.log,
+		Listen: p.Settings.Admin,
+		Log:    p.Log,
 		Ready:  p.entry.Ready,
 		Status: func(now time.Time) admin.Status {
 			return admin.Status{
-				Name:     p.config.Name,
+				Name:     p.Settings.Name,
 				Role:     member.RoleEntry,
-				Centre:   p.config.Centre,
+				Centre:   p.Settings.Centre,
 				Revision: p.tables.Revision(),
 				Age:      p.feed.Age(now),
 			}
@@ -147,7 +152,7 @@
 }
 
 // metricsHandler brings the gauges up to date at each scrape.
-func (p *entryParts) metricsHandler() http.Handler {
+func (p *Entry) metricsHandler() http.Handler {
 	handler := p.metrics.Handler()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		now := time.Now()
--- a/internal/serve/program/questions.go
+++ b/internal/serve/assembly/questions.go
@@ -1,4 +1,4 @@
-package program
+package assembly
 
 import (
 	"encoding/json"
@@ -10,7 +10,7 @@
 
 // questions returns the routes by which chicoryctl asks an entry about requests
 // and service levels.
-func (p *entryParts) questions() []rest.Route {
+func (p *Entry) questions() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodGet, Path: "/explain", Handler: p.explain},
 		{Method: http.MethodGet, Path: "/summary", Handler: p.summary},
@@ -19,14 +19,14 @@
 }
 
 // explain answers GET /explain?ref=REFERENCE with the record of one request.
-func (p *entryParts) explain(w http.ResponseWriter, r *http.Request) {
+func (p *Entry) explain(w http.ResponseWriter, r *http.Request) {
 	record, err := p.records.Find(r.URL.Query().Get("ref"))
 	answer(w, record, err)
 }
 
 // summary answers GET /summary?from=TIME&to=TIME&class=NAME&workspace=NAME, with
 // times in RFC 3339, and either of the names left out for all.
-func (p *entryParts) summary(w http.ResponseWriter, r *http.Request) {
+func (p *Entry) summary(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	from, err := time.Parse(time.RFC3339, query.Get("from"))
 	if err != nil {
@@ -43,7 +43,7 @@
 }
 
 // burnCells answers GET /burn?since=TIME with the counts against service levels.
-func (p *entryParts) burnCells(w http.ResponseWriter, r *http.Request) {
+func (p *Entry) burnCells(w http.ResponseWriter, r *http.Request) {
 	since, err := time.Parse(time.RFC3339, r.URL.Query().Get("since"))
 	answer(w, p.burn.Snapshot(since), err)
 }
--- a/internal/serve/program/run.go
+++ b/internal/serve/assembly/run.go
@@ -1,4 +1,4 @@
-package program
+package assembly
 
 import (
 	"context"
--- a/internal/serve/program/secrets.go
+++ b/internal/serve/assembly/secrets.go
@@ -1,4 +1,4 @@
-package program
+package assembly
 
 import (
 	"crypto/tls"
@@ -41,12 +41,12 @@
 	return loaded, nil
 }
 
-func (s *secrets) loadCallers(config *settings.Entry) error {
-	if config.Plain {
-		return nil
+func loadEntrySecrets(config *settings.Entry, log *event.Log) (*secrets, error) {
+	loaded, err := loadSecrets(&config.Common, log)
+	if err != nil || config.Plain {
+		return loaded, err
 	}
-	files := secure.Files{Cert: config.CallerCert, Key: config.CallerKey, Clock: time.Now}
-	var err error
-	s.callers, err = files.Callers()
-	return err
+	files := secure.Files{Cert: config.CallerCert, Key: config.CallerKey, Clock: time.Now, Log: log}
+	loaded.callers, err = files.Callers()
+	return loaded, err
 }
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -13,11 +13,12 @@
 
 	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/proc"
-	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
+	"github.com/chicoryrock/chicoryrock/internal/serve/assembly"
 )
 
 // The exit codes of the command.
@@ -80,14 +81,28 @@
 	if verbose {
 		level = zapcore.DebugLevel
 	}
-	core := zapcore.NewCore(
-		zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()),
-		zapcore.Lock(zapcore.AddSync(stderr)),
-		level)
-	return &event.Log{Zap: zap.New(core)}
+	return event.New(level, stderr)
 }
 
 // show writes to the terminal, which may have been closed by its owner.
 func show(out io.Writer, text string) {
 	_, _ = io.WriteString(out, text)
 }
+
+func runEntry(ctx context.Context, args, environ []string, stderr io.Writer) error {
+	config, err := settings.ParseEntry(args, environ, stderr)
+	if err != nil {
+		return err
+	}
+	process := &assembly.Entry{Settings: config, Log: newLog(config.Verbose, stderr)}
+	return process.Run(ctx)
+}
+
+func runAgent(ctx context.Context, args, environ []string, stderr io.Writer) error {
+	config, err := settings.ParseAgent(args, environ, stderr)
+	if err != nil {
+		return err
+	}
+	process := &assembly.Agent{Settings: config, Log: newLog(config.Verbose, stderr)}
+	return process.Run(ctx)
+}
