--- a/internal/ops/burn/counter.go
+++ b/internal/ops/burn/counter.go
@@ -45,7 +45,7 @@
 	Process string
 
 	mutex sync.Mutex
-	table cell.Table[count]
+	table cell.Table[cell.Key, count]
 }
 
 // Add counts a request that has ended now.
--- a/internal/ops/cell/cell.go
+++ b/internal/ops/cell/cell.go
@@ -1,5 +1,4 @@
-// Package cell keeps counts per class, workspace and five minutes in bounded
-// memory.
+// Package cell keeps counts per five minutes in bounded memory.
 package cell
 
 import (
@@ -11,7 +10,13 @@
 // Span is the length of time that one cell counts.
 const Span = 5 * time.Minute
 
-// Key names a cell.
+// Starter is a key that knows when its cell begins.
+type Starter interface {
+	comparable
+	Begins() time.Time
+}
+
+// Key names the cell of a class and workspace.
 type Key struct {
 	Start     int64 // Unix time of its beginning, in seconds
 	Class     string
@@ -28,23 +33,23 @@
 
 // Table keeps the newest cells. Set the exported field before the first call. It
 // is not safe for concurrent use.
-type Table[V any] struct {
+type Table[K Starter, V any] struct {
 	// Limit is how many cells are kept; at least 1.
 	Limit int
 
-	values map[Key]*V
-	order  []Key // in the order of their making
+	values map[K]*V
+	order  []K // in the order of their making
 	whole  time.Time
 }
 
 // At returns the value of a key, a zero one for a new key. The oldest cell makes
 // room when there are too many.
-func (t *Table[V]) At(key Key) *V {
+func (t *Table[K, V]) At(key K) *V {
 	if found := t.values[key]; found != nil {
 		return found
 	}
 	if t.values == nil {
-		t.values = make(map[Key]*V)
+		t.values = make(map[K]*V)
 	}
 	if len(t.order) == t.Limit {
 		t.drop()
@@ -56,13 +61,13 @@
 }
 
 // All returns every cell, in no order.
-func (t *Table[V]) All() iter.Seq2[Key, *V] { return maps.All(t.values) }
+func (t *Table[K, V]) All() iter.Seq2[K, *V] { return maps.All(t.values) }
 
 // Whole returns the time from which on nothing has been dropped, or the zero time
 // when nothing ever was.
-func (t *Table[V]) Whole() time.Time { return t.whole }
+func (t *Table[K, V]) Whole() time.Time { return t.whole }
 
-func (t *Table[V]) drop() {
+func (t *Table[K, V]) drop() {
 	oldest := t.order[0]
 	t.order = t.order[1:]
 	delete(t.values, oldest)
--- a/internal/ops/cell/cell_test.go
+++ b/internal/ops/cell/cell_test.go
@@ -10,7 +10,7 @@
 var start = time.Date(2026, 3, 1, 9, 0, 0, 0, time.UTC)
 
 func TestTableDropsTheOldest(t *testing.T) {
-	table := &Table[int]{Limit: 2}
+	table := &Table[Key, int]{Limit: 2}
 	*table.At(KeyAt(start, "a", "w"))++
 	*table.At(KeyAt(start.Add(Span-1), "a", "w"))++
 	require.Equal(t, 2, *table.At(KeyAt(start, "a", "w")), "both moments lie in one cell")
--- a/internal/ops/explain/recorder.go
+++ b/internal/ops/explain/recorder.go
@@ -34,7 +34,7 @@
 	next  int            // slot of the ring that is reused next
 	index map[string]int // slot of each reference
 	gone  []uint64       // hashes of expired references, each at its own remainder
-	cells cell.Table[tally]
+	cells cell.Table[cell.Key, tally]
 }
 
 // Begin opens the record of a request. When room is needed, the oldest record that
