Name only rules that fit a refusal, and reload without a log

Cause: a record may carry the request's class for any refusal, so that the story of a shutdown said that the class had set the rule. A listener without a log failed its handshakes once a certificate file changed.

Change: each reason lists the kinds of object that can set its rule; an absent log is replaced by one that writes nothing.

Seen failing on broken variants: every object named; no replacement.

--- a/internal/ops/explain/explain_test.go
+++ b/internal/ops/explain/explain_test.go
@@ -88,6 +88,23 @@
 	}
 }
 
+func TestOnlyFittingRulesAreNamed(t *testing.T) {
+	cases := []struct {
+		reason chicoryrock.Reason
+		kind   string
+		named  bool
+	}{
+		{chicoryrock.ReasonLate, "class", true},
+		{chicoryrock.ReasonLimit, "workspace", true},
+		{chicoryrock.ReasonLimit, "class", false},
+		{chicoryrock.ReasonShutdown, "class", false},
+	}
+	for _, c := range cases {
+		result := Result{Outcome: chicoryrock.OutcomeRefused, Reason: c.reason, Rule: Object{Kind: c.kind, Name: "x"}}
+		require.Equal(t, c.named, strings.Contains(tell(t, nil, 1, result), "The rule was set by"), "%v", c)
+	}
+}
+
 func TestEveryReasonAndCauseHasWords(t *testing.T) {
 	for _, reason := range chicoryrock.Reasons() {
 		require.NotEmpty(t, advice[reason], reason)
--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -47,6 +48,21 @@
 	chicoryrock.ReasonUnknownOutcome: "Nothing can be said before the backend server's own records are read; do not send it again blindly.",
 }
 
+// ruleKinds says which kinds of object can set the rule behind a reason. An object
+// of another kind is not named, however it came into the record: a shutdown, for
+// instance, is nothing that an operator declared.
+var ruleKinds = map[chicoryrock.Reason][]string{
+	chicoryrock.ReasonWithdrawn: {"key"},
+	chicoryrock.ReasonNoRoute:   {"route"},
+	chicoryrock.ReasonLimit:     {"workspace"},
+	chicoryrock.ReasonLate:      {"class"},
+	chicoryrock.ReasonQueueFull: {"class", "pool"},
+	chicoryrock.ReasonNoServer:  {"route", "pool"},
+	chicoryrock.ReasonClaimed:   {"route"},
+	chicoryrock.ReasonNoStore:   {"route"},
+	chicoryrock.ReasonBroken:    {"pool"},
+}
+
 // Story tells the record in plain sentences, with times of day in zone.
 func (r *Record) Story(zone *time.Location) []string {
 	story := []string{r.opening(zone)}
@@ -161,7 +177,7 @@
 	} else if known.Ahead > 0 {
 		ending = append(ending, fmt.Sprintf("%s were ahead of it.", plural(known.Ahead, "request")))
 	}
-	if rule := r.Result.Rule; rule.Name != "" {
+	if rule := r.Result.Rule; rule.Name != "" && slices.Contains(ruleKinds[r.Result.Reason], rule.Kind) {
 		ending = append(ending, fmt.Sprintf("The rule was set by %s.", rule.phrase()))
 	}
 	return append(ending, "What would have changed it: "+advice[r.Result.Reason])
--- a/internal/serve/secure/keeper.go
+++ b/internal/serve/secure/keeper.go
@@ -30,6 +30,9 @@
 
 // keeper reads the pair for the first time.
 func (f Files) keeper() (*keeper, error) {
+	if f.Log == nil {
+		f.Log = event.NewNop()
+	}
 	k := &keeper{files: f, checked: f.Clock()}
 	stamps, err := k.stat()
 	if err != nil {
--- a/internal/serve/secure/secure.go
+++ b/internal/serve/secure/secure.go
@@ -47,7 +47,7 @@
 	Key   string           // its private key
 	CA    string           // authorities that sign peers; not needed for Callers
 	Clock func() time.Time // the present time, e.g. time.Now
-	Log   *event.Log       // told of certificates read again
+	Log   *event.Log       // told of certificates read again; nil for none
 }
 
 // Callers returns the settings of a listener for callers, who show no
--- a/internal/serve/secure/secure_test.go
+++ b/internal/serve/secure/secure_test.go
@@ -301,6 +301,19 @@
 	}
 }
 
+func TestReloadWithoutLog(t *testing.T) {
+	ours, time := newAuthority(t), newClock()
+	own := files(t, ours, ours, spec("e1", RoleEntry), time.now)
+	own.Log = nil
+	callers, err := own.Callers()
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(own.Key))
+	time.advance(checkEvery)
+	certificate, err := callers.GetCertificate(nil)
+	require.NoError(t, err)
+	require.NotNil(t, certificate)
+}
+
 func TestUnusableFiles(t *testing.T) {
 	ours, now := newAuthority(t), newClock().now
 	good := files(t, ours, ours, spec("e1", RoleEntry), now)
