Keep the HTTP library's log out of chicoryctl's output

A trial with real processes showed a log line for each call to the store on the standard output, in the midst of what -json prints. The library's logger is switched off in the program.

--- a/cmd/chicoryctl/main.go
+++ b/cmd/chicoryctl/main.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"time"
 
+	"github.com/zeromicro/go-zero/core/logx"
+
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/ctl"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
@@ -19,6 +21,9 @@
 const storeTimeout = 5 * time.Second
 
 func main() {
+	// The HTTP library would log each call to the standard output, into the JSON
+	// that a pipeline reads there.
+	logx.Disable()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	env := &ctl.Env{
 		Out:     os.Stdout,
