Add an open-loop load tool that checks every answer

Cause: the measures (latency by class, wasted and broken answers, what the system adds) need one tool that does not slow down with the system under test.

Ruled out: a closed loop, which hides waiting, since a slow system then gets fewer calls; latencies counted from the sending, which flatter the system when the tool itself is late; a direct measurement in another run, since two runs on a shared machine differ by more than the hop that is sought; names alone as proof of ownership, since a request that was renamed on its way could be swapped unseen. So the engine stand-in puts a fingerprint of the prompt into its answers, and the tool compares it besides the words.

Change: `standin load` sends a constant or recorded load, bounded in calls, open calls and time, to loopback addresses only; reports times to the first token, between tokens and to the end, counts by status and reason, and faults by kind, as a table and as JSON; ends with an error when an answer was at fault. With -direct each call also goes straight to an engine, without the caller's key, and the difference at the 50th and 99th percentile is reported.

Conclusion: a run's figures can be quoted with the counts that qualify them.

--- a/internal/standin/command/command.go
+++ b/internal/standin/command/command.go
@@ -17,7 +17,7 @@
 )
 
 // ErrUsage says that the command line names no known stand-in.
-var ErrUsage = errors.New("usage: standin store|vms|engine|plain|orderer|intake|weights [-flag value ...]")
+var ErrUsage = errors.New("usage: standin store|vms|engine|plain|orderer|intake|weights|load [-flag value ...]")
 
 // environmentPrefix goes before the upper-case name of a flag, e.g.
 // STANDIN_LISTEN, to name the variable that sets it.
@@ -34,11 +34,14 @@
 }
 
 // Run starts the stand-in named by the first argument, prints its address on one
-// line and serves until the context ends.
+// line and serves until the context ends. The name "load" sends a load instead.
 func Run(ctx context.Context, args []string, lookup Lookup, out io.Writer) error {
 	if len(args) == 0 {
 		return ErrUsage
 	}
+	if args[0] == "load" {
+		return runLoad(ctx, args[1:], lookup, out)
+	}
 	build, found := builders[args[0]]
 	if !found {
 		return errors.Wrapf(ErrUsage, "%q", args[0])
--- a/internal/standin/command/command_test.go
+++ b/internal/standin/command/command_test.go
@@ -4,10 +4,16 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/standin/engine"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 )
 
 func none(string) (string, bool) { return "", false }
@@ -52,7 +58,28 @@
 }
 
 func TestBadCommandLine(t *testing.T) {
-	for _, args := range []string{"", "cluster", "store extra", "store -listen nowhere"} {
+	for _, args := range []string{"", "cluster", "store extra", "store -listen nowhere", "load -target 192.0.2.1:80"} {
 		require.Error(t, Run(t.Context(), strings.Fields(args), none, io.Discard), args)
 	}
 }
+
+func TestLoad(t *testing.T) {
+	server := &engine.Server{Listen: host.Loopback(), Model: "garland", Token: time.Microsecond}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Close)
+	folder := t.TempDir()
+	trace, keys, report := filepath.Join(folder, "trace"), filepath.Join(folder, "keys"), filepath.Join(folder, "report")
+	call := `{"at":"0s","key":"stall","model":"garland","prompt":3,"output":2,"stream":true}`
+	require.NoError(t, os.WriteFile(trace, []byte(call+"\n"+call+"\n"), 0o600))
+	require.NoError(t, os.WriteFile(keys, []byte(`{"stall":"ck-secret"}`), 0o600))
+	address := server.Addr().String()
+	args := []string{"load", "-target", address, "-direct", address, "-trace", trace, "-keys", keys, "-json", report}
+	var out strings.Builder
+	require.NoError(t, Run(t.Context(), args, none, &out))
+	require.Contains(t, out.String(), "added by the system")
+	written, err := os.ReadFile(report)
+	require.NoError(t, err)
+	require.Contains(t, string(written), `"key": "stall"`)
+	server.Switch(engine.Switches{Truncate: 1})
+	require.ErrorIs(t, Run(t.Context(), args, none, &out), ErrFaults)
+}
--- a/internal/standin/engine/cross.go
+++ b/internal/standin/engine/cross.go
@@ -4,17 +4,17 @@
 
 // crossing is a request that waits for the one whose answer it is to give.
 type crossing struct {
-	id      string
-	partner chan string // gets the name of the other request
+	source  source
+	partner chan source // gets the other request
 }
 
 // meet swaps the answers of two requests when that switch is set: the first one
-// waits for the second. It returns false when the client hung up meanwhile.
+// waits in the batch for the second, so the engine needs two slots. It returns false when the client hung up meanwhile.
 func (s *Server) meet(ctx context.Context, work *work) bool {
 	s.mutex.Lock()
 	if s.cross != nil {
-		work.source = s.cross.id
-		s.cross.partner <- work.id
+		s.cross.partner <- work.source
+		work.source = s.cross.source
 		s.cross = nil
 		s.mutex.Unlock()
 		return true
@@ -24,7 +24,7 @@
 		return true
 	}
 	s.switches.Cross--
-	waiting := &crossing{id: work.id, partner: make(chan string, 1)}
+	waiting := &crossing{source: work.source, partner: make(chan source, 1)}
 	s.cross = waiting
 	s.mutex.Unlock()
 	select {
--- a/internal/standin/engine/messages.go
+++ b/internal/standin/engine/messages.go
@@ -5,9 +5,8 @@
 	"strconv"
 	"strings"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/standin/word"
 )
 
 // HeaderUsage set to "1" asks for usage at the end of a stream. Besides it the
@@ -26,6 +25,15 @@
 	StreamOptions       streamOptions `json:"stream_options"`
 }
 
+// text returns the whole prompt.
+func (r *request) text() string {
+	texts := make([]string, 0, len(r.Messages))
+	for _, message := range r.Messages {
+		texts = append(texts, message.Content)
+	}
+	return r.Prompt + strings.Join(texts, "\n")
+}
+
 type message struct {
 	Role    string `json:"role"`
 	Content string `json:"content"`
@@ -47,15 +55,17 @@
 	usage  bool // a stream ends with its usage
 	model  string
 	text   string // the whole prompt
-	source string // the request whose words are sent; differs only when answers cross
+	source source // the request whose answer is sent; another one only when answers cross
+}
+
+// source is the request that an answer belongs to.
+type source struct {
+	id    string
+	print string // word.Fingerprint of the prompt
 }
 
 func newWork(header http.Header, body *request, chat bool, output int) *work {
-	texts := []string{body.Prompt}
-	for _, message := range body.Messages {
-		texts = append(texts, message.Content)
-	}
-	text := strings.Join(texts, "\n")
+	text := body.text()
 	work := &work{
 		id:     header.Get(wire.RequestID),
 		chat:   chat,
@@ -75,9 +85,9 @@
 		work.total = body.MaxTokens
 	}
 	if work.id == "" {
-		work.id = "prompt-" + strconv.FormatUint(xxhash.Sum64String(text), 16)
+		work.id = word.Fingerprint(text)
 	}
-	work.source = work.id
+	work.source = source{id: work.id, print: word.Fingerprint(text)}
 	return work
 }
 
@@ -96,6 +106,7 @@
 	Object  string   `json:"object"`
 	Created int64    `json:"created"`
 	Model   string   `json:"model"`
+	Print   string   `json:"system_fingerprint"`
 	Choices []choice `json:"choices"`
 	Usage   *usage   `json:"usage,omitempty"`
 }
@@ -158,7 +169,7 @@
 	if w.chat {
 		prefix, object = "chatcmpl-", chat
 	}
-	return answer{ID: prefix + w.source, Object: object, Model: w.model, Choices: []choice{}}
+	return answer{ID: prefix + w.source.id, Object: object, Model: w.model, Print: w.source.print, Choices: []choice{}}
 }
 
 func (w *work) used(made int) *usage {
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -36,7 +36,7 @@
 		s.cancelled()
 		return
 	}
-	w.Header().Set(wire.RequestID, work.source)
+	w.Header().Set(wire.RequestID, work.source.id)
 	if work.stream {
 		s.stream(w, r, work)
 		return
@@ -143,7 +143,7 @@
 			s.cancelled()
 			return
 		}
-		text.WriteString(word.At(work.source, n))
+		text.WriteString(word.At(work.source.id, n))
 	}
 	made := max(0, work.total-work.first)
 	encoded, err := json.Marshal(work.whole(text.String(), made))
@@ -172,7 +172,7 @@
 			s.cancelled()
 			return
 		}
-		send(w, work.chunk(word.At(work.source, n), false))
+		send(w, work.chunk(word.At(work.source.id, n), false))
 	}
 	send(w, work.chunk("", true))
 	if work.usage {
--- /dev/null
+++ b/internal/standin/loader/outcome.go
@@ -0,0 +1,69 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/standin/word"
+)
+
+// Way is where a call is sent.
+type Way string
+
+// The ways of a call.
+const (
+	System Way = "system" // through the system under test
+	Direct Way = "direct" // straight to an engine
+)
+
+// Errors of a call.
+var (
+	// ErrLost says that the connection failed before the end of the answer.
+	ErrLost = errors.New("connection lost")
+	// ErrLate says that the call's time was up before the end of the answer.
+	ErrLate = errors.New("timed out")
+	// ErrRepeated says that two calls got the same reference.
+	ErrRepeated = errors.New("reference given twice")
+)
+
+// Outcome is what became of one call. Times count from the moment that the trace
+// gives, so that a late sender does not flatter the system.
+type Outcome struct {
+	Way    Way
+	Key    string
+	Model  string
+	Status int           // zero without an answer
+	Reason string        // the system's reason for a refusal
+	Ref    string        // the request's name in the system
+	Sent   time.Duration // how late the call was sent
+	First  time.Duration // to the first token; zero unless streamed
+	Gaps   []time.Duration
+	Whole  time.Duration // to the end of the answer
+	Tokens int           // received
+	Err    error         // why an answer with status 200 is not whole or not the call's own
+}
+
+// faults are the errors of a call and their names in the report.
+var faults = []struct {
+	err  error
+	name string
+}{
+	{word.ErrForeign, "foreign"},
+	{word.ErrOrder, "disordered"},
+	{word.ErrCount, "miscounted"},
+	{chicoryrock.ErrTruncated, "truncated"},
+	{ErrRepeated, "repeated"},
+	{ErrLate, "late"},
+	{ErrLost, "lost"},
+}
+
+func fault(err error) string {
+	for _, known := range faults {
+		if errors.Is(err, known.err) {
+			return known.name
+		}
+	}
+	return "other"
+}
--- a/internal/standin/word/word.go
+++ b/internal/standin/word/word.go
@@ -38,6 +38,13 @@
 	return text.String()
 }
 
+// Fingerprint names a prompt. The engine stand-in puts it into the
+// system_fingerprint of its answers, so that a caller sees whose they are even
+// when the request was renamed on its way.
+func Fingerprint(prompt string) string {
+	return "fp_" + strconv.FormatUint(xxhash.Sum64String(prompt), 16)
+}
+
 // Check tells whether text is exactly tokens 0 to count-1 of a request. Errors:
 // ErrForeign, ErrOrder, ErrCount.
 func Check(request, text string, count int) error {
