Add the demonstration: a recorded overload with a crash, and its report

Cause: a newcomer should see the whole path work with one command. Change: chicoryrock demo starts two entries, four agents and their engines, store and list of VMs in one process on loopback, replays 1,004 recorded calls and reports by class and workspace; the load tool tells of each outcome.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -80,6 +80,15 @@
 	return nil
 }
 
+// Ready says whether the entry serves. It may be called once Opened was.
+func (p *Entry) Ready() bool { return p.entry.Ready() && p.entry.Placed() }
+
+// Table returns the configuration in force, or nil before the first.
+func (p *Entry) Table() *object.Table { return p.tables.Table() }
+
+// Explain returns the record of a request. Errors: those of explain.Recorder.Find.
+func (p *Entry) Explain(ref string) (explain.Record, error) { return p.records.Find(ref) }
+
 func (p *Entry) newRoster() *roster.Roster {
 	return &roster.Roster{
 		Self:      selfOf(&p.Settings.Common),
--- /dev/null
+++ b/internal/serve/demo/demo.go
@@ -0,0 +1,108 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chicoryrock/chicoryrock/internal/standin/engine"
+	"github.com/chicoryrock/chicoryrock/internal/standin/loader"
+)
+
+const (
+	// crashAt is when one engine crashes, and crashTime how long it stays away.
+	crashAt   = 6 * time.Second
+	crashTime = 2 * time.Second
+	// progressInterval is how often the demonstration says how far it is.
+	progressInterval = time.Second
+	// callTimeout is the longest wait for one answer.
+	callTimeout = 15 * time.Second
+)
+
+var secrets = map[string]string{
+	"hawkers":  "demo-hawkers",
+	"trolleys": "demo-trolleys",
+	"depot":    "demo-depot",
+}
+
+// Run runs the demonstration and writes its progress and report.
+func Run(ctx context.Context, out io.Writer) error {
+	calls, err := readTrace()
+	if err != nil {
+		return err
+	}
+	say(out, "starting %d entries, %d agents with their engines, store and list of VMs on loopback\n", entryCount, engineCount)
+	cluster, err := startCluster(ctx)
+	if err != nil {
+		return err
+	}
+	defer cluster.close()
+	say(out, "replaying %d calls; the burst begins at 3.5 s, a backend server crashes at %s\n", len(calls), crashAt)
+	book := newBook(cluster)
+	begin := time.Now()
+	if err := replay(ctx, out, cluster, calls, book); err != nil {
+		return err
+	}
+	book.write(out, time.Since(begin))
+	return book.explain(out, cluster)
+}
+
+func readTrace() ([]loader.Call, error) {
+	file, err := files.Open("testdata/trace.jsonl")
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	defer func() { _ = file.Close() }()
+	return loader.Read(file)
+}
+
+// replay sends every other call to another entry, as a balancer would, and lets
+// one engine crash in the middle of the burst.
+func replay(ctx context.Context, out io.Writer, cluster *cluster, calls []loader.Call, book *book) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	crash := time.AfterFunc(crashAt, func() {
+		cluster.engines[0].Switch(engine.Switches{Crash: crashTime})
+		book.note(fmt.Sprintf("backend-1 crashes and is away for %s", crashTime))
+	})
+	defer crash.Stop()
+	progress, stopProgress := context.WithCancel(ctx)
+	var reporting sync.WaitGroup
+	reporting.Go(func() { book.progress(progress, out) })
+	defer reporting.Wait()
+	defer stopProgress()
+	group, ctx := errgroup.WithContext(ctx)
+	for i, address := range cluster.callers {
+		load := &loader.Loader{
+			Name:    fmt.Sprintf("demo-%d", i),
+			Calls:   everyNth(calls, i, len(cluster.callers)),
+			Keys:    secrets,
+			Target:  address,
+			Timeout: callTimeout,
+			Seen:    book.add,
+		}
+		group.Go(func() error {
+			_, err := load.Run(ctx)
+			return err
+		})
+	}
+	return group.Wait()
+}
+
+func everyNth(calls []loader.Call, first, step int) []loader.Call {
+	var part []loader.Call
+	for i := first; i < len(calls); i += step {
+		part = append(part, calls[i])
+	}
+	return part
+}
+
+// say writes to the terminal, which may have been closed by its owner.
+func say(out io.Writer, format string, values ...any) {
+	_, _ = fmt.Fprintf(out, format, values...)
+}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -46,6 +46,7 @@
 	calls    *registry
 	agents   httpc.Service
 	draining atomic.Bool
+	placed   atomic.Bool // a list of VMs has been sorted into the pools
 }
 
 // Prepare makes the entry ready for ServersChanged and ConfigChanged, which may
@@ -115,6 +116,9 @@
 // shutting down.
 func (e *Entry) Ready() bool { return e.Safe(time.Now()) && !e.draining.Load() }
 
+// Placed says whether the entry knows a list of backend servers.
+func (e *Entry) Placed() bool { return e.placed.Load() }
+
 // ServersChanged takes in a list of VMs.
 func (e *Entry) ServersChanged(vms []chicoryrock.VM) { e.place(e.Tables.Table(), vms) }
 
@@ -139,6 +143,7 @@
 		}
 	}
 	e.gate.setReplicas(pools)
+	e.placed.Store(len(vms) > 0)
 }
 
 func replicaOf(vm *chicoryrock.VM, pool *object.Pool) chicoryrock.Replica {
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -19,6 +19,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/serve/assembly"
+	"github.com/chicoryrock/chicoryrock/internal/serve/demo"
 )
 
 // The exit codes of the command.
@@ -54,6 +55,8 @@
 		return exitCode(runEntry(ctx, args[1:], os.Environ(), stderr), stderr)
 	case "agent":
 		return exitCode(runAgent(ctx, args[1:], os.Environ(), stderr), stderr)
+	case "demo":
+		return exitCode(demo.Run(ctx, stdout), stderr)
 	case "-h", "--help", "help":
 		show(stdout, usage)
 		return exitFine
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -31,6 +31,7 @@
 	Open    int               // most calls open at once on each way; further ones are left out
 	Longest time.Duration     // no call is sent after this
 	Timeout time.Duration     // longest wait for one answer
+	Seen    func(Outcome)     // told of each call that has ended, one at a time; may be nil
 
 	client *http.Client
 	mutex  sync.Mutex
@@ -125,6 +126,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.tally.Add(*sender.out)
+	if l.Seen != nil {
+		l.Seen(*sender.out)
+	}
 }
 
 func (l *Loader) skip(count int) {
