--- a/internal/ops/burn/burn_test.go
+++ b/internal/ops/burn/burn_test.go
@@ -210,3 +210,11 @@
 	require.NoError(t, json.Unmarshal(text, &back))
 	require.Equal(t, snapshot, back)
 }
+
+func BenchmarkAdd(b *testing.B) {
+	counter := &Counter{Process: "e1"}
+	b.ReportAllocs()
+	for b.Loop() {
+		counter.Add(start, "quote", "hanoi", VerdictGood)
+	}
+}
