Keep library log lines out of the terminal, and waits of nothing out of stories

Cause: the demonstration printed the HTTP library's lines, and explained a wait of 0 ms. Change: the library logs through the numbered events; a wait below 1 ms is none. Result: the demonstration prints its report alone.

--- a/internal/serve/demo/demo.go
+++ b/internal/serve/demo/demo.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/standin/engine"
 	"github.com/chicoryrock/chicoryrock/internal/standin/loader"
 )
@@ -36,6 +37,7 @@
 	if err != nil {
 		return err
 	}
+	event.Attach(event.NewNop())
 	say(out, "starting %d entries, %d agents with their engines, store and list of VMs on loopback\n", entryCount, engineCount)
 	cluster, err := startCluster(ctx)
 	if err != nil {
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -64,8 +64,8 @@
 func (c *call) serve() {
 	now := time.Now()
 	c.progress.begin(now)
-	c.progress.queued(now, explain.CauseCapacity)
 	replica, err := c.entry.gate.acquire(c.ctx, now, c.request)
+	c.progress.waited(now, time.Now(), explain.CauseCapacity)
 	for attempt := 1; err == nil; attempt++ {
 		c.granted = true
 		c.progress.sent(time.Now(), &replica, c.sent > 0)
--- a/internal/serve/entry/observe.go
+++ b/internal/serve/entry/observe.go
@@ -46,9 +46,15 @@
 	p.observer.Records.Step(now, p.request.ID, step)
 }
 
-// queued notes that the request waits under its class's rule.
-func (p *progress) queued(now time.Time, cause explain.Cause) {
-	p.step(now, explain.Step{
+// shortestWait is the wait below which a request counts as sent at once.
+const shortestWait = time.Millisecond
+
+// waited notes that the request waited under its class's rule.
+func (p *progress) waited(from, to time.Time, cause explain.Cause) {
+	if to.Sub(from) < shortestWait {
+		return
+	}
+	p.step(from, explain.Step{
 		Action: explain.ActionQueue,
 		Cause:  cause,
 		Rule:   explain.Object{Kind: string(object.KindClass), Name: p.class.Name},
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -84,7 +84,9 @@
 	if verbose {
 		level = zapcore.DebugLevel
 	}
-	return event.New(level, stderr)
+	log := event.New(level, stderr)
+	event.Attach(log)
+	return log
 }
 
 // show writes to the terminal, which may have been closed by its owner.
--- a/internal/serve/web/web.go
+++ b/internal/serve/web/web.go
@@ -73,7 +73,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
-		ErrorLog:          zap.NewStdLog(s.Log.Zap),
+		ErrorLog:          s.Log.Std(),
 	}
 	done := make(chan error, 1)
 	go func() { done <- s.serve(server) }()
