Choose backend servers from a stale and partial view

Cause: the baselines believe their last report, cross the link between regions freely, and keep sending work to a straggler whose report says that it is idle.

Change: internal/policy/pick compares four replicas taken at random, own data centre first, then the region, and the other region only when waiting would miss the target and crossing still meets it. Load that others cause is believed less as it ages. Stragglers and lost replicas are found from the entry's own observations and come back by probes and a ramp. A prompt prefix is a hint bounded by load. Subset gives every entry some 20 replicas and every replica at least three entries. The dispatcher passes observations on and has the picker arrange the list.

Ruled out: a subset by the entry's ranking alone; at 320 entries and 710 replicas some replicas were in fewer than three subsets.

Seen failing first: comparing all replicas (herd), no straggler detection, no bound on suspended replicas, no ramp, prefix without its bound, crossing always and whatever the size, subsets without the floor, probes with calls that may not be repeated, probes not spaced, lost replicas not suspended, own data centre not preferred.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -41,15 +41,22 @@
 // replica that stays is kept.
 func (d *Dispatcher) SetReplicas(name string, replicas []chicoryrock.Replica) {
 	target := d.pool(name)
+	started := len(target.replicas) > 0
 	for i := range replicas {
+		replicas[i].New = started
 		if known := target.find(replicas[i].Name); known != nil {
 			replicas[i].Open = known.Open
 			replicas[i].Running = known.Running
 			replicas[i].Waiting = known.Waiting
+			replicas[i].Others = known.Others
+			replicas[i].New = known.New
 			replicas[i].Seen = known.Seen
 			replicas[i].Leaving = replicas[i].Leaving || known.Leaving
 		}
 	}
+	if observer, learns := d.Picker.(chicoryrock.Observer); learns {
+		observer.Arrange(replicas)
+	}
 	target.replicas = replicas
 }
 
@@ -123,10 +130,19 @@
 	known.Slots = load.Slots
 	known.Running = load.Running
 	known.Waiting = load.Waiting
+	known.Others = max(load.Running+load.Waiting-known.Open, 0)
 	known.Leaving = known.Leaving || load.Leaving
 	known.Seen = now
 }
 
+// Observe passes on what this entry measured itself on a replica, if the picker
+// learns from it.
+func (d *Dispatcher) Observe(now time.Time, poolName, replica string, seen chicoryrock.Observation) {
+	if observer, learns := d.Picker.(chicoryrock.Observer); learns {
+		observer.Observe(now, poolName, replica, seen)
+	}
+}
+
 // Finish ends a request that was granted. The replica's slot is free again.
 func (d *Dispatcher) Finish(now time.Time, request *chicoryrock.Request, replica string) {
 	target := d.pool(request.Pool)
--- /dev/null
+++ b/internal/policy/pick/pick_test.go
@@ -0,0 +1,261 @@
+package pick_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/pick"
+)
+
+var start = time.Date(2026, time.January, 5, 6, 0, 0, 0, time.UTC)
+
+func newPicker(seed uint64) *pick.Picker {
+	return &pick.Picker{Centre: "c0", Region: "r0", Random: rand.New(rand.NewPCG(seed, 2))}
+}
+
+// fleet returns replicas of 16 slots in turn over the data centres, of which c0
+// to c2 are in region r0 and the others in r1. Each runs eight requests of others.
+func fleet(count, centres int) []chicoryrock.Replica {
+	replicas := make([]chicoryrock.Replica, count)
+	for i := range replicas {
+		centre := i % centres
+		replicas[i] = chicoryrock.Replica{
+			Name:    fmt.Sprintf("vm-%d", i),
+			Pool:    "small",
+			Centre:  fmt.Sprintf("c%d", centre),
+			Region:  fmt.Sprintf("r%d", centre/3),
+			Slots:   16,
+			Running: 8,
+			Others:  8,
+			Seen:    start,
+		}
+	}
+	return replicas
+}
+
+func request() *chicoryrock.Request {
+	return &chicoryrock.Request{Pool: "small", Arrived: start, Deadline: start.Add(400 * time.Millisecond), Prompt: 100, Repeat: true}
+}
+
+// counts picks many times without telling the picker of the outcome.
+func counts(now time.Time, p *pick.Picker, r *chicoryrock.Request, replicas []chicoryrock.Replica, times int) map[string]int {
+	got := make(map[string]int)
+	for range times {
+		if at, found := p.Pick(now, r, replicas); found {
+			got[replicas[at].Name]++
+		}
+	}
+	return got
+}
+
+// Near replicas come first, and the link between regions is crossed only in time.
+func TestNearFirst(t *testing.T) {
+	tests := []struct {
+		name   string
+		full   string // centres that are full
+		wait   time.Duration
+		prompt int
+		want   string
+	}{
+		{"own centre", "", 0, 100, "c0"},
+		{"own region when the centre is full", "c0", 0, 100, "region"},
+		{"wait before crossing", "c0 c1 c2", 0, 100, ""},
+		{"cross before the target is missed", "c0 c1 c2", 340 * time.Millisecond, 100, "far"},
+		{"too late to cross", "c0 c1 c2", 395 * time.Millisecond, 100, ""},
+		{"a document takes too long to cross", "c0 c1 c2", 340 * time.Millisecond, 100_000, ""},
+	}
+	for _, test := range tests {
+		p := newPicker(1)
+		replicas := fleet(30, 5)
+		p.Arrange(replicas)
+		now := start.Add(test.wait)
+		for i := range replicas {
+			replicas[i].Seen = now
+			if replicas[i].Centre != "c0" {
+				replicas[i].Others = 4
+			}
+			if strings.Contains(test.full, replicas[i].Centre) {
+				replicas[i].Others = 16
+			}
+		}
+		r := request()
+		r.Prompt = test.prompt
+		at, found := p.Pick(now, r, replicas)
+		got := ""
+		switch {
+		case found && replicas[at].Centre == "c0":
+			got = "c0"
+		case found && replicas[at].Region == "r0":
+			got = "region"
+		case found:
+			got = "far"
+		}
+		assert.Equal(t, test.want, got, test.name)
+	}
+}
+
+// One replica looks idle to all entries. Together they must not send it more than
+// it has slots.
+func TestEntriesDoNotHerd(t *testing.T) {
+	got := 0
+	for entry := range 40 {
+		p := newPicker(uint64(entry))
+		replicas := fleet(20, 1)
+		p.Arrange(replicas)
+		replicas[7].Others, replicas[7].Running = 0, 0
+		at, found := p.Pick(start.Add(10*time.Millisecond), request(), replicas)
+		require.True(t, found)
+		if at == 7 {
+			got++
+		}
+	}
+	assert.LessOrEqual(t, got, 16)
+	assert.Positive(t, got)
+}
+
+// feed observes answers of all replicas, of which one is slower than the others.
+func feed(now time.Time, p *pick.Picker, replicas []chicoryrock.Replica, slow string, factor int) {
+	for i := range replicas {
+		times := time.Duration(1)
+		if replicas[i].Name == slow {
+			times = time.Duration(factor)
+		}
+		seen := chicoryrock.Observation{First: 100 * time.Millisecond * times, Between: 40 * time.Millisecond * times}
+		p.Observe(now, "small", replicas[i].Name, seen)
+	}
+}
+
+// A straggler reports that it is idle. Its own answers give it away; later a
+// probe that is answered quickly lets it back in.
+func TestStraggler(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(10, 1)
+	p.Arrange(replicas)
+	replicas[4].Others = 0
+	slow := replicas[4].Name
+	now := start
+	for range 4 {
+		now = now.Add(200 * time.Millisecond)
+		feed(now, p, replicas, slow, 4)
+	}
+	once := request()
+	once.Repeat = false
+	assert.Zero(t, counts(now, p, once, replicas, 300)[slow], "a straggler gets no work")
+	now = now.Add(5 * time.Second)
+	assert.Zero(t, counts(now, p, once, replicas, 300)[slow], "no probe with a call that may not be repeated")
+	assert.Equal(t, 1, counts(now, p, request(), replicas, 300)[slow], "one probe at a time")
+	p.Observe(now, "small", slow, chicoryrock.Observation{Between: 160 * time.Millisecond})
+	assert.Zero(t, counts(now.Add(time.Millisecond), p, once, replicas, 300)[slow], "still slow")
+	p.Observe(now, "small", slow, chicoryrock.Observation{Between: 40 * time.Millisecond})
+	assert.Positive(t, counts(now.Add(10*time.Second), p, once, replicas, 300)[slow], "let back in")
+}
+
+// When every replica is as slow as the next, none is a straggler.
+func TestSlowPoolKeepsServing(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(6, 1)
+	p.Arrange(replicas)
+	for i := range 5 {
+		feed(start.Add(time.Duration(i)*time.Second), p, replicas, "", 1)
+	}
+	for i := range replicas {
+		for range 8 {
+			p.Observe(start.Add(6*time.Second), "small", replicas[i].Name, chicoryrock.Observation{Between: 400 * time.Millisecond})
+		}
+	}
+	got := counts(start.Add(7*time.Second), p, request(), replicas, 300)
+	assert.GreaterOrEqual(t, len(got), 4)
+}
+
+// A replica that can't be reached gets only probes, further and further apart.
+func TestLost(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(10, 1)
+	p.Arrange(replicas)
+	lost := replicas[3].Name
+	p.Observe(start, "small", lost, chicoryrock.Observation{Lost: true})
+	probes := 0
+	for now := start; now.Before(start.Add(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		if got := counts(now, p, request(), replicas, 1)[lost]; got > 0 {
+			probes++
+			p.Observe(now, "small", lost, chicoryrock.Observation{Lost: true})
+		}
+	}
+	assert.GreaterOrEqual(t, probes, 2)
+	assert.LessOrEqual(t, probes, 8)
+}
+
+// A replica that joins a running pool gets work step by step.
+func TestSlowStart(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(10, 1)
+	p.Arrange(replicas)
+	replicas[2].New = true
+	replicas[2].Others = 0
+	for range 2000 {
+		if at, found := p.Pick(start, request(), replicas); found {
+			replicas[at].Open++
+		}
+	}
+	assert.LessOrEqual(t, replicas[2].Open, 4, "a quarter of its slots at first")
+	assert.Equal(t, 8, replicas[1].Open, "the others fill up")
+	_, found := p.Pick(start.Add(10*time.Second), request(), replicas)
+	assert.True(t, found, "all of its slots later")
+}
+
+// The same prefix goes to the same replica, until that one is too busy.
+func TestPrefix(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(20, 1)
+	p.Arrange(replicas)
+	r := request()
+	r.Prefix = 42
+	got := counts(start, p, r, replicas, 100)
+	require.Len(t, got, 1)
+	for i := range replicas {
+		if got[replicas[i].Name] > 0 {
+			replicas[i].Others = 15
+		}
+	}
+	for name := range counts(start, p, r, replicas, 100) {
+		assert.NotContains(t, got, name)
+	}
+}
+
+func TestPickDoesNotAllocate(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(710, 5)
+	p.Arrange(replicas)
+	r := request()
+	r.Prefix = 42
+	assert.Zero(t, testing.AllocsPerRun(1000, func() { p.Pick(start, r, replicas) }))
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, count := range []int{7, 71, 710} {
+		for _, load := range []int{8, 16} {
+			b.Run(fmt.Sprintf("replicas=%d/others=%d", count, load), func(b *testing.B) {
+				p := newPicker(1)
+				replicas := fleet(count, 5)
+				p.Arrange(replicas)
+				for i := range replicas {
+					replicas[i].Others = load
+				}
+				feed(start, p, replicas, "", 1)
+				r := request()
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					r.Prefix = uint64(i % 50)
+					p.Pick(start.Add(time.Millisecond), r, replicas)
+				}
+			})
+		}
+	}
+}
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -74,6 +74,8 @@
 	engine *engine
 	from   int // tokens that the caller had when it began
 	made   int
+	sent   time.Duration
+	heard  time.Duration // when the last tokens reached the entry
 }
 
 func (a *attempt) delay() time.Duration {
@@ -90,6 +92,7 @@
 // send carries the call to the agent, which takes it, or says that it did not run.
 func (a *attempt) send() {
 	w := a.call.entry.world
+	a.sent = w.now
 	wait := a.delay()
 	if a.engine.Region != a.call.entry.Region {
 		bytes := a.call.record.Prompt * bytesPerToken
@@ -114,17 +117,35 @@
 	})
 }
 
-// notRun tells the entry that the call did not begin. A full agent states so.
+// notRun tells the entry that the call did not begin. A full agent states so; of
+// one that can't be reached nothing is known.
 func (a *attempt) notRun(load *chicoryrock.Load) {
 	e := a.call.entry
-	w := e.world
 	if load != nil {
-		w.report.corrected++
+		e.world.report.corrected++
 		e.core.Heard(e.now(), a.call.request.Pool, a.engine.Name, *load)
+	} else {
+		a.lost()
 	}
 	a.again(chicoryrock.ErrNotRun)
 }
 
+func (a *attempt) lost() {
+	e := a.call.entry
+	e.core.Observe(e.now(), a.call.request.Pool, a.engine.Name, chicoryrock.Observation{Lost: true})
+}
+
+// observe measures the first token, and later the time between tokens.
+func (a *attempt) observe(tokens int) {
+	e := a.call.entry
+	seen := chicoryrock.Observation{First: e.world.now - a.sent}
+	if a.heard > 0 {
+		seen = chicoryrock.Observation{Between: (e.world.now - a.heard) / time.Duration(tokens)}
+	}
+	a.heard = e.world.now
+	e.core.Observe(e.now(), a.call.request.Pool, a.engine.Name, seen)
+}
+
 // produced carries tokens to the caller.
 func (a *attempt) produced(tokens int, ended bool) {
 	e := a.call.entry
@@ -135,6 +156,7 @@
 		if c.has == 0 {
 			c.first = e.world.now
 		}
+		a.observe(tokens)
 		c.has += tokens
 		c.last = e.world.now
 		now := e.now()
@@ -157,7 +179,10 @@
 
 // broke tells the entry that the stream ended before its end.
 func (a *attempt) broke() {
-	a.call.entry.world.after(a.delay(), func() { a.again(chicoryrock.ErrTruncated) })
+	a.call.entry.world.after(a.delay(), func() {
+		a.lost()
+		a.again(chicoryrock.ErrTruncated)
+	})
 }
 
 // again sends the call elsewhere when that is allowed, and fails it otherwise.
--- a/request.go
+++ b/request.go
@@ -31,9 +31,11 @@
 	Slots   int       // streams the engine runs at once
 	Running int       // as last reported by the agent, all entries together
 	Waiting int       // as last reported by the agent
+	Others  int       // of Running and Waiting, those that were not this entry's
 	Open    int       // requests of this entry not yet answered
 	Seen    time.Time // when the agent was last heard
 	Leaving bool      // gets no new work
+	New     bool      // joined while this entry was running; gets work step by step
 }
 
 // Load is what an agent says of itself with every answer.
@@ -44,6 +46,23 @@
 	Leaving bool `json:"leaving,omitempty"`
 }
 
+// Observation is what an entry measured itself on one replica. A field that is
+// zero was not measured.
+type Observation struct {
+	First   time.Duration // from sending the request to its first token
+	Between time.Duration // mean time between tokens since the last observation
+	Lost    bool          // the replica could not be reached, or a stream broke
+}
+
+// Observer is a Picker that learns from what the entry measures. Dispatchers
+// pass observations on when their Picker is one.
+type Observer interface {
+	// Observe takes in one observation on a replica of a pool.
+	Observe(now time.Time, pool, replica string, seen Observation)
+	// Arrange puts a pool's replicas into the order that Pick expects.
+	Arrange(replicas []Replica)
+}
+
 // Picker chooses the backend server for a request. The index of the chosen
 // replica is returned, or false when none can take it now. Implementations
 // stand below internal/policy/pick.
