Choose backend servers by the picker that learns from answers

Cause: the entry took the least outstanding, blind to stragglers and distance. Change: the entry feeds what it measures of each attempt to the picker, and uses a subset of each pool, near replicas before far ones. Ruled out: all replicas at every entry, whose load reports alone would break the 2 KB/s for control.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -3,11 +3,14 @@
 
 import (
 	"context"
-	"crypto/rand"
+	secret "crypto/rand"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
@@ -16,6 +19,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/policy/baseline"
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
+	"github.com/chicoryrock/chicoryrock/internal/policy/pick"
 	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
 	"github.com/chicoryrock/chicoryrock/internal/serve/entry"
 	"github.com/chicoryrock/chicoryrock/internal/serve/feed"
@@ -70,7 +74,7 @@
 	p.tables = &object.Holder{}
 	p.metrics = metrics.New(time.Now)
 	p.records = &explain.Recorder{Capacity: recordCapacity}
-	p.burn = &burn.Counter{Process: p.Settings.Name + "/" + rand.Text()}
+	p.burn = &burn.Counter{Process: p.Settings.Name + "/" + secret.Text()}
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.entry = p.newEntry()
@@ -122,7 +126,11 @@
 		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn},
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: func(string) chicoryrock.Queue { return &baseline.Queue{} },
-			Picker:   baseline.LeastOutstanding{},
+			Picker: &pick.Picker{
+				Centre: p.Settings.Centre,
+				Region: p.Settings.Region,
+				Random: rand.New(rand.NewPCG(xxhash.Sum64String(p.Settings.Name), uint64(time.Now().UnixNano()))),
+			},
 		},
 		CallerTLS: p.secrets.callers,
 		AgentTLS:  p.secrets.dialAgents,
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -43,6 +43,7 @@
 	ctx     context.Context // ends when the caller goes or its key is withdrawn
 	granted bool            // a replica was given the request
 	sent    int             // output tokens that the caller has
+	timing  timing          // of the attempt under way
 	started bool            // the answer's header has gone out
 }
 
@@ -68,8 +69,11 @@
 	c.progress.waited(now, time.Now(), explain.CauseCapacity)
 	for attempt := 1; err == nil; attempt++ {
 		c.granted = true
-		c.progress.sent(time.Now(), &replica, c.sent > 0)
+		now = time.Now()
+		c.progress.sent(now, &replica, c.sent > 0)
+		c.timing = timing{sent: now}
 		err = c.attempt(&replica)
+		c.entry.gate.observe(time.Now(), &replica, c.timing.observation(err))
 		if err == nil || attempt == maxAttempts || !c.mayRetry(err) {
 			c.entry.gate.finish(time.Now(), c.request, replica.Name)
 			break
@@ -106,7 +110,7 @@
 	defer func() { _ = response.Body.Close() }()
 	defer c.hear(replica, response)
 	if response.Header.Get(wire.Outcome) == wire.OutcomeNotRun {
-		return errors.Wrap(chicoryrock.ErrNotRun, response.Header.Get(wire.Reason))
+		return notRun(response.Header.Get(wire.Reason))
 	}
 	if response.Header.Get(wire.Outcome) == wire.OutcomeUnknown {
 		return errors.Wrap(chicoryrock.ErrUnknownOutcome, response.Header.Get(wire.Reason))
@@ -159,7 +163,7 @@
 		return errors.WithStack(c.ctx.Err())
 	}
 	if dialFailed(err) {
-		return errors.Wrap(chicoryrock.ErrNotRun, err.Error())
+		return &notRunError{reason: chicoryrock.ReasonNoServer}
 	}
 	return errors.Wrap(chicoryrock.ErrUnknownOutcome, err.Error())
 }
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -22,7 +22,6 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
 	"github.com/chicoryrock/chicoryrock/internal/serve/roster"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
-	"github.com/chicoryrock/chicoryrock/internal/state/member"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
@@ -133,31 +132,10 @@
 	if table == nil {
 		return
 	}
-	pools := make(map[string][]chicoryrock.Replica)
-	for i := range table.Set.Pools {
-		pools[table.Set.Pools[i].Name] = nil
-	}
-	for i := range vms {
-		if pool := table.Pool(vms[i].Pool); pool != nil && vms[i].Role == member.RoleAgent {
-			pools[pool.Name] = append(pools[pool.Name], replicaOf(&vms[i], pool))
-		}
-	}
-	e.gate.setReplicas(pools)
+	e.gate.setReplicas(replicasByPool(e.Roster.Self, table, vms))
 	e.placed.Store(len(vms) > 0)
 }
 
-func replicaOf(vm *chicoryrock.VM, pool *object.Pool) chicoryrock.Replica {
-	return chicoryrock.Replica{
-		Name:    vm.Name,
-		Pool:    pool.Name,
-		Centre:  vm.Centre,
-		Region:  vm.Region,
-		Address: vm.Address,
-		Slots:   pool.Slots,
-		Leaving: vm.State == chicoryrock.VMLeaving,
-	}
-}
-
 // expire refuses waiting requests as soon as they can no longer be in time.
 func (e *Entry) expire(ctx context.Context) error {
 	ticker := time.NewTicker(expireInterval)
--- /dev/null
+++ b/internal/serve/entry/errors.go
@@ -0,0 +1,50 @@
+package entry
+
+import (
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// errUnreachable says that a replica's agent or engine could not be reached.
+var errUnreachable = errors.New("backend server unreachable")
+
+// refusedError carries the reason of a refusal through an error return.
+type refusedError struct {
+	reason chicoryrock.Reason
+}
+
+func (e *refusedError) Error() string { return e.reason.Sentence() }
+
+// notRunError says that a request certainly did not run on a replica, and why.
+// It matches chicoryrock.ErrNotRun, and errUnreachable where that is the reason.
+type notRunError struct {
+	reason chicoryrock.Reason
+}
+
+func (e *notRunError) Error() string { return "not run: " + e.reason.String() }
+
+// Is implements the matching of errors.Is.
+func (e *notRunError) Is(target error) bool {
+	if target == errUnreachable {
+		return e.reason == chicoryrock.ReasonNoServer
+	}
+	return target == chicoryrock.ErrNotRun
+}
+
+// notRun reads the reason code that an agent gave.
+func notRun(code string) error {
+	var reason chicoryrock.Reason
+	if err := reason.UnmarshalText([]byte(code)); err != nil {
+		reason = chicoryrock.ReasonNoServer
+	}
+	return &notRunError{reason: reason}
+}
+
+// dialFailed says whether an error arose before a connection stood.
+func dialFailed(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -11,13 +11,6 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
 )
 
-// refusedError carries the reason of a refusal through an error return.
-type refusedError struct {
-	reason chicoryrock.Reason
-}
-
-func (e *refusedError) Error() string { return e.reason.Sentence() }
-
 // verdict is what a waiting request is told.
 type verdict struct {
 	grant  dispatch.Grant
@@ -119,6 +112,12 @@
 	g.dispatcher.Heard(now, pool, replica, load)
 }
 
+func (g *gate) observe(now time.Time, replica *chicoryrock.Replica, seen chicoryrock.Observation) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatcher.Observe(now, replica.Pool, replica.Name, seen)
+}
+
 func (g *gate) charge(now time.Time, request *chicoryrock.Request, tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -40,6 +39,7 @@
 		now := time.Now()
 		c.sent += tokens
 		c.progress.tokens(now, tokens)
+		c.timing.token(now)
 		c.entry.gate.charge(now, c.request, tokens)
 	}
 	if chunk.Usage != nil {
@@ -98,9 +98,3 @@
 	// A writer that cannot flush delivers at the end of the answer.
 	_ = http.NewResponseController(c.w).Flush()
 }
-
-// dialFailed says whether an error arose before a connection stood.
-func dialFailed(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
