Return a request that no agent had room for to its queue

Streams cut by the crash broke, since the first token's deadline was long over when they asked for another replica. Change: a busy agent costs no attempt, the deadline ends the wait; a stream that resumes may wait 5 s.

--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -21,6 +21,8 @@
 const (
 	// maxAttempts bounds how often one request is sent to a backend server.
 	maxAttempts = 4
+	// resumeLimit is how long a broken stream may wait for another replica.
+	resumeLimit = 5 * time.Second
 	// maxWhole is the largest answer that is held until it is complete, in bytes.
 	maxWhole = 64 << 20
 )
@@ -67,19 +69,24 @@
 	c.progress.begin(now)
 	replica, err := c.entry.gate.acquire(c.ctx, now, c.request)
 	c.progress.waited(now, time.Now(), explain.CauseCapacity)
-	for attempt := 1; err == nil; attempt++ {
+	for attempts := 1; err == nil; {
 		c.granted = true
 		now = time.Now()
 		c.progress.sent(now, &replica, c.sent > 0)
 		c.timing = timing{sent: now}
 		err = c.attempt(&replica)
 		c.entry.gate.observe(time.Now(), &replica, c.timing.observation(err))
-		if err == nil || attempt == maxAttempts || !c.mayRetry(err) {
+		if err != nil && !isBusy(err) {
+			attempts++
+		}
+		if err == nil || attempts > maxAttempts || !c.mayRetry(err) {
 			c.entry.gate.finish(time.Now(), c.request, replica.Name)
 			break
 		}
-		c.progress.retried(time.Now(), replica.Name, causeOf(err))
-		replica, err = c.entry.gate.reacquire(c.ctx, time.Now(), c.request, replica.Name)
+		now = time.Now()
+		c.progress.retried(now, replica.Name, causeOf(err))
+		c.extendDeadline(now)
+		replica, err = c.entry.gate.reacquire(c.ctx, now, c.request, replica.Name)
 	}
 	if err != nil {
 		c.fail(err)
@@ -88,8 +95,16 @@
 	c.progress.end(time.Now(), chicoryrock.OutcomeServed, chicoryrock.ReasonNone)
 }
 
+// extendDeadline gives a stream that broke off time to go on elsewhere: its first
+// token is long out, so the deadline for that one says nothing any more.
+func (c *call) extendDeadline(now time.Time) {
+	if c.sent > 0 {
+		c.request.Deadline = now.Add(resumeLimit)
+	}
+}
+
 func causeOf(err error) explain.Cause {
-	if errors.Is(err, chicoryrock.ErrNotRun) {
+	if isBusy(err) {
 		return explain.CauseBusy
 	}
 	return explain.CauseFailure
--- a/internal/serve/entry/errors.go
+++ b/internal/serve/entry/errors.go
@@ -34,6 +34,13 @@
 	return target == chicoryrock.ErrNotRun
 }
 
+// isBusy says whether an agent had no room. The request goes back to its queue as
+// if it had not been sent; its deadline, not a count of attempts, ends its waiting.
+func isBusy(err error) bool {
+	var refused *notRunError
+	return errors.As(err, &refused) && refused.reason == chicoryrock.ReasonQueueFull
+}
+
 // notRun reads the reason code that an agent gave.
 func notRun(code string) error {
 	var reason chicoryrock.Reason
