Run a small whole system in one process for the demonstration and tests

Cause: tests of failures need entries, agents and stand-ins without a build. Change: internal/serve/local starts data centres of entries and backend servers and can stop one, publish a set, or show a VM as leaving.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -46,14 +46,15 @@
 	Log      *event.Log
 	Opened   func(callers netip.AddrPort) // told the callers' address once it is open; may be nil
 
-	secrets *secrets
-	tables  *object.Holder
-	metrics *metrics.Metrics
-	records *explain.Recorder
-	burn    *burn.Counter
-	roster  *roster.Roster
-	feed    *feed.Feed
-	entry   *entry.Entry
+	secrets     *secrets
+	peerAddress netip.AddrPort
+	tables      *object.Holder
+	metrics     *metrics.Metrics
+	records     *explain.Recorder
+	burn        *burn.Counter
+	roster      *roster.Roster
+	feed        *feed.Feed
+	entry       *entry.Entry
 }
 
 // Run builds the parts and runs them until the context ends and the open requests
@@ -62,7 +63,13 @@
 	if err := p.build(); err != nil {
 		return err
 	}
-	return runAll(ctx, p.entry.Run, p.roster.Run, p.feed.Run, p.peers().Run, p.operators().Run)
+	peers := p.peers()
+	address, err := peers.Open()
+	if err != nil {
+		return err
+	}
+	p.peerAddress = address
+	return runAll(ctx, p.entry.Run, p.roster.Run, p.feed.Run, peers.Run, p.operators().Run)
 }
 
 func (p *Entry) build() error {
@@ -87,6 +94,10 @@
 // Ready says whether the entry serves. It may be called once Opened was.
 func (p *Entry) Ready() bool { return p.entry.Ready() && p.entry.Placed() }
 
+// PeerAddress returns where peers reach the entry. It may be called once Opened
+// was.
+func (p *Entry) PeerAddress() netip.AddrPort { return p.peerAddress }
+
 // Table returns the configuration in force, or nil before the first.
 func (p *Entry) Table() *object.Table { return p.tables.Table() }
 
--- a/internal/serve/demo/book.go
+++ b/internal/serve/demo/book.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/serve/local"
 	"github.com/chicoryrock/chicoryrock/internal/standin/loader"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -42,8 +43,8 @@
 	ended   int
 }
 
-func newBook(cluster *cluster) *book {
-	return &book{table: cluster.entries[0].Table(), lines: make(map[lineKey]*line)}
+func newBook(system *local.System) *book {
+	return &book{table: system.Entries[0].Table(), lines: make(map[lineKey]*line)}
 }
 
 // add takes in one outcome of the load tool.
@@ -166,12 +167,12 @@
 }
 
 // explain tells the story of one refused request in plain words.
-func (b *book) explain(out io.Writer, cluster *cluster) error {
+func (b *book) explain(out io.Writer, system *local.System) error {
 	if b.refused == "" {
 		sayf(out, "\nno request was refused\n")
 		return nil
 	}
-	for _, entry := range cluster.entries {
+	for _, entry := range system.Entries {
 		record, err := entry.Explain(b.refused)
 		if errors.Is(err, chicoryrock.ErrNotFound) {
 			continue
