Queue requests by tier, floor and workspace's cost

Cause: the baseline serves in order of arrival, so one workspace's burst or a lower tier delays everybody, and late requests are found only at the deadline.

Change: package queue. Strict tiers; a class below its floor of the running requests is owed a turn each 1/floor turns, which gives way to a higher tier's last chance for four owed turns at the most; inside a tier virtual time over tokens in and out, charged with the class's usual answer at the turn and set right as tokens come; by deadline inside a workspace. A full queue gives up the request that would be served last in the lowest tier. Early refusal from the service rate measured while requests wait, latest start less a prefill time learnt as a line over the prompt, Retry-After spread by a hash over the time that the refused work would take.

--- /dev/null
+++ b/internal/policy/queue/change.go
@@ -0,0 +1,192 @@
+package queue
+
+import (
+	"math"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// chargeStep is how many tokens are charged in advance once an answer has grown
+// beyond what was expected.
+const chargeStep = 16
+
+// link puts a request among the waiting ones.
+func (q *Queue) link(now time.Time, added *item) {
+	request := added.request
+	l := q.lane(request)
+	a := l.tier.account(request.Workspace, q.share(request.Workspace))
+	f := a.flow(l)
+	added.flow = f
+	added.cost = q.expected(l, request)
+	added.last = q.lastStart(request)
+	if l.waiting == 0 {
+		// Turns missed while nothing waited are not owed.
+		l.due = math.Max(l.due, q.turn)
+	}
+	if a.waiting == 0 {
+		l.tier.shares += a.share
+	}
+	f.insert(added)
+	f.cost += added.cost
+	a.cost += added.cost
+	a.waiting++
+	l.tier.cost += added.cost
+	q.shared += l.count(1)
+	q.place(f)
+	q.expiry.push(added.last, added, &added.expiry)
+	q.waiting++
+	if q.waiting == 1 {
+		q.meter.start(now)
+	}
+	q.chosen = nil
+}
+
+// unlink takes a request out of the waiting ones.
+func (q *Queue) unlink(gone *item) {
+	f := gone.flow
+	a := f.account
+	t := f.lane.tier
+	f.unlink(gone)
+	f.cost -= gone.cost
+	a.cost -= gone.cost
+	a.waiting--
+	t.cost -= gone.cost
+	q.shared += f.lane.count(-1)
+	if a.waiting == 0 {
+		a.cost = 0
+		t.shares -= a.share
+	}
+	if t.waiting == 0 {
+		// Sums of floats drift; an empty tier is a chance to be exact again.
+		t.cost = 0
+		t.shares = 0
+	}
+	q.place(f)
+	q.expiry.remove(gone.expiry)
+	q.waiting--
+	if q.waiting == 0 {
+		q.meter.stop()
+	}
+	q.chosen = nil
+}
+
+// place puts a flow into its lane's heaps, moves it there, or takes it out.
+func (q *Queue) place(f *flow) {
+	waits := f.head != nil
+	known := f.turn != absent
+	switch {
+	case waits && !known:
+		f.lane.turns.push(f.account.used, f, &f.turn)
+		f.lane.ends.push(-f.end(), f, &f.shed)
+	case waits:
+		f.fix()
+	case known:
+		f.cost = 0
+		f.lane.turns.remove(f.turn)
+		f.lane.ends.remove(f.shed)
+	}
+}
+
+// give moves a request, already out of the waiting ones, to the running ones and
+// charges what it will probably take (8, 9).
+func (q *Queue) give(now time.Time, popped *item) {
+	l := popped.flow.lane
+	a := popped.flow.account
+	popped.popped = now
+	popped.output = 0
+	popped.charged = q.expected(l, popped.request)
+	l.tier.virtual = math.Max(l.tier.virtual, a.used)
+	a.charge(popped.charged)
+	a.running++
+	l.running++
+	l.tier.running++
+	q.running++
+	popped.due = l.due
+	q.turn++
+	l.take(q.turn)
+}
+
+// settle ends the run of a request: its workspace is charged the tokens that it
+// really took.
+func (q *Queue) settle(done *item, took float64) {
+	l := done.flow.lane
+	a := done.flow.account
+	a.charge(took - done.charged)
+	done.charged = 0
+	a.running--
+	l.running--
+	l.tier.running--
+	q.running--
+	q.chosen = nil
+}
+
+// drop forgets a waiting request.
+func (q *Queue) drop(gone *item) {
+	q.unlink(gone)
+	gone.flow.lane.tier.rest()
+	q.forget(gone)
+}
+
+func (q *Queue) forget(gone *item) {
+	delete(q.items, gone.request)
+	*gone = item{expiry: absent}
+	q.free = append(q.free, gone)
+}
+
+func (q *Queue) newItem() *item {
+	last := len(q.free) - 1
+	if last < 0 {
+		return &item{expiry: absent}
+	}
+	reused := q.free[last]
+	q.free = q.free[:last]
+	return reused
+}
+
+// makeRoom says whether a request may come in, and which waiting one has to go
+// for it, if any (5, 6, 12). When the request itself would be served last, it is
+// the one that is refused.
+func (q *Queue) makeRoom(l *lane, request *chicoryrock.Request) (*item, bool) {
+	if q.Limit <= 0 || q.shared < q.Limit || l.waiting < l.room {
+		return nil, true
+	}
+	lowest := q.lowest()
+	if lowest.rank > request.Tier {
+		return lowest.last().tail, true
+	}
+	if lowest.rank < request.Tier {
+		return nil, false
+	}
+	last := lowest.last()
+	a := l.tier.account(request.Workspace, q.share(request.Workspace))
+	end := a.used + (a.flow(l).cost+q.expected(l, request))/a.share
+	if end >= last.end() {
+		return nil, false
+	}
+	return last.tail, true
+}
+
+// lowest returns the lowest tier that uses the shared room. One does.
+func (q *Queue) lowest() *tier {
+	at := len(q.tiers) - 1
+	for q.tiers[at].shared == 0 {
+		at--
+	}
+	return q.tiers[at]
+}
+
+// measure counts a request towards the service rate if it had to wait for its
+// turn. One that did not wait says nothing of the pool's limits.
+func (q *Queue) measure(now time.Time, popped *item) {
+	popped.metered = 0
+	if !now.After(popped.pushed) {
+		return
+	}
+	popped.metered = q.expected(popped.flow.lane, popped.request)
+	kept := q.meter.add(now, popped.metered)
+	for _, t := range q.tiers {
+		t.work *= kept
+	}
+	popped.flow.lane.tier.work += popped.metered
+}
--- /dev/null
+++ b/internal/policy/queue/late.go
@@ -0,0 +1,102 @@
+package queue
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	// minSpread and maxSpread bound over how long refused callers are spread out.
+	minSpread = time.Second
+	maxSpread = time.Minute
+	// maxAfter is the longest time for which a refused caller is sent away.
+	maxAfter = 5 * time.Minute
+	// leastPart is the part of the service rate on which a tier can count even
+	// while the tiers above it use everything: the measured rates are averages, and
+	// must not keep a tier out for good.
+	leastPart = 0.02
+)
+
+// Late says whether a request that came now could not begin in time (14, 15).
+func (q *Queue) Late(now time.Time, request *chicoryrock.Request) bool {
+	return now.Add(q.Wait(now, request)).UnixNano() >= q.lastStart(request)
+}
+
+// lastStart returns the latest useful start of a request: its deadline less the
+// time to its first token. No more than half the target is set aside for that,
+// so that a bad measurement can't shut a class out for good. A request without a
+// deadline may start at any time.
+func (q *Queue) lastStart(request *chicoryrock.Request) int64 {
+	if request.Deadline.IsZero() {
+		return math.MaxInt64
+	}
+	target := max(0, request.Deadline.Sub(request.Arrived))
+	aside := min(q.prefill.predict(request.Prompt), target/2)
+	return request.Deadline.Add(-aside).UnixNano()
+}
+
+// Wait returns how long a request that came now would probably wait for its
+// turn; zero while nothing is ahead of it or too little is known.
+//
+// All that waits in higher tiers goes first, at the whole service rate. Of its
+// own tier, its workspace has to wait until the others have used as much for
+// their share, but no longer than it takes to serve the whole tier. That goes at
+// the rate that the higher tiers leave, or that the class's floor guarantees.
+func (q *Queue) Wait(now time.Time, request *chicoryrock.Request) time.Duration {
+	rate, known := q.meter.rate(now)
+	if !known || q.waiting == 0 {
+		return 0
+	}
+	higher := 0.0
+	taken := 0.0
+	for _, t := range q.tiers {
+		if t.rank >= request.Tier {
+			break
+		}
+		higher += t.cost
+		taken += t.work
+	}
+	part := math.Max(1-taken/q.meter.work, math.Max(q.Floors[request.Class], leastPart))
+	seconds := higher/rate + q.ahead(request)/(rate*part)
+	return time.Duration(math.Min(seconds, maxAfter.Seconds()) * float64(time.Second))
+}
+
+// ahead returns the tokens of a request's own tier that go before it.
+func (q *Queue) ahead(request *chicoryrock.Request) float64 {
+	t := q.tier(request.Tier)
+	if t.waiting == 0 {
+		return 0
+	}
+	a := t.account(request.Workspace, q.share(request.Workspace))
+	shares := t.shares
+	if a.waiting == 0 {
+		shares += a.share
+	}
+	fair := (math.Max(0, a.used-t.virtual) + a.cost/a.share) * shares
+	return math.Min(fair, t.cost)
+}
+
+// After implements chicoryrock.Queue (17, 18). The caller is sent away until the
+// queue is short enough for its target. On top comes a part, fixed by the
+// request's ID, of the time in which the pool could serve all that it has
+// refused of late, so that those who come back arrive no faster than it works.
+func (q *Queue) After(now time.Time, request *chicoryrock.Request) time.Duration {
+	target := max(0, request.Deadline.Sub(request.Arrived))
+	wait := max(0, q.Wait(now, request)-target)
+	spread := minSpread
+	if rate, known := q.meter.rate(now); known {
+		seconds := math.Min(q.refused.sum(now)/rate, maxSpread.Seconds())
+		spread = max(spread, time.Duration(seconds*float64(time.Second)))
+	}
+	return min(maxAfter, wait+time.Duration(jitter(request.ID)*float64(spread)))
+}
+
+// jitter maps an ID to a number from 0 to below 1, evenly and always the same.
+func jitter(id string) float64 {
+	const bits = 53 // a float64 holds this many exactly
+	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
+}
--- /dev/null
+++ b/internal/policy/queue/queue.go
@@ -0,0 +1,261 @@
+// Package queue holds the requests that wait for the backend servers of one
+// pool, or for the slots of one backend server, and decides which goes next,
+// which is refused and which is given up. docs/POLICY.md states its rules; the
+// numbers in the comments are those of its sentences.
+//
+// Tiers come first, apart from the floors of classes. Inside a tier turns go to
+// the workspace that has used the fewest tokens for its share, and inside a
+// workspace to the request that is due first. Every operation takes time
+// logarithmic in what waits, whatever the number of workspaces.
+package queue
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// Queue implements chicoryrock.Queue. Set the exported fields before use; Update
+// changes floors and shares later. It is not safe for concurrent use.
+type Queue struct {
+	Limit  int                // most requests in the shared room; zero for no limit
+	Floors map[string]float64 // by class, share of the running requests, 0 to 1
+	Shares map[string]float64 // by workspace; one that is missing has share 1
+
+	items   map[*chicoryrock.Request]*item
+	tiers   []*tier // by rank, the highest tier first
+	floored []*lane // the classes that have a floor
+	expiry  heap[int64, *item]
+	meter   meter
+	refused refusals
+	prefill prefill
+	free    []*item
+	waiting int
+	running int
+	shared  int     // waiting requests that count against Limit
+	turn    float64 // requests given out so far
+	seq     uint64
+
+	chosen   *item // what Peek found, until something changes
+	chosenAt time.Time
+}
+
+var _ chicoryrock.Queue = (*Queue)(nil)
+
+// Len implements chicoryrock.Queue.
+func (q *Queue) Len() int { return q.waiting }
+
+// Push implements chicoryrock.Queue. Reasons: ReasonLate, when the request can't
+// begin in time behind what is ahead of it in its own tier and above;
+// ReasonQueueFull.
+func (q *Queue) Push(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
+	if q.Late(now, request) {
+		q.refused.add(now, q.expected(q.lane(request), request))
+		return nil, chicoryrock.ReasonLate
+	}
+	return q.Put(now, request)
+}
+
+// Put is Push without the early refusal, for a caller that can make room in
+// another way. Reason: ReasonQueueFull.
+func (q *Queue) Put(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
+	l := q.lane(request)
+	victim, fits := q.makeRoom(l, request)
+	if !fits {
+		q.refused.add(now, q.expected(l, request))
+		return nil, chicoryrock.ReasonQueueFull
+	}
+	var displaced *chicoryrock.Request
+	if victim != nil {
+		displaced = victim.request
+		q.refused.add(now, victim.cost)
+		q.drop(victim)
+	}
+	added := q.newItem()
+	added.request = request
+	added.pushed = now
+	added.seq = q.seq
+	q.seq++
+	q.items[request] = added
+	q.link(now, added)
+	return displaced, chicoryrock.ReasonNone
+}
+
+// Peek implements chicoryrock.Queue.
+func (q *Queue) Peek(now time.Time) (*chicoryrock.Request, bool) {
+	if q.waiting == 0 {
+		return nil, false
+	}
+	return q.choose(now).request, true
+}
+
+// Pop implements chicoryrock.Queue.
+func (q *Queue) Pop(now time.Time) (*chicoryrock.Request, bool) {
+	if q.waiting == 0 {
+		return nil, false
+	}
+	popped := q.choose(now)
+	q.measure(now, popped)
+	q.unlink(popped)
+	q.give(now, popped)
+	return popped.request, true
+}
+
+// Return implements chicoryrock.Queue. The request is taken back even when the
+// queue is full, as it had its place before.
+func (q *Queue) Return(now time.Time, request *chicoryrock.Request) {
+	back, found := q.items[request]
+	if !found || back.popped.IsZero() {
+		return
+	}
+	l := back.flow.lane
+	l.due = min(l.due, back.due)
+	q.turn--
+	if back.metered > 0 {
+		q.meter.undo(back.metered)
+		l.tier.work = max(0, l.tier.work-back.metered)
+	}
+	took := 0.0
+	if back.output > 0 {
+		took = float64(request.Prompt) + back.output
+	}
+	q.settle(back, took)
+	back.popped = time.Time{}
+	q.link(now, back)
+}
+
+// Remove implements chicoryrock.Queue.
+func (q *Queue) Remove(_ time.Time, request *chicoryrock.Request) bool {
+	gone, found := q.items[request]
+	if !found || !gone.popped.IsZero() {
+		return false
+	}
+	q.drop(gone)
+	return true
+}
+
+// Expire implements chicoryrock.Queue.
+func (q *Queue) Expire(now time.Time) []*chicoryrock.Request {
+	var late []*chicoryrock.Request
+	limit := now.UnixNano()
+	for !q.expiry.empty() && q.expiry.first().last <= limit {
+		gone := q.expiry.first()
+		late = append(late, gone.request)
+		q.refused.add(now, gone.cost)
+		q.drop(gone)
+	}
+	return late
+}
+
+// Charge implements chicoryrock.Queue.
+func (q *Queue) Charge(now time.Time, request *chicoryrock.Request, tokens int) {
+	running, found := q.items[request]
+	if !found || running.popped.IsZero() || tokens <= 0 {
+		return
+	}
+	if running.output == 0 && tokens <= prefillChunk {
+		q.prefill.learn(request.Prompt, now.Sub(running.popped))
+	}
+	running.output += float64(tokens)
+	over := float64(request.Prompt) + running.output - running.charged
+	if over <= 0 {
+		return
+	}
+	// A few tokens in advance save moving the account at every token.
+	over += chargeStep
+	running.charged += over
+	running.flow.account.charge(over)
+	q.chosen = nil
+}
+
+// Finish implements chicoryrock.Queue.
+func (q *Queue) Finish(_ time.Time, request *chicoryrock.Request) {
+	done, found := q.items[request]
+	if !found || done.popped.IsZero() {
+		return
+	}
+	done.flow.lane.learn(done.output)
+	q.settle(done, math.Max(1, float64(request.Prompt)+done.output))
+	done.flow.lane.tier.rest()
+	q.forget(done)
+}
+
+// Update changes floors and shares while the queue is in use.
+func (q *Queue) Update(floors, shares map[string]float64) {
+	q.Floors = floors
+	q.Shares = shares
+	q.floored = q.floored[:0]
+	q.shared = 0
+	for _, t := range q.tiers {
+		for _, l := range t.lanes {
+			q.setFloor(l)
+		}
+		q.shared += t.shared
+		q.reshare(t)
+	}
+	q.chosen = nil
+}
+
+func (q *Queue) reshare(t *tier) {
+	t.shares = 0
+	for name, a := range t.accounts {
+		if _, known := q.Shares[name]; !known && a.waiting == 0 && a.running == 0 {
+			delete(t.accounts, name)
+			continue
+		}
+		a.share = q.share(name)
+		if a.waiting > 0 {
+			t.shares += a.share
+		}
+		a.charge(0)
+	}
+}
+
+func (q *Queue) setFloor(l *lane) {
+	l.setFloor(q.Floors[l.class], q.Limit)
+	if l.floor > 0 {
+		q.floored = append(q.floored, l)
+	}
+}
+
+func (q *Queue) share(workspace string) float64 {
+	if share := q.Shares[workspace]; share > 0 {
+		return share
+	}
+	return 1
+}
+
+// lane returns the lane of a request's class, made if need be.
+func (q *Queue) lane(request *chicoryrock.Request) *lane {
+	t := q.tier(request.Tier)
+	if l := t.lane(request.Class); l != nil {
+		return l
+	}
+	l := &lane{tier: t, class: request.Class, length: firstLength, due: q.turn}
+	t.lanes = append(t.lanes, l)
+	q.setFloor(l)
+	return l
+}
+
+func (q *Queue) tier(rank int) *tier {
+	at, found := slices.BinarySearchFunc(q.tiers, rank, func(t *tier, rank int) int {
+		return cmp.Compare(t.rank, rank)
+	})
+	if found {
+		return q.tiers[at]
+	}
+	if q.items == nil {
+		q.items = make(map[*chicoryrock.Request]*item)
+	}
+	t := &tier{rank: rank, accounts: make(map[string]*account)}
+	q.tiers = slices.Insert(q.tiers, at, t)
+	return t
+}
+
+// expected returns the tokens that a request will probably take.
+func (q *Queue) expected(l *lane, request *chicoryrock.Request) float64 {
+	return math.Max(1, float64(request.Prompt)+l.length)
+}
--- /dev/null
+++ b/internal/policy/queue/queue_test.go
@@ -0,0 +1,219 @@
+package queue_test
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/queue"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func newRequest(id int, workspace, class string, tier int, target time.Duration) *chicoryrock.Request {
+	return &chicoryrock.Request{
+		ID: fmt.Sprint(id), Workspace: workspace, Class: class, Tier: tier,
+		Arrived: start, Deadline: start.Add(target), Prompt: 100,
+	}
+}
+
+// TestFairByCost keeps a few workspaces backlogged on a few slots for a long run.
+// Answers differ in length by workspace and at random, and nobody is told how
+// long they will be. The worst served gets at least 0.9 of its fair share.
+func TestFairByCost(t *testing.T) {
+	shares := map[string]float64{"long": 1, "short": 1, "double": 2, "mixed": 1, "four": 4}
+	lengths := map[string]int{"long": 2000, "short": 40, "double": 300, "mixed": 700, "four": 300}
+	for _, slots := range []int{1, 8, 32} {
+		q := &queue.Queue{Shares: shares}
+		used := serve(t, q, slots, shares, lengths, 40_000)
+		total, weight := 0.0, 0.0
+		for name, share := range shares {
+			total += used[name]
+			weight += share
+		}
+		for name, share := range shares {
+			assert.GreaterOrEqual(t, used[name]/total, 0.9*share/weight, "%s on %d slots", name, slots)
+		}
+	}
+}
+
+// serve runs a number of requests and returns the tokens that each workspace got.
+func serve(t *testing.T, q *queue.Queue, slots int, shares map[string]float64, lengths map[string]int, runs int) map[string]float64 {
+	random := rand.New(rand.NewSource(1))
+	used := map[string]float64{}
+	ends := map[int][]*chicoryrock.Request{} // by step, when they end
+	left := map[*chicoryrock.Request]int{}
+	id := 0
+	push := func(name string) {
+		id++
+		_, reason := q.Push(start, newRequest(id, name, "only", 1, time.Hour))
+		require.Equal(t, chicoryrock.ReasonNone, reason)
+	}
+	for name := range shares {
+		for range 50 {
+			push(name)
+		}
+	}
+	running := 0
+	for step := 0; runs > 0; step++ {
+		for _, request := range ends[step] {
+			q.Charge(start, request, left[request])
+			q.Finish(start, request)
+			used[request.Workspace] += float64(left[request] + request.Prompt)
+			running--
+			runs--
+		}
+		delete(ends, step)
+		for ; running < slots; running++ {
+			request, found := q.Pop(start)
+			require.True(t, found)
+			push(request.Workspace)
+			left[request] = 1 + random.Intn(2*lengths[request.Workspace])
+			at := step + 1 + left[request]
+			ends[at] = append(ends[at], request)
+		}
+	}
+	return used
+}
+
+// TestIdleSavesNothing lets one workspace be served alone while another is idle.
+// When the idle one comes it gets every second turn, not all of them.
+func TestIdleSavesNothing(t *testing.T) {
+	q := &queue.Queue{}
+	for id := range 100 {
+		_, _ = q.Push(start, newRequest(id, "steady", "only", 1, time.Hour))
+	}
+	for range 50 {
+		_, _ = q.Pop(start)
+	}
+	for id := range 50 {
+		_, _ = q.Push(start, newRequest(1000+id, "idle", "only", 1, time.Hour))
+	}
+	turns := map[string]int{}
+	for range 20 {
+		request, _ := q.Pop(start)
+		turns[request.Workspace]++
+	}
+	assert.InDelta(t, 10, turns["idle"], 1)
+}
+
+// TestBurstPushesOutItself fills the queue with one workspace's burst. Another
+// workspace's requests still come in, for requests of the burst.
+func TestBurstPushesOutItself(t *testing.T) {
+	q := &queue.Queue{Limit: 100}
+	for id := range 150 {
+		_, _ = q.Push(start, newRequest(id, "burst", "only", 1, time.Hour))
+	}
+	for id := range 20 {
+		displaced, reason := q.Push(start, newRequest(1000+id, "calm", "only", 1, time.Hour))
+		require.Equal(t, chicoryrock.ReasonNone, reason)
+		assert.Equal(t, "burst", displaced.Workspace)
+		assert.Equal(t, fmt.Sprint(99-id), displaced.ID, "the newest goes first")
+	}
+}
+
+// TestOwedTurnGivesWay keeps a pool of known speed busy with requests of the
+// first tier that are each at their last chance. A class with a floor of a quarter
+// lets them go first (rule 4), but for no more than four owed turns of four each.
+func TestOwedTurnGivesWay(t *testing.T) {
+	const turn = 100 * time.Millisecond
+	q, now := busyQueue(0)
+	q.Update(map[string]float64{"last": 0.25}, nil)
+	last := newRequest(1000, "b", "last", 5, time.Hour)
+	_, _ = q.Put(now, last)
+	gaveWay := 0
+	for {
+		hurried := newRequest(gaveWay, "a", "top", 1, now.Sub(start)+turn+turn/2)
+		_, _ = q.Put(now, hurried)
+		now = now.Add(turn)
+		popped, found := q.Pop(now)
+		require.True(t, found)
+		if popped == last {
+			break
+		}
+		q.Finish(now, popped)
+		gaveWay++
+		require.LessOrEqual(t, gaveWay, 4*4)
+	}
+	assert.Equal(t, 4*4, gaveWay)
+}
+
+// TestRefusesEarly measures a pool that takes up one request in 100 ms. Behind
+// ten others a request due in half a second is refused at once; one due in five
+// seconds is not, nor is one of a higher tier.
+func TestRefusesEarly(t *testing.T) {
+	q, now := busyQueue(10)
+	soon := newRequest(1000, "a", "only", 3, now.Sub(start)+500*time.Millisecond)
+	later := newRequest(1001, "a", "only", 3, now.Sub(start)+5*time.Second)
+	higher := newRequest(1002, "a", "top", 1, now.Sub(start)+500*time.Millisecond)
+	expectReason(t, q, now, soon, chicoryrock.ReasonLate)
+	expectReason(t, q, now, later, chicoryrock.ReasonNone)
+	expectReason(t, q, now, higher, chicoryrock.ReasonNone)
+}
+
+func expectReason(t *testing.T, q *queue.Queue, now time.Time, request *chicoryrock.Request, reason chicoryrock.Reason) {
+	t.Helper()
+	_, got := q.Push(now, request)
+	assert.Equal(t, reason, got, "request %s", request.ID)
+}
+
+// busyQueue returns a queue with a measured rate of ten requests a second and
+// some left waiting.
+func busyQueue(waiting int) (*queue.Queue, time.Time) {
+	q := &queue.Queue{}
+	now := start
+	for id := range 20 + waiting {
+		_, _ = q.Put(now, newRequest(id, "a", "only", 3, time.Hour))
+	}
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		_, _ = q.Pop(now)
+	}
+	return q, now
+}
+
+// TestCallersComeBackSpread refuses a thousand requests of a pool that takes up
+// ten a second. Those who come back are spread over the bound of a minute: no
+// second sees more than a small part of them, and each is always told the same.
+func TestCallersComeBackSpread(t *testing.T) {
+	q, now := busyQueue(50)
+	perSecond := map[int]int{}
+	var refused []*chicoryrock.Request
+	for id := range 1000 {
+		request := newRequest(5000+id, "a", "only", 3, now.Sub(start)+100*time.Millisecond)
+		expectReason(t, q, now, request, chicoryrock.ReasonLate)
+		refused = append(refused, request)
+	}
+	for _, request := range refused {
+		after := q.After(now, request)
+		assert.Equal(t, after, q.After(now, request))
+		perSecond[int(after/time.Second)]++
+	}
+	for second, callers := range perSecond {
+		assert.Less(t, callers, 40, "second %d", second)
+	}
+}
+
+// TestPrefillIsSetAside learns that a prompt of 1000 tokens takes a second to its
+// first token. A request due sooner than that is given up before its deadline.
+func TestPrefillIsSetAside(t *testing.T) {
+	q := &queue.Queue{}
+	for id := range 40 {
+		request := newRequest(id, "a", "only", 1, time.Hour)
+		request.Prompt = 250 * (1 + id%4)
+		_, _ = q.Put(start, request)
+		_, _ = q.Pop(start)
+		q.Charge(start.Add(time.Duration(request.Prompt)*time.Millisecond), request, 1)
+		q.Finish(start, request)
+	}
+	request := newRequest(1000, "a", "only", 1, 5*time.Second)
+	request.Prompt = 1000
+	_, _ = q.Put(start, request)
+	assert.Empty(t, q.Expire(start.Add(3900*time.Millisecond)))
+	assert.Len(t, q.Expire(start.Add(4100*time.Millisecond)), 1)
+}
--- /dev/null
+++ b/internal/policy/queue/tier.go
@@ -0,0 +1,152 @@
+package queue
+
+import "math"
+
+const (
+	// firstLength is the expected answer of a class before any has ended, tokens.
+	firstLength = 256
+	// lengthWeight is the weight of the newest answer in the usual length.
+	lengthWeight = 1.0 / 16
+)
+
+// tier is the part of the queue that holds one tier.
+type tier struct {
+	rank     int
+	virtual  float64 // the use, for each unit of share, of the workspace served last
+	lanes    []*lane
+	accounts map[string]*account
+	cost     float64 // tokens that the waiting requests are expected to take
+	shares   float64 // of the workspaces that have requests waiting
+	work     float64 // tokens taken up, decayed like the queue's meter
+	waiting  int
+	running  int
+	shared   int    // waiting requests that count against the shared room
+	period   uint64 // number of the busy period
+}
+
+// lane is the waiting requests of one class.
+type lane struct {
+	tier    *tier
+	class   string
+	turns   heap[float64, *flow] // who is served next
+	ends    heap[float64, *flow] // who would be served last
+	waiting int
+	running int
+	length  float64 // usual length of an answer, tokens
+	floor   float64 // share of the running requests that the class always gets
+	room    int     // waiting requests that don't count against the shared room
+	due     float64 // the turn from which the class is owed one
+}
+
+func (l *lane) learn(tokens float64) { l.length += (tokens - l.length) * lengthWeight }
+
+// setFloor also sets the class's own room, a like share of the queue's limit.
+func (l *lane) setFloor(floor float64, limit int) {
+	before := l.shared()
+	l.floor = floor
+	l.room = 0
+	if floor > 0 && limit > 0 {
+		l.room = max(1, int(math.Ceil(floor*float64(limit))))
+	}
+	l.tier.shared += l.shared() - before
+}
+
+func (l *lane) shared() int { return max(0, l.waiting-l.room) }
+
+// count adds to the number of waiting requests, and returns by how much those in
+// the shared room have changed.
+func (l *lane) count(change int) int {
+	before := l.shared()
+	l.waiting += change
+	l.tier.waiting += change
+	moved := l.shared() - before
+	l.tier.shared += moved
+	return moved
+}
+
+// lane returns the lane of a class, or nil.
+func (t *tier) lane(class string) *lane {
+	for _, l := range t.lanes {
+		if l.class == class {
+			return l
+		}
+	}
+	return nil
+}
+
+// best returns the request of the tier that goes next: of the workspace that has
+// used least, the one due first. The tier has requests waiting.
+func (t *tier) best() *item {
+	var best *flow
+	for _, l := range t.lanes {
+		if l.waiting == 0 {
+			continue
+		}
+		if f := l.turns.first(); best == nil || f.goesBefore(best) {
+			best = f
+		}
+	}
+	return best.head
+}
+
+func (f *flow) goesBefore(other *flow) bool {
+	if f.account.used != other.account.used {
+		return f.account.used < other.account.used
+	}
+	return f.head.before(other.head)
+}
+
+// last returns the flow that would be served last among the classes that use the
+// shared room. The tier has such a class.
+func (t *tier) last() *flow {
+	var last *flow
+	for _, l := range t.lanes {
+		if l.shared() == 0 {
+			continue
+		}
+		if f := l.ends.first(); last == nil || f.end() > last.end() {
+			last = f
+		}
+	}
+	return last
+}
+
+// account returns the account of a workspace, made if need be. A workspace that
+// had nothing waiting starts level with the others: it has saved up nothing.
+// When the whole tier has been idle, nobody had to stand back for anybody, and
+// what was used is forgotten.
+func (t *tier) account(workspace string, share float64) *account {
+	a, found := t.accounts[workspace]
+	if !found {
+		a = &account{workspace: workspace, share: share}
+		t.accounts[workspace] = a
+	}
+	if a.busy != t.period {
+		a.busy = t.period
+		a.used = 0
+	}
+	if a.waiting == 0 {
+		a.used = max(a.used, t.virtual)
+	}
+	return a
+}
+
+// rest ends a busy period once the tier has nothing waiting and nothing running.
+func (t *tier) rest() {
+	if t.waiting > 0 || t.running > 0 {
+		return
+	}
+	t.virtual = 0
+	t.period++
+}
+
+func (a *account) flow(l *lane) *flow {
+	for _, f := range a.flows {
+		if f.lane == l {
+			return f
+		}
+	}
+	f := &flow{account: a, lane: l, turn: absent, shed: absent}
+	a.flows = append(a.flows, f)
+	return f
+}
