Queue by tier, floor and cost in the entry

Change: the entry uses the tiered queue, keeps its floors and shares on the configuration in force, and tells refused callers when to come back from the queue's own estimate, in milliseconds too.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -11,13 +11,11 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
-	"github.com/chicoryrock/chicoryrock/internal/policy/baseline"
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
 	"github.com/chicoryrock/chicoryrock/internal/policy/pick"
 	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
@@ -127,6 +125,7 @@
 }
 
 func (p *Entry) newEntry() *entry.Entry {
+	rules := &queues{}
 	return &entry.Entry{
 		Settings: p.Settings,
 		Log:      p.Log,
@@ -135,8 +134,9 @@
 		Safe:     p.feed.Safe,
 		Opened:   p.Opened,
 		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn},
+		Rules:    rules.update,
 		Dispatcher: &dispatch.Dispatcher{
-			NewQueue: func(string) chicoryrock.Queue { return &baseline.Queue{} },
+			NewQueue: rules.newQueue,
 			Picker: &pick.Picker{
 				Centre: p.Settings.Centre,
 				Region: p.Settings.Region,
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -36,6 +36,7 @@
 	Roster     *roster.Roster
 	Safe       func(now time.Time) bool // whether the configuration may be acted on
 	Dispatcher *dispatch.Dispatcher
+	Rules      func(table *object.Table) // brings the queues up to date, under their lock
 	Observer   *Observer
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
@@ -124,6 +125,7 @@
 // ConfigChanged takes in a configuration: calls whose key it no longer has are
 // ended, and the list of VMs is sorted into its pools.
 func (e *Entry) ConfigChanged(table *object.Table) {
+	e.gate.change(func() { e.Rules(table) })
 	e.calls.withdraw(table)
 	e.place(table, e.Roster.VMs())
 }
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -134,6 +134,20 @@
 	g.pump(now)
 }
 
+// change runs a change of the queues' rules under their lock.
+func (g *gate) change(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+}
+
+// after returns how long the caller of a refused request should wait.
+func (g *gate) after(now time.Time, request *chicoryrock.Request) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.After(now, request)
+}
+
 // live returns the first of the pools that has a live replica.
 func (g *gate) live(pools []string) (string, bool) {
 	g.mu.Lock()
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -244,9 +244,18 @@
 	e.answer(w, request, wire.Refusal{Reason: reason, Detail: detail, Outcome: wire.OutcomeNotRun})
 }
 
+// after returns when the caller of a refused request should come back. The queue
+// of its pool knows; without a pool it is a fixed time.
+func (e *Entry) after(request *chicoryrock.Request) time.Duration {
+	if request.Pool == "" {
+		return retryAfter
+	}
+	return e.gate.after(time.Now(), request)
+}
+
 func (e *Entry) answer(w http.ResponseWriter, request *chicoryrock.Request, refusal wire.Refusal) {
 	if refusal.Reason.Status() >= http.StatusInternalServerError || refusal.Reason == chicoryrock.ReasonLimit {
-		refusal.After = retryAfter
+		refusal.After = e.after(request)
 	}
 	e.Log.Write(event.Refused,
 		zap.String("ref", request.ID),
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -18,7 +18,8 @@
 	Outcome        = "X-Chicory-Outcome" // OutcomeNotRun or OutcomeUnknown, on refusals and failures
 	Reason         = "X-Chicory-Reason"  // code of a chicoryrock.Reason
 	IdempotencyKey = "Idempotency-Key"
-	RetryAfter     = "Retry-After" // whole seconds
+	RetryAfter     = "Retry-After"    // whole seconds
+	RetryAfterMs   = "Retry-After-Ms" // milliseconds, read by the official clients before RetryAfter
 )
 
 // Headers between the system's own processes and towards backend servers.
@@ -79,6 +80,7 @@
 	header.Set(Outcome, r.Outcome)
 	if r.After > 0 {
 		header.Set(RetryAfter, strconv.Itoa(int(math.Ceil(r.After.Seconds()))))
+		header.Set(RetryAfterMs, strconv.FormatInt(r.After.Milliseconds(), 10))
 	}
 	w.WriteHeader(r.Reason.Status())
 	// The caller may be gone already; nothing is left to tell it then.
