--- a/internal/serve/demo/demo.go
+++ b/internal/serve/demo/demo.go
@@ -15,7 +15,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/chicoryrock/chicoryrock"
-	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/local"
 	"github.com/chicoryrock/chicoryrock/internal/standin/engine"
 	"github.com/chicoryrock/chicoryrock/internal/standin/loader"
@@ -54,7 +53,6 @@
 	if err != nil {
 		return err
 	}
-	event.DropCalls()
 	set, err := readSet()
 	if err != nil {
 		return err
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -163,9 +163,12 @@
 	return request, nil
 }
 
+// passed lists the caller's headers that go on to the agent.
+var passed = []string{"Content-Type", "Accept", "Accept-Language", wire.IdempotencyKey}
+
 // copyHeaders copies the caller's headers that a backend server may see.
 func copyHeaders(to, from http.Header) {
-	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", wire.IdempotencyKey} {
+	for _, name := range passed {
 		if value := from.Get(name); value != "" {
 			to.Set(name, value)
 		}
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -1,10 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 	"time"
 
@@ -30,6 +32,7 @@
 
 // caller is who sent a request, taken from the key alone.
 type caller struct {
+	secret    string // the key itself; it must not leave this process
 	key       *object.Key
 	workspace *object.Workspace
 	table     *object.Table
@@ -42,7 +45,7 @@
 	if !ok {
 		return
 	}
-	data, ok := e.readBody(w, r, request)
+	data, ok := e.readBody(w, r, request, who)
 	if !ok {
 		return
 	}
@@ -104,7 +107,7 @@
 	if !ok {
 		return
 	}
-	data, ok := e.readBody(w, r, request)
+	data, ok := e.readBody(w, r, request, who)
 	if !ok {
 		return
 	}
@@ -151,10 +154,10 @@
 		return caller{}, false
 	}
 	request.Workspace = workspace.Name
-	return caller{key: key, workspace: workspace, table: table}, true
+	return caller{secret: secret, key: key, workspace: workspace, table: table}, true
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request) ([]byte, bool) {
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request, who caller) ([]byte, bool) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.MaxBody))
 	var tooLarge *http.MaxBytesError
 	switch {
@@ -165,9 +168,31 @@
 		e.refuse(w, request, chicoryrock.ReasonMalformed, "The body ended early.")
 		return nil, false
 	}
+	if carriesKey(r, data, who.secret) {
+		e.refuse(w, request, chicoryrock.ReasonMalformed, "The key may stand in the Authorization header only.")
+		return nil, false
+	}
 	return data, true
 }
 
+// carriesKey says whether the caller's key stands anywhere in what would go on to
+// a backend server. No list of headers helps against a key in a path or a body.
+func carriesKey(r *http.Request, body []byte, secret string) bool {
+	if bytes.Contains(body, []byte(secret)) || strings.Contains(r.URL.RequestURI(), secret) {
+		return true
+	}
+	path, err := url.PathUnescape(r.URL.RequestURI())
+	if err != nil || strings.Contains(path, secret) {
+		return true
+	}
+	for _, name := range passed {
+		if strings.Contains(r.Header.Get(name), secret) {
+			return true
+		}
+	}
+	return false
+}
+
 func parseModelBody(data []byte) (body *wire.Body, model string, stream bool, err error) {
 	if body, err = wire.ParseBody(data); err != nil {
 		return nil, "", false, err
--- a/internal/serve/local/local.go
+++ b/internal/serve/local/local.go
@@ -76,6 +76,7 @@
 // Start starts everything and returns when the entries serve. Close goes with it,
 // also after an error.
 func (s *System) Start(ctx context.Context) error {
+	event.DropCalls()
 	s.ctx, s.stop = context.WithCancel(ctx)
 	s.stops = make(map[string]context.CancelFunc)
 	if err := s.startPlatform(); err != nil {
@@ -151,7 +152,7 @@
 		}
 	}
 	for range centre.Entries {
-		if err := s.startEntry(centre); err != nil {
+		if err := s.StartEntry(centre); err != nil {
 			return err
 		}
 	}
@@ -212,7 +213,8 @@
 	return nil
 }
 
-func (s *System) startEntry(centre *Centre) error {
+// StartEntry starts one more entry in a data centre.
+func (s *System) StartEntry(centre *Centre) error {
 	name := fmt.Sprintf("entry-%d", len(s.Entries)+1)
 	opened := make(chan netip.AddrPort, 1)
 	entry := &assembly.Entry{
