Prune the chunks that only old revisions need

Removing by age alone was ruled out: a publisher that rolls back may be about to refer to an old chunk. A publisher now makes sure that each chunk was written after the head it starts from, and prune removes only what was written before the head it read, each by its revision. Marking chunks with a time was ruled out since the clocks of operators' machines differ.

--- a/internal/ops/ctl/change_test.go
+++ b/internal/ops/ctl/change_test.go
@@ -198,3 +198,15 @@
 	b.expect(ExitFine, "It is in force in all 2", "publish", b.dir, "-wait", patience.String(), "-admin", fast+","+slow)
 	b.expect(ExitPending, "not yet known to be in force in 1 process of 2", "publish", b.dir, "-wait", "1ms", "-admin", fast+","+never)
 }
+
+func TestPrune(t *testing.T) {
+	b := newBench(t)
+	b.expect(ExitFine, "Revision 1", "publish", b.dir)
+	b.edit("classes.yaml", "first: 400ms", "first: 600ms")
+	b.expect(ExitFine, "Revision 2", "publish", b.dir)
+	b.expect(ExitUsage, "at least 512 revisions", "prune", "-keep", "1")
+	b.expect(ExitFine, "0 chunks removed", "prune")
+	b.expect(ExitFine, "Revision 3", "rollback", "1")
+	b.server.Switch(store.Switches{Outage: true})
+	b.expect(ExitFailed, "Running it again is safe", "prune")
+}
--- a/internal/ops/ctl/ctl.go
+++ b/internal/ops/ctl/ctl.go
@@ -50,6 +50,7 @@
 		publishCommand,
 		rollbackCommand,
 		withdrawCommand,
+		pruneCommand,
 		statusCommand,
 	}
 }
--- a/internal/ops/ctl/ctl_test.go
+++ b/internal/ops/ctl/ctl_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -19,6 +20,12 @@
 
 var clock = time.Date(2026, time.March, 1, 4, 0, 0, 0, time.UTC)
 
+// TestMain keeps the HTTP library's line for each call out of the tests' output.
+func TestMain(m *testing.M) {
+	logx.Disable()
+	m.Run()
+}
+
 // run calls chicoryctl and returns its exit code, output and error output.
 func run(env *Env, args ...string) (int, string, string) {
 	var out, errOut bytes.Buffer
--- /dev/null
+++ b/internal/state/publish/prune.go
@@ -0,0 +1,103 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// MinKept is the least number of revisions that Prune may be told to keep. It is
+// above lookback, so that a publication in doubt can still be found.
+const MinKept = 2 * lookback
+
+// shards is how many parts the chunks are listed in, by the first two digits of
+// the digest, so that no answer of the store grows large.
+const shards = 256
+
+// Prune removes the chunks that none of the newest revisions refers to and
+// returns how many it removed. Older revisions can't be rolled back to any more.
+//
+// It may run beside any number of publishers. A chunk is removed only if it was
+// last written before the head that Prune has read, and not since. A publisher
+// makes sure that each chunk which isn't listed by the head it starts from was
+// written after that head, even one that was there already. So a chunk that Prune removes can only belong to a
+// publisher that started from an older head, whose compare-and-swap fails anyway.
+//
+// Errors: chicoryrock.ErrInvalid when keep is below MinKept; those of the store.
+func (p *Publisher) Prune(ctx context.Context, keep int) (int, error) {
+	if keep < MinKept {
+		return 0, errors.Wrapf(chicoryrock.ErrInvalid, "at least %d revisions must be kept", MinKept)
+	}
+	return p.prune(ctx, keep)
+}
+
+func (p *Publisher) prune(ctx context.Context, keep int) (int, error) {
+	head, headRevision, err := readHead(ctx, p.Store)
+	if errors.Is(err, chicoryrock.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	kept, err := p.reachable(ctx, head, keep)
+	if err != nil {
+		return 0, err
+	}
+	removed := 0
+	for shard := range shards {
+		count, err := p.pruneShard(ctx, fmt.Sprintf("%s%02x", ChunkPrefix, shard), kept, headRevision)
+		removed += count
+		if err != nil {
+			return removed, err
+		}
+	}
+	return removed, nil
+}
+
+// reachable returns the store's keys of all that the newest revisions refer to.
+func (p *Publisher) reachable(ctx context.Context, head Head, keep int) (map[string]bool, error) {
+	kept := map[string]bool{}
+	for range keep {
+		for _, digest := range head.Chunks {
+			kept[ChunkPrefix+digest] = true
+		}
+		if head.Prior == "" {
+			break
+		}
+		earlier, err := previous(ctx, p.Store, head)
+		if errors.Is(err, chicoryrock.ErrNotFound) {
+			break // removed by an earlier run
+		}
+		if err != nil {
+			return nil, err
+		}
+		kept[ChunkPrefix+head.Prior] = true
+		head = earlier
+	}
+	return kept, nil
+}
+
+func (p *Publisher) pruneShard(ctx context.Context, prefix string, kept map[string]bool, before uint64) (int, error) {
+	entries, err := p.Store.List(ctx, prefix)
+	if err != nil {
+		return 0, errors.Wrap(err, "list chunks")
+	}
+	removed := 0
+	for _, entry := range entries {
+		if kept[entry.Key] || entry.Revision >= before {
+			continue
+		}
+		err := p.Store.Delete(ctx, entry.Key, entry.Revision)
+		if errors.Is(err, chicoryrock.ErrConflict) || errors.Is(err, chicoryrock.ErrNotFound) {
+			continue // a publisher needs it again, or another run was faster
+		}
+		if err != nil {
+			return removed, errors.Wrap(err, "remove a chunk")
+		}
+		removed++
+	}
+	return removed, nil
+}
--- a/internal/state/publish/read.go
+++ b/internal/state/publish/read.go
@@ -102,27 +102,35 @@
 	return head, entry.Revision, err
 }
 
+// readChunk returns chicoryrock.ErrInvalid also for a chunk that is missing: the
+// head refers to it, so the store is damaged.
 func readChunk(ctx context.Context, store chicoryrock.Store, digest string) ([]byte, error) {
-	entry, err := store.Get(ctx, ChunkPrefix+digest)
+	entry, err := getChunk(ctx, store, digest)
 	if errors.Is(err, chicoryrock.ErrNotFound) {
 		return nil, errors.Wrapf(chicoryrock.ErrInvalid, "chunk %s is missing", digest)
 	}
+	return entry.Value, err
+}
+
+func getChunk(ctx context.Context, store chicoryrock.Store, digest string) (chicoryrock.Entry, error) {
+	entry, err := store.Get(ctx, ChunkPrefix+digest)
 	if err != nil {
-		return nil, errors.Wrap(err, "read a chunk")
+		return chicoryrock.Entry{}, errors.Wrap(err, "read a chunk")
 	}
 	if digestOf(entry.Value) != digest {
-		return nil, errors.Wrapf(chicoryrock.ErrInvalid, "chunk %s holds something else", digest)
+		return chicoryrock.Entry{}, errors.Wrapf(chicoryrock.ErrInvalid, "chunk %s holds something else", digest)
 	}
-	return entry.Value, nil
+	return entry, nil
 }
 
 // previous reads the head before the given one, whose place in the chain must fit.
+// Error: chicoryrock.ErrNotFound when it has been pruned.
 func previous(ctx context.Context, store chicoryrock.Store, head Head) (Head, error) {
-	content, err := readChunk(ctx, store, head.Prior)
+	entry, err := getChunk(ctx, store, head.Prior)
 	if err != nil {
 		return Head{}, err
 	}
-	earlier, err := decodeHead(content)
+	earlier, err := decodeHead(entry.Value)
 	if err != nil {
 		return Head{}, err
 	}
@@ -133,7 +141,7 @@
 }
 
 // find walks the chain back from head to a revision. Error:
-// chicoryrock.ErrNotFound when head is older or revision is zero.
+// chicoryrock.ErrNotFound when head is older, the revision is zero or pruned.
 func find(ctx context.Context, store chicoryrock.Store, head Head, revision uint64) (Head, error) {
 	if revision == 0 || revision > head.Revision {
 		return Head{}, errors.Wrapf(chicoryrock.ErrNotFound, "revision %d", revision)
--- a/internal/state/publish/write.go
+++ b/internal/state/publish/write.go
@@ -124,7 +124,7 @@
 	if err := checkWords(publication, head); err != nil {
 		return Head{}, err
 	}
-	if head.Prior, err = p.writeAll(ctx, from.head, chunks); err != nil {
+	if head.Prior, err = p.writeAll(ctx, from, chunks); err != nil {
 		return Head{}, err
 	}
 	return p.swap(ctx, from, head, set)
@@ -144,42 +144,54 @@
 
 // writeAll writes what the next head refers to: the new chunks and the head in
 // force, whose digest it returns. The chunks of the head in force are there.
-func (p *Publisher) writeAll(ctx context.Context, head Head, chunks [][]byte) (string, error) {
+func (p *Publisher) writeAll(ctx context.Context, from state, chunks [][]byte) (string, error) {
 	for _, content := range chunks {
-		if slices.Contains(head.Chunks, digestOf(content)) {
+		if slices.Contains(from.head.Chunks, digestOf(content)) {
 			continue
 		}
-		if err := p.writeChunk(ctx, content); err != nil {
+		if err := p.writeChunk(ctx, from.prior, content); err != nil {
 			return "", err
 		}
 	}
-	if head.Revision == 0 {
+	if from.head.Revision == 0 {
 		return "", nil
 	}
-	content, err := encode(head)
+	content, err := encode(from.head)
 	if err != nil {
 		return "", err
 	}
-	return digestOf(content), p.writeChunk(ctx, content)
+	return digestOf(content), p.writeChunk(ctx, from.prior, content)
 }
 
-// writeChunk makes sure that a chunk is in the store. While the head doesn't
-// refer to it a chunk has no effect, so a write without an answer is simply done
-// again, and failing for good means that nothing was changed.
-func (p *Publisher) writeChunk(ctx context.Context, content []byte) error {
-	digest := digestOf(content)
+// writeChunk makes sure that a chunk is in the store, written after the head that
+// the publication starts from. While the next head doesn't refer to it a chunk has
+// no effect, so a write without an answer is simply done again, and failing for
+// good means that nothing was changed.
+func (p *Publisher) writeChunk(ctx context.Context, after uint64, content []byte) error {
 	var err error
 	for range attempts {
-		_, err = p.Store.Put(ctx, chicoryrock.Change{Key: ChunkPrefix + digest, Value: content})
-		if errors.Is(err, chicoryrock.ErrConflict) {
-			_, err = readChunk(ctx, p.Store, digest)
+		err = p.tryChunk(ctx, after, content)
+		again := errors.Is(err, chicoryrock.ErrUnknownOutcome) || errors.Is(err, chicoryrock.ErrConflict) || errors.Is(err, chicoryrock.ErrNotFound)
+		if !again {
+			return errors.Wrap(err, "write a chunk")
 		}
-		if !errors.Is(err, chicoryrock.ErrUnknownOutcome) {
-			break
-		}
-	}
-	if errors.Is(err, chicoryrock.ErrUnknownOutcome) {
-		return errors.Wrap(chicoryrock.ErrUnavailable, "a chunk got no answer, and the head was not moved")
 	}
-	return errors.Wrap(err, "write a chunk")
+	return errors.Wrapf(chicoryrock.ErrUnavailable, "a chunk could not be written, and the head was not moved: %v", err)
+}
+
+// tryChunk writes a chunk. One that has been there for longer is written over
+// with the same content, so that Prune sees that it is needed again.
+func (p *Publisher) tryChunk(ctx context.Context, after uint64, content []byte) error {
+	change := chicoryrock.Change{Key: ChunkPrefix + digestOf(content), Value: content}
+	_, err := p.Store.Put(ctx, change)
+	if !errors.Is(err, chicoryrock.ErrConflict) {
+		return err
+	}
+	entry, err := getChunk(ctx, p.Store, digestOf(content))
+	if err != nil || entry.Revision > after {
+		return err
+	}
+	change.Prior = entry.Revision
+	_, err = p.Store.Put(ctx, change)
+	return err
 }
