Measure how many calls met their targets, and harden the engine stand-in

Cause: attainment and goodput are the first measures, and the load tool gave only latencies. The engine stand-in answered a change of its switches before the change was in force, so that a test's next request could still see the old ones.

Ruled out: leaving refused calls out of the share, which would make a system look better the more it refuses; a share of single gaps, since the report on service-level burn holds the target between tokens against the mean of an answer.

Change: a trace or a flag may give each call its targets; the report shows the share of all calls whose targets were met, and the tokens of their answers. The engine puts its switches in force before it answers, crashes once for each order to crash, and makes no token after it has noticed a hang-up, unless it is deaf.

Conclusion: a run now states attainment and goodput for each key and model.

--- a/internal/standin/command/load.go
+++ b/internal/standin/command/load.go
@@ -43,6 +43,8 @@
 	flags.IntVar(&l.call.Prompt, "prompt", 50, "length of the prompts, tokens")
 	flags.IntVar(&l.call.Output, "output", 20, "length of the answers, tokens")
 	flags.BoolVar(&l.call.Stream, "stream", true, "ask for streams")
+	flags.DurationVar(&l.call.First, "first", 0, "target for the first token; 0 means none")
+	flags.DurationVar(&l.call.Token, "token", 0, "target for the mean time between tokens; 0 means none")
 	flags.StringVar(&l.keys, "keys", "", "file with a JSON object that gives the secret of each key name")
 	flags.IntVar(&l.loader.Open, "open", loader.DefaultOpen, "most calls open at once")
 	flags.DurationVar(&l.loader.Longest, "longest", loader.DefaultLongest, "no call is sent after this")
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -184,19 +184,59 @@
 	require.Equal(t, 1, core.Report(now.Add(3*time.Second), 2*time.Second).Waiting)
 }
 
+func post(t *testing.T, server *Server, path, body string) (int, string) {
+	t.Helper()
+	response, err := http.Post("http://"+server.Addr().String()+path, "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	answer, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode, string(answer)
+}
+
 func TestOldFencingNumber(t *testing.T) {
 	server := start(t)
-	send := func(fence int) int {
-		body := fmt.Sprintf(`{"kind":"load","model":"lens","fence":%d}`, fence)
-		response, err := http.Post("http://"+server.Addr().String()+"/order", "application/json", strings.NewReader(body))
-		require.NoError(t, err)
-		require.NoError(t, response.Body.Close())
-		return response.StatusCode
+	order := func(fence int) int {
+		status, _ := post(t, server, "/order", fmt.Sprintf(`{"kind":"load","model":"lens","fence":%d}`, fence))
+		return status
 	}
 	server.Switch(Switches{Fence: true})
-	require.Equal(t, http.StatusOK, send(7))
-	require.Equal(t, http.StatusConflict, send(6))
+	require.Equal(t, http.StatusOK, order(7))
+	require.Equal(t, http.StatusConflict, order(6))
 	server.Switch(Switches{})
-	require.Equal(t, http.StatusOK, send(6))
+	require.Equal(t, http.StatusOK, order(6))
 	require.Len(t, server.Orders(), 2)
 }
+
+func TestSwitchChangesOnlyWhatItNames(t *testing.T) {
+	server := start(t)
+	post(t, server, "/switch", `{"truncate":2}`)
+	post(t, server, "/switch", `{"straggle":2}`)
+	require.False(t, ask(t.Context(), server, "r1", "p", 5, 0, true).done)
+	post(t, server, "/switch", `{"truncate":0}`)
+	require.True(t, ask(t.Context(), server, "r2", "p", 5, 0, true).done)
+	// The crash may cut its own answer.
+	response, err := http.Post("http://"+server.Addr().String()+"/switch", "application/json", strings.NewReader(`{"crash":1000000}`))
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	require.Eventually(t, func() bool { return server.Stats().Crashes == 1 }, patience, time.Millisecond)
+	require.Eventually(t, func() bool { return ask(t.Context(), server, "r3", "p", 5, 0, true).done }, patience, time.Millisecond)
+	_, switches := post(t, server, "/switch", `{}`)
+	require.Contains(t, switches, `"crash":0`, "a crash happens once")
+	require.Contains(t, switches, `"straggle":2`)
+}
+
+func TestDeafEngineWastesTokens(t *testing.T) {
+	const tokens = 5000
+	server := start(t)
+	server.Switch(Switches{Deaf: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan result, 1)
+	go func() { ended <- ask(ctx, server, "r1", "p", tokens, 0, true) }()
+	require.Eventually(t, func() bool { return server.Stats().Tokens > 0 }, patience, time.Millisecond)
+	cancel()
+	<-ended
+	require.Eventually(t, func() bool { return server.Stats().Tokens == tokens }, patience, time.Millisecond)
+	require.Positive(t, server.Stats().Wasted)
+}
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -109,10 +109,9 @@
 	}
 	select {
 	case <-timer.C:
-		return true
 	case <-ctx.Done():
-		return false
 	}
+	return ctx.Err() == nil
 }
 
 // token makes one token. It returns false when the client has hung up.
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -51,16 +51,22 @@
 
 // Switch sets all switches.
 func (s *Server) Switch(switches Switches) {
-	crash := switches.Crash
-	switches.Crash = 0
-	s.mutex.Lock()
-	s.switches = switches
-	s.mutex.Unlock()
+	crash := s.set(&switches)
 	if crash > 0 {
 		s.crash(crash)
 	}
 }
 
+// set keeps the switches but that of a crash, which acts once: it is returned.
+func (s *Server) set(switches *Switches) time.Duration {
+	crash := switches.Crash
+	switches.Crash = 0
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.switches = *switches
+	return crash
+}
+
 // Stats returns the counts so far.
 func (s *Server) Stats() Stats {
 	s.mutex.Lock()
@@ -117,11 +123,15 @@
 	s.mutex.Lock()
 	switches := s.switches
 	s.mutex.Unlock()
-	if host.ReadJSON(w, r, &switches) {
-		host.WriteJSON(w, http.StatusOK, switches)
-		// The answer goes out before a crash cuts its connection.
+	if !host.ReadJSON(w, r, &switches) {
+		return
+	}
+	crash := s.set(&switches)
+	host.WriteJSON(w, http.StatusOK, switches)
+	if crash > 0 {
+		// The answer goes out before the crash cuts its connection.
 		_ = http.NewResponseController(w).Flush()
-		s.Switch(switches)
+		s.crash(crash)
 	}
 }
 
--- a/internal/standin/loader/loader.go
+++ b/internal/standin/loader/loader.go
@@ -123,6 +123,7 @@
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 	defer cancel()
 	sender.send(ctx)
+	sender.out.Met = sender.out.meets(sender.call)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.tally.Add(*sender.out)
--- a/internal/standin/loader/outcome.go
+++ b/internal/standin/loader/outcome.go
@@ -1,6 +1,8 @@
 package loader
 
 import (
+	"cmp"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,9 +44,31 @@
 	Gaps   []time.Duration
 	Whole  time.Duration // to the end of the answer
 	Tokens int           // received
+	Met    bool          // whole, the call's own, and within the call's targets
 	Err    error         // why an answer with status 200 is not whole or not the call's own
 }
 
+// meets tells whether the answer kept the call's targets. An answer that is not
+// streamed has its first token at its end.
+func (o *Outcome) meets(call Call) bool {
+	if o.Status != http.StatusOK || o.Err != nil {
+		return false
+	}
+	first := cmp.Or(o.First, o.Whole)
+	if call.First > 0 && first > call.First {
+		return false
+	}
+	return call.Token == 0 || mean(o.Gaps) <= call.Token
+}
+
+func mean(gaps []time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, gap := range gaps {
+		sum += gap
+	}
+	return sum / time.Duration(max(1, len(gaps)))
+}
+
 // faults are the errors of a call and their names in the report.
 var faults = []struct {
 	err  error
--- a/internal/standin/loader/report.go
+++ b/internal/standin/loader/report.go
@@ -31,7 +31,9 @@
 	Model  string         `json:"model,omitempty"`
 	Calls  int            `json:"calls"`
 	Whole  int            `json:"whole"`  // answers that were whole and their call's own
+	Met    int            `json:"met"`    // whole answers within their call's targets
 	Tokens int            `json:"tokens"` // of the whole answers
+	Good   int            `json:"good"`   // tokens of the answers within their call's targets
 	Counts map[string]int `json:"counts"` // by status and reason, e.g. "503 late"; status 0 means no answer
 	Faults map[string]int `json:"faults"` // by kind, of the answers that were not whole or not their call's own
 	First  Quantiles      `json:"first"`  // to the first token of a stream
@@ -96,7 +98,9 @@
 		Model:  s.model,
 		Calls:  s.calls,
 		Whole:  s.whole,
+		Met:    s.met,
 		Tokens: s.tokens,
+		Good:   s.good,
 		Counts: maps.Clone(s.counts),
 		Faults: maps.Clone(s.faults),
 		First:  quantiles(s.first),
@@ -144,13 +148,13 @@
 // Write prints the report as a table.
 func (r Report) Write(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	row(table, "way", "key", "model", "calls", "whole", "tokens", "first p50/p95/p99", "gap p50/p95/p99", "end p50/p95/p99", "statuses", "faults")
+	row(table, "way", "key", "model", "calls", "whole", "met", "tokens", "good", "first p50/p95/p99", "gap p50/p95/p99", "end p50/p95/p99", "statuses", "faults")
 	for _, s := range r.Sections {
 		key := s.Key
 		if s.All {
 			key = "(all)"
 		}
-		row(table, string(s.Way), key, s.Model, fmt.Sprint(s.Calls), fmt.Sprint(s.Whole), fmt.Sprint(s.Tokens),
+		row(table, string(s.Way), key, s.Model, fmt.Sprint(s.Calls), fmt.Sprint(s.Whole), s.share(), fmt.Sprint(s.Tokens), fmt.Sprint(s.Good),
 			s.First.String(), s.Gap.String(), s.End.String(), list(s.Counts), list(s.Faults))
 	}
 	if err := table.Flush(); err != nil {
@@ -165,6 +169,12 @@
 	return errors.WithStack(err)
 }
 
+// share returns the share of the calls, refused ones included, whose targets were
+// met, e.g. "98.50%".
+func (s Section) share() string {
+	return fmt.Sprintf("%.2f%%", 100*float64(s.Met)/float64(max(1, s.Calls)))
+}
+
 // String returns e.g. "20ms/31ms/40ms", or "-" without a value.
 func (q Quantiles) String() string {
 	if q.Count == 0 {
--- a/internal/standin/loader/tally.go
+++ b/internal/standin/loader/tally.go
@@ -32,7 +32,9 @@
 	model  string
 	calls  int
 	whole  int
+	met    int
 	tokens int
+	good   int
 	counts map[string]int
 	faults map[string]int
 	first  *hdrhistogram.Histogram
@@ -101,6 +103,10 @@
 	}
 	s.whole++
 	s.tokens += outcome.Tokens
+	if outcome.Met {
+		s.met++
+		s.good += outcome.Tokens
+	}
 	record(s.end, outcome.Whole)
 	if outcome.First > 0 {
 		record(s.first, outcome.First)
--- a/internal/standin/loader/trace.go
+++ b/internal/standin/loader/trace.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"io"
 	"time"
@@ -30,6 +31,8 @@
 	Prompt int // tokens
 	Output int // tokens
 	Stream bool
+	First  time.Duration // target for the first token; zero means none
+	Token  time.Duration // target for the mean time between tokens; zero means none
 }
 
 // line is a Call as a trace file has it.
@@ -40,6 +43,8 @@
 	Prompt int    `json:"prompt"`
 	Output int    `json:"output"`
 	Stream bool   `json:"stream"`
+	First  string `json:"first"` // e.g. "400ms"; may be absent
+	Token  string `json:"token"` // e.g. "50ms"; may be absent
 }
 
 // Read reads a trace, one JSON object a line, in order of time. Error:
@@ -52,15 +57,10 @@
 		if len(lines.Bytes()) == 0 {
 			continue
 		}
-		var read line
-		if err := json.Unmarshal(lines.Bytes(), &read); err != nil {
-			return nil, invalid(len(calls), err.Error())
-		}
-		at, err := time.ParseDuration(read.At)
+		call, err := parse(lines.Bytes())
 		if err != nil {
 			return nil, invalid(len(calls), err.Error())
 		}
-		call := Call{At: at, Key: read.Key, Model: read.Model, Prompt: read.Prompt, Output: read.Output, Stream: read.Stream}
 		calls = append(calls, call)
 	}
 	if err := lines.Err(); err != nil {
@@ -69,6 +69,30 @@
 	return calls, Check(calls)
 }
 
+func parse(encoded []byte) (Call, error) {
+	var read line
+	if err := json.Unmarshal(encoded, &read); err != nil {
+		return Call{}, errors.WithStack(err)
+	}
+	call := Call{Key: read.Key, Model: read.Model, Prompt: read.Prompt, Output: read.Output, Stream: read.Stream}
+	times := []struct {
+		text string
+		into *time.Duration
+	}{
+		{read.At, &call.At},
+		{cmp.Or(read.First, "0"), &call.First},
+		{cmp.Or(read.Token, "0"), &call.Token},
+	}
+	for _, field := range times {
+		span, err := time.ParseDuration(field.text)
+		if err != nil {
+			return Call{}, errors.WithStack(err)
+		}
+		*field.into = span
+	}
+	return call, nil
+}
+
 // Check tells whether a trace is within its limits and in order of time. Error:
 // ErrInvalid.
 func Check(calls []Call) error {
