Find late requests without moving the others at each turn

Cause: taking a request out of the heap of latest starts wrote to a dozen other requests, each a cold line of memory, so a turn got slower with what waits.

Change: entries of requests that have gone stay until their time comes or half of all are such.

--- a/internal/policy/queue/change.go
+++ b/internal/policy/queue/change.go
@@ -13,13 +13,11 @@
 
 // link puts a request among the waiting ones.
 func (q *Queue) link(now time.Time, added *item) {
-	request := added.request
-	l := q.lane(request)
-	a := l.tier.account(request.Workspace, q.share(request.Workspace))
-	f := a.flow(l)
-	added.flow = f
-	added.cost = q.expected(l, request)
-	added.last = q.lastStart(request)
+	f := added.flow
+	a := f.account
+	l := f.lane
+	added.cost = q.expected(l, added.request)
+	added.last = q.lastStart(added.request)
 	if l.waiting == 0 {
 		// Turns missed while nothing waited are not owed.
 		l.due = math.Max(l.due, q.turn)
@@ -34,7 +32,9 @@
 	l.tier.cost += added.cost
 	q.shared += l.count(1)
 	q.place(f)
-	q.expiry.push(added.last, added, &added.expiry)
+	q.stays++
+	added.stay = q.stays
+	q.expiry.add(added, q.waiting)
 	q.waiting++
 	if q.waiting == 1 {
 		q.meter.start(now)
@@ -63,7 +63,7 @@
 		t.shares = 0
 	}
 	q.place(f)
-	q.expiry.remove(gone.expiry)
+	gone.stay = 0
 	q.waiting--
 	if q.waiting == 0 {
 		q.meter.stop()
@@ -93,7 +93,7 @@
 func (q *Queue) give(now time.Time, popped *item) {
 	l := popped.flow.lane
 	a := popped.flow.account
-	popped.popped = now
+	popped.popped = now.UnixNano()
 	popped.output = 0
 	popped.charged = q.expected(l, popped.request)
 	l.tier.virtual = math.Max(l.tier.virtual, a.used)
@@ -130,14 +130,14 @@
 
 func (q *Queue) forget(gone *item) {
 	delete(q.items, gone.request)
-	*gone = item{expiry: absent}
+	*gone = item{}
 	q.free = append(q.free, gone)
 }
 
 func (q *Queue) newItem() *item {
 	last := len(q.free) - 1
 	if last < 0 {
-		return &item{expiry: absent}
+		return &item{}
 	}
 	reused := q.free[last]
 	q.free = q.free[:last]
@@ -147,7 +147,8 @@
 // makeRoom says whether a request may come in, and which waiting one has to go
 // for it, if any (5, 6, 12). When the request itself would be served last, it is
 // the one that is refused.
-func (q *Queue) makeRoom(l *lane, request *chicoryrock.Request) (*item, bool) {
+func (q *Queue) makeRoom(f *flow, request *chicoryrock.Request) (*item, bool) {
+	l := f.lane
 	if q.Limit <= 0 || q.shared < q.Limit || l.waiting < l.room {
 		return nil, true
 	}
@@ -159,9 +160,7 @@
 		return nil, false
 	}
 	last := lowest.last()
-	a := l.tier.account(request.Workspace, q.share(request.Workspace))
-	end := a.used + (a.flow(l).cost+q.expected(l, request))/a.share
-	if end >= last.end() {
+	if f.end()+q.expected(l, request)/f.account.share >= last.end() {
 		return nil, false
 	}
 	return last.tail, true
@@ -180,7 +179,7 @@
 // turn. One that did not wait says nothing of the pool's limits.
 func (q *Queue) measure(now time.Time, popped *item) {
 	popped.metered = 0
-	if !now.After(popped.pushed) {
+	if now.UnixNano() <= popped.pushed {
 		return
 	}
 	popped.metered = q.expected(popped.flow.lane, popped.request)
--- a/internal/policy/queue/flow.go
+++ b/internal/policy/queue/flow.go
@@ -1,33 +1,30 @@
 package queue
 
-import (
-	"time"
-
-	"github.com/chicoryrock/chicoryrock"
-)
+import "github.com/chicoryrock/chicoryrock"
 
 // item is one request that the queue holds or has given out.
 type item struct {
-	request *chicoryrock.Request
-	flow    *flow
-	cost    float64   // tokens it is expected to take, while it waits
-	charged float64   // tokens its workspace has been charged, once given out
-	output  float64   // tokens produced so far, once given out
-	metered float64   // tokens that the service rate has counted
-	due     float64   // when its class was owed a turn, before it took this one
-	seq     uint64    // order of arrival, between equal deadlines
-	pushed  time.Time // when it came
-	popped  time.Time // when it was given out; zero while it waits
-	last    int64     // latest useful start, nanoseconds since 1970
-	expiry  int       // place in the heap of latest starts
-	prev    *item
-	next    *item
+	request  *chicoryrock.Request
+	flow     *flow
+	prev     *item
+	next     *item
+	deadline int64   // nanoseconds since 1970, as are all times here
+	last     int64   // latest useful start
+	pushed   int64   // when it came
+	popped   int64   // when it was given out; zero while it waits
+	stay     uint64  // number of its stay among the waiting; zero while it runs
+	seq      uint64  // order of arrival, between equal deadlines
+	cost     float64 // tokens it is expected to take, while it waits
+	charged  float64 // tokens its workspace has been charged, once given out
+	output   float64 // tokens produced so far, once given out
+	metered  float64 // tokens that the service rate has counted
+	due      float64 // when its class was owed a turn, before it took this one
 }
 
 // before orders the requests of one flow.
 func (i *item) before(other *item) bool {
-	if !i.request.Deadline.Equal(other.request.Deadline) {
-		return i.request.Deadline.Before(other.request.Deadline)
+	if i.deadline != other.deadline {
+		return i.deadline < other.deadline
 	}
 	return i.seq < other.seq
 }
--- a/internal/policy/queue/heap.go
+++ b/internal/policy/queue/heap.go
@@ -1,6 +1,9 @@
 package queue
 
-import "cmp"
+import (
+	"cmp"
+	"slices"
+)
 
 // heap is a binary min-heap that tells each value its place, so that a value in
 // the middle can be moved or removed in logarithmic time.
@@ -35,6 +38,14 @@
 	}
 }
 
+// keep removes every value for which the function says false.
+func (h *heap[K, T]) keep(wanted func(T) bool) {
+	h.nodes = slices.DeleteFunc(h.nodes, func(n node[K, T]) bool { return !wanted(n.value) })
+	for at := len(h.nodes)/2 - 1; at >= 0; at-- {
+		h.down(at)
+	}
+}
+
 func (h *heap[K, T]) remove(at int) {
 	last := len(h.nodes) - 1
 	*h.nodes[at].place = absent
--- a/internal/policy/queue/late.go
+++ b/internal/policy/queue/late.go
@@ -23,7 +23,11 @@
 
 // Late says whether a request that came now could not begin in time (14, 15).
 func (q *Queue) Late(now time.Time, request *chicoryrock.Request) bool {
-	return now.Add(q.Wait(now, request)).UnixNano() >= q.lastStart(request)
+	return q.late(now, q.flow(request), request)
+}
+
+func (q *Queue) late(now time.Time, f *flow, request *chicoryrock.Request) bool {
+	return now.Add(q.wait(now, f)).UnixNano() >= q.lastStart(request)
 }
 
 // lastStart returns the latest useful start of a request: its deadline less the
@@ -32,13 +36,22 @@
 // deadline may start at any time.
 func (q *Queue) lastStart(request *chicoryrock.Request) int64 {
 	if request.Deadline.IsZero() {
-		return math.MaxInt64
+		return nanoseconds(request.Deadline)
 	}
 	target := max(0, request.Deadline.Sub(request.Arrived))
 	aside := min(q.prefill.predict(request.Prompt), target/2)
 	return request.Deadline.Add(-aside).UnixNano()
 }
 
+// nanoseconds returns a time as nanoseconds since 1970; no time at all is later
+// than all others.
+func nanoseconds(at time.Time) int64 {
+	if at.IsZero() {
+		return math.MaxInt64
+	}
+	return at.UnixNano()
+}
+
 // Wait returns how long a request that came now would probably wait for its
 // turn; zero while nothing is ahead of it or too little is known.
 //
@@ -47,6 +60,10 @@
 // their share, but no longer than it takes to serve the whole tier. That goes at
 // the rate that the higher tiers leave, or that the class's floor guarantees.
 func (q *Queue) Wait(now time.Time, request *chicoryrock.Request) time.Duration {
+	return q.wait(now, q.flow(request))
+}
+
+func (q *Queue) wait(now time.Time, f *flow) time.Duration {
 	rate, known := q.meter.rate(now)
 	if !known || q.waiting == 0 {
 		return 0
@@ -54,24 +71,22 @@
 	higher := 0.0
 	taken := 0.0
 	for _, t := range q.tiers {
-		if t.rank >= request.Tier {
+		if t.rank >= f.lane.tier.rank {
 			break
 		}
 		higher += t.cost
 		taken += t.work
 	}
-	part := math.Max(1-taken/q.meter.work, math.Max(q.Floors[request.Class], leastPart))
-	seconds := higher/rate + q.ahead(request)/(rate*part)
+	part := math.Max(1-taken/q.meter.work, math.Max(f.lane.floor, leastPart))
+	seconds := higher/rate + f.ahead()/(rate*part)
 	return time.Duration(math.Min(seconds, maxAfter.Seconds()) * float64(time.Second))
 }
 
-// ahead returns the tokens of a request's own tier that go before it.
-func (q *Queue) ahead(request *chicoryrock.Request) float64 {
-	t := q.tier(request.Tier)
-	if t.waiting == 0 {
-		return 0
-	}
-	a := t.account(request.Workspace, q.share(request.Workspace))
+// ahead returns the tokens of its own tier that go before a request which came to
+// the end of the flow now.
+func (f *flow) ahead() float64 {
+	t := f.lane.tier
+	a := f.account
 	shares := t.shares
 	if a.waiting == 0 {
 		shares += a.share
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -28,7 +28,7 @@
 	items   map[*chicoryrock.Request]*item
 	tiers   []*tier // by rank, the highest tier first
 	floored []*lane // the classes that have a floor
-	expiry  heap[int64, *item]
+	expiry  expiry
 	meter   meter
 	refused refusals
 	prefill prefill
@@ -37,7 +37,8 @@
 	running int
 	shared  int     // waiting requests that count against Limit
 	turn    float64 // requests given out so far
-	seq     uint64
+	seq     uint64  // requests taken in so far
+	stays   uint64  // times that a request has begun to wait
 
 	chosen   *item // what Peek found, until something changes
 	chosenAt time.Time
@@ -52,20 +53,24 @@
 // begin in time behind what is ahead of it in its own tier and above;
 // ReasonQueueFull.
 func (q *Queue) Push(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
-	if q.Late(now, request) {
-		q.refused.add(now, q.expected(q.lane(request), request))
+	f := q.flow(request)
+	if q.late(now, f, request) {
+		q.refused.add(now, q.expected(f.lane, request))
 		return nil, chicoryrock.ReasonLate
 	}
-	return q.Put(now, request)
+	return q.put(now, f, request)
 }
 
 // Put is Push without the early refusal, for a caller that can make room in
 // another way. Reason: ReasonQueueFull.
 func (q *Queue) Put(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
-	l := q.lane(request)
-	victim, fits := q.makeRoom(l, request)
+	return q.put(now, q.flow(request), request)
+}
+
+func (q *Queue) put(now time.Time, f *flow, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
+	victim, fits := q.makeRoom(f, request)
 	if !fits {
-		q.refused.add(now, q.expected(l, request))
+		q.refused.add(now, q.expected(f.lane, request))
 		return nil, chicoryrock.ReasonQueueFull
 	}
 	var displaced *chicoryrock.Request
@@ -76,7 +81,9 @@
 	}
 	added := q.newItem()
 	added.request = request
-	added.pushed = now
+	added.flow = f
+	added.pushed = now.UnixNano()
+	added.deadline = nanoseconds(request.Deadline)
 	added.seq = q.seq
 	q.seq++
 	q.items[request] = added
@@ -108,7 +115,7 @@
 // queue is full, as it had its place before.
 func (q *Queue) Return(now time.Time, request *chicoryrock.Request) {
 	back, found := q.items[request]
-	if !found || back.popped.IsZero() {
+	if !found || back.popped == 0 {
 		return
 	}
 	l := back.flow.lane
@@ -123,14 +130,14 @@
 		took = float64(request.Prompt) + back.output
 	}
 	q.settle(back, took)
-	back.popped = time.Time{}
+	back.popped = 0
 	q.link(now, back)
 }
 
 // Remove implements chicoryrock.Queue.
 func (q *Queue) Remove(_ time.Time, request *chicoryrock.Request) bool {
 	gone, found := q.items[request]
-	if !found || !gone.popped.IsZero() {
+	if !found || gone.popped != 0 {
 		return false
 	}
 	q.drop(gone)
@@ -140,9 +147,7 @@
 // Expire implements chicoryrock.Queue.
 func (q *Queue) Expire(now time.Time) []*chicoryrock.Request {
 	var late []*chicoryrock.Request
-	limit := now.UnixNano()
-	for !q.expiry.empty() && q.expiry.first().last <= limit {
-		gone := q.expiry.first()
+	for gone := q.expiry.next(now.UnixNano()); gone != nil; gone = q.expiry.next(now.UnixNano()) {
 		late = append(late, gone.request)
 		q.refused.add(now, gone.cost)
 		q.drop(gone)
@@ -153,11 +158,11 @@
 // Charge implements chicoryrock.Queue.
 func (q *Queue) Charge(now time.Time, request *chicoryrock.Request, tokens int) {
 	running, found := q.items[request]
-	if !found || running.popped.IsZero() || tokens <= 0 {
+	if !found || running.popped == 0 || tokens <= 0 {
 		return
 	}
 	if running.output == 0 && tokens <= prefillChunk {
-		q.prefill.learn(request.Prompt, now.Sub(running.popped))
+		q.prefill.learn(request.Prompt, time.Duration(now.UnixNano()-running.popped))
 	}
 	running.output += float64(tokens)
 	over := float64(request.Prompt) + running.output - running.charged
@@ -174,7 +179,7 @@
 // Finish implements chicoryrock.Queue.
 func (q *Queue) Finish(_ time.Time, request *chicoryrock.Request) {
 	done, found := q.items[request]
-	if !found || done.popped.IsZero() {
+	if !found || done.popped == 0 {
 		return
 	}
 	done.flow.lane.learn(done.output)
@@ -228,6 +233,18 @@
 	return 1
 }
 
+// flow returns where a request waits or would wait, made if need be.
+func (q *Queue) flow(request *chicoryrock.Request) *flow {
+	l := q.lane(request)
+	a, found := l.tier.accounts[request.Workspace]
+	if !found {
+		a = &account{workspace: request.Workspace, share: q.share(request.Workspace)}
+		l.tier.accounts[request.Workspace] = a
+	}
+	l.tier.level(a)
+	return a.flow(l)
+}
+
 // lane returns the lane of a request's class, made if need be.
 func (q *Queue) lane(request *chicoryrock.Request) *lane {
 	t := q.tier(request.Tier)
--- a/internal/policy/queue/tier.go
+++ b/internal/policy/queue/tier.go
@@ -111,16 +111,10 @@
 	return last
 }
 
-// account returns the account of a workspace, made if need be. A workspace that
-// had nothing waiting starts level with the others: it has saved up nothing.
-// When the whole tier has been idle, nobody had to stand back for anybody, and
-// what was used is forgotten.
-func (t *tier) account(workspace string, share float64) *account {
-	a, found := t.accounts[workspace]
-	if !found {
-		a = &account{workspace: workspace, share: share}
-		t.accounts[workspace] = a
-	}
+// level sets a workspace that has nothing waiting level with the others: it has
+// saved up nothing (10). When the whole tier has been idle, nobody had to stand
+// back for anybody, and what was used is forgotten.
+func (t *tier) level(a *account) {
 	if a.busy != t.period {
 		a.busy = t.period
 		a.used = 0
@@ -128,7 +122,6 @@
 	if a.waiting == 0 {
 		a.used = max(a.used, t.virtual)
 	}
-	return a
 }
 
 // rest ends a busy period once the tier has nothing waiting and nothing running.
