Bound retries by a budget and resume streams where they broke

Cause: a call turned away by full agents used up its four attempts and was refused although it could have waited; with a pool down, each call tried four replicas.

Change: internal/policy/retry decides after each failed attempt. Not run: elsewhere, out of the budget unless the agent was only full. May have begun and may not be repeated: never. Idempotent: while the deadline and the budget allow. Broken stream: resumed after the caller's last token. The replay uses it. The load that an agent states with an answer leaves that request out, and the dispatcher counts accordingly; a full replica is asked less and less often.

Conclusion: attempts are no longer lost on full agents.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -49,6 +49,7 @@
 			replicas[i].Running = known.Running
 			replicas[i].Waiting = known.Waiting
 			replicas[i].Others = known.Others
+			replicas[i].Full = known.Full
 			replicas[i].New = known.New
 			replicas[i].Seen = known.Seen
 			replicas[i].Leaving = replicas[i].Leaving || known.Leaving
@@ -121,7 +122,9 @@
 	return target.queue.Remove(now, request)
 }
 
-// Heard takes in the load that an agent stated.
+// Heard takes in the load that an agent stated when it answered or turned away a
+// request. That request is no longer in the load, but still open here: it is to be
+// ended by Finish or Return after this.
 func (d *Dispatcher) Heard(now time.Time, poolName, replica string, load chicoryrock.Load) {
 	known := d.pool(poolName).find(replica)
 	if known == nil {
@@ -130,7 +133,11 @@
 	known.Slots = load.Slots
 	known.Running = load.Running
 	known.Waiting = load.Waiting
-	known.Others = max(load.Running+load.Waiting-known.Open, 0)
+	known.Others = max(load.Running+load.Waiting-max(known.Open-1, 0), 0)
+	known.Full++
+	if load.Running < load.Slots {
+		known.Full = 0
+	}
 	known.Leaving = known.Leaving || load.Leaving
 	known.Seen = now
 }
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -26,7 +26,10 @@
 	// forgetTime is the age at which half of a reported load is no longer believed.
 	forgetTime = time.Second
 	// askInterval is how long a replica that is full by its own report isn't asked.
-	askInterval = 50 * time.Millisecond
+	// It doubles with each such report in a row, up to maxDoublings times, so that
+	// entries with long queues don't ask full replicas all the time.
+	askInterval  = 50 * time.Millisecond
+	maxDoublings = 3
 )
 
 // Picker implements chicoryrock.Picker. Set the exported fields before the first
@@ -163,7 +166,7 @@
 	age := max(now.Sub(replica.Seen), 0)
 	believed := float64(forgetTime) / float64(forgetTime+age)
 	estimate := believed*float64(replica.Others) + (1-believed)*t.mean*float64(replica.Slots)
-	if age >= askInterval {
+	if age >= askInterval<<min(max(replica.Full-1, 0), maxDoublings) {
 		estimate = min(estimate, float64(replica.Slots-1-replica.Open))
 	}
 	return max(estimate, 0)
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 )
 
 func (e *entry) now() time.Time { return epoch.Add(e.world.now) }
@@ -41,8 +42,13 @@
 func (e *entry) tick() {
 	now := e.now()
 	for _, request := range e.core.Expire(now) {
-		e.refuse(e.calls[request], chicoryrock.ReasonLate)
+		c := e.calls[request]
 		delete(e.calls, request)
+		if c.has > 0 {
+			e.end(c, chicoryrock.ReasonBroken)
+			continue
+		}
+		e.refuse(c, chicoryrock.ReasonLate)
 	}
 	e.pump(now)
 	if e.world.open > 0 {
@@ -53,7 +59,6 @@
 func (e *entry) pump(now time.Time) {
 	for _, grant := range e.core.Next(now) {
 		c := e.calls[grant.Request]
-		c.tries++
 		a := &attempt{call: c, engine: e.world.engine(grant.Replica.Name), from: c.has}
 		a.send()
 	}
@@ -127,7 +132,7 @@
 	} else {
 		a.lost()
 	}
-	a.again(chicoryrock.ErrNotRun)
+	a.again(chicoryrock.ErrNotRun, load != nil)
 }
 
 func (a *attempt) lost() {
@@ -150,6 +155,9 @@
 func (a *attempt) produced(tokens int, ended bool) {
 	e := a.call.entry
 	load := a.engine.load()
+	if !ended {
+		load.Running = max(load.Running-1, 0)
+	}
 	e.world.report.made += tokens
 	e.world.after(a.delay(), func() {
 		c := a.call
@@ -181,37 +189,48 @@
 func (a *attempt) broke() {
 	a.call.entry.world.after(a.delay(), func() {
 		a.lost()
-		a.again(chicoryrock.ErrTruncated)
+		a.again(chicoryrock.ErrTruncated, false)
 	})
 }
 
 // again sends the call elsewhere when that is allowed, and fails it otherwise.
-func (a *attempt) again(cause error) {
-	e := a.call.entry
+func (a *attempt) again(cause error, full bool) {
+	e, c := a.call.entry, a.call
 	now := e.now()
-	if a.call.tries < maxAttempts && a.mayRepeat(cause) {
-		e.core.Return(now, a.call.request, a.engine.Name)
+	if full {
+		c.turned++
+	} else {
+		c.sent++
+	}
+	verdict := e.retrier.Decide(now, retry.Attempt{
+		Request: c.request,
+		Err:     cause,
+		Full:    full,
+		Sent:    c.sent,
+		Turned:  c.turned,
+		Tokens:  c.has,
+		Started: c.has > 0,
+		Save:    a.engine.Resume,
+	})
+	if verdict.Action != retry.Fail {
+		c.request.Deadline = verdict.Deadline
+		e.core.Return(now, c.request, a.engine.Name)
 		e.pump(now)
 		return
 	}
-	e.core.Finish(now, a.call.request, a.engine.Name)
-	delete(e.calls, a.call.request)
-	if cause == chicoryrock.ErrNotRun { //nolint:errorlint // the cause is never wrapped here
-		e.refuse(a.call, chicoryrock.ReasonRetries)
-	} else {
-		e.world.report.broken(a.call)
-		e.world.open--
-	}
+	e.core.Finish(now, c.request, a.engine.Name)
+	delete(e.calls, c.request)
+	e.end(c, verdict.Reason)
 	e.pump(now)
 }
 
-func (a *attempt) mayRepeat(cause error) bool {
-	switch {
-	case cause == chicoryrock.ErrNotRun: //nolint:errorlint // the cause is never wrapped here
-		return true
-	case a.call.has > 0:
-		return a.engine.Resume
+// end gives a call that was sent at least once its final answer.
+func (e *entry) end(c *call, reason chicoryrock.Reason) {
+	switch reason {
+	case chicoryrock.ReasonBroken, chicoryrock.ReasonUnknownOutcome:
+		e.world.report.broken(c)
+		e.world.open--
 	default:
-		return a.call.class.Repeat
+		e.refuse(c, reason)
 	}
 }
--- a/internal/policy/replay/policies.go
+++ b/internal/policy/replay/policies.go
@@ -2,38 +2,42 @@
 
 import (
 	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/baseline"
 	"github.com/chicoryrock/chicoryrock/internal/policy/pick"
+	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 )
 
 // Baselines returns the plain policies that others are measured against.
 func Baselines() []Policy {
 	return []Policy{
 		{
-			Name:   "round robin",
-			Queue:  func(*Scenario, string) chicoryrock.Queue { return &baseline.Queue{} },
-			Picker: func(*Scenario, int) chicoryrock.Picker { return &baseline.RoundRobin{} },
+			Name:    "round robin",
+			Queue:   fifo,
+			Picker:  func(*Scenario, int) chicoryrock.Picker { return &baseline.RoundRobin{} },
+			Retrier: func() Retrier { return fourTimes{} },
 		},
 		{
-			Name:   "least open",
-			Queue:  func(*Scenario, string) chicoryrock.Queue { return &baseline.Queue{} },
-			Picker: func(*Scenario, int) chicoryrock.Picker { return baseline.LeastOutstanding{} },
+			Name:    "least open",
+			Queue:   fifo,
+			Picker:  func(*Scenario, int) chicoryrock.Picker { return baseline.LeastOutstanding{} },
+			Retrier: func() Retrier { return fourTimes{} },
 		},
 	}
 }
 
-// Picking returns the router's choice of a backend server behind a plain queue,
-// which shows what the choice alone is worth.
+// Picking returns the router's choice of a backend server and its retries behind
+// a plain queue, which shows what these two are worth without the queue.
 func Picking() Policy {
-	return Policy{
-		Name:   "pick",
-		Queue:  func(*Scenario, string) chicoryrock.Queue { return &baseline.Queue{} },
-		Picker: newPicker,
-	}
+	return Policy{Name: "pick", Queue: fifo, Picker: newPicker, Retrier: newRetrier}
 }
 
+func fifo(*Scenario, string) chicoryrock.Queue { return &baseline.Queue{} }
+
 // newPicker gives each entry a seed of its own.
 func newPicker(scenario *Scenario, entry int) chicoryrock.Picker {
 	site := scenario.Entries[entry]
@@ -43,3 +47,26 @@
 		Random: rand.New(rand.NewPCG(uint64(entry), 1)),
 	}
 }
+
+func newRetrier() Retrier { return &retry.Retrier{} }
+
+// fourTimes is the plain rule for retries: up to four attempts, without a budget.
+type fourTimes struct{}
+
+// Fresh implements Retrier.
+func (fourTimes) Fresh(time.Time) {}
+
+// Decide implements Retrier.
+func (fourTimes) Decide(_ time.Time, a retry.Attempt) retry.Verdict {
+	notRun := errors.Is(a.Err, chicoryrock.ErrNotRun)
+	switch {
+	case a.Sent+a.Turned >= 4 && notRun && !a.Started:
+		return retry.Verdict{Reason: chicoryrock.ReasonRetries}
+	case a.Sent+a.Turned < 4 && (notRun || a.Request.Repeat) && !a.Started:
+		return retry.Verdict{Action: retry.Elsewhere, Deadline: a.Request.Deadline}
+	case a.Sent+a.Turned < 4 && a.Started && a.Save && a.Request.Repeat:
+		return retry.Verdict{Action: retry.Resume, From: a.Tokens, Deadline: a.Request.Deadline}
+	default:
+		return retry.Verdict{Reason: chicoryrock.ReasonBroken}
+	}
+}
--- a/internal/policy/replay/report.go
+++ b/internal/policy/replay/report.go
@@ -126,7 +126,7 @@
 // served judges a whole answer against its class.
 func (t *tally) served(c *call) {
 	o := &t.outcomes[t.number[c.record]]
-	first := !epoch.Add(c.first).After(c.request.Deadline)
+	first := !epoch.Add(c.first).After(c.due)
 	gaps := time.Duration(max(c.has-1, 1))
 	token := (c.last-c.first)/gaps <= c.class.Token
 	o.first = o.first || first
--- a/internal/policy/replay/scenario.go
+++ b/internal/policy/replay/scenario.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 )
 
 // Class is the service level that a scenario gives to a class of calls.
@@ -74,11 +75,18 @@
 	Lag     time.Duration // age of the load that agents report
 }
 
+// Retrier decides on retries, as *retry.Retrier does.
+type Retrier interface {
+	Fresh(now time.Time)
+	Decide(now time.Time, attempt retry.Attempt) retry.Verdict
+}
+
 // Policy makes the decisions that are measured.
 type Policy struct {
-	Name   string
-	Queue  func(scenario *Scenario, pool string) chicoryrock.Queue
-	Picker func(scenario *Scenario, entry int) chicoryrock.Picker
+	Name    string
+	Retrier func() Retrier
+	Queue   func(scenario *Scenario, pool string) chicoryrock.Queue
+	Picker  func(scenario *Scenario, entry int) chicoryrock.Picker
 }
 
 func (s *Scenario) class(name string) *Class {
--- a/internal/policy/replay/world.go
+++ b/internal/policy/replay/world.go
@@ -11,8 +11,6 @@
 const (
 	// tick is how often an entry looks for requests that have become late.
 	tick = 10 * time.Millisecond
-	// maxAttempts bounds how often one request is sent to an engine.
-	maxAttempts = 4
 	// dialTimeout is how long an entry waits for an engine that it cannot reach.
 	dialTimeout = 250 * time.Millisecond
 	// bytesPerToken turns a prompt into bytes on the link.
@@ -44,9 +42,10 @@
 // entry is one entry process: the real dispatch core and what it waits for.
 type entry struct {
 	Site
-	world *world
-	core  *dispatch.Dispatcher
-	calls map[*chicoryrock.Request]*call
+	world   *world
+	core    *dispatch.Dispatcher
+	retrier Retrier
+	calls   map[*chicoryrock.Request]*call
 }
 
 // call is one request on its way through an entry.
@@ -56,7 +55,9 @@
 	request *chicoryrock.Request
 	entry   *entry
 	comings int
-	tries   int
+	due     time.Time // target for the first token
+	sent    int       // attempts that failed, without those that full agents turned away
+	turned  int
 	has     int           // tokens that the caller has
 	first   time.Duration // when the first one reached it
 	last    time.Duration
@@ -85,9 +86,10 @@
 
 func (w *world) newEntry(i int, policy *Policy) *entry {
 	e := &entry{
-		Site:  w.scenario.Entries[i],
-		world: w,
-		calls: make(map[*chicoryrock.Request]*call),
+		Site:    w.scenario.Entries[i],
+		world:   w,
+		calls:   make(map[*chicoryrock.Request]*call),
+		retrier: policy.Retrier(),
 		core: &dispatch.Dispatcher{
 			NewQueue: func(pool string) chicoryrock.Queue { return policy.Queue(w.scenario, pool) },
 			Picker:   policy.Picker(w.scenario, i),
@@ -172,6 +174,8 @@
 		Prefix:    record.Prefix,
 		Repeat:    class.Repeat,
 	}
+	c.due = c.request.Deadline
+	e.retrier.Fresh(now)
 	w.report.arrived(c, number)
 	e.offer(now, c)
 }
--- /dev/null
+++ b/internal/policy/retry/retry.go
@@ -0,0 +1,143 @@
+// Package retry decides whether a call that failed on one backend server is sent
+// to another. A call that certainly did not run may go elsewhere; one that may
+// have begun goes elsewhere only when it is idempotent; a stream that broke off
+// goes on after the last token that the caller has.
+package retry
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	// maxSent bounds how often a call is sent to a replica that fails it.
+	maxSent = 4
+	// maxTurned bounds how often a call is turned away by agents that are full.
+	// Its deadline ends it earlier in most cases.
+	maxTurned = 64
+)
+
+// Action is what becomes of a call after a failed attempt.
+type Action int
+
+// The actions.
+const (
+	// Fail ends the call; the verdict's reason says why.
+	Fail Action = iota
+	// Elsewhere sends the call again from its start.
+	Elsewhere
+	// Resume sends the call again, to be continued after the tokens of Verdict.From.
+	Resume
+)
+
+// Attempt is what is known of a call when an attempt has failed.
+type Attempt struct {
+	Request *chicoryrock.Request
+	Err     error         // of which chicoryrock.ErrNotRun is told apart from all others
+	Full    bool          // the agent said that it has no room; only with ErrNotRun
+	Sent    int           // attempts so far, without those that full agents turned away
+	Turned  int           // attempts that full agents turned away
+	Tokens  int           // output tokens that the caller has
+	Started bool          // the caller has the beginning of the answer
+	Save    bool          // the pool's engines can resume a stream
+	Usual   time.Duration // usual time from sending to the first token; zero when unknown
+}
+
+// Verdict is what to do after a failed attempt.
+type Verdict struct {
+	Action   Action
+	From     int                // tokens that the caller has, for Resume
+	Deadline time.Time          // of the request from now on, unless the action is Fail
+	Reason   chicoryrock.Reason // for Fail
+}
+
+// Retrier decides on retries. It is not safe for concurrent use.
+type Retrier struct {
+	Budget Budget
+}
+
+// Fresh counts one call that came from a caller.
+func (r *Retrier) Fresh(now time.Time) { r.Budget.Fresh(now) }
+
+// Decide says what becomes of a call after a failed attempt.
+func (r *Retrier) Decide(now time.Time, attempt Attempt) Verdict {
+	if errors.Is(attempt.Err, chicoryrock.ErrNotRun) && !attempt.Started {
+		return r.notRun(now, &attempt)
+	}
+	switch {
+	case !attempt.Request.Repeat:
+		return failed(&attempt)
+	case attempt.Started:
+		return r.resume(now, &attempt)
+	case !intime(now, &attempt) || attempt.Sent >= maxSent || !r.Budget.Take(now):
+		return failed(&attempt)
+	default:
+		return Verdict{Action: Elsewhere, Deadline: attempt.Request.Deadline}
+	}
+}
+
+// notRun handles calls that never began. To be turned away by a full agent costs
+// nothing but a message, so it uses no budget: the call waits its turn again. A
+// replica that can't be reached may be one of many, and sending each call to one
+// after another of them would be the storm that the budget is there to prevent.
+func (r *Retrier) notRun(now time.Time, attempt *Attempt) Verdict {
+	again := Verdict{Action: Elsewhere, Deadline: attempt.Request.Deadline}
+	switch {
+	case !now.Before(attempt.Request.Deadline):
+		return Verdict{Reason: chicoryrock.ReasonLate}
+	case attempt.Full && attempt.Turned < maxTurned:
+		return again
+	case attempt.Full || attempt.Sent >= maxSent || !r.Budget.Take(now):
+		return Verdict{Reason: chicoryrock.ReasonRetries}
+	default:
+		return again
+	}
+}
+
+// resume continues a stream. The target for its first token has been met or
+// missed already, so the stream gets the same time once more to go on.
+func (r *Retrier) resume(now time.Time, attempt *Attempt) Verdict {
+	if !attempt.Save || attempt.Tokens == 0 {
+		return failed(attempt)
+	}
+	if attempt.Full && attempt.Turned < maxTurned {
+		return Verdict{Action: Resume, From: attempt.Tokens, Deadline: attempt.Request.Deadline}
+	}
+	if attempt.Full || attempt.Sent >= maxSent || !r.Budget.Take(now) {
+		return failed(attempt)
+	}
+	target := attempt.Request.Deadline.Sub(attempt.Request.Arrived)
+	return Verdict{Action: Resume, From: attempt.Tokens, Deadline: now.Add(target)}
+}
+
+// Hedge says whether a second copy of a call that has had no answer yet may be
+// sent to another replica. Elapsed is the time since it was sent. Hedges are the
+// first thing to stop when the budget runs low.
+func (r *Retrier) Hedge(now time.Time, attempt Attempt, elapsed time.Duration) bool {
+	if !attempt.Request.Repeat || attempt.Started || attempt.Tokens > 0 || attempt.Usual == 0 {
+		return false
+	}
+	if elapsed < hedgeFactor*attempt.Usual || !intime(now, &attempt) {
+		return false
+	}
+	return r.Budget.Left(now) > r.Budget.burst()/2 && r.Budget.Take(now)
+}
+
+// hedgeFactor is how many times the usual time a call waits before it is hedged.
+const hedgeFactor = 3
+
+// intime says whether a call sent now can still meet its target.
+func intime(now time.Time, attempt *Attempt) bool {
+	return now.Add(attempt.Usual).Before(attempt.Request.Deadline)
+}
+
+// failed is the verdict on a call that may have begun.
+func failed(attempt *Attempt) Verdict {
+	if attempt.Started {
+		return Verdict{Reason: chicoryrock.ReasonBroken}
+	}
+	return Verdict{Reason: chicoryrock.ReasonUnknownOutcome}
+}
--- a/request.go
+++ b/request.go
@@ -33,6 +33,7 @@
 	Waiting int       // as last reported by the agent
 	Others  int       // of Running and Waiting, those that were not this entry's
 	Open    int       // requests of this entry not yet answered
+	Full    int       // reports in a row that said it has no room
 	Seen    time.Time // when the agent was last heard
 	Leaving bool      // gets no new work
 	New     bool      // joined while this entry was running; gets work step by step
