Find requests that crash engines and refuse them at the second crash

Change: internal/policy/suspect keeps, by fingerprint (a cryptographic hash of workspace and body), at which crashes a request was in flight. One crash makes a suspect, which may run alone only; two refuse it. A clean run alone clears it. A request that was alone at its second crash is proven, and those that were with it at the first are clean at once. Updates merge in any order, so entries can exchange them freely. What was seen expires, and each workspace has a bounded part of the memory.

Ruled out: a fast hash without cryptography, with which one workspace could build a request with another's fingerprint; suspects in company, which cannot tell two of them apart at the second crash; counting broken connections as crashes, which would blame requests for a cut link.

Seen failing first: three crashes needed, no clearing, a crash counted for each report, no clearing by a proven culprit, no expiry, the later report's time or flag wins, one memory bound for all workspaces, a hash in which workspace and body run together.

Not covered: a request whose body its caller changes a little each time.

--- /dev/null
+++ b/internal/policy/suspect/suspect.go
@@ -0,0 +1,209 @@
+// Package suspect finds requests that crash engines. Every request that was in
+// flight at a crash is a suspect. A suspect runs alone or not at all, so that a
+// second crash has one suspect only. A request that was seen at two crashes is
+// refused everywhere: entries exchange what they saw and merge it.
+package suspect
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	// expiry is how long what was seen counts. It bounds how long a request can be
+	// refused that was only twice in bad company.
+	expiry = 10 * time.Minute
+	// provenExpiry is how long it counts when the request was alone at a crash.
+	provenExpiry = time.Hour
+	// maxCrashes is how many crashes are kept of one request.
+	maxCrashes = 4
+	// maxPrints is how many requests are kept of one workspace, so that none can
+	// push out what was seen of another's.
+	maxPrints = 512
+)
+
+// Fingerprint identifies a request by its workspace and body. It is cryptographic
+// so that no workspace can make a request that has another's fingerprint.
+type Fingerprint [16]byte
+
+// Of returns the fingerprint of a request.
+func Of(workspace string, body []byte) Fingerprint {
+	hash := sha256.New()
+	name := sha256.Sum256([]byte(workspace))
+	// A hash takes all that is written to it.
+	_, _ = hash.Write(name[:])
+	_, _ = hash.Write(body)
+	return Fingerprint(hash.Sum(nil))
+}
+
+// MarshalText implements encoding.TextMarshaler: lower-case hex.
+func (f Fingerprint) MarshalText() ([]byte, error) {
+	return hex.AppendEncode(nil, f[:]), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler. Error:
+// chicoryrock.ErrInvalid.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	decoded, err := hex.DecodeString(string(text))
+	if err != nil || len(decoded) != len(f) {
+		return errors.Wrap(chicoryrock.ErrInvalid, "not a fingerprint")
+	}
+	copy(f[:], decoded)
+	return nil
+}
+
+// Crash identifies one crash of one engine: the replica's name and which of its
+// crashes it was, as the agent counts them. A connection that was only cut is no
+// crash.
+type Crash string
+
+// Sighting is that a request was in flight at a crash.
+type Sighting struct {
+	Workspace string      `json:"workspace"`
+	Print     Fingerprint `json:"print"`
+	Crash     Crash       `json:"crash"`
+	At        time.Time   `json:"at"`
+	Alone     bool        `json:"alone,omitempty"` // nothing else ran on the engine
+}
+
+// Clearing is that a request ran well, and alone, after it had been seen at a crash.
+type Clearing struct {
+	Workspace string      `json:"workspace"`
+	Print     Fingerprint `json:"print"`
+	At        time.Time   `json:"at"`
+}
+
+// Update is what entries send to each other. To merge an update twice, or several
+// in any order, gives the same.
+type Update struct {
+	Seen    []Sighting `json:"seen,omitempty"`
+	Cleared []Clearing `json:"cleared,omitempty"`
+}
+
+// State is what may be done with a request.
+type State int
+
+// The states of a request.
+const (
+	// Clean requests run as usual.
+	Clean State = iota
+	// Suspect requests run alone or not at all.
+	Suspect
+	// Refused requests do not run.
+	Refused
+)
+
+// Registry is what one entry knows of suspects. The zero value is ready for use.
+// It is not safe for concurrent use.
+type Registry struct {
+	workspaces map[string]map[Fingerprint]*record
+}
+
+// record is what is known of one request.
+type record struct {
+	seen    []Sighting // of different crashes, in order of time
+	cleared time.Time
+}
+
+// Crashed takes in a crash, once for each request of this entry that was in
+// flight. The update is to be sent to the other entries.
+func (r *Registry) Crashed(now time.Time, sighting Sighting) Update {
+	sighting.At = now
+	update := Update{Seen: []Sighting{sighting}}
+	r.Merge(now, update)
+	return update
+}
+
+// Cleared takes in that a suspect ran alone and ended well. The update is to be
+// sent to the other entries.
+func (r *Registry) Cleared(now time.Time, workspace string, fingerprint Fingerprint) Update {
+	update := Update{Cleared: []Clearing{{Workspace: workspace, Print: fingerprint, At: now}}}
+	r.Merge(now, update)
+	return update
+}
+
+// Known says whether anything is known of a workspace's requests. When not, no
+// fingerprint needs to be taken.
+func (r *Registry) Known(workspace string) bool { return len(r.workspaces[workspace]) > 0 }
+
+// State says what may be done with a request.
+func (r *Registry) State(now time.Time, workspace string, fingerprint Fingerprint) State {
+	rec := r.workspaces[workspace][fingerprint]
+	if rec == nil {
+		return Clean
+	}
+	switch count := r.counted(now, rec); {
+	case count >= 2:
+		return Refused
+	case count == 1:
+		return Suspect
+	default:
+		return Clean
+	}
+}
+
+// counted returns at how many crashes a request was seen that still count and
+// that no other request is proven to have caused.
+func (r *Registry) counted(now time.Time, rec *record) int {
+	proven := rec.proven(now)
+	count := 0
+	for i := range rec.seen {
+		if rec.counts(now, &rec.seen[i]) && (proven || !r.explained(now, rec, rec.seen[i].Crash)) {
+			count++
+		}
+	}
+	return count
+}
+
+// explained says whether a request other than this one is proven to crash engines
+// and was in flight at a crash.
+func (r *Registry) explained(now time.Time, but *record, crash Crash) bool {
+	for _, prints := range r.workspaces {
+		for _, rec := range prints {
+			if rec != but && rec.at(crash) != nil && rec.proven(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// proven says whether a request was seen at two crashes, and alone at one.
+func (rec *record) proven(now time.Time) bool {
+	count, alone := 0, false
+	for i := range rec.seen {
+		if rec.counts(now, &rec.seen[i]) {
+			count++
+			alone = alone || rec.seen[i].Alone
+		}
+	}
+	return count >= 2 && alone
+}
+
+// counts says whether a sighting is neither too old nor followed by a clean run.
+func (rec *record) counts(now time.Time, sighting *Sighting) bool {
+	return sighting.At.After(rec.cleared) && now.Sub(sighting.At) < rec.lasts()
+}
+
+func (rec *record) lasts() time.Duration {
+	for i := range rec.seen {
+		if rec.seen[i].Alone && rec.seen[i].At.After(rec.cleared) {
+			return provenExpiry
+		}
+	}
+	return expiry
+}
+
+func (rec *record) at(crash Crash) *Sighting {
+	for i := range rec.seen {
+		if rec.seen[i].Crash == crash {
+			return &rec.seen[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/policy/suspect/suspect_test.go
@@ -0,0 +1,209 @@
+package suspect_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
+)
+
+var start = time.Date(2026, time.January, 5, 6, 0, 0, 0, time.UTC)
+
+// TestMain fixes the seed of the properties. A longer run, with RAPID_CHECKS set,
+// draws one of its own.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("RAPID_SEED") == "" && os.Getenv("RAPID_CHECKS") == "" {
+		if err := flag.Set("rapid.seed", "1"); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// seen builds a sighting of a workspace's request, named by its body.
+func seen(workspace, body, crash string, alone bool) suspect.Sighting {
+	return suspect.Sighting{
+		Workspace: workspace,
+		Print:     suspect.Of(workspace, []byte(body)),
+		Crash:     suspect.Crash(crash),
+		Alone:     alone,
+	}
+}
+
+func expectState(t *testing.T, r *suspect.Registry, now time.Time, body string, want suspect.State) {
+	t.Helper()
+	assert.Equal(t, want, r.State(now, "a", suspect.Of("a", []byte(body))), body)
+}
+
+func TestTwoCrashesRefuseEverywhere(t *testing.T) {
+	var first, second suspect.Registry
+	expectState(t, &first, start, "x", suspect.Clean)
+	second.Merge(start, first.Crashed(start, seen("a", "x", "vm-1/1", false)))
+	expectState(t, &first, start, "x", suspect.Suspect)
+	expectState(t, &second, start, "x", suspect.Suspect)
+	first.Merge(start, second.Crashed(start.Add(time.Second), seen("a", "x", "vm-2/1", true)))
+	expectState(t, &first, start.Add(time.Second), "x", suspect.Refused)
+	expectState(t, &second, start.Add(time.Second), "x", suspect.Refused)
+	expectState(t, &second, start.Add(time.Second), "y", suspect.Clean)
+	assert.Equal(t, suspect.Clean, second.State(start.Add(time.Second), "b", suspect.Of("b", []byte("x"))), "another workspace's call with the same body")
+	assert.NotEqual(t, suspect.Of("a", []byte("bx")), suspect.Of("ab", []byte("x")))
+}
+
+func TestOneCrashCountsOnce(t *testing.T) {
+	var r suspect.Registry
+	r.Crashed(start, seen("a", "x", "vm-1/1", false))
+	r.Crashed(start.Add(time.Second), seen("a", "x", "vm-1/1", false))
+	expectState(t, &r, start.Add(time.Second), "x", suspect.Suspect)
+}
+
+func TestCleanRunAloneClears(t *testing.T) {
+	var r, other suspect.Registry
+	r.Crashed(start, seen("a", "x", "vm-1/1", false))
+	other.Merge(start, r.Export())
+	other.Merge(start, r.Cleared(start.Add(time.Second), "a", suspect.Of("a", []byte("x"))))
+	expectState(t, &other, start.Add(time.Second), "x", suspect.Clean)
+	r.Crashed(start.Add(time.Minute), seen("a", "x", "vm-1/2", false))
+	expectState(t, &r, start.Add(time.Minute), "x", suspect.Suspect)
+}
+
+// Once a request is proven to crash engines, those that were with it are clean.
+func TestProvenCulpritClearsOthers(t *testing.T) {
+	var r suspect.Registry
+	for _, body := range []string{"bad", "x", "y"} {
+		r.Crashed(start, seen("a", body, "vm-1/1", false))
+	}
+	r.Crashed(start.Add(time.Second), seen("a", "bad", "vm-2/1", true))
+	expectState(t, &r, start.Add(time.Second), "bad", suspect.Refused)
+	expectState(t, &r, start.Add(time.Second), "x", suspect.Clean)
+	expectState(t, &r, start.Add(time.Second), "y", suspect.Clean)
+}
+
+// A workspace that crashes engines again and again cannot get another's request
+// refused for longer than the evidence counts.
+func TestNobodyIsRefusedForGood(t *testing.T) {
+	var r suspect.Registry
+	r.Crashed(start, seen("a", "x", "vm-1/1", false))
+	r.Crashed(start.Add(time.Second), seen("a", "x", "vm-2/1", false))
+	expectState(t, &r, start.Add(9*time.Minute), "x", suspect.Refused)
+	expectState(t, &r, start.Add(11*time.Minute), "x", suspect.Clean)
+	r.Merge(start.Add(2*time.Hour), suspect.Update{})
+	assert.False(t, r.Known("a"), "nothing is kept")
+}
+
+func TestOneWorkspaceCannotPushOutAnother(t *testing.T) {
+	var r suspect.Registry
+	r.Crashed(start, seen("a", "x", "vm-1/1", false))
+	for i := range 2000 {
+		now := start.Add(time.Duration(i+1) * time.Millisecond)
+		r.Crashed(now, seen("flood", fmt.Sprint(i), "vm-1/2", false))
+	}
+	expectState(t, &r, start.Add(3*time.Second), "x", suspect.Suspect)
+	assert.LessOrEqual(t, len(r.Export().Seen), 513)
+}
+
+func TestUpdateSurvivesJSON(t *testing.T) {
+	var r, other suspect.Registry
+	r.Crashed(start, seen("a", "x", "vm-1/1", false))
+	r.Cleared(start, "a", suspect.Of("a", []byte("y")))
+	data, err := json.Marshal(r.Export())
+	require.NoError(t, err)
+	var update suspect.Update
+	require.NoError(t, json.Unmarshal(data, &update))
+	other.Merge(start, update)
+	assert.Equal(t, r.Export(), other.Export())
+	assert.Error(t, json.Unmarshal([]byte(`{"seen":[{"print":"zz"}]}`), &update))
+}
+
+// Entries that got the same updates, in whatever order and however often, know
+// the same.
+func TestMergeInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var updates []suspect.Update
+		for range rapid.IntRange(1, 12).Draw(t, "updates") {
+			body := rapid.SampledFrom([]string{"x", "y"}).Draw(t, "body")
+			at := start.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "at")) * time.Second)
+			if rapid.IntRange(0, 3).Draw(t, "clear") == 0 {
+				updates = append(updates, suspect.Update{Cleared: []suspect.Clearing{{Workspace: "a", Print: suspect.Of("a", []byte(body)), At: at}}})
+				continue
+			}
+			s := seen("a", body, rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "crash"), rapid.Bool().Draw(t, "alone"))
+			s.At = at
+			updates = append(updates, suspect.Update{Seen: []suspect.Sighting{s}})
+		}
+		var one, two suspect.Registry
+		for _, update := range updates {
+			one.Merge(start, update)
+		}
+		for _, update := range rapid.Permutation(append(updates, updates...)).Draw(t, "order") {
+			two.Merge(start, update)
+		}
+		assert.Equal(t, one.Export(), two.Export())
+		for _, body := range []string{"x", "y"} {
+			fingerprint := suspect.Of("a", []byte(body))
+			now := start.Add(2 * time.Minute)
+			assert.Equal(t, one.State(now, "a", fingerprint), two.State(now, "a", fingerprint))
+		}
+	})
+}
+
+// Three entries send requests to engines as their state allows. One request
+// crashes every engine that runs it. It crashes two at the most, is then refused
+// at each entry, and no other request is ever refused.
+func TestPoisonIsFoundAfterTwoCrashes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var entries [3]suspect.Registry
+		share := func(now time.Time, update suspect.Update) {
+			for i := range entries {
+				entries[i].Merge(now, update)
+			}
+		}
+		bodies := []string{"poison", "b", "c", "d", "e"}
+		crashes := 0
+		for round := range rapid.IntRange(1, 20).Draw(t, "rounds") {
+			now := start.Add(time.Duration(round) * time.Second)
+			entry := &entries[rapid.IntRange(0, 2).Draw(t, "entry")]
+			var together, alone []string
+			for _, body := range bodies {
+				if !rapid.Bool().Draw(t, "called") {
+					continue
+				}
+				switch entry.State(now, "a", suspect.Of("a", []byte(body))) {
+				case suspect.Clean:
+					together = append(together, body)
+				case suspect.Suspect:
+					alone = append(alone, body)
+				case suspect.Refused:
+					if body != "poison" {
+						t.Fatalf("%s is refused", body)
+					}
+				}
+			}
+			for i, body := range alone {
+				if body != "poison" {
+					share(now, entry.Cleared(now, "a", suspect.Of("a", []byte(body))))
+					continue
+				}
+				crashes++
+				share(now, entry.Crashed(now, seen("a", body, fmt.Sprintf("alone-%d-%d/1", round, i), true)))
+			}
+			if len(together) > 0 && together[0] == "poison" {
+				crashes++
+				for _, body := range together {
+					share(now, entry.Crashed(now, seen("a", body, fmt.Sprintf("together-%d/1", round), false)))
+				}
+			}
+			if crashes > 2 {
+				t.Fatal("a third crash")
+			}
+		}
+	})
+}
