Cross to the other region also while others miss their targets here

Cause: a request crossed the link only in the last quarter of its own target. Behind the queue by tiers the head of the queue is seldom that late, so one region could miss targets while the other had room.

Change: dispatchers tell the picker when a request was refused or given up as late. For a second after that, requests cross when the other region has room, unless their document takes the link for too long. The replay knows the router's queue, and a policy with all of the router's parts.

Seen failing first: no relief, no bound on the other region's load, long documents crossing, crossing too late, relief when nothing was missed.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -82,6 +82,9 @@
 	}
 	target := d.pool(request.Pool)
 	displaced, reason := target.queue.Push(now, request)
+	if reason == chicoryrock.ReasonLate {
+		d.missed(now, request.Pool)
+	}
 	if displaced != nil {
 		delete(target.tried, displaced.ID)
 	}
@@ -110,6 +113,7 @@
 		for _, request := range d.pools[name].queue.Expire(now) {
 			delete(d.pools[name].tried, request.ID)
 			late = append(late, request)
+			d.missed(now, name)
 		}
 	}
 	return late
@@ -142,6 +146,13 @@
 	known.Seen = now
 }
 
+// missed tells the picker that targets are being missed, if it learns from that.
+func (d *Dispatcher) missed(now time.Time, poolName string) {
+	if observer, learns := d.Picker.(chicoryrock.Observer); learns {
+		observer.Missed(now, poolName)
+	}
+}
+
 // Observe passes on what this entry measured itself on a replica, if the picker
 // learns from it.
 func (d *Dispatcher) Observe(now time.Time, poolName, replica string, seen chicoryrock.Observation) {
--- a/internal/policy/pick/health.go
+++ b/internal/policy/pick/health.go
@@ -43,6 +43,7 @@
 	measured time.Time // when the medians were last set
 	down     int       // replicas that are suspended
 	due      time.Time // no probe is due before
+	missed   time.Time // when a request was last given up as late
 }
 
 // health is what the picker has learned of one replica from its answers.
@@ -95,6 +96,9 @@
 	return h
 }
 
+// Missed implements chicoryrock.Observer.
+func (p *Picker) Missed(now time.Time, pool string) { p.pool(pool).missed = now }
+
 // Observe implements chicoryrock.Observer.
 func (p *Picker) Observe(now time.Time, poolName, replica string, seen chicoryrock.Observation) {
 	t := p.pool(poolName)
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -68,8 +68,8 @@
 	target := p.pool(request.Pool)
 	near, region := p.bounds(replicas)
 	best := p.nearby(now, target, request, replicas, near, region)
-	if !best.found() && p.mayCross(now, target, request, replicas[:region]) {
-		best = p.best(now, target, replicas, region, len(replicas))
+	if !best.found() {
+		best = p.far(now, target, request, replicas, region)
 	}
 	if !best.found() {
 		return 0, false
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -62,14 +62,19 @@
 		full   string // centres that are full
 		wait   time.Duration
 		prompt int
+		missed bool // others miss their targets here
 		want   string
 	}{
-		{"own centre", "", 0, 100, "c0"},
-		{"own region when the centre is full", "c0", 0, 100, "region"},
-		{"wait before crossing", "c0 c1 c2", 0, 100, ""},
-		{"cross before the target is missed", "c0 c1 c2", 340 * time.Millisecond, 100, "far"},
-		{"too late to cross", "c0 c1 c2", 395 * time.Millisecond, 100, ""},
-		{"a document takes too long to cross", "c0 c1 c2", 340 * time.Millisecond, 100_000, ""},
+		{"own centre", "", 0, 100, false, "c0"},
+		{"own region when the centre is full", "c0", 0, 100, true, "region"},
+		{"wait before crossing", "c0 c1 c2", 0, 100, false, ""},
+		{"cross before the target is missed", "c0 c1 c2", 340 * time.Millisecond, 100, false, "far"},
+		{"too late to cross", "c0 c1 c2", 395 * time.Millisecond, 100, true, ""},
+		{"a document takes too long to cross", "c0 c1 c2", 340 * time.Millisecond, 100_000, true, ""},
+		{"cross while others miss theirs", "c0 c1 c2", 0, 100, true, "far"},
+		{"a document stays even then", "c0 c1 c2", 0, 30_000, true, ""},
+		{"nowhere to cross to", "c0 c1 c2 c3 c4", 0, 100, true, ""},
+		{"the other region has little room", "c0 c1 c2 busy", 0, 100, true, ""},
 	}
 	for _, test := range tests {
 		p := newPicker(1)
@@ -83,8 +88,13 @@
 			}
 			if strings.Contains(test.full, replicas[i].Centre) {
 				replicas[i].Others = 16
+			} else if strings.Contains(test.full, "busy") {
+				replicas[i].Others = 14
 			}
 		}
+		if test.missed {
+			p.Missed(now, "small")
+		}
 		r := request()
 		r.Prompt = test.prompt
 		at, found := p.Pick(now, r, replicas)
--- a/internal/policy/pick/place.go
+++ b/internal/policy/pick/place.go
@@ -21,6 +21,10 @@
 	linkRate = 1e6
 	// crossWindow is the last part of a request's target in which it may cross.
 	crossWindow = 0.25
+	// missedWindow is how long a missed target makes requests cross.
+	missedWindow = time.Second
+	// farBound is the utilization up to which the other region has room.
+	farBound = 0.8
 	// window is how many neighbours on the ring a prefix is mapped to.
 	window = 8
 )
@@ -81,19 +85,53 @@
 	return near, region
 }
 
-// mayCross says whether a request may go to the other region: no replica of the
-// own region is left, or waiting longer here would miss the target while crossing
-// still meets it. A long document takes so long on the link that a short target
-// is missed there too; then it stays.
-func (p *Picker) mayCross(now time.Time, t *pool, request *chicoryrock.Request, own []chicoryrock.Replica) bool {
+// far returns the best replica of the other region when the request may cross.
+func (p *Picker) far(now time.Time, t *pool, request *chicoryrock.Request, replicas []chicoryrock.Replica, region int) candidate {
+	reason := t.mayCross(now, request, replicas[:region])
+	if reason == stay {
+		return none
+	}
+	best := p.best(now, t, replicas, region, len(replicas))
+	if reason == relieve && best.load > farBound {
+		return none
+	}
+	return best
+}
+
+// crossing is why a request may go to the other region.
+type crossing int
+
+const (
+	// stay: it may not.
+	stay crossing = iota
+	// rescue: it would miss its target here, or nothing is left here.
+	rescue
+	// relieve: others miss their targets here.
+	relieve
+)
+
+// mayCross says whether a request may go to the other region. It may when no
+// replica of the own region is left, when waiting longer would miss its target
+// while crossing still meets it, and, if the other region has room, while
+// requests of this pool miss their targets here. A long document takes so long on
+// the link that little is gained; it stays.
+func (t *pool) mayCross(now time.Time, request *chicoryrock.Request, own []chicoryrock.Replica) crossing {
 	if !t.anyUp(own) {
-		return true
+		return rescue
 	}
 	transfer := time.Duration(float64(request.Prompt*bytesPerToken) / linkRate * float64(time.Second))
-	cost := farDelay + transfer + t.first
-	left := request.Deadline.Sub(now)
 	patience := time.Duration(crossWindow * float64(request.Deadline.Sub(request.Arrived)))
-	return left >= cost && left <= cost+patience
+	spare := request.Deadline.Sub(now) - farDelay - transfer - t.first
+	switch {
+	case spare < 0 || transfer > patience:
+		return stay
+	case spare <= patience:
+		return rescue
+	case !t.missed.IsZero() && now.Sub(t.missed) < missedWindow:
+		return relieve
+	default:
+		return stay
+	}
 }
 
 func (t *pool) anyUp(replicas []chicoryrock.Replica) bool {
--- a/internal/policy/replay/policies.go
+++ b/internal/policy/replay/policies.go
@@ -9,6 +9,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/baseline"
 	"github.com/chicoryrock/chicoryrock/internal/policy/pick"
+	"github.com/chicoryrock/chicoryrock/internal/policy/queue"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 )
 
@@ -36,6 +37,26 @@
 	return Policy{Name: "pick", Queue: fifo, Picker: newPicker, Retrier: newRetrier}
 }
 
+// Router returns all of the router's own decisions.
+func Router() Policy {
+	return Policy{Name: "router", Queue: newQueue, Picker: newPicker, Retrier: newRetrier}
+}
+
+// All returns every policy, the plain ones first.
+func All() []Policy { return append(Baselines(), Picking(), Router()) }
+
+// newQueue gives an entry's queue the floors and shares of the scenario.
+func newQueue(scenario *Scenario, _ string) chicoryrock.Queue {
+	floors := make(map[string]float64)
+	for i := range scenario.Classes {
+		floors[scenario.Classes[i].Name] = scenario.Classes[i].Floor
+	}
+	return &queue.Queue{Limit: queueLimit, Floors: floors, Shares: scenario.Shares}
+}
+
+// queueLimit is the most requests that wait in the shared room of one entry.
+const queueLimit = 200
+
 func fifo(*Scenario, string) chicoryrock.Queue { return &baseline.Queue{} }
 
 // newPicker gives each entry a seed of its own.
--- a/internal/policy/replay/replay_test.go
+++ b/internal/policy/replay/replay_test.go
@@ -61,7 +61,7 @@
 // for any policy: nothing is counted twice or lost.
 func TestBaselines(t *testing.T) {
 	for _, scenario := range replay.Scenarios() {
-		for _, policy := range append(replay.Baselines(), replay.Picking()) {
+		for _, policy := range replay.All() {
 			report := replay.Run(load(t, scenario.Name), &policy)
 			t.Log(report.String())
 			assert.LessOrEqual(t, report.Good, report.Made)
--- a/request.go
+++ b/request.go
@@ -60,6 +60,8 @@
 type Observer interface {
 	// Observe takes in one observation on a replica of a pool.
 	Observe(now time.Time, pool, replica string, seen Observation)
+	// Missed says that a waiting request of a pool was given up as late.
+	Missed(now time.Time, pool string)
 	// Arrange puts a pool's replicas into the order that Pick expects.
 	Arrange(replicas []Replica)
 }
