--- a/request.go
+++ b/request.go
@@ -33,6 +33,7 @@
 	Waiting int       // as last reported by the agent
 	Others  int       // of Running and Waiting, those that were not this entry's
 	Open    int       // requests of this entry not yet answered
+	Full    int       // reports in a row that said it has no room
 	Seen    time.Time // when the agent was last heard
 	Leaving bool      // gets no new work
 	New     bool      // joined while this entry was running; gets work step by step
@@ -59,6 +60,8 @@
 type Observer interface {
 	// Observe takes in one observation on a replica of a pool.
 	Observe(now time.Time, pool, replica string, seen Observation)
+	// Missed says that a waiting request of a pool was given up as late.
+	Missed(now time.Time, pool string)
 	// Arrange puts a pool's replicas into the order that Pick expects.
 	Arrange(replicas []Replica)
 }
