Claim calls that may not be repeated in the platform's store

Cause: a booking that its caller sends again, perhaps to another entry, ran again. Nothing shared said that its idempotency key was in use.

Ruled out: one store key per call (two writes a booking and no end to the keys); a claim that its holder deletes when done (a resend an hour later would run); leases on the claims (they vanish in an outage of the store).

A lost answer is read back by applying the same operations again; each names its request, so what took effect is recognised. A release always writes, so that a claim still on its way cannot take effect after it. Seen is the agent's own memory of the calls that it let through.

Not proved: a pause of nearly 24 h between the last check of a claim's age and the first byte of the call.

--- /dev/null
+++ b/internal/state/claim/claim_test.go
@@ -0,0 +1,205 @@
+package claim
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+var (
+	clock      = time.Date(2026, time.March, 1, 4, 0, 0, 0, time.UTC)
+	background = context.Background()
+)
+
+// held is a call that an entry may run, or a finding that it has yet to write.
+type held struct {
+	key int
+	op  Op
+}
+
+// machine lets entries race for a few keys of one shard. Its oracle counts how
+// often the backend server ran each key.
+type machine struct {
+	store *memory
+	now   time.Time
+	ids   int
+	ready []held // claimed, not yet run
+	ended []held // what the entries have yet to write
+	runs  map[int]int
+}
+
+const shard = Prefix + "00"
+
+func (m *machine) call(t *rapid.T) {
+	key := rapid.IntRange(0, 1).Draw(t, "key")
+	m.ids++
+	op := Op{Action: ActionTake, Key: fmt.Sprint(key), Body: "b", ID: fmt.Sprint("r", m.ids)}
+	results, err := Commit(background, m.now, m.store, shard, []Op{op})
+	switch {
+	case errors.Is(err, chicoryrock.ErrUnknownOutcome):
+		op.Action = ActionRelease
+		m.ended = append(m.ended, held{key, op})
+	case err != nil:
+		require.ErrorIs(t, err, chicoryrock.ErrUnavailable)
+	case results[0].Verdict == VerdictTaken:
+		m.ready = append(m.ready, held{key, op})
+	default:
+		require.Equal(t, VerdictHeld, results[0].Verdict)
+	}
+}
+
+func (m *machine) race(t *rapid.T) { m.store.race = func() { m.call(t) } }
+
+func (m *machine) take(t *rapid.T, list *[]held) held {
+	if len(*list) == 0 {
+		t.Skip()
+	}
+	at := rapid.IntRange(0, len(*list)-1).Draw(t, "which")
+	one := (*list)[at]
+	*list = append((*list)[:at:at], (*list)[at+1:]...)
+	return one
+}
+
+// run lets the backend server run a claimed call, or never reach it.
+func (m *machine) run(t *rapid.T) {
+	one := m.take(t, &m.ready)
+	one.op.Action = rapid.SampledFrom([]Action{ActionFinish, ActionDoubt, ActionRelease}).Draw(t, "end")
+	if one.op.Action != ActionRelease {
+		m.runs[one.key]++
+	}
+	m.ended = append(m.ended, one)
+}
+
+func (m *machine) note(t *rapid.T) {
+	one := m.take(t, &m.ended)
+	if _, err := Commit(background, m.now, m.store, shard, []Op{one.op}); err != nil {
+		m.ended = append(m.ended, one)
+	}
+}
+
+func (m *machine) fail(t *rapid.T) {
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		m.store.down = true
+	case 1:
+		m.store.lost = rapid.IntRange(1, attempts).Draw(t, "lost")
+	case 2:
+		m.store.blind = 1
+	default:
+		m.store.late = rapid.SampledFrom([]int{1, attempts}).Draw(t, "late")
+	}
+}
+
+func TestRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &machine{store: newMemory(), now: clock, runs: map[int]int{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"call":  m.call,
+			"race":  m.race,
+			"run":   m.run,
+			"note":  m.note,
+			"fail":  m.fail,
+			"heal":  func(*rapid.T) { m.store.down, m.store.lost, m.store.late, m.store.blind = false, 0, 0, 0 },
+			"land":  func(*rapid.T) { m.store.land() },
+			"crash": func(t *rapid.T) { m.take(t, &m.ready) },
+			"die":   func(t *rapid.T) { m.take(t, &m.ended) },
+			"wait":  func(t *rapid.T) { m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "s")) * time.Second) },
+			"": func(t *rapid.T) {
+				for key, runs := range m.runs {
+					require.LessOrEqual(t, runs, 1, "key %d", key)
+				}
+			},
+		})
+	})
+}
+
+func take(key, body, id string) Op { return Op{Action: ActionTake, Key: key, Body: body, ID: id} }
+
+func expectVerdict(t *testing.T, store *memory, now time.Time, op Op, verdict Verdict, state State) {
+	t.Helper()
+	results, err := Commit(background, now, store, shard, []Op{op})
+	require.NoError(t, err)
+	require.Equal(t, verdict, results[0].Verdict)
+	if state != "" {
+		require.Equal(t, state, results[0].Claim.StateAt(now))
+	}
+}
+
+func TestSecondCallIsTold(t *testing.T) {
+	store := newMemory()
+	expectVerdict(t, store, clock, take("k", "b", "r1"), VerdictTaken, StateOpen)
+	expectVerdict(t, store, clock, take("k", "b", "r2"), VerdictHeld, StateOpen)
+	expectVerdict(t, store, clock, take("k", "other", "r2"), VerdictOther, "")
+	expectVerdict(t, store, clock.Add(RunLimit+1), take("k", "b", "r2"), VerdictHeld, StateUnknown)
+	expectVerdict(t, store, clock, Op{Action: ActionFinish, Key: "k", ID: "r1", Status: 201}, VerdictTaken, "")
+	expectVerdict(t, store, clock, take("k", "b", "r2"), VerdictHeld, StateDone)
+	expectVerdict(t, store, clock.Add(Expiry-1), take("k", "b", "r2"), VerdictHeld, StateDone)
+	expectVerdict(t, store, clock.Add(Expiry), take("k", "b", "r2"), VerdictTaken, StateOpen)
+}
+
+// A claim still on its way to the store must not take effect after its release.
+func TestReleaseStopsLateClaim(t *testing.T) {
+	store := newMemory()
+	store.late = attempts
+	_, err := Commit(background, clock, store, shard, []Op{take("k", "b", "r1")})
+	require.ErrorIs(t, err, chicoryrock.ErrUnknownOutcome)
+	expectVerdict(t, store, clock, Op{Action: ActionRelease, Key: "k", ID: "r1"}, VerdictTaken, "")
+	store.land()
+	expectVerdict(t, store, clock, take("k", "b", "r2"), VerdictTaken, StateOpen)
+}
+
+func TestFullShardClaimsNothing(t *testing.T) {
+	store := newMemory()
+	var ops []Op
+	for i := range MaxClaims {
+		ops = append(ops, take(fmt.Sprintf("%022d", i), fmt.Sprintf("%022d", i), fmt.Sprintf("%026d", i)))
+	}
+	_, err := Commit(background, clock, store, shard, ops)
+	require.NoError(t, err)
+	require.EqualValues(t, 1, store.revision, "one write for the whole group")
+	require.Less(t, len(store.entries[shard].Value), 512<<10)
+	expectVerdict(t, store, clock, take("k", "b", "r"), VerdictFull, "")
+}
+
+func TestDigestsKeepPartsApart(t *testing.T) {
+	require.NotEqual(t, Key("a", "bc", "d"), Key("ab", "c", "d"))
+	require.NotEqual(t, Key("a", "b", "c"), Key("b", "a", "c"))
+	require.NotContains(t, Key("a", "b", "secret-key"), "secret")
+}
+
+func TestSeen(t *testing.T) {
+	seen := &Seen{}
+	require.True(t, seen.Begin(clock, "a"))
+	require.False(t, seen.Begin(clock, "a"))
+	seen.Forget("a")
+	require.True(t, seen.Begin(clock.Add(time.Second), "a"))
+	require.False(t, seen.Begin(clock.Add(Expiry), "a"), "the newer entry counts")
+	require.True(t, seen.Begin(clock.Add(Expiry+time.Second), "a"))
+	for i := range 2 * maxSeen {
+		seen.Begin(clock.Add(Expiry), fmt.Sprint(i))
+	}
+	require.LessOrEqual(t, len(seen.calls), maxSeen)
+}
+
+// TestMain gives the properties a fixed seed, so that each run has the same
+// verdict. A longer run, with RAPID_CHECKS set, draws a seed of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("RAPID_CHECKS") == "" {
+		fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "500", "rapid.steps": "60"}
+		for name, value := range fixed {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	m.Run()
+}
