--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -110,6 +110,10 @@
 		if request != victim && request.Class == victim.Class {
 			left++
 		}
+		// The third tier alone has a floor among those that can be stopped.
+		if request.Tier > victim.Tier && request.Repeat && o.countRunning(request.Class)-1 >= o.admission.Slots/5+1 {
+			t.Fatalf("preempted tier %d while tier %d ran", victim.Tier, request.Tier)
+		}
 	}
 	running := o.states[victim] == runs || o.states[victim] == started
 	if !higher || !running || !victim.Repeat || !o.admission.Save {
@@ -120,6 +124,16 @@
 	}
 }
 
+func (o *oracle) countRunning(class string) int {
+	count := 0
+	for _, request := range o.in(runs, started) {
+		if request.Class == class {
+			count++
+		}
+	}
+	return count
+}
+
 func (o *oracle) checkSlots(t *rapid.T) {
 	running := len(o.in(runs, started, stopped))
 	waiting := len(o.in(waits))
--- a/internal/policy/admit/preempt.go
+++ b/internal/policy/admit/preempt.go
@@ -11,7 +11,7 @@
 // being stopped goes to the next in the queue anyway, and a burst of a high tier
 // doesn't stop everything else in one moment.
 func (a *Admission) preempt(now time.Time, actions []Action) []Action {
-	if !a.Save || a.stopping > 0 || len(a.running) < a.Slots {
+	if a.stopping > 0 || len(a.running) < a.Slots {
 		return actions
 	}
 	next, found := a.Queue.Peek(now)
--- a/internal/policy/queue/late.go
+++ b/internal/policy/queue/late.go
@@ -4,9 +4,8 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/spread"
 )
 
 const (
@@ -102,16 +101,7 @@
 func (q *Queue) After(now time.Time, request *chicoryrock.Request) time.Duration {
 	target := max(0, request.Deadline.Sub(request.Arrived))
 	wait := max(0, q.Wait(now, request)-target)
-	spread := minSpread
-	if rate, known := q.meter.rate(now); known {
-		seconds := math.Min(q.refused.sum(now)/rate, maxSpread.Seconds())
-		spread = max(spread, time.Duration(seconds*float64(time.Second)))
-	}
-	return min(maxAfter, wait+time.Duration(jitter(request.ID)*float64(spread)))
-}
-
-// jitter maps an ID to a number from 0 to below 1, evenly and always the same.
-func jitter(id string) float64 {
-	const bits = 53 // a float64 holds this many exactly
-	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
+	rate, _ := q.meter.rate(now)
+	over := q.refused.Time(now, rate, minSpread, maxSpread)
+	return min(maxAfter, wait+time.Duration(spread.Part(request.ID)*float64(over)))
 }
--- a/internal/policy/queue/meter.go
+++ b/internal/policy/queue/meter.go
@@ -10,8 +10,6 @@
 	meterWindow = 5 * time.Second
 	// meterTrust is the least busy time after which the service rate is believed.
 	meterTrust = 200 * time.Millisecond
-	// refusedWindow is how long a refused request counts as one that comes back.
-	refusedWindow = 10 * time.Second
 )
 
 // meter measures how fast the pool works off the queue. It looks only at times
@@ -76,20 +74,3 @@
 	}
 	return time.Duration(m.seconds(now) / m.turns * float64(time.Second))
 }
-
-// refusals sums the cost of the requests refused of late, whose callers are
-// expected back.
-type refusals struct {
-	cost float64
-	at   time.Time
-}
-
-func (r *refusals) add(now time.Time, cost float64) {
-	r.cost = r.sum(now) + cost
-	r.at = now
-}
-
-func (r *refusals) sum(now time.Time) float64 {
-	elapsed := max(0, now.Sub(r.at).Seconds())
-	return r.cost * math.Exp(-elapsed/refusedWindow.Seconds())
-}
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/spread"
 )
 
 // Queue implements chicoryrock.Queue. Set the exported fields before use; Update
@@ -30,7 +31,7 @@
 	floored []*lane // the classes that have a floor
 	expiry  expiry
 	meter   meter
-	refused refusals
+	refused spread.Refused
 	prefill prefill
 	free    []*item
 	waiting int
@@ -55,7 +56,7 @@
 func (q *Queue) Push(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	f := q.flow(request)
 	if q.late(now, f, request) {
-		q.refused.add(now, q.expected(f.lane, request))
+		q.refused.Add(now, q.expected(f.lane, request))
 		return nil, chicoryrock.ReasonLate
 	}
 	return q.put(now, f, request)
@@ -70,13 +71,13 @@
 func (q *Queue) put(now time.Time, f *flow, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	victim, fits := q.makeRoom(f, request)
 	if !fits {
-		q.refused.add(now, q.expected(f.lane, request))
+		q.refused.Add(now, q.expected(f.lane, request))
 		return nil, chicoryrock.ReasonQueueFull
 	}
 	var displaced *chicoryrock.Request
 	if victim != nil {
 		displaced = victim.request
-		q.refused.add(now, victim.cost)
+		q.refused.Add(now, victim.cost)
 		q.drop(victim)
 	}
 	added := q.newItem()
@@ -149,7 +150,7 @@
 	var late []*chicoryrock.Request
 	for gone := q.expiry.next(now.UnixNano()); gone != nil; gone = q.expiry.next(now.UnixNano()) {
 		late = append(late, gone.request)
-		q.refused.add(now, gone.cost)
+		q.refused.Add(now, gone.cost)
 		q.drop(gone)
 	}
 	return late
--- /dev/null
+++ b/internal/policy/spread/spread.go
@@ -0,0 +1,48 @@
+// Package spread keeps callers that were refused together from coming back
+// together.
+package spread
+
+import (
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// window is how long a refused request counts as one that comes back.
+const window = 10 * time.Second
+
+// Part maps a request's ID to a number from 0 to below 1. IDs are spread evenly,
+// and each always gets the same, so that a decision can be repeated and explained.
+func Part(id string) float64 {
+	const bits = 53 // a float64 holds this many exactly
+	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
+}
+
+// Refused sums the tokens of requests refused of late, whose callers are expected
+// back. Older refusals lose weight.
+type Refused struct {
+	tokens float64
+	at     time.Time
+}
+
+// Add counts a refused request.
+func (r *Refused) Add(now time.Time, tokens float64) {
+	r.tokens = r.sum(now) + tokens
+	r.at = now
+}
+
+// Time returns how long it takes to serve what has been refused of late, at a
+// rate in tokens a second, but no less than shortest and no more than longest.
+func (r *Refused) Time(now time.Time, rate float64, shortest, longest time.Duration) time.Duration {
+	if rate <= 0 {
+		return shortest
+	}
+	seconds := min(r.sum(now)/rate, longest.Seconds())
+	return max(shortest, time.Duration(seconds*float64(time.Second)))
+}
+
+func (r *Refused) sum(now time.Time) float64 {
+	elapsed := max(0, now.Sub(r.at).Seconds())
+	return r.tokens * math.Exp(-elapsed/window.Seconds())
+}
