Admit at the agent by tier, and keep suspects of a crash apart

Cause: agents took whoever came first, so fairness and tiers ended at each entry, and a refusal by a full agent sent requests round. A request that crashes engines was sent to one after another. Change: the agent runs the admission core: a short queue for all entries, preemption downwards on engines that resume, a true not-run. It says when an engine crashed; entries mark what was in flight, let one suspect at a time onto a backend server, and refuse what was seen at two crashes. Retries follow the budget's core. Ruled out: a suspect alone on an emptied engine, since one crash of a busy engine has some 16 suspects and would empty three engines for seconds.

--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -18,6 +18,8 @@
 	// maxTurned bounds how often a call is turned away by agents that are full.
 	// Its deadline ends it earlier in most cases.
 	maxTurned = 64
+	// leastResume is how long a broken stream may wait for another replica at least.
+	leastResume = 5 * time.Second
 )
 
 // Action is what becomes of a call after a failed attempt.
@@ -98,7 +100,8 @@
 }
 
 // resume continues a stream. The target for its first token has been met or
-// missed already, so the stream gets the same time once more to go on.
+// missed already, so the stream gets the same time once more to go on, and at
+// least leastResume: to give up on half an answer wastes all of it.
 func (r *Retrier) resume(now time.Time, attempt *Attempt) Verdict {
 	if !attempt.Save || attempt.Tokens == 0 {
 		return failed(attempt)
@@ -110,7 +113,7 @@
 		return failed(attempt)
 	}
 	target := attempt.Request.Deadline.Sub(attempt.Request.Arrived)
-	return Verdict{Action: Resume, From: attempt.Tokens, Deadline: now.Add(target)}
+	return Verdict{Action: Resume, From: attempt.Tokens, Deadline: now.Add(max(target, leastResume))}
 }
 
 // Hedge says whether a second copy of a call that has had no answer yet may be
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -8,17 +8,17 @@
 	"crypto/tls"
 	"net/http"
 	"net/netip"
-	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/httpc"
 	"go.uber.org/zap"
 
-	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
 // Agent is one agent process. Set the exported fields, then call Run.
@@ -29,15 +29,21 @@
 	Opened   func(entries netip.AddrPort)
 
 	engine   httpc.Service
-	slots    slots
+	room     *room
+	crashes  crashes
 	once     once
 	draining atomic.Bool
 }
 
-// Run serves until the context ends, then drains and returns.
+// Prepare makes the agent ready for ConfigChanged, which may come before Run.
+func (a *Agent) Prepare() {
+	a.room = newRoom(a.Settings.Slots)
+	a.crashes = crashes{name: a.Settings.Name, engine: a.Settings.Engine}
+}
+
+// Run serves until the context ends, then drains and returns. Prepare goes first.
 func (a *Agent) Run(ctx context.Context) error {
 	a.engine = web.NewService("engine", web.NewClient(nil))
-	a.slots.total = a.Settings.Slots
 	server := &web.Server{
 		Name:     "agent",
 		Listen:   a.Settings.Listen,
@@ -57,9 +63,13 @@
 	a.Log.Write(event.Started, zap.String("name", a.Settings.Name), zap.Stringer("address", address))
 	stop := context.AfterFunc(ctx, func() {
 		a.draining.Store(true)
+		a.room.drain(time.Now())
 		a.Log.Write(event.Draining)
 	})
 	defer stop()
+	ticking, stopTicking := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTicking()
+	go a.room.run(ticking)
 	defer a.Log.Write(event.Stopped)
 	return server.Run(ctx)
 }
@@ -71,40 +81,13 @@
 	}
 }
 
-// load states what the agent knows of its backend server.
-func (a *Agent) load() chicoryrock.Load {
-	load := a.slots.load()
-	load.Leaving = a.draining.Load()
-	return load
-}
-
-// slots counts the requests that run on the backend server.
-type slots struct {
-	mu      sync.Mutex
-	total   int
-	running int
-}
-
-func (s *slots) take() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.running >= s.total {
-		return false
+// ConfigChanged takes in a configuration.
+func (a *Agent) ConfigChanged(table *object.Table) {
+	save := false
+	if pool := table.Pool(a.Settings.Pool); pool != nil {
+		save = pool.Save
 	}
-	s.running++
-	return true
-}
-
-func (s *slots) free() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.running--
-}
-
-func (s *slots) load() chicoryrock.Load {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return chicoryrock.Load{Slots: s.total, Running: s.running}
+	a.room.update(save, table.Floors(), table.Shares())
 }
 
 // Ready says whether the agent takes requests.
--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -1,22 +1,21 @@
 package agent
 
 import (
-	"errors"
-	"io"
+	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/admit"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
 
-// relayBuffer is how much of an answer is passed on at once, in bytes.
-const relayBuffer = 16 << 10
-
 // forwarded lists the headers that a backend server may see. It is a list of
 // what passes, not of what is held back, so that a header that nobody thought of
 // stays out.
@@ -30,130 +29,154 @@
 	wire.Resume,
 }
 
+// defaultDue is how long a request may wait whose entry states no deadline.
+const defaultDue = time.Minute
+
+// visit is one request on its way through the agent.
+type visit struct {
+	agent   *Agent
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context // ends when the entry goes or the request is preempted
+	request *chicoryrock.Request
+}
+
 // handle admits one request and forwards it.
 func (a *Agent) handle(w http.ResponseWriter, r *http.Request) {
-	if a.draining.Load() {
-		a.refuse(w, chicoryrock.ReasonShutdown)
-		return
+	now := time.Now()
+	ctx, preempt := context.WithCancelCause(r.Context())
+	defer preempt(nil)
+	v := &visit{agent: a, w: w, r: r, ctx: ctx, request: readRequest(now, r.Header)}
+	action, err := a.room.enter(ctx, now, v.request, &seat{
+		verdict: make(chan admit.Action, 1),
+		preempt: preempt,
+		suspect: r.Header.Get(wire.Suspect) != "",
+	})
+	switch {
+	case err != nil:
+	case action.Kind == admit.Refuse:
+		a.refuse(w, action.Reason, action.After)
+	default:
+		v.run()
 	}
-	if !a.slots.take() {
-		a.refuse(w, chicoryrock.ReasonQueueFull)
+}
+
+// run forwards a request that has a slot.
+func (v *visit) run() {
+	a := v.agent
+	defer func() { a.room.finish(time.Now(), v.request) }()
+	if !a.once.begin(time.Now(), v.r.Header) {
+		a.duplicate(v.w)
 		return
 	}
-	defer a.slots.free()
-	if !a.once.begin(time.Now(), r.Header) {
-		a.duplicate(w)
-		return
+	a.room.started(v.request)
+	v.forward()
+}
+
+// readRequest reads what the entry says of the request.
+func readRequest(now time.Time, header http.Header) *chicoryrock.Request {
+	due := defaultDue
+	if header.Get(wire.Due) != "" {
+		due = time.Duration(number(header, wire.Due)) * time.Millisecond
+	}
+	return &chicoryrock.Request{
+		ID:        header.Get(wire.RequestID),
+		Workspace: header.Get(wire.Workspace),
+		Class:     header.Get(wire.Class),
+		Tier:      number(header, wire.Tier),
+		Arrived:   now,
+		Deadline:  now.Add(due),
+		Prompt:    number(header, wire.Prompt),
+		Repeat:    header.Get(wire.Once) == "",
+	}
+}
+
+// number reads a header that an entry always sets to a number.
+func number(header http.Header, name string) int {
+	value, err := strconv.Atoi(header.Get(name))
+	if err != nil {
+		return 0
 	}
-	a.forward(w, r)
+	return value
 }
 
 // refuse answers a request that certainly did not reach the backend server.
-func (a *Agent) refuse(w http.ResponseWriter, reason chicoryrock.Reason) {
-	wire.SetLoad(w.Header(), a.load())
-	wire.Refusal{Reason: reason, Outcome: wire.OutcomeNotRun}.Write(w)
+func (a *Agent) refuse(w http.ResponseWriter, reason chicoryrock.Reason, after time.Duration) {
+	wire.SetLoad(w.Header(), a.room.load())
+	wire.Refusal{Reason: reason, Outcome: wire.OutcomeNotRun, After: after}.Write(w)
 }
 
-func (a *Agent) forward(w http.ResponseWriter, r *http.Request) {
-	request, err := a.newRequest(r)
+func (v *visit) forward() {
+	a := v.agent
+	request, err := v.newRequest()
 	if err != nil {
-		a.once.forget(r.Header)
-		a.refuse(w, chicoryrock.ReasonMalformed)
+		a.once.forget(v.r.Header)
+		a.refuse(v.w, chicoryrock.ReasonMalformed, 0)
 		return
 	}
 	response, err := a.engine.DoRequest(request)
 	if err != nil {
-		a.failed(w, r, err)
+		v.failed(err)
 		return
 	}
 	defer func() { _ = response.Body.Close() }()
-	if echoed := response.Header.Get(wire.RequestID); echoed != "" && echoed != r.Header.Get(wire.RequestID) {
-		a.crossed(w, echoed)
+	a.crashes.answered()
+	if echoed := response.Header.Get(wire.RequestID); echoed != "" && echoed != v.request.ID {
+		v.crossed(echoed)
 		return
 	}
-	a.relay(w, response)
+	v.relay(response)
 }
 
-func (a *Agent) newRequest(r *http.Request) (*http.Request, error) {
-	address := "http://" + a.Settings.Engine.String() + r.URL.RequestURI()
-	request, err := http.NewRequestWithContext(r.Context(), r.Method, address, r.Body) //nolint:gosec // the address is the agent's setting, only the path is the caller's
+func (v *visit) newRequest() (*http.Request, error) {
+	address := "http://" + v.agent.Settings.Engine.String() + v.r.URL.RequestURI()
+	request, err := http.NewRequestWithContext(v.ctx, v.r.Method, address, v.r.Body) //nolint:gosec // the address is the agent's setting, only the path is the caller's
 	if err != nil {
-		return nil, err
+		return nil, errors.WithStack(err)
 	}
 	// The body is a stream that cannot be rewound, so that the transport never
 	// sends the call twice on its own.
 	request.GetBody = nil
-	request.ContentLength = r.ContentLength
+	request.ContentLength = v.r.ContentLength
 	for _, name := range forwarded {
-		if value := r.Header.Get(name); value != "" {
+		if value := v.r.Header.Get(name); value != "" {
 			request.Header.Set(name, value)
 		}
 	}
 	return request, nil
 }
 
-// failed answers for a backend server that gave no answer. The call certainly
-// did not run only when no connection stood.
-func (a *Agent) failed(w http.ResponseWriter, r *http.Request, err error) {
-	if r.Context().Err() != nil {
+// failed answers for a backend server that gave no answer. The call certainly did
+// not run only when no connection stood.
+func (v *visit) failed(err error) {
+	a := v.agent
+	if errors.Is(context.Cause(v.ctx), errPreempted) {
+		v.refuseUnknown(wire.OutcomePreempted)
 		return
 	}
-	a.Log.Write(event.EngineFailed, zap.String("ref", r.Header.Get(wire.RequestID)), zap.Error(err))
-	wire.SetLoad(w.Header(), a.load())
+	if v.ctx.Err() != nil {
+		return
+	}
+	a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.Error(err))
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		a.once.forget(r.Header)
-		a.refuse(w, chicoryrock.ReasonNoServer)
+		a.once.forget(v.r.Header)
+		a.refuse(v.w, chicoryrock.ReasonNoServer, 0)
 		return
 	}
-	wire.Refusal{Reason: chicoryrock.ReasonUnknownOutcome, Outcome: wire.OutcomeUnknown}.Write(w)
-}
-
-// crossed drops an answer that belongs to another request.
-func (a *Agent) crossed(w http.ResponseWriter, echoed string) {
-	a.Log.Write(event.EngineFailed, zap.String("crossed", echoed))
-	wire.SetLoad(w.Header(), a.load())
-	wire.Refusal{Reason: chicoryrock.ReasonUnknownOutcome, Outcome: wire.OutcomeUnknown}.Write(w)
+	if crash, crashed := a.crashes.failed(a.room.load().Running); crashed {
+		v.w.Header().Set(wire.CrashName, crash.String())
+	}
+	v.refuseUnknown(wire.OutcomeUnknown)
 }
 
-// relay passes the answer on as it comes. One that breaks off cuts the
-// connection, so that the entry sees it is not whole.
-func (a *Agent) relay(w http.ResponseWriter, response *http.Response) {
-	header := w.Header()
-	for _, name := range []string{"Content-Type", "Content-Length", "Content-Language"} {
-		if value := response.Header.Get(name); value != "" {
-			header.Set(name, value)
-		}
-	}
-	wire.SetLoad(header, a.load())
-	header.Set("Trailer", wire.Load)
-	w.WriteHeader(response.StatusCode)
-	if err := copyFlushing(w, response.Body); err != nil {
-		a.Log.Write(event.EngineFailed, zap.Error(err))
-		panic(http.ErrAbortHandler)
-	}
-	load := a.load()
-	load.Running--
-	wire.SetLoad(header, load)
+func (v *visit) refuseUnknown(outcome string) {
+	wire.SetLoad(v.w.Header(), v.agent.room.load())
+	wire.Refusal{Reason: chicoryrock.ReasonUnknownOutcome, Outcome: outcome}.Write(v.w)
 }
 
-func copyFlushing(w http.ResponseWriter, body io.Reader) error {
-	controller := http.NewResponseController(w)
-	buffer := make([]byte, relayBuffer)
-	for {
-		n, err := body.Read(buffer)
-		if n > 0 {
-			if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
-				return writeErr
-			}
-			// A writer that cannot flush delivers at the end of the answer.
-			_ = controller.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
+// crossed drops an answer that belongs to another request.
+func (v *visit) crossed(echoed string) {
+	v.agent.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("crossed", echoed))
+	v.refuseUnknown(wire.OutcomeUnknown)
 }
--- a/internal/serve/agent/once.go
+++ b/internal/serve/agent/once.go
@@ -49,6 +49,6 @@
 // duplicate refuses a call that this agent has let through before. It does not
 // say "not run", since the entry would send it to another agent then.
 func (a *Agent) duplicate(w http.ResponseWriter) {
-	wire.SetLoad(w.Header(), a.load())
+	wire.SetLoad(w.Header(), a.room.load())
 	wire.Refusal{Reason: chicoryrock.ReasonClaimed, Outcome: wire.OutcomeUnknown}.Write(w)
 }
--- /dev/null
+++ b/internal/serve/agent/relay.go
@@ -0,0 +1,100 @@
+package agent
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+)
+
+// relayBuffer is how much of an answer is passed on at once, in bytes.
+const relayBuffer = 16 << 10
+
+// eventStream is the content type of streamed answers.
+const eventStream = "text/event-stream"
+
+// relay passes the answer on as it comes. One that breaks off cuts the
+// connection, so that the entry sees it is not whole.
+func (v *visit) relay(response *http.Response) {
+	header := v.w.Header()
+	for _, name := range []string{"Content-Type", "Content-Length", "Content-Language"} {
+		if value := response.Header.Get(name); value != "" {
+			header.Set(name, value)
+		}
+	}
+	wire.SetLoad(header, v.agent.room.load())
+	header.Set("Trailer", wire.Load)
+	v.w.WriteHeader(response.StatusCode)
+	streamed := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+	if err := v.copy(response.Body, streamed); err != nil {
+		v.cut(err, streamed)
+	}
+	load := v.agent.room.load()
+	load.Running--
+	wire.SetLoad(header, load)
+}
+
+// copy passes on the body. Of a stream only whole lines go on, and their tokens
+// are counted.
+func (v *visit) copy(body io.Reader, streamed bool) error {
+	controller := http.NewResponseController(v.w)
+	buffer := make([]byte, relayBuffer)
+	var meter wire.StreamMeter
+	for {
+		n, err := body.Read(buffer)
+		piece := buffer[:n]
+		if streamed {
+			var tokens int
+			piece, tokens = meter.Feed(piece)
+			v.count(tokens)
+		}
+		if len(piece) > 0 {
+			if _, writeErr := v.w.Write(piece); writeErr != nil {
+				return errors.WithStack(writeErr)
+			}
+			// A writer that cannot flush delivers at the end of the answer.
+			_ = controller.Flush()
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.WithStack(err)
+		}
+	}
+}
+
+func (v *visit) count(tokens int) {
+	if tokens > 0 {
+		v.agent.room.token(time.Now(), v.request, tokens)
+	}
+}
+
+// cut ends an answer that is not whole. A stream says first why it ends.
+func (v *visit) cut(err error, streamed bool) {
+	preempted := errors.Is(context.Cause(v.ctx), errPreempted)
+	switch {
+	case preempted && streamed:
+		v.say(wire.PreemptedComment())
+	case v.ctx.Err() == nil:
+		v.agent.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.Error(err))
+		crash, crashed := v.agent.crashes.failed(v.agent.room.load().Running)
+		if crashed && streamed {
+			v.say(wire.CrashComment(crash))
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (v *visit) say(comment []byte) {
+	// The entry may be gone already; nothing is left to tell it then.
+	_, _ = v.w.Write(comment)
+	_ = http.NewResponseController(v.w).Flush()
+}
--- a/internal/serve/assembly/agent.go
+++ b/internal/serve/assembly/agent.go
@@ -43,6 +43,7 @@
 	}
 	p.tables = &object.Holder{}
 	p.agent = &agent.Agent{Settings: p.Settings, Log: p.Log, TLS: secrets.acceptCalls, Opened: p.Opened}
+	p.agent.Prepare()
 	p.roster = &roster.Roster{
 		Self:      selfOf(&p.Settings.Common),
 		Directory: directoryOf(&p.Settings.Common),
@@ -56,6 +57,7 @@
 		TLS:     secrets.dialPeers,
 		Reader:  func() bool { return false },
 		Sources: p.roster.Sources,
+		Changed: p.agent.ConfigChanged,
 	}
 	return runAll(ctx, p.agent.Run, p.roster.Run, p.feed.Run, p.operators().Run)
 }
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -47,6 +47,7 @@
 
 	secrets     *secrets
 	peerAddress netip.AddrPort
+	suspects    entry.Suspects
 	tables      *object.Holder
 	metrics     *metrics.Metrics
 	records     *explain.Recorder
@@ -138,6 +139,7 @@
 		Opened:   p.Opened,
 		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn},
 		Rules:    rules.update,
+		Suspects: &p.suspects,
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: rules.newQueue,
 			Picker: &pick.Picker{
--- a/internal/serve/assembly/queues.go
+++ b/internal/serve/assembly/queues.go
@@ -26,16 +26,8 @@
 
 // update takes over the floors and shares of a configuration.
 func (q *queues) update(table *object.Table) {
-	q.floors = make(map[string]float64, len(table.Set.Classes))
-	for i := range table.Set.Classes {
-		q.floors[table.Set.Classes[i].Name] = table.Set.Classes[i].Floor
-	}
-	q.shares = make(map[string]float64, len(table.Set.Workspaces))
-	for i := range table.Set.Workspaces {
-		if share := table.Set.Workspaces[i].Share; share > 0 {
-			q.shares[table.Set.Workspaces[i].Name] = share
-		}
-	}
+	q.floors = table.Floors()
+	q.shares = table.Shares()
 	for _, created := range q.made {
 		created.Update(q.floors, q.shares)
 	}
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -14,15 +14,12 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
 const (
-	// maxAttempts bounds how often one request is sent to a backend server.
-	maxAttempts = 4
-	// resumeLimit is how long a broken stream may wait for another replica.
-	resumeLimit = 5 * time.Second
 	// maxWhole is the largest answer that is held until it is complete, in bytes.
 	maxWhole = 64 << 20
 )
@@ -37,18 +34,23 @@
 	progress   *progress
 	path       string
 	name       string // the model as the caller named it
-	body       []byte
-	model      bool // a completion, not a plain service
+	original   []byte // the body as it came
+	body       []byte // the body as the agent gets it
+	model      bool   // a completion, not a plain service
 	stream     bool
 	wantsUsage bool
 
 	ctx     context.Context // ends when the caller goes or its key is withdrawn
 	granted bool            // a replica was given the request
-	sent    int             // output tokens that the caller has
-	timing  timing          // of the attempt under way
-	started bool            // the answer's header has gone out
-	status  int             // of the answer
-	claimed *claimed        // nil for a call that needs no claim
+	done    bool            // the answer has gone out whole
+	tries   tries
+	suspect bool                 // it was in flight at a crash
+	print   *suspect.Fingerprint // once it has been taken
+	sent    int                  // output tokens that the caller has
+	timing  timing               // of the attempt under way
+	started bool                 // the answer's header has gone out
+	status  int                  // of the answer
+	claimed *claimed             // nil for a call that needs no claim
 }
 
 // run serves the call under its key's watch: it ends when the key is withdrawn,
@@ -71,57 +73,48 @@
 	c.progress.begin(now)
 	replica, err := c.acquire(now)
 	c.progress.waited(now, time.Now(), explain.CauseCapacity)
-	for attempts := 1; err == nil; {
+	for err == nil {
 		c.granted = true
 		now = time.Now()
 		c.progress.sent(now, &replica, c.sent > 0)
 		c.timing = timing{sent: now}
 		err = c.attempt(&replica)
 		c.entry.gate.observe(time.Now(), &replica, c.timing.observation(err))
-		if err != nil && !isBusy(err) {
-			attempts++
+		if err != nil {
+			err = c.again(time.Now(), &replica, err)
+		} else {
+			c.done = true
 		}
-		if err == nil || attempts > maxAttempts || !c.mayRetry(err) {
+		if err != nil || c.done {
 			c.entry.gate.finish(time.Now(), c.request, replica.Name)
 			break
 		}
-		now = time.Now()
-		c.progress.retried(now, replica.Name, causeOf(err))
-		c.extendDeadline(now)
-		replica, err = c.entry.gate.reacquire(c.ctx, now, c.request, replica.Name)
+		replica, err = c.entry.gate.reacquire(c.ctx, time.Now(), c.request, replica.Name)
 	}
 	if err != nil {
 		c.fail(err)
 		return
 	}
 	c.settle("")
-	c.progress.end(time.Now(), chicoryrock.OutcomeServed, chicoryrock.ReasonNone)
-}
-
-// extendDeadline gives a stream that broke off time to go on elsewhere: its first
-// token is long out, so the deadline for that one says nothing any more.
-func (c *call) extendDeadline(now time.Time) {
-	if c.sent > 0 {
-		c.request.Deadline = now.Add(resumeLimit)
+	if c.suspect {
+		c.entry.Suspects.cleared(time.Now(), c)
 	}
+	c.progress.end(time.Now(), chicoryrock.OutcomeServed, chicoryrock.ReasonNone)
 }
 
 // acquire claims a call that may not be repeated, before it takes up a place in
 // the queue, and waits for a replica.
 func (c *call) acquire(now time.Time) (chicoryrock.Replica, error) {
+	c.entry.retrier.fresh(now)
+	if err := c.judge(now); err != nil {
+		return chicoryrock.Replica{}, err
+	}
 	if err := c.claim(); err != nil {
 		return chicoryrock.Replica{}, err
 	}
 	return c.entry.gate.acquire(c.ctx, now, c.request)
 }
 
-func causeOf(err error) explain.Cause {
-	if isBusy(err) {
-		return explain.CauseBusy
-	}
-	return explain.CauseFailure
-}
-
 // attempt sends the request to one replica and relays the answer. Errors:
 // chicoryrock.ErrNotRun, chicoryrock.ErrTruncated, chicoryrock.ErrUnknownOutcome,
 // or the context's.
@@ -139,11 +132,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	defer c.hear(replica, response)
-	if response.Header.Get(wire.Outcome) == wire.OutcomeNotRun {
-		return notRun(response.Header.Get(wire.Reason))
-	}
-	if response.Header.Get(wire.Outcome) == wire.OutcomeUnknown {
-		return errors.Wrap(chicoryrock.ErrUnknownOutcome, response.Header.Get(wire.Reason))
+	if err := agentError(response.Header); err != nil {
+		return err
 	}
 	if c.stream && response.StatusCode == http.StatusOK {
 		return c.relayStream(response.Body)
@@ -151,6 +141,22 @@
 	return c.relayWhole(response)
 }
 
+// agentError returns what an agent says of a call that it has no answer for.
+func agentError(header http.Header) error {
+	switch header.Get(wire.Outcome) {
+	case "":
+		return nil
+	case wire.OutcomeNotRun:
+		return notRun(header.Get(wire.Reason))
+	case wire.OutcomePreempted:
+		return errors.WithStack(wire.ErrPreempted)
+	}
+	if crash := header.Get(wire.CrashName); crash != "" {
+		return errors.WithStack(&wire.CrashError{Crash: wire.ParseCrash(crash)})
+	}
+	return errors.Wrap(chicoryrock.ErrUnknownOutcome, header.Get(wire.Reason))
+}
+
 func (c *call) newRequest(replica *chicoryrock.Replica) (*http.Request, error) {
 	scheme := "http"
 	if c.entry.AgentTLS != nil {
@@ -169,6 +175,11 @@
 	request.Header.Set(wire.Workspace, c.request.Workspace)
 	request.Header.Set(wire.Class, c.request.Class)
 	request.Header.Set(wire.Tier, strconv.Itoa(c.request.Tier))
+	request.Header.Set(wire.Prompt, strconv.Itoa(c.request.Prompt))
+	request.Header.Set(wire.Due, strconv.FormatInt(time.Until(c.request.Deadline).Milliseconds(), 10))
+	if c.suspect {
+		request.Header.Set(wire.Suspect, "1")
+	}
 	c.stampClaim(request.Header)
 	if c.sent > 0 {
 		request.Header.Set(wire.Resume, strconv.Itoa(c.sent))
@@ -196,6 +207,9 @@
 	if dialFailed(err) {
 		return &notRunError{reason: chicoryrock.ReasonNoServer}
 	}
+	if errors.Is(err, chicoryrock.ErrTruncated) || errors.Is(err, wire.ErrPreempted) {
+		return err
+	}
 	return errors.Wrap(chicoryrock.ErrUnknownOutcome, err.Error())
 }
 
@@ -252,24 +266,6 @@
 	return nil
 }
 
-// mayRetry says whether the request may be sent again after an error: it never
-// ran, or it may run more than once and the caller has nothing of the answer, or
-// the engines can go on where the answer broke off.
-func (c *call) mayRetry(err error) bool {
-	switch {
-	case c.ctx.Err() != nil:
-		return false
-	case errors.Is(err, chicoryrock.ErrNotRun):
-		return true
-	case !c.request.Repeat:
-		return false
-	case c.started:
-		return c.pool.Save
-	default:
-		return true
-	}
-}
-
 // fail tells the caller why it gets no answer, or no whole one.
 func (c *call) fail(err error) {
 	if c.r.Context().Err() != nil {
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -38,6 +38,7 @@
 	Dispatcher *dispatch.Dispatcher
 	Rules      func(table *object.Table) // brings the queues up to date, under their lock
 	Observer   *Observer
+	Suspects   *Suspects
 	Claims     Claims
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
@@ -45,6 +46,7 @@
 
 	gate     *gate
 	calls    *registry
+	retrier  retrier
 	agents   httpc.Service
 	draining atomic.Bool
 	placed   atomic.Bool // a list of VMs has been sorted into the pools
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -63,6 +63,7 @@
 	if call == nil {
 		return
 	}
+	call.original = data
 	call.prepareModel(body, stream, model)
 	call.run(who)
 }
@@ -120,6 +121,7 @@
 	if call == nil {
 		return
 	}
+	call.original = data
 	call.body = data
 	call.run(who)
 }
--- a/internal/serve/wire/events.go
+++ b/internal/serve/wire/events.go
@@ -15,8 +15,9 @@
 const maxEvent = 4 << 20
 
 var (
-	dataPrefix = []byte("data:")
-	doneData   = []byte("[DONE]")
+	dataPrefix    = []byte("data:")
+	doneData      = []byte("[DONE]")
+	commentPrefix = []byte(":")
 )
 
 // EventReader reads the data of server-sent events, one event at a time.
@@ -37,6 +38,12 @@
 func (r *EventReader) Next() ([]byte, error) {
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
+		if bytes.HasPrefix(line, commentPrefix) {
+			if err := commentError(string(line)); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if !bytes.HasPrefix(line, dataPrefix) {
 			continue
 		}
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -27,16 +27,23 @@
 	Workspace = "X-Chicory-Workspace"
 	Class     = "X-Chicory-Class"
 	Tier      = "X-Chicory-Tier"
-	Load      = "X-Chicory-Load"   // JSON of chicoryrock.Load
-	Resume    = "X-Chicory-Resume" // output tokens that the caller already has
-	Once      = "X-Chicory-Once"   // "1" on a call that may not be repeated
-	Claim     = "X-Chicory-Claim"  // digest of its idempotency key, when it has one
+	Load      = "X-Chicory-Load"    // JSON of chicoryrock.Load
+	Resume    = "X-Chicory-Resume"  // output tokens that the caller already has
+	Prompt    = "X-Chicory-Prompt"  // estimated prompt length, tokens
+	Due       = "X-Chicory-Due"     // milliseconds until the first token is due
+	Suspect   = "X-Chicory-Suspect" // "1" on a call that was in flight at a crash
+	CrashName = "X-Chicory-Crash"   // the crash that ended a call before its answer began
+	Once      = "X-Chicory-Once"    // "1" on a call that may not be repeated
+	Claim     = "X-Chicory-Claim"   // digest of its idempotency key, when it has one
 )
 
 // Values of the Outcome header.
 const (
 	OutcomeNotRun  = "not-run"
 	OutcomeUnknown = "unknown"
+	// OutcomePreempted is between agent and entry only: the call ran and was stopped
+	// for a higher tier before its answer began.
+	OutcomePreempted = "preempted"
 )
 
 // ErrorBody is the usual error shape that callers' tools expect.
--- a/internal/state/object/table.go
+++ b/internal/state/object/table.go
@@ -108,6 +108,26 @@
 // Workspace returns a workspace by name, or nil.
 func (t *Table) Workspace(name string) *Workspace { return t.workspaces[name] }
 
+// Floors returns the floor of each class.
+func (t *Table) Floors() map[string]float64 {
+	floors := make(map[string]float64, len(t.Set.Classes))
+	for i := range t.Set.Classes {
+		floors[t.Set.Classes[i].Name] = t.Set.Classes[i].Floor
+	}
+	return floors
+}
+
+// Shares returns the share of each workspace that states one.
+func (t *Table) Shares() map[string]float64 {
+	shares := make(map[string]float64, len(t.Set.Workspaces))
+	for i := range t.Set.Workspaces {
+		if share := t.Set.Workspaces[i].Share; share > 0 {
+			shares[t.Set.Workspaces[i].Name] = share
+		}
+	}
+	return shares
+}
+
 // Models returns the names of the models open to the workspace, sorted.
 func (t *Table) Models(workspace string) []string {
 	var names []string
