Run suspects apart from one another and keep serving the rest

Cause: the registry of suspects was not used by the dispatch core. To run a suspect quite alone, its engine first has to be emptied.

Change: suspects wait beside the queue, and no two of them are granted one replica. Those that a crash broke go first, the latest before the others, to the least busy replica; one that has not begun doesn't overtake a higher tier. The replay marks and shares suspects, with an agent that turns a second suspect away.

Seen failing first: replicas not held, not let go, new suspects before a higher tier, suspects not expired, not cancelled; a request that was seen twice in company taken for proven; no state between clean and refused.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -33,6 +33,7 @@
 
 type pool struct {
 	queue    chicoryrock.Queue
+	suspects suspects
 	replicas []chicoryrock.Replica
 	tried    map[string][]string // request ID to the replicas that already failed it
 }
@@ -51,6 +52,7 @@
 			replicas[i].Others = known.Others
 			replicas[i].Full = known.Full
 			replicas[i].New = known.New
+			replicas[i].Held = known.Held
 			replicas[i].Seen = known.Seen
 			replicas[i].Leaving = replicas[i].Leaving || known.Leaving
 		}
@@ -81,6 +83,13 @@
 		return nil, chicoryrock.ReasonNoServer
 	}
 	target := d.pool(request.Pool)
+	if request.Suspect {
+		if len(target.suspects.waiting) >= maxSuspects {
+			return nil, chicoryrock.ReasonSuspect
+		}
+		target.suspects.add(request, false)
+		return nil, chicoryrock.ReasonNone
+	}
 	displaced, reason := target.queue.Push(now, request)
 	if reason == chicoryrock.ReasonLate {
 		d.missed(now, request.Pool)
@@ -110,6 +119,10 @@
 func (d *Dispatcher) Expire(now time.Time) []*chicoryrock.Request {
 	var late []*chicoryrock.Request
 	for _, name := range slices.Sorted(maps.Keys(d.pools)) {
+		for _, request := range d.pools[name].suspects.expire(now) {
+			delete(d.pools[name].tried, request.ID)
+			late = append(late, request)
+		}
 		for _, request := range d.pools[name].queue.Expire(now) {
 			delete(d.pools[name].tried, request.ID)
 			late = append(late, request)
@@ -123,7 +136,7 @@
 func (d *Dispatcher) Cancel(now time.Time, request *chicoryrock.Request) bool {
 	target := d.pool(request.Pool)
 	delete(target.tried, request.ID)
-	return target.queue.Remove(now, request)
+	return target.suspects.remove(request) || target.queue.Remove(now, request)
 }
 
 // Heard takes in the load that an agent stated when it answered or turned away a
@@ -166,16 +179,28 @@
 	target := d.pool(request.Pool)
 	delete(target.tried, request.ID)
 	target.release(replica)
-	target.queue.Finish(now, request)
+	target.letGo(request, replica)
+	if !target.suspects.end(request) {
+		target.queue.Finish(now, request)
+	}
 }
 
 // Return puts back a granted request that certainly did not run, or that may run
 // again. The replica that failed it is not chosen for it again while others are
-// left.
+// left. One that has become a suspect leaves the queue's accounts and waits for a
+// replica that runs no other suspect.
 func (d *Dispatcher) Return(now time.Time, request *chicoryrock.Request, replica string) {
 	target := d.pool(request.Pool)
 	target.release(replica)
+	target.letGo(request, replica)
 	target.tried[request.ID] = append(target.tried[request.ID], replica)
+	if request.Suspect {
+		if !target.suspects.end(request) {
+			target.queue.Finish(now, request)
+		}
+		target.suspects.add(request, true)
+		return
+	}
 	target.queue.Return(now, request)
 }
 
@@ -185,7 +210,9 @@
 }
 
 // Waiting returns how many requests wait for a pool.
-func (d *Dispatcher) Waiting(name string) int { return d.pool(name).queue.Len() }
+func (d *Dispatcher) Waiting(name string) int {
+	return d.pool(name).queue.Len() + len(d.pool(name).suspects.waiting)
+}
 
 func (d *Dispatcher) pool(name string) *pool {
 	if d.pools == nil {
@@ -203,6 +230,7 @@
 // for which none is free stays, and the pool is left until something changes.
 func (p *pool) grant(now time.Time, picker chicoryrock.Picker, grants []Grant) []Grant {
 	p.forgetOldReports(now)
+	grants = p.grantSuspects(now, picker, grants)
 	for p.queue.Len() > 0 {
 		request, found := p.queue.Peek(now)
 		if !found {
--- /dev/null
+++ b/internal/policy/dispatch/suspects_test.go
@@ -0,0 +1,101 @@
+package dispatch_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/baseline"
+	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
+	"github.com/chicoryrock/chicoryrock/internal/policy/pick"
+)
+
+var start = time.Date(2026, time.January, 5, 6, 0, 0, 0, time.UTC)
+
+// newDispatcher returns a core with two replicas of two slots each.
+func newDispatcher() *dispatch.Dispatcher {
+	d := &dispatch.Dispatcher{
+		NewQueue: func(string) chicoryrock.Queue { return &baseline.Queue{} },
+		Picker:   &pick.Picker{Centre: "c", Region: "r", Random: rand.New(rand.NewPCG(1, 1))},
+	}
+	d.SetReplicas("p", []chicoryrock.Replica{
+		{Name: "one", Pool: "p", Centre: "c", Region: "r", Slots: 2},
+		{Name: "two", Pool: "p", Centre: "c", Region: "r", Slots: 2},
+	})
+	return d
+}
+
+func request(id string, tier int) *chicoryrock.Request {
+	return &chicoryrock.Request{ID: id, Pool: "p", Tier: tier, Arrived: start, Deadline: start.Add(time.Second), Repeat: true}
+}
+
+func offer(t *testing.T, d *dispatch.Dispatcher, requests ...*chicoryrock.Request) {
+	t.Helper()
+	for _, r := range requests {
+		_, reason := d.Offer(start, r)
+		require.Equal(t, chicoryrock.ReasonNone, reason)
+	}
+}
+
+// Four requests run when an engine crashes. As suspects they go to different
+// replicas, one at a time, and the clean ones beside them keep being served.
+func TestSuspectsRunApart(t *testing.T) {
+	d := newDispatcher()
+	all := []*chicoryrock.Request{request("a", 2), request("b", 2), request("c", 2), request("d", 2)}
+	offer(t, d, all...)
+	grants := d.Next(start)
+	require.Len(t, grants, 4)
+	for _, grant := range grants {
+		grant.Request.Suspect = true
+		d.Return(start, grant.Request, grant.Replica.Name)
+	}
+	clean := []*chicoryrock.Request{request("e", 2), request("f", 2), request("g", 2)}
+	offer(t, d, clean...)
+	grants = d.Next(start)
+	on := make(map[string]int)
+	for _, grant := range grants {
+		if grant.Request.Suspect {
+			on[grant.Replica.Name]++
+		}
+	}
+	assert.Equal(t, map[string]int{"one": 1, "two": 1}, on)
+	assert.Len(t, grants, 4, "the other slots are used")
+	for _, grant := range grants {
+		if grant.Request.Suspect {
+			d.Finish(start, grant.Request, grant.Replica.Name)
+		}
+	}
+	assert.Len(t, d.Next(start), 2, "the next two suspects")
+	assert.Empty(t, d.Suspects("p"))
+}
+
+// A suspect that has not begun doesn't overtake a higher tier, a broken one does.
+func TestNewSuspectWaitsForHigherTier(t *testing.T) {
+	d := newDispatcher()
+	fill := []*chicoryrock.Request{request("1", 1), request("2", 1), request("3", 1), request("4", 1)}
+	offer(t, d, fill...)
+	grants := d.Next(start)
+	require.Len(t, grants, 4)
+	suspected := request("s", 3)
+	suspected.Suspect = true
+	offer(t, d, request("top", 1), suspected)
+	d.Finish(start, grants[0].Request, grants[0].Replica.Name)
+	grants = d.Next(start)
+	require.Len(t, grants, 1)
+	assert.Equal(t, "top", grants[0].Request.ID)
+}
+
+func TestSuspectsExpireAndCancel(t *testing.T) {
+	d := newDispatcher()
+	first, second := request("a", 1), request("b", 1)
+	first.Suspect, second.Suspect = true, true
+	offer(t, d, first, second)
+	assert.Equal(t, 2, d.Waiting("p"))
+	assert.True(t, d.Cancel(start, first))
+	assert.Equal(t, []*chicoryrock.Request{second}, d.Expire(start.Add(time.Second)))
+	assert.Empty(t, d.Next(start))
+}
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -67,6 +67,10 @@
 	}
 	target := p.pool(request.Pool)
 	near, region := p.bounds(replicas)
+	if request.Suspect {
+		best := p.emptiest(now, target, replicas)
+		return max(best.at, 0), best.found()
+	}
 	best := p.nearby(now, target, request, replicas, near, region)
 	if !best.found() {
 		best = p.far(now, target, request, replicas, region)
--- a/internal/policy/pick/place.go
+++ b/internal/policy/pick/place.go
@@ -134,6 +134,19 @@
 	}
 }
 
+// emptiest returns the replica for a suspect: the least busy one that runs no
+// other suspect, so that as few requests as possible are hit if it crashes. All
+// are looked at, because suspects are few.
+func (p *Picker) emptiest(now time.Time, t *pool, replicas []chicoryrock.Replica) candidate {
+	best := none
+	for i := range replicas {
+		if !replicas[i].Held {
+			best = lighter(best, p.weigh(now, t, replicas, i))
+		}
+	}
+	return best
+}
+
 func (t *pool) anyUp(replicas []chicoryrock.Replica) bool {
 	for i := range replicas {
 		if h := t.replicas[replicas[i].Name]; !replicas[i].Leaving && (h == nil || !h.suspended) {
--- a/internal/policy/replay/engine.go
+++ b/internal/policy/replay/engine.go
@@ -1,9 +1,11 @@
 package replay
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 )
 
 const (
@@ -30,6 +32,7 @@
 	down     bool
 	cut      bool
 	crashes  int
+	suspect  *attempt // the one suspect that it runs
 	history  []sample
 }
 
@@ -64,6 +67,20 @@
 	e.history = append(e.history, sample{at: e.world.now, running: len(e.streams)})
 }
 
+// take runs an attempt, or says that there is no room. A second suspect is turned
+// away too.
+func (e *engine) take(a *attempt) bool {
+	second := e.suspect != nil && a.call.request.Suspect
+	if second || len(e.streams) >= e.Slots {
+		return false
+	}
+	if a.call.request.Suspect {
+		e.suspect = a
+	}
+	e.start(a)
+	return true
+}
+
 // start begins to run an attempt. The agent has found a free slot for it.
 func (e *engine) start(a *attempt) {
 	e.streams[a] = true
@@ -128,6 +145,9 @@
 		}
 	}
 	e.note()
+	if e.suspect == a {
+		e.suspect = nil
+	}
 }
 
 // crash ends everything that runs, and starts the engine again later.
@@ -138,14 +158,17 @@
 	e.down = true
 	e.crashes++
 	e.prefixes = nil
-	e.breakStreams()
+	e.breakStreams(suspect.Crash(e.Name + "/" + strconv.Itoa(e.crashes)))
 	e.world.after(e.Restart, func() { e.down = false })
 }
 
-func (e *engine) breakStreams() {
+// breakStreams ends all that runs. The agent names the crash; when the engine was
+// only cut off, there is none to name.
+func (e *engine) breakStreams(crash suspect.Crash) {
+	alone := len(e.order) == 1
 	for len(e.order) > 0 {
 		a := e.order[0]
 		e.remove(a)
-		a.broke()
+		a.broke(crash, alone)
 	}
 }
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -5,12 +5,21 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 )
 
 func (e *entry) now() time.Time { return epoch.Add(e.world.now) }
 
 // offer hands a request to the dispatch core.
 func (e *entry) offer(now time.Time, c *call) {
+	switch e.state(now, c) {
+	case suspect.Refused:
+		e.refuse(c, chicoryrock.ReasonSuspect)
+		return
+	case suspect.Suspect:
+		c.request.Suspect = true
+	case suspect.Clean:
+	}
 	displaced, reason := e.core.Offer(now, c.request)
 	if displaced != nil {
 		e.refuse(e.calls[displaced], chicoryrock.ReasonQueueFull)
@@ -112,12 +121,10 @@
 		switch {
 		case a.engine.down || a.engine.cut:
 			w.after(a.delay(), func() { a.notRun(nil) })
-		case len(a.engine.streams) >= a.engine.Slots:
+		case !a.engine.take(a):
 			load := a.engine.load()
 			load.Running = a.engine.Slots
 			w.after(a.delay(), func() { a.notRun(&load) })
-		default:
-			a.engine.start(a)
 		}
 	})
 }
@@ -181,14 +188,20 @@
 	e.core.Finish(now, a.call.request, a.engine.Name)
 	delete(e.calls, a.call.request)
 	e.world.report.served(a.call)
+	if a.call.request.Suspect {
+		e.share(now, e.seen.Cleared(now, a.call.record.Workspace, a.call.print))
+	}
 	e.world.open--
 	e.pump(now)
 }
 
 // broke tells the entry that the stream ended before its end.
-func (a *attempt) broke() {
+func (a *attempt) broke(crash suspect.Crash, alone bool) {
 	a.call.entry.world.after(a.delay(), func() {
 		a.lost()
+		if crash != "" {
+			a.call.entry.crashed(a.call, crash, alone)
+		}
 		a.again(chicoryrock.ErrTruncated, false)
 	})
 }
@@ -197,6 +210,10 @@
 func (a *attempt) again(cause error, full bool) {
 	e, c := a.call.entry, a.call
 	now := e.now()
+	if e.state(now, c) == suspect.Refused {
+		a.giveUp(now, chicoryrock.ReasonSuspect)
+		return
+	}
 	if full {
 		c.turned++
 	} else {
@@ -218,9 +235,14 @@
 		e.pump(now)
 		return
 	}
-	e.core.Finish(now, c.request, a.engine.Name)
-	delete(e.calls, c.request)
-	e.end(c, verdict.Reason)
+	a.giveUp(now, verdict.Reason)
+}
+
+func (a *attempt) giveUp(now time.Time, reason chicoryrock.Reason) {
+	e := a.call.entry
+	e.core.Finish(now, a.call.request, a.engine.Name)
+	delete(e.calls, a.call.request)
+	e.end(a.call, reason)
 	e.pump(now)
 }
 
--- a/internal/policy/replay/policies.go
+++ b/internal/policy/replay/policies.go
@@ -39,7 +39,7 @@
 
 // Router returns all of the router's own decisions.
 func Router() Policy {
-	return Policy{Name: "router", Queue: newQueue, Picker: newPicker, Retrier: newRetrier}
+	return Policy{Name: "router", Queue: newQueue, Picker: newPicker, Retrier: newRetrier, Suspects: true}
 }
 
 // All returns every policy, the plain ones first.
--- a/internal/policy/replay/scenario.go
+++ b/internal/policy/replay/scenario.go
@@ -85,8 +85,10 @@
 type Policy struct {
 	Name    string
 	Retrier func() Retrier
-	Queue   func(scenario *Scenario, pool string) chicoryrock.Queue
-	Picker  func(scenario *Scenario, entry int) chicoryrock.Picker
+	// Suspects says whether requests that crash engines are looked for.
+	Suspects bool
+	Queue    func(scenario *Scenario, pool string) chicoryrock.Queue
+	Picker   func(scenario *Scenario, entry int) chicoryrock.Picker
 }
 
 func (s *Scenario) class(name string) *Class {
--- /dev/null
+++ b/internal/policy/replay/suspects.go
@@ -0,0 +1,63 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
+)
+
+// suspectLimit is how long a call whose stream a crash broke may wait for an
+// engine that runs no other suspect.
+const suspectLimit = 30 * time.Second
+
+// state says what may be done with a call.
+func (e *entry) state(now time.Time, c *call) suspect.State {
+	if e.seen == nil {
+		return suspect.Clean
+	}
+	return e.seen.State(now, c.record.Workspace, c.print)
+}
+
+// crashed makes a call that was in flight at a crash a suspect.
+func (e *entry) crashed(c *call, crash suspect.Crash, alone bool) {
+	if e.seen == nil {
+		return
+	}
+	now := e.now()
+	e.share(now, e.seen.Crashed(now, suspect.Sighting{
+		Workspace: c.record.Workspace,
+		Print:     c.print,
+		Crash:     crash,
+		Alone:     alone,
+	}))
+	c.request.Suspect = true
+	c.request.Deadline = now.Add(suspectLimit)
+}
+
+// share sends an update to the other entries, and acts on it here at once.
+func (e *entry) share(now time.Time, update suspect.Update) {
+	e.review(now)
+	for _, other := range e.world.entries {
+		if other == e {
+			continue
+		}
+		e.world.after(delayFar, func() {
+			other.seen.Merge(other.now(), update)
+			other.review(other.now())
+		})
+	}
+}
+
+// review ends the waiting suspects that are refused by now. Those that are clean
+// by now keep their place, which is before all that has not begun.
+func (e *entry) review(now time.Time) {
+	for _, request := range e.core.Suspects(poolName) {
+		c := e.calls[request]
+		if e.state(now, c) == suspect.Refused {
+			e.core.Cancel(now, request)
+			delete(e.calls, request)
+			e.end(c, chicoryrock.ReasonSuspect)
+		}
+	}
+}
--- a/internal/policy/replay/world.go
+++ b/internal/policy/replay/world.go
@@ -6,6 +6,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 )
 
 const (
@@ -46,6 +47,7 @@
 	core    *dispatch.Dispatcher
 	retrier Retrier
 	calls   map[*chicoryrock.Request]*call
+	seen    *suspect.Registry // nil when the policy looks for no suspects
 }
 
 // call is one request on its way through an entry.
@@ -55,6 +57,7 @@
 	request *chicoryrock.Request
 	entry   *entry
 	comings int
+	print   suspect.Fingerprint
 	due     time.Time // target for the first token
 	sent    int       // attempts that failed, without those that full agents turned away
 	turned  int
@@ -95,6 +98,9 @@
 			Picker:   policy.Picker(w.scenario, i),
 		},
 	}
+	if policy.Suspects {
+		e.seen = &suspect.Registry{}
+	}
 	pools := make(map[string][]chicoryrock.Replica)
 	for _, engine := range w.engines {
 		pools[engine.Pool] = append(pools[engine.Pool], chicoryrock.Replica{
@@ -131,7 +137,7 @@
 		e.crash()
 	case Cut:
 		e.cut = true
-		e.breakStreams()
+		e.breakStreams("")
 	}
 }
 
@@ -175,6 +181,7 @@
 		Repeat:    class.Repeat,
 	}
 	c.due = c.request.Deadline
+	c.print = suspect.Of(record.Workspace, []byte(strconv.Itoa(number)))
 	e.retrier.Fresh(now)
 	w.report.arrived(c, number)
 	e.offer(now, c)
--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -1,7 +1,11 @@
 // Package suspect finds requests that crash engines. Every request that was in
-// flight at a crash is a suspect. A suspect runs alone or not at all, so that a
-// second crash has one suspect only. A request that was seen at two crashes is
-// refused everywhere: entries exchange what they saw and merge it.
+// flight at a crash is a suspect. A suspect never runs beside another suspect, so
+// that a second crash can be the second one of a single request only. That request
+// is refused everywhere: entries exchange what they saw and merge it.
+//
+// Suspects do run beside requests that are not suspect. To empty an engine for
+// each of them would make the streams that a crash broke off wait for minutes,
+// and every crash of an engine, whatever its cause, would cost much capacity.
 package suspect
 
 import (
@@ -71,7 +75,8 @@
 	Alone     bool        `json:"alone,omitempty"` // nothing else ran on the engine
 }
 
-// Clearing is that a request ran well, and alone, after it had been seen at a crash.
+// Clearing is that a request ran well, beside no other suspect, after it had been
+// seen at a crash.
 type Clearing struct {
 	Workspace string      `json:"workspace"`
 	Print     Fingerprint `json:"print"`
@@ -92,7 +97,7 @@
 const (
 	// Clean requests run as usual.
 	Clean State = iota
-	// Suspect requests run alone or not at all.
+	// Suspect requests run beside no other suspect.
 	Suspect
 	// Refused requests do not run.
 	Refused
@@ -119,7 +124,7 @@
 	return update
 }
 
-// Cleared takes in that a suspect ran alone and ended well. The update is to be
+// Cleared takes in that a suspect ran to its end. The update is to be
 // sent to the other entries.
 func (r *Registry) Cleared(now time.Time, workspace string, fingerprint Fingerprint) Update {
 	update := Update{Cleared: []Clearing{{Workspace: workspace, Print: fingerprint, At: now}}}
--- a/request.go
+++ b/request.go
@@ -18,6 +18,7 @@
 	Prompt    int       // estimated prompt length, tokens
 	Prefix    uint64    // hash of the prompt's beginning; zero when unknown
 	Repeat    bool      // the call is idempotent and may run more than once
+	Suspect   bool      // the call may crash an engine and runs beside no other suspect
 }
 
 // Replica is what one entry knows of one backend server. The view is stale:
@@ -36,6 +37,7 @@
 	Full    int       // reports in a row that said it has no room
 	Seen    time.Time // when the agent was last heard
 	Leaving bool      // gets no new work
+	Held    bool      // runs a suspect of this entry; gets no other one
 	New     bool      // joined while this entry was running; gets work step by step
 }
 
