Carry out the ordering duty in the entries, and show who has it

Cause: the lease and the intents stood alone; no process ordered anything.

Ruled out: a lease tried for by every entry, whose reads grow with the fleet.

GET /status names the duties and who has them.

--- a/internal/serve/admin/admin.go
+++ b/internal/serve/admin/admin.go
@@ -12,6 +12,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 )
 
@@ -22,6 +23,7 @@
 	Centre   string        `json:"centre"`
 	Revision uint64        `json:"revision"`
 	Age      time.Duration `json:"age"` // since the revision was last confirmed, nanoseconds
+	Duties   []duty.Status `json:"duties,omitempty"`
 }
 
 // Admin describes one process to its operators.
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -55,6 +55,8 @@
 	feed        *feed.Feed
 	entry       *entry.Entry
 	claims      *duty.Claims
+	instance    string // the process's name, and what no earlier process had
+	duties      []*duty.Holder
 }
 
 // Run builds the parts and runs them until the context ends and the open requests
@@ -69,7 +71,11 @@
 		return err
 	}
 	p.peerAddress = address
-	return runAll(ctx, p.entry.Run, p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, p.operators().Run)
+	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, p.operators().Run}
+	for _, holder := range p.duties {
+		others = append(others, holder.Run)
+	}
+	return runAll(ctx, p.entry.Run, others...)
 }
 
 func (p *Entry) build() error {
@@ -79,12 +85,14 @@
 	}
 	p.secrets = secrets
 	p.tables = &object.Holder{}
+	p.instance = p.Settings.Name + "/" + secret.Text()
 	p.metrics = metrics.New(time.Now)
 	p.records = &explain.Recorder{Capacity: recordCapacity}
-	p.burn = &burn.Counter{Process: p.Settings.Name + "/" + secret.Text()}
+	p.burn = &burn.Counter{Process: p.instance}
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.claims = &duty.Claims{Store: p.feed.Store, Log: p.Log}
+	p.duties = p.newDuties()
 	p.entry = p.newEntry()
 	p.entry.Prepare()
 	p.roster.Changed = p.entry.ServersChanged
@@ -175,6 +183,7 @@
 				Centre:   p.Settings.Centre,
 				Revision: p.tables.Revision(),
 				Age:      p.feed.Age(now),
+				Duties:   p.dutyStatus(now),
 			}
 		},
 		Metrics: p.metricsHandler(),
--- a/internal/serve/duty/holder.go
+++ b/internal/serve/duty/holder.go
@@ -30,6 +30,9 @@
 	Valid func(now time.Time) bool
 }
 
+// WorkFunc carries a duty out until its context ends, and then returns.
+type WorkFunc func(ctx context.Context, grant Grant)
+
 // Status is what a process knows of one duty.
 type Status struct {
 	Name  string `json:"name"`
@@ -46,7 +49,7 @@
 	Store     chicoryrock.Store
 	Log       *event.Log
 	Candidate func() bool // whether this process should try: few in each data centre
-	Work      func(ctx context.Context, grant Grant)
+	Work      WorkFunc
 
 	mu    sync.Mutex
 	lease lease.Lease
--- a/internal/serve/program/path_test.go
+++ b/internal/serve/program/path_test.go
@@ -59,11 +59,12 @@
 		"-listen", "127.0.0.1:0", "-admin", "127.0.0.1:0", "-engine", engine.address.String(), "-pool", pool, "-slots", "8", "-plain")
 }
 
-func (p *path) startEntry(t *testing.T, name string) *process {
+func (p *path) startEntry(t *testing.T, name string, more ...string) *process {
 	t.Helper()
-	entry := start(t, "chicoryrock", "entry", "-name", name, "-centre", "jamalpur", "-region", "ahmedabad",
+	args := append([]string{"entry", "-name", name, "-centre", "jamalpur", "-region", "ahmedabad",
 		"-listen", "127.0.0.1:0", "-peer", "127.0.0.1:0", "-admin", "127.0.0.1:0",
-		"-store", p.store.address.String(), "-vms", p.vms.address.String(), "-plain")
+		"-store", p.store.address.String(), "-vms", p.vms.address.String(), "-plain"}, more...)
+	entry := start(t, "chicoryrock", args...)
 	eventually(t, func() bool {
 		status, _, _ := ask(t, entry, http.MethodGet, "/svc/orders/lots", trolleyKey, "")
 		return status == http.StatusOK
