Refuse early only for what is ahead, not for what may still come

Cause: the estimate of a request's start took the rate that higher tiers had used of late as lost for good. In a burst that ends, patient classes were refused although they would have been served after it.

--- a/internal/policy/queue/change.go
+++ b/internal/policy/queue/change.go
@@ -16,6 +16,8 @@
 	f := added.flow
 	a := f.account
 	l := f.lane
+	// A request that comes back may have been given another deadline.
+	added.deadline = nanoseconds(added.request.Deadline)
 	added.cost = q.expected(l, added.request)
 	added.last = q.lastStart(added.request)
 	if l.waiting == 0 {
@@ -183,9 +185,5 @@
 		return
 	}
 	popped.metered = q.expected(popped.flow.lane, popped.request)
-	kept := q.meter.add(now, popped.metered)
-	for _, t := range q.tiers {
-		t.work *= kept
-	}
-	popped.flow.lane.tier.work += popped.metered
+	q.meter.add(now, popped.metered)
 }
--- a/internal/policy/queue/late.go
+++ b/internal/policy/queue/late.go
@@ -14,10 +14,6 @@
 	maxSpread = time.Minute
 	// maxAfter is the longest time for which a refused caller is sent away.
 	maxAfter = 5 * time.Minute
-	// leastPart is the part of the service rate on which a tier can count even
-	// while the tiers above it use everything: the measured rates are averages, and
-	// must not keep a tier out for good.
-	leastPart = 0.02
 )
 
 // Late says whether a request that came now could not begin in time (14, 15).
@@ -54,10 +50,12 @@
 // Wait returns how long a request that came now would probably wait for its
 // turn; zero while nothing is ahead of it or too little is known.
 //
-// All that waits in higher tiers goes first, at the whole service rate. Of its
-// own tier, its workspace has to wait until the others have used as much for
-// their share, but no longer than it takes to serve the whole tier. That goes at
-// the rate that the higher tiers leave, or that the class's floor guarantees.
+// All that waits in higher tiers goes first. Of its own tier, its workspace has to
+// wait until the others have used as much for their share, but no longer than it
+// takes to serve the whole tier. Nothing else is held against it: not what lower
+// tiers are owed, and not what higher tiers may still send. Bursts end, and a
+// request that waited in vain has cost no work, while one refused too early is
+// lost for certain.
 func (q *Queue) Wait(now time.Time, request *chicoryrock.Request) time.Duration {
 	return q.wait(now, q.flow(request))
 }
@@ -67,17 +65,13 @@
 	if !known || q.waiting == 0 {
 		return 0
 	}
-	higher := 0.0
-	taken := 0.0
+	seconds := f.ahead() / rate
 	for _, t := range q.tiers {
 		if t.rank >= f.lane.tier.rank {
 			break
 		}
-		higher += t.cost
-		taken += t.work
+		seconds += math.Min(t.cost/rate, t.target().Seconds())
 	}
-	part := math.Max(1-taken/q.meter.work, math.Max(f.lane.floor, leastPart))
-	seconds := higher/rate + f.ahead()/(rate*part)
 	return time.Duration(math.Min(seconds, maxAfter.Seconds()) * float64(time.Second))
 }
 
--- a/internal/policy/queue/meter.go
+++ b/internal/policy/queue/meter.go
@@ -31,16 +31,14 @@
 
 func (m *meter) stop() { m.busy = false }
 
-// add counts one request that had to wait, and returns the factor by which
-// older counts have lost weight.
-func (m *meter) add(now time.Time, cost float64) float64 {
+// add counts one request that had to wait. Older counts lose weight.
+func (m *meter) add(now time.Time, cost float64) {
 	elapsed := max(0, now.Sub(m.mark).Seconds())
 	m.mark = now
 	kept := math.Exp(-elapsed / meterWindow.Seconds())
 	m.work = m.work*kept + cost
 	m.turns = m.turns*kept + 1
 	m.span = m.span*kept + elapsed
-	return kept
 }
 
 // undo takes back a request that was counted but did not run.
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -83,8 +83,8 @@
 	added := q.newItem()
 	added.request = request
 	added.flow = f
+	f.lane.target = max(0, request.Deadline.Sub(request.Arrived))
 	added.pushed = now.UnixNano()
-	added.deadline = nanoseconds(request.Deadline)
 	added.seq = q.seq
 	q.seq++
 	q.items[request] = added
@@ -124,7 +124,6 @@
 	q.turn--
 	if back.metered > 0 {
 		q.meter.undo(back.metered)
-		l.tier.work = max(0, l.tier.work-back.metered)
 	}
 	took := 0.0
 	if back.output > 0 {
--- a/internal/policy/queue/tier.go
+++ b/internal/policy/queue/tier.go
@@ -1,6 +1,9 @@
 package queue
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// firstLength is the expected answer of a class before any has ended, tokens.
@@ -17,7 +20,6 @@
 	accounts map[string]*account
 	cost     float64 // tokens that the waiting requests are expected to take
 	shares   float64 // of the workspaces that have requests waiting
-	work     float64 // tokens taken up, decayed like the queue's meter
 	waiting  int
 	running  int
 	shared   int    // waiting requests that count against the shared room
@@ -33,6 +35,7 @@
 	waiting int
 	running int
 	length  float64 // usual length of an answer, tokens
+	target  time.Duration
 	floor   float64 // share of the running requests that the class always gets
 	room    int     // waiting requests that don't count against the shared room
 	due     float64 // the turn from which the class is owed one
@@ -64,6 +67,16 @@
 	return moved
 }
 
+// target returns the longest target of the tier's classes. What waits longer is
+// given up, so a tier never holds up the lower ones for more than this.
+func (t *tier) target() time.Duration {
+	longest := time.Duration(0)
+	for _, l := range t.lanes {
+		longest = max(longest, l.target)
+	}
+	return longest
+}
+
 // lane returns the lane of a class, or nil.
 func (t *tier) lane(class string) *lane {
 	for _, l := range t.lanes {
