Ask running entries for explanations, burn and cost

Cause: entries kept records, counts against service levels and a meter of backend servers, but no command read them, and nothing fed the meter.

Change: chicoryctl explain REF, explain -class/-workspace over a span, burn (table, JSON, one HTML page) and cost ask the processes of -admin and merge their answers. Classes and prices come from the newest configuration among the answers. The store was ruled out as their source, because the reports are wanted most while it is out. The meter reads each list of VMs and each end of a call; an attempt that was taken back counts its time alone, and a call that no backend server took on counts in burn only.

An unknown reference, an expired record and an empty span end with exit code 6 and a sentence; a process that does not answer is named and ends with exit code 3, after the partial report. The admin routes answer 404, 410 and 400 with a sentence in JSON, so that an agent's or a stranger's 404 is told from an unknown reference.

Tests: two entries and an engine in one process are asked over sockets.

--- a/internal/ops/burn/counter.go
+++ b/internal/ops/burn/counter.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
 // maxCells is how many cells a process keeps. With 60 pairs of class and
@@ -79,3 +80,11 @@
 	})
 	return snapshot
 }
+
+// Reading is what a process answers when it is asked for its counts: these, and
+// the classes of the configuration that it has in force.
+type Reading struct {
+	Revision uint64         `json:"revision"`
+	Classes  []object.Class `json:"classes"`
+	Snapshot Snapshot       `json:"snapshot"`
+}
--- a/internal/ops/cost/meter.go
+++ b/internal/ops/cost/meter.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
 const (
@@ -121,6 +122,14 @@
 	}
 }
 
+// Hold counts the time that a request held a slot without an end that says good
+// or bad: it was taken back, or its caller hung up.
+func (m *Meter) Hold(now time.Time, pool, centre string, busy time.Duration) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.at(now, place{pool, centre}).Busy += busy
+}
+
 // Snapshot returns what has been metered from since on, sorted.
 func (m *Meter) Snapshot(since time.Time) Snapshot {
 	m.mutex.Lock()
@@ -157,3 +166,11 @@
 	value.Start, value.Pool, value.Centre = key.Begins(), at.pool, at.centre
 	return value
 }
+
+// Reading is what a process answers when it is asked what it has metered: this,
+// and the pools of the configuration that it has in force.
+type Reading struct {
+	Revision uint64        `json:"revision"`
+	Pools    []object.Pool `json:"pools"`
+	Snapshot Snapshot      `json:"snapshot"`
+}
--- a/internal/ops/ctl/ctl.go
+++ b/internal/ops/ctl/ctl.go
@@ -20,6 +20,7 @@
 	ExitFailed  = 3 // the store or a process could not be reached; nothing was changed
 	ExitUnknown = 4 // a change was sent, but its answer was lost
 	ExitPending = 5 // the revision in force is not yet known to be in force everywhere
+	ExitNothing = 6 // all were asked, and nothing is known of the request or the span
 )
 
 // Env is what a command gets from outside, so that tests can supply it.
@@ -52,6 +53,9 @@
 		withdrawCommand,
 		pruneCommand,
 		statusCommand,
+		explainCommand,
+		burnCommand,
+		costCommand,
 	}
 }
 
@@ -81,5 +85,5 @@
 		_, _ = fmt.Fprintf(out, "  %-9s %-8s %s\n", command.Name, command.Args, command.Summary)
 	}
 	_, _ = fmt.Fprint(out, "\nEach command explains its flags with -h.\n"+
-		"Exit codes: 0 done, 1 faults or a clash, 2 wrong usage, 3 not reached and nothing changed, 4 outcome unknown, 5 not yet in force everywhere.\n")
+		"Exit codes: 0 done, 1 faults or a clash, 2 wrong usage, 3 not reached and nothing changed, 4 outcome unknown, 5 not yet in force everywhere, 6 nothing known.\n")
 }
--- a/internal/ops/ctl/flags.go
+++ b/internal/ops/ctl/flags.go
@@ -29,6 +29,17 @@
 // expects exactly count of the latter. When the command must not go on it
 // returns false and the exit code.
 func parse(env *Env, flags *flag.FlagSet, args []string, count int) ([]string, int, bool) {
+	positional, code, goOn := parseAny(env, flags, args)
+	if goOn && len(positional) != count {
+		_, _ = fmt.Fprintf(env.Err, "Expected %d arguments besides flags, but found %d.\n", count, len(positional))
+		flags.Usage()
+		return nil, ExitUsage, false
+	}
+	return positional, code, goOn
+}
+
+// parseAny does the same for any number of positional arguments.
+func parseAny(env *Env, flags *flag.FlagSet, args []string) ([]string, int, bool) {
 	flags.SetOutput(env.Err)
 	if err := fromEnvironment(flags, env.Environ); err != nil {
 		_, _ = fmt.Fprintln(env.Err, err)
@@ -49,11 +60,6 @@
 		positional = append(positional, flags.Arg(0))
 		args = flags.Args()[1:]
 	}
-	if len(positional) != count {
-		_, _ = fmt.Fprintf(env.Err, "Expected %d arguments besides flags, but found %d.\n", count, len(positional))
-		flags.Usage()
-		return nil, ExitUsage, false
-	}
 	return positional, ExitFine, true
 }
 
--- /dev/null
+++ b/internal/ops/ctl/report_test.go
@@ -0,0 +1,182 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cost"
+	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
+	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
+	"github.com/chicoryrock/chicoryrock/internal/serve/local"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+)
+
+const callerKey = "ck-naroda-secret"
+
+// startPair runs two entries before one backend server.
+func startPair(t *testing.T) *local.System {
+	system := &local.System{
+		Centres: []local.Centre{{Name: "jamalpur", Region: "ahmedabad", Entries: 2, Engines: 1}},
+		Set: &object.Set{
+			Workspaces: []object.Workspace{{Name: "naroda"}},
+			Keys:       []object.Key{{Name: "naroda-1", Workspace: "naroda", Digest: object.Digest(callerKey)}},
+			Classes:    []object.Class{{Name: "questions", Tier: 1, First: patience, Token: patience, Goal: 0.95}},
+			Routes:     []object.Route{{Name: "questions", Model: "garland", Class: "questions", Pools: []string{"garland"}, Repeat: true}},
+			Pools:      []object.Pool{{Name: "garland", Model: "garland-7b", Slots: 4, Max: 8, Cost: 2}},
+		},
+		Pool:  "garland",
+		Slots: 4,
+	}
+	t.Cleanup(system.Close)
+	require.NoError(t, system.Start(context.Background()))
+	return system
+}
+
+// ask makes a call through one entry and returns its reference and status.
+func ask(t *testing.T, system *local.System, entry int, model string) (string, int) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	body := strings.NewReader(`{"model":"` + model + `","max_tokens":3,"prompt":"which garlands"}`)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+system.Callers[entry].String()+"/v1/completions", body)
+	require.NoError(t, err)
+	request.Header.Set("Authorization", "Bearer "+callerKey)
+	response, err := http.DefaultClient.Do(request)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	return response.Header.Get("X-Request-Id"), response.StatusCode
+}
+
+// expectNow runs chicoryctl by the real clock, which the entries go by too.
+func expectNow(t *testing.T, want int, parts []string, args ...string) string {
+	t.Helper()
+	code, out, errOut := run(&Env{Now: time.Now}, args...)
+	require.Equal(t, want, code, out+errOut)
+	for _, part := range parts {
+		require.Contains(t, out+errOut, part)
+	}
+	return out
+}
+
+func TestReportsOfRunningEntries(t *testing.T) {
+	system := startPair(t)
+	one, two := system.Entries[0].AdminAddress().String(), system.Entries[1].AdminAddress().String()
+	both := one + "," + two
+	silent := "127.0.0.1:1"
+	empty := []string{"is empty"}
+	expectNow(t, ExitNothing, empty, "burn", "-admin", both)
+	expectNow(t, ExitNothing, []string{"Nothing is known of this span"}, "explain", "-class", "questions", "-admin", both)
+
+	served, status := ask(t, system, 0, "garland")
+	require.Equal(t, http.StatusOK, status)
+	_, status = ask(t, system, 1, "garland")
+	require.Equal(t, http.StatusOK, status)
+	refused, status := ask(t, system, 1, "roses")
+	require.Equal(t, http.StatusNotFound, status)
+
+	expectNow(t, ExitFine, []string{"class questions (tier 1)", "served whole, in time"}, "explain", served, "-admin", both)
+	expectNow(t, ExitFine, []string{"was not run", "No route for this model"}, "explain", refused, "-admin", both+","+silent)
+	expectNow(t, ExitNothing, []string{"No request nobody is known here"}, "explain", "nobody", "-admin", both)
+	expectNow(t, ExitFailed, []string{"None of the 2 processes that answered", "no answer came from " + silent}, "explain", "nobody", "-admin", both+","+silent)
+	expectNow(t, ExitFine, []string{"2 requests of class questions ended: 2 served"}, "explain", "-class", "questions", "-admin", both)
+	expectNow(t, ExitFine, []string{"3 requests of workspace naroda ended: 2 served, 1 refused"}, "explain", "-workspace", "naroda", "-admin", both)
+	expectNow(t, ExitFailed, []string{"1 served", "1 of 2 processes gave no answer: " + silent}, "explain", "-class", "questions", "-admin", one+","+silent)
+
+	page := filepath.Join(t.TempDir(), "burn.html")
+	expectNow(t, ExitFine, []string{"from 2 processes", "questions"}, "burn", "-admin", both, "-html", page)
+	content, err := os.ReadFile(page)
+	require.NoError(t, err)
+	require.Contains(t, string(content), "<svg")
+	var level burn.Report
+	out := expectNow(t, ExitFailed, []string{"1 of 3 processes"}, "burn", "-json", "-admin", both+","+silent)
+	require.NoError(t, json.NewDecoder(bytes.NewBufferString(out)).Decode(&level))
+	require.Equal(t, []string{silent}, level.Missing)
+	require.Equal(t, int64(2), level.Classes[0].Good)
+
+	var report cost.Report
+	out = expectNow(t, ExitFine, nil, "cost", "-json", "-admin", both)
+	require.NoError(t, json.Unmarshal([]byte(out), &report))
+	require.Equal(t, int64(2), report.Total.Good)
+	require.Equal(t, int64(6), report.Total.Output)
+	require.Equal(t, "jamalpur", report.Lines[0].Centre)
+	expectNow(t, ExitFailed, []string{"1 of 1 process gave no answer"}, "cost", "-admin", silent)
+	expectNow(t, ExitFailed, []string{"1 of 1 process gave no answer"}, "burn", "-admin", silent)
+}
+
+func TestReportUsage(t *testing.T) {
+	cases := []struct {
+		part string
+		args []string
+	}{
+		{"-admin is missing", []string{"burn"}},
+		{"-admin is missing", []string{"cost"}},
+		{"-admin is missing", []string{"explain", "x"}},
+		{"either one reference", []string{"explain", "-admin", "127.0.0.1:1"}},
+		{"either one reference", []string{"explain", "x", "-class", "y", "-admin", "127.0.0.1:1"}},
+		{"is no time", []string{"explain", "-class", "y", "-from", "nine", "-admin", "127.0.0.1:1"}},
+		{"The span is empty", []string{"explain", "-class", "y", "-from", "09:10", "-to", "09:00", "-admin", "127.0.0.1:1"}},
+		{"-period must be above zero", []string{"cost", "-period", "0s", "-admin", "127.0.0.1:1"}},
+		{"-period must be above zero", []string{"burn", "-period", "-1h", "-admin", "127.0.0.1:1"}},
+		{"spans must grow", []string{"burn", "-short", "9h", "-admin", "127.0.0.1:1"}},
+		{"write the page", []string{"burn", "-html", "/nonexistent/x", "-admin", startReading(t)}},
+	}
+	for _, c := range cases {
+		expectExit(t, ExitUsage, c.part, c.args...)
+	}
+}
+
+// startReading serves one empty reading.
+func startReading(t *testing.T) string {
+	return startAnswer(t, func(w http.ResponseWriter) { _ = json.NewEncoder(w).Encode(burn.Reading{}) })
+}
+
+func startAnswer(t *testing.T, answer func(w http.ResponseWriter)) string {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { answer(w) }))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// TestExpiredRecord asks a process that knows nothing, one whose record has made
+// room, and one that is no entry.
+func TestExpiredRecord(t *testing.T) {
+	unknown := startAnswer(t, func(w http.ResponseWriter) {
+		(&admin.ProblemError{Status: http.StatusNotFound, Text: "No request."}).Write(w)
+	})
+	expired := startAnswer(t, func(w http.ResponseWriter) {
+		(&admin.ProblemError{Status: http.StatusGone, Text: (&explain.MissingError{Ref: "x", Expired: true}).Error()}).Write(w)
+	})
+	other := startAnswer(t, func(w http.ResponseWriter) { http.NotFound(w, nil) })
+	rubbish := startAnswer(t, func(w http.ResponseWriter) { _, _ = io.WriteString(w, "<html>") })
+	expectNow(t, ExitNothing, []string{"has made room for newer ones"}, "explain", "x", "-admin", unknown+","+expired+","+other)
+	expectNow(t, ExitFailed, []string{"answered with status 404"}, "explain", "x", "-admin", unknown+","+other)
+	expectNow(t, ExitFailed, []string{"cannot be read"}, "explain", "x", "-admin", rubbish)
+}
+
+func TestReadTime(t *testing.T) {
+	cases := []struct {
+		text string
+		want time.Time
+	}{
+		{"09:05", time.Date(2026, time.March, 1, 9, 5, 0, 0, time.UTC)},
+		{"2026-02-28T09:05:00Z", time.Date(2026, time.February, 28, 9, 5, 0, 0, time.UTC)},
+	}
+	for _, c := range cases {
+		got, err := readTime(c.text, clock)
+		require.NoError(t, err)
+		require.True(t, c.want.Equal(got), c.text)
+	}
+}
--- a/internal/ops/ctl/status.go
+++ b/internal/ops/ctl/status.go
@@ -2,18 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-	"github.com/zeromicro/go-zero/rest/httpc"
-
-	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/state/publish"
 )
 
@@ -22,10 +15,6 @@
 	askTimeout = 2 * time.Second
 	// askPause lies between two rounds of questions while waiting.
 	askPause = 200 * time.Millisecond
-	// maxStatusBytes is the largest answer that is read.
-	maxStatusBytes = 64 << 10
-	// maxAsked is how many processes are asked at the same time.
-	maxAsked = 32
 )
 
 var statusCommand = Command{
@@ -61,8 +50,7 @@
 	if !goOn {
 		return code
 	}
-	if len(admin) == 0 {
-		_, _ = fmt.Fprintln(env.Err, "-admin is missing: name the processes to ask, such as 127.0.0.1:7101,127.0.0.1:7102.")
+	if !expectAdmin(env, admin) {
 		return ExitUsage
 	}
 	if len(store) > 0 && !expectStore(env, store) {
@@ -153,53 +141,18 @@
 }
 
 func askAll(ctx context.Context, admin []netip.AddrPort) []process {
-	client := web.NewClient(nil)
-	defer client.CloseIdleConnections()
-	service := web.NewService("chicoryctl-status", client)
-	answers := make([]process, len(admin))
-	slots := make(chan struct{}, maxAsked)
-	var group sync.WaitGroup
-	for i, address := range admin {
-		slots <- struct{}{}
-		group.Go(func() {
-			defer func() { <-slots }()
-			answers[i] = ask(ctx, service, address)
-		})
+	replies := askEach[process](ctx, admin, question{path: "/status", timeout: askTimeout})
+	answers := make([]process, 0, len(replies))
+	for _, one := range replies {
+		answer := one.value
+		switch {
+		case one.err != nil:
+			answer = process{Error: one.err.Error()}
+		case answer.Name == "":
+			answer = process{Error: "its answer is no status"}
+		}
+		answer.Address = one.address
+		answers = append(answers, answer)
 	}
-	group.Wait()
 	return answers
 }
-
-func ask(ctx context.Context, service httpc.Service, address netip.AddrPort) process {
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	one := process{Address: address}
-	if err := read(ctx, service, &one); err != nil {
-		return process{Address: address, Error: err.Error()}
-	}
-	one.Address = address
-	return one
-}
-
-func read(ctx context.Context, service httpc.Service, one *process) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+one.Address.String()+"/status", nil)
-	if err != nil {
-		return err
-	}
-	response, err := service.DoRequest(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return errors.Errorf("it answered with status %d", response.StatusCode)
-	}
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxStatusBytes))
-	if err != nil {
-		return err
-	}
-	if err := json.Unmarshal(content, one); err != nil || one.Name == "" {
-		return errors.New("its answer is no status")
-	}
-	return nil
-}
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -11,7 +11,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cost"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
@@ -25,6 +27,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
 	"github.com/chicoryrock/chicoryrock/internal/serve/roster"
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/state/member"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -47,10 +50,12 @@
 
 	secrets     *secrets
 	peerAddress netip.AddrPort
+	operators   netip.AddrPort
 	tables      *object.Holder
 	metrics     *metrics.Metrics
 	records     *explain.Recorder
 	burn        *burn.Counter
+	cost        *cost.Meter
 	roster      *roster.Roster
 	feed        *feed.Feed
 	entry       *entry.Entry
@@ -69,7 +74,11 @@
 		return err
 	}
 	p.peerAddress = address
-	return runAll(ctx, p.entry.Run, p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, p.operators().Run)
+	operators := p.operatorServer()
+	if p.operators, err = operators.Open(); err != nil {
+		return err
+	}
+	return runAll(ctx, p.entry.Run, p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, operators.Run)
 }
 
 func (p *Entry) build() error {
@@ -81,13 +90,15 @@
 	p.tables = &object.Holder{}
 	p.metrics = metrics.New(time.Now)
 	p.records = &explain.Recorder{Capacity: recordCapacity}
-	p.burn = &burn.Counter{Process: p.Settings.Name + "/" + secret.Text()}
+	process := p.Settings.Name + "/" + secret.Text()
+	p.burn = &burn.Counter{Process: process}
+	p.cost = &cost.Meter{Process: process}
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.claims = &duty.Claims{Store: p.feed.Store, Log: p.Log}
 	p.entry = p.newEntry()
 	p.entry.Prepare()
-	p.roster.Changed = p.entry.ServersChanged
+	p.roster.Changed = p.serversChanged
 	p.feed.Changed = p.entry.ConfigChanged
 	return nil
 }
@@ -99,12 +110,22 @@
 // was.
 func (p *Entry) PeerAddress() netip.AddrPort { return p.peerAddress }
 
+// AdminAddress returns where operators reach the entry. It may be called once
+// Opened was.
+func (p *Entry) AdminAddress() netip.AddrPort { return p.operators }
+
 // Table returns the configuration in force, or nil before the first.
 func (p *Entry) Table() *object.Table { return p.tables.Table() }
 
 // Explain returns the record of a request. Errors: those of explain.Recorder.Find.
 func (p *Entry) Explain(ref string) (explain.Record, error) { return p.records.Find(ref) }
 
+// serversChanged takes in a list of VMs as it was read.
+func (p *Entry) serversChanged(vms []chicoryrock.VM) {
+	p.cost.Observe(time.Now(), vms)
+	p.entry.ServersChanged(vms)
+}
+
 func (p *Entry) newRoster() *roster.Roster {
 	return &roster.Roster{
 		Self:      selfOf(&p.Settings.Common),
@@ -136,7 +157,7 @@
 		Roster:   p.roster,
 		Safe:     p.feed.Safe,
 		Opened:   p.Opened,
-		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn},
+		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn, Cost: p.cost},
 		Rules:    rules.update,
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: rules.newQueue,
@@ -162,8 +183,8 @@
 	}
 }
 
-// operators serves those who run the system.
-func (p *Entry) operators() interface{ Run(context.Context) error } {
+// operatorServer serves those who run the system.
+func (p *Entry) operatorServer() *web.Server {
 	operators := &admin.Admin{
 		Listen: p.Settings.Admin,
 		Log:    p.Log,
--- a/internal/serve/assembly/questions.go
+++ b/internal/serve/assembly/questions.go
@@ -5,55 +5,114 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/rest"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cost"
+	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
+	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
-// questions returns the routes by which chicoryctl asks an entry about requests
-// and service levels.
+// questions returns the routes by which chicoryctl asks an entry about requests,
+// service levels and cost.
 func (p *Entry) questions() []rest.Route {
 	return []rest.Route{
 		{Method: http.MethodGet, Path: "/explain", Handler: p.explain},
 		{Method: http.MethodGet, Path: "/summary", Handler: p.summary},
-		{Method: http.MethodGet, Path: "/burn", Handler: p.burnCells},
+		{Method: http.MethodGet, Path: "/burn", Handler: p.burnReading},
+		{Method: http.MethodGet, Path: "/cost", Handler: p.costReading},
 	}
 }
 
 // explain answers GET /explain?ref=REFERENCE with the record of one request.
 func (p *Entry) explain(w http.ResponseWriter, r *http.Request) {
 	record, err := p.records.Find(r.URL.Query().Get("ref"))
-	answer(w, record, err)
+	if err != nil {
+		problemOf(err).Write(w)
+		return
+	}
+	answer(w, record)
 }
 
 // summary answers GET /summary?from=TIME&to=TIME&class=NAME&workspace=NAME, with
-// times in RFC 3339, and either of the names left out for all.
+// times in RFC 3339, and either of the names left out for all. A span without
+// requests here is answered with counts of zero, since other entries may have some.
 func (p *Entry) summary(w http.ResponseWriter, r *http.Request) {
+	from, to := readTime(r, "from"), readTime(r, "to")
+	if from.IsZero() || to.IsZero() {
+		errTime.Write(w)
+		return
+	}
 	query := r.URL.Query()
-	from, err := time.Parse(time.RFC3339, query.Get("from"))
-	if err != nil {
-		answer(w, nil, err)
+	summary, err := p.records.Summary(from, to, query.Get("class"), query.Get("workspace"))
+	if err != nil && !errors.Is(err, explain.ErrEmpty) {
+		problemOf(err).Write(w)
 		return
 	}
-	to, err := time.Parse(time.RFC3339, query.Get("to"))
-	if err != nil {
-		answer(w, nil, err)
+	answer(w, summary)
+}
+
+// burnReading answers GET /burn?since=TIME with the counts against service levels.
+func (p *Entry) burnReading(w http.ResponseWriter, r *http.Request) {
+	since := readTime(r, "since")
+	if since.IsZero() {
+		errTime.Write(w)
 		return
 	}
-	summary, err := p.records.Summary(from, to, query.Get("class"), query.Get("workspace"))
-	answer(w, summary, err)
+	table := p.tableOrEmpty()
+	answer(w, burn.Reading{Revision: table.Revision, Classes: table.Set.Classes, Snapshot: p.burn.Snapshot(since)})
 }
 
-// burnCells answers GET /burn?since=TIME with the counts against service levels.
-func (p *Entry) burnCells(w http.ResponseWriter, r *http.Request) {
-	since, err := time.Parse(time.RFC3339, r.URL.Query().Get("since"))
-	answer(w, p.burn.Snapshot(since), err)
+// costReading answers GET /cost?since=TIME with what was paid and served.
+func (p *Entry) costReading(w http.ResponseWriter, r *http.Request) {
+	since := readTime(r, "since")
+	if since.IsZero() {
+		errTime.Write(w)
+		return
+	}
+	table := p.tableOrEmpty()
+	answer(w, cost.Reading{Revision: table.Revision, Pools: table.Set.Pools, Snapshot: p.cost.Snapshot(since)})
+}
+
+// tableOrEmpty returns the configuration in force, or an empty one before the
+// first.
+func (p *Entry) tableOrEmpty() *object.Table {
+	if table := p.tables.Table(); table != nil {
+		return table
+	}
+	return object.NewTable(0, &object.Set{})
 }
 
-// answer sends a value as JSON, or the error's sentence with status 404.
-func answer(w http.ResponseWriter, value any, err error) {
+// errTime answers a question whose span cannot be read.
+var errTime = &admin.ProblemError{Status: http.StatusBadRequest, Text: "A time of the question is missing or not in the form of RFC 3339."}
+
+// readTime returns a time of the query, or the zero time when it cannot be read.
+func readTime(r *http.Request, name string) time.Time {
+	moment, err := time.Parse(time.RFC3339, r.URL.Query().Get(name))
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusNotFound)
-		return
+		return time.Time{}
+	}
+	return moment
+}
+
+// problemOf says why there is no value: never here (404), once here (410), or
+// something else (500).
+func problemOf(err error) *admin.ProblemError {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, chicoryrock.ErrNotFound):
+		status = http.StatusNotFound
+	case errors.Is(err, explain.ErrExpired):
+		status = http.StatusGone
 	}
+	return &admin.ProblemError{Status: status, Text: err.Error()}
+}
+
+// answer sends a value as JSON.
+func answer(w http.ResponseWriter, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The asker may be gone already; nothing is left to tell it then.
 	_ = json.NewEncoder(w).Encode(value)
--- a/internal/serve/entry/observe.go
+++ b/internal/serve/entry/observe.go
@@ -5,6 +5,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cost"
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
@@ -12,11 +13,12 @@
 )
 
 // Observer keeps what operators ask about: metrics, the records of the newest
-// requests, and the counts against service levels.
+// requests, the counts against service levels, and the use of backend servers.
 type Observer struct {
 	Metrics *metrics.Metrics
 	Records *explain.Recorder
 	Burn    *burn.Counter
+	Cost    *cost.Meter
 }
 
 // refused notes a request that was refused before it was classified.
@@ -35,6 +37,8 @@
 	last     time.Time // of the newest token
 	output   int       // tokens that the caller got
 	prompt   int       // tokens as the engine counted them
+	centre   string    // of the last replica that did not turn the call away
+	held     time.Time // since when a replica has it; zero while none has
 }
 
 func (p *progress) begin(now time.Time) {
@@ -63,6 +67,7 @@
 
 // sent notes the replica that was chosen and what was known of it then.
 func (p *progress) sent(now time.Time, replica *chicoryrock.Replica, resume bool) {
+	p.centre, p.held = replica.Centre, now
 	action := explain.ActionSend
 	if resume {
 		action = explain.ActionResume
@@ -82,6 +87,12 @@
 
 // retried notes that a replica did not serve the request.
 func (p *progress) retried(now time.Time, replica string, cause explain.Cause) {
+	if cause == explain.CauseBusy {
+		p.centre = ""
+	} else {
+		p.observer.Cost.Hold(now, p.request.Pool, p.centre, now.Sub(p.held))
+	}
+	p.held = time.Time{}
 	p.step(now, explain.Step{Action: explain.ActionRetry, Choice: replica, Cause: cause})
 	p.observer.Metrics.Retry(p.class.Name)
 }
@@ -118,6 +129,7 @@
 	}
 	p.observer.Metrics.Request(metrics.Ended{Class: p.class.Name, Workspace: p.request.Workspace, Outcome: outcome, Reason: reason})
 	p.observer.Metrics.Used(p.class.Name, p.request.Workspace, p.used(outcome))
+	p.cost(now, verdict, p.used(outcome))
 	p.observer.Records.End(now, p.request.ID, explain.Result{
 		Outcome: outcome,
 		Reason:  reason,
@@ -126,6 +138,30 @@
 	})
 }
 
+// cost counts what the call took from and gave on the last replica that had it. A
+// call that no replica took on cost nothing; it stands in the report on burn.
+func (p *progress) cost(now time.Time, verdict burn.Verdict, used metrics.Tokens) {
+	if p.centre == "" {
+		return
+	}
+	var busy time.Duration
+	if !p.held.IsZero() {
+		busy = now.Sub(p.held)
+	}
+	if verdict == burn.VerdictVoid {
+		p.observer.Cost.Hold(now, p.request.Pool, p.centre, busy)
+		return
+	}
+	p.observer.Cost.Serve(now, cost.Served{
+		Pool:   p.request.Pool,
+		Centre: p.centre,
+		Busy:   busy,
+		Good:   verdict == burn.VerdictGood,
+		Output: used.Output,
+		Wasted: used.Wasted,
+	})
+}
+
 // used returns the tokens of the call; output that reached its caller late or
 // never is wasted.
 func (p *progress) used(outcome chicoryrock.Outcome) metrics.Tokens {
