--- a/internal/serve/agent/crash.go
+++ b/internal/serve/agent/crash.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/netip"
@@ -52,7 +53,9 @@
 }
 
 func (c *crashes) listens() bool {
-	conn, err := net.DialTimeout("tcp", c.engine.String(), probeTimeout)
+	// The probe goes on when the request that asked for it has ended.
+	dialer := &net.Dialer{Timeout: probeTimeout}
+	conn, err := dialer.DialContext(context.Background(), "tcp", c.engine.String())
 	if err != nil {
 		return false
 	}
--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -130,7 +130,7 @@
 
 func (v *visit) newRequest() (*http.Request, error) {
 	address := "http://" + v.agent.Settings.Engine.String() + v.r.URL.RequestURI()
-	request, err := http.NewRequestWithContext(v.ctx, v.r.Method, address, v.r.Body) //nolint:gosec // the address is the agent's setting, only the path is the caller's
+	request, err := http.NewRequestWithContext(v.ctx, v.r.Method, address, v.r.Body)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -11,7 +11,9 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/burn"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cost"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
@@ -25,6 +27,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
 	"github.com/chicoryrock/chicoryrock/internal/serve/roster"
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/state/member"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -48,10 +51,12 @@
 	secrets     *secrets
 	peerAddress netip.AddrPort
 	suspects    entry.Suspects
+	operators   netip.AddrPort
 	tables      *object.Holder
 	metrics     *metrics.Metrics
 	records     *explain.Recorder
 	burn        *burn.Counter
+	cost        *cost.Meter
 	roster      *roster.Roster
 	feed        *feed.Feed
 	entry       *entry.Entry
@@ -72,7 +77,11 @@
 		return err
 	}
 	p.peerAddress = address
-	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, p.operators().Run}
+	operators := p.operatorServer()
+	if p.operators, err = operators.Open(); err != nil {
+		return err
+	}
+	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, operators.Run}
 	for _, holder := range p.duties {
 		others = append(others, holder.Run)
 	}
@@ -90,13 +99,14 @@
 	p.metrics = metrics.New(time.Now)
 	p.records = &explain.Recorder{Capacity: recordCapacity}
 	p.burn = &burn.Counter{Process: p.instance}
+	p.cost = &cost.Meter{Process: p.instance}
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.claims = &duty.Claims{Store: p.feed.Store, Log: p.Log}
 	p.duties = p.newDuties()
 	p.entry = p.newEntry()
 	p.entry.Prepare()
-	p.roster.Changed = p.entry.ServersChanged
+	p.roster.Changed = p.serversChanged
 	p.feed.Changed = p.entry.ConfigChanged
 	return nil
 }
@@ -108,12 +118,22 @@
 // was.
 func (p *Entry) PeerAddress() netip.AddrPort { return p.peerAddress }
 
+// AdminAddress returns where operators reach the entry. It may be called once
+// Opened was.
+func (p *Entry) AdminAddress() netip.AddrPort { return p.operators }
+
 // Table returns the configuration in force, or nil before the first.
 func (p *Entry) Table() *object.Table { return p.tables.Table() }
 
 // Explain returns the record of a request. Errors: those of explain.Recorder.Find.
 func (p *Entry) Explain(ref string) (explain.Record, error) { return p.records.Find(ref) }
 
+// serversChanged takes in a list of VMs as it was read.
+func (p *Entry) serversChanged(vms []chicoryrock.VM) {
+	p.cost.Observe(time.Now(), vms)
+	p.entry.ServersChanged(vms)
+}
+
 func (p *Entry) newRoster() *roster.Roster {
 	return &roster.Roster{
 		Self:      selfOf(&p.Settings.Common),
@@ -145,7 +165,7 @@
 		Roster:   p.roster,
 		Safe:     p.feed.Safe,
 		Opened:   p.Opened,
-		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn},
+		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn, Cost: p.cost},
 		Rules:    rules.update,
 		Suspects: &p.suspects,
 		Dispatcher: &dispatch.Dispatcher{
@@ -172,8 +192,8 @@
 	}
 }
 
-// operators serves those who run the system.
-func (p *Entry) operators() interface{ Run(context.Context) error } {
+// operatorServer serves those who run the system.
+func (p *Entry) operatorServer() *web.Server {
 	operators := &admin.Admin{
 		Listen: p.Settings.Admin,
 		Log:    p.Log,
