Tell entries of crashes and limits between themselves

Cause: a poisoned request sent again to another entry crashed two engines more, and a workspace's limit held at each entry alone. Change: entries tell each other every 2 s what workspaces used, and at once, before the caller hears of it, what was in flight at a crash; a starting entry learns what is known with its first message. The one suspect on a backend server at a second crash is the culprit, and what else was in flight is cleared by it. Ruled out: refusing whatever was seen at two crashes. The test's innocents all ask the same question, were in flight at both crashes and lost their answers.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -23,6 +23,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/serve/entry"
+	"github.com/chicoryrock/chicoryrock/internal/serve/exchange"
 	"github.com/chicoryrock/chicoryrock/internal/serve/feed"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
@@ -50,7 +51,9 @@
 
 	secrets     *secrets
 	peerAddress netip.AddrPort
-	suspects    entry.Suspects
+	suspects    *entry.Suspects
+	limits      *entry.Limits
+	exchange    *exchange.Exchange
 	operators   netip.AddrPort
 	tables      *object.Holder
 	metrics     *metrics.Metrics
@@ -81,7 +84,7 @@
 	if p.operators, err = operators.Open(); err != nil {
 		return err
 	}
-	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, operators.Run}
+	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, p.exchange.Run, operators.Run}
 	for _, holder := range p.duties {
 		others = append(others, holder.Run)
 	}
@@ -100,6 +103,16 @@
 	p.records = &explain.Recorder{Capacity: recordCapacity}
 	p.burn = &burn.Counter{Process: p.instance}
 	p.cost = &cost.Meter{Process: p.instance}
+	p.suspects = &entry.Suspects{}
+	p.limits = entry.NewLimits(time.Now(), p.Settings.Name)
+	p.exchange = &exchange.Exchange{
+		Self:     selfOf(&p.Settings.Common),
+		Limits:   p.limits,
+		Suspects: p.suspects,
+		TLS:      p.secrets.dialPeers,
+		Log:      p.Log,
+	}
+	p.suspects.Share = p.exchange.Share
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.claims = &duty.Claims{Store: p.feed.Store, Log: p.Log}
@@ -114,6 +127,9 @@
 // Ready says whether the entry serves. It may be called once Opened was.
 func (p *Entry) Ready() bool { return p.entry.Ready() && p.entry.Placed() }
 
+// Sees returns how many VMs the entry knows of. It may be called once Opened was.
+func (p *Entry) Sees() int { return len(p.roster.VMs()) }
+
 // PeerAddress returns where peers reach the entry. It may be called once Opened
 // was.
 func (p *Entry) PeerAddress() netip.AddrPort { return p.peerAddress }
@@ -131,6 +147,7 @@
 // serversChanged takes in a list of VMs as it was read.
 func (p *Entry) serversChanged(vms []chicoryrock.VM) {
 	p.cost.Observe(time.Now(), vms)
+	p.exchange.ServersChanged(vms)
 	p.entry.ServersChanged(vms)
 }
 
@@ -167,7 +184,8 @@
 		Opened:   p.Opened,
 		Observer: &entry.Observer{Metrics: p.metrics, Records: p.records, Burn: p.burn, Cost: p.cost},
 		Rules:    rules.update,
-		Suspects: &p.suspects,
+		Suspects: p.suspects,
+		Limits:   p.limits,
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: rules.newQueue,
 			Picker: &pick.Picker{
@@ -185,10 +203,13 @@
 // peers serves the other processes of the system.
 func (p *Entry) peers() *peer.Server {
 	return &peer.Server{
-		Listen:   p.Settings.Peer,
-		TLS:      p.secrets.acceptPeers,
-		Handlers: map[string]peer.Handler{feed.MethodWatch: p.feed.HandleWatch},
-		Log:      p.Log,
+		Listen: p.Settings.Peer,
+		TLS:    p.secrets.acceptPeers,
+		Handlers: map[string]peer.Handler{
+			feed.MethodWatch:    p.feed.HandleWatch,
+			exchange.MethodTell: p.exchange.HandleTell,
+		},
+		Log: p.Log,
 	}
 }
 
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -109,6 +109,9 @@
 	if err := c.judge(now); err != nil {
 		return chicoryrock.Replica{}, err
 	}
+	if err := c.entry.Limits.allow(now, c.request); err != nil {
+		return chicoryrock.Replica{}, err
+	}
 	if err := c.claim(); err != nil {
 		return chicoryrock.Replica{}, err
 	}
@@ -251,6 +254,12 @@
 	return nil
 }
 
+// charge puts output on the workspace's account in the queue and for its limit.
+func (c *call) charge(now time.Time, tokens int) {
+	c.entry.gate.charge(now, c.request, tokens)
+	c.entry.Limits.charge(now, c.request.Workspace, tokens)
+}
+
 // countWhole checks that an answer is whole and charges its tokens.
 func (c *call) countWhole(data []byte) error {
 	chunk, err := wire.ParseChunk(data)
@@ -259,7 +268,7 @@
 	}
 	if chunk.Usage != nil {
 		now := time.Now()
-		c.entry.gate.charge(now, c.request, chunk.Usage.Output)
+		c.charge(now, chunk.Usage.Output)
 		c.progress.prompt = chunk.Usage.Prompt
 		c.progress.tokens(now, chunk.Usage.Output)
 	}
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -39,6 +39,7 @@
 	Rules      func(table *object.Table) // brings the queues up to date, under their lock
 	Observer   *Observer
 	Suspects   *Suspects
+	Limits     *Limits
 	Claims     Claims
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
@@ -129,6 +130,7 @@
 // ended, and the list of VMs is sorted into its pools.
 func (e *Entry) ConfigChanged(table *object.Table) {
 	e.gate.change(func() { e.Rules(table) })
+	e.Limits.update(time.Now(), table)
 	e.calls.withdraw(table)
 	e.place(table, e.Roster.VMs())
 }
--- a/internal/serve/entry/errors.go
+++ b/internal/serve/entry/errors.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -16,14 +17,15 @@
 // refusedError carries the reason of a refusal through an error return.
 type refusedError struct {
 	reason  chicoryrock.Reason
-	detail  string // added to the reason's sentence, may be empty
-	outcome string // empty for wire.OutcomeNotRun
+	detail  string        // added to the reason's sentence, may be empty
+	outcome string        // empty for wire.OutcomeNotRun
+	after   time.Duration // when to come back; zero when the queue is to say
 }
 
 func (e *refusedError) Error() string { return e.reason.Sentence() }
 
 func (e *refusedError) refusal() wire.Refusal {
-	return wire.Refusal{Reason: e.reason, Detail: e.detail, Outcome: cmp.Or(e.outcome, wire.OutcomeNotRun)}
+	return wire.Refusal{Reason: e.reason, Detail: e.detail, Outcome: cmp.Or(e.outcome, wire.OutcomeNotRun), After: e.after}
 }
 
 // notRunError says that a request certainly did not run on a replica, and why.
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -271,6 +271,11 @@
 	e.answer(w, request, wire.Refusal{Reason: reason, Detail: detail, Outcome: wire.OutcomeNotRun})
 }
 
+// comesBack says whether it makes sense to send the same request again later.
+func comesBack(reason chicoryrock.Reason) bool {
+	return reason.Status() >= http.StatusInternalServerError || reason == chicoryrock.ReasonLimit
+}
+
 // after returns when the caller of a refused request should come back. The queue
 // of its pool knows; without a pool it is a fixed time.
 func (e *Entry) after(request *chicoryrock.Request) time.Duration {
@@ -281,7 +286,7 @@
 }
 
 func (e *Entry) answer(w http.ResponseWriter, request *chicoryrock.Request, refusal wire.Refusal) {
-	if refusal.Reason.Status() >= http.StatusInternalServerError || refusal.Reason == chicoryrock.ReasonLimit {
+	if refusal.After == 0 && comesBack(refusal.Reason) {
 		refusal.After = e.after(request)
 	}
 	e.Log.Write(event.Refused,
--- a/internal/serve/entry/retries.go
+++ b/internal/serve/entry/retries.go
@@ -15,7 +15,7 @@
 
 // suspectPause is the mean wait before a suspect asks for another agent, when the
 // last one was busy with a suspect already.
-const suspectPause = 20 * time.Millisecond
+const suspectPause = 100 * time.Millisecond
 
 // retrier puts a lock round the core that decides on retries.
 type retrier struct {
@@ -90,7 +90,12 @@
 	if !c.suspect || !full {
 		return
 	}
-	timer := time.NewTimer(suspectPause/2 + rand.N(suspectPause))
+	c.pause(suspectPause/2 + rand.N(suspectPause))
+}
+
+// pause waits, but not longer than for the call.
+func (c *call) pause(wait time.Duration) {
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -40,7 +40,7 @@
 		c.sent += tokens
 		c.progress.tokens(now, tokens)
 		c.timing.token(now)
-		c.entry.gate.charge(now, c.request, tokens)
+		c.charge(now, tokens)
 	}
 	if chunk.Usage != nil {
 		c.progress.prompt = chunk.Usage.Prompt
--- a/internal/serve/entry/suspects.go
+++ b/internal/serve/entry/suspects.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -11,9 +12,17 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
 
+// crashSettle is how long a call that was not suspected before waits after a crash,
+// so that a suspect in the same crash is known first and clears the others.
+const crashSettle = 50 * time.Millisecond
+
 // Suspects is what an entry knows of requests that crash engines. It is safe for
 // concurrent use.
 type Suspects struct {
+	// Share tells the other entries all that is known, and returns when those that
+	// can be reached have it.
+	Share func(ctx context.Context)
+
 	mu       sync.Mutex
 	registry suspect.Registry
 }
@@ -55,7 +64,8 @@
 		Workspace: c.request.Workspace,
 		Print:     mark,
 		Crash:     suspect.Crash(crash.Name),
-		Alone:     crash.Alone,
+		// An agent lets one suspect in at a time, so it was the only one of them.
+		Alone: crash.Alone || c.suspect,
 	})
 }
 
@@ -89,12 +99,18 @@
 	return nil
 }
 
-// learnCrash takes in that the failure was an engine's crash. Error: that of judge.
+// learnCrash takes in that the failure was an engine's crash. The other entries
+// know before the caller hears of it and can send the request again elsewhere.
+// Error: that of judge.
 func (c *call) learnCrash(now time.Time, failure error) error {
 	var crash *wire.CrashError
 	if !errors.As(failure, &crash) {
 		return nil
 	}
 	c.entry.Suspects.crashed(now, c, crash.Crash)
+	c.entry.Suspects.Share(c.ctx)
+	if !c.suspect {
+		c.pause(crashSettle)
+	}
 	return c.judge(now)
 }
--- /dev/null
+++ b/internal/serve/exchange/exchange.go
@@ -0,0 +1,161 @@
+// Package exchange lets entries tell each other, every two seconds and at once
+// after a crash, what they must agree on without a message for each request: how
+// much each workspace has used, and which requests crash engines.
+package exchange
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/limit"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
+	"github.com/chicoryrock/chicoryrock/internal/serve/entry"
+	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
+	"github.com/chicoryrock/chicoryrock/internal/state/member"
+)
+
+// MethodTell is the peers' method that takes in a Message.
+const MethodTell = "entry.tell"
+
+const (
+	// callTimeout bounds the delivery to one peer.
+	callTimeout = time.Second
+	// shareTimeout bounds the wait of one request for its crash to be known.
+	shareTimeout = 250 * time.Millisecond
+	// maxCalls is how many peers are told at once.
+	maxCalls = 16
+)
+
+// Message is what one entry tells the others.
+type Message struct {
+	Uses     limit.Statement `json:"uses"`
+	Suspects suspect.Update  `json:"suspects"`
+}
+
+// Exchange tells the other entries and takes in what they tell. Set the exported
+// fields, then call Run.
+type Exchange struct {
+	Self     member.Self
+	Limits   *entry.Limits
+	Suspects *entry.Suspects
+	TLS      *tls.Config // towards peers; nil for plain connections
+	Log      *event.Log
+
+	mu    sync.Mutex
+	peers map[string]*peer.Client // by the entry's name
+}
+
+// ServersChanged takes in a list of VMs: the other entries on it are the peers.
+func (e *Exchange) ServersChanged(vms []chicoryrock.VM) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	listed := make(map[string]*peer.Client)
+	names := make([]string, 0, len(e.peers))
+	for i := range vms {
+		vm := &vms[i]
+		if vm.Role != member.RoleEntry || vm.Name == e.Self.Name || !vm.Address.IsValid() {
+			continue
+		}
+		listed[vm.Name] = e.clientOf(vm.Name, vm.Address)
+		names = append(names, vm.Name)
+	}
+	for name, client := range e.peers {
+		if listed[name] != client {
+			client.Close()
+		}
+	}
+	e.peers = listed
+	e.Limits.SetPeers(time.Now(), names)
+}
+
+func (e *Exchange) clientOf(name string, address netip.AddrPort) *peer.Client {
+	if client, known := e.peers[name]; known && client.Address == address {
+		return client
+	}
+	return &peer.Client{Address: address, TLS: e.TLS}
+}
+
+// Run tells the peers again and again until the context ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	ticker := time.NewTicker(limit.Exchange)
+	defer ticker.Stop()
+	defer e.closeAll()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticker.C:
+			e.tell(ctx, Message{Uses: e.Limits.State(now), Suspects: e.Suspects.Export()})
+		}
+	}
+}
+
+// Share tells the peers at once of the requests that crash engines.
+func (e *Exchange) Share(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
+	defer cancel()
+	e.tell(ctx, Message{Suspects: e.Suspects.Export()})
+}
+
+// tell delivers a message to every peer. A peer that cannot be reached misses it;
+// the next message says the same and more.
+func (e *Exchange) tell(ctx context.Context, message Message) {
+	var group errgroup.Group
+	group.SetLimit(maxCalls)
+	for _, client := range e.clients() {
+		group.Go(func() error {
+			ctx, cancel := context.WithTimeout(ctx, callTimeout)
+			defer cancel()
+			var known suspect.Update
+			if err := client.Call(ctx, MethodTell, message, &known); err != nil {
+				e.Log.Write(event.PeerFailed, zap.Error(err))
+				return nil
+			}
+			e.Suspects.Merge(time.Now(), known)
+			return nil
+		})
+	}
+	// No call returns an error.
+	_ = group.Wait()
+}
+
+func (e *Exchange) clients() []*peer.Client {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clients := make([]*peer.Client, 0, len(e.peers))
+	for _, client := range e.peers {
+		clients = append(clients, client)
+	}
+	return clients
+}
+
+func (e *Exchange) closeAll() {
+	for _, client := range e.clients() {
+		client.Close()
+	}
+}
+
+// HandleTell answers MethodTell with the suspects that this entry knows, so that
+// an entry that has just started learns them with its first message.
+func (e *Exchange) HandleTell(_ context.Context, data json.RawMessage) (any, error) {
+	var message Message
+	if err := json.Unmarshal(data, &message); err != nil {
+		return nil, errors.Wrap(chicoryrock.ErrInvalid, err.Error())
+	}
+	now := time.Now()
+	if message.Uses.Entry != "" {
+		e.Limits.Hear(now, message.Uses)
+	}
+	e.Suspects.Merge(now, message.Suspects)
+	return e.Suspects.Export(), nil
+}
--- a/internal/serve/local/local.go
+++ b/internal/serve/local/local.go
@@ -273,12 +273,12 @@
 	s.VMs.Set(append([]chicoryrock.VM(nil), s.list...))
 }
 
-// awaitReady waits until every entry is ready and sees the backend servers.
+// awaitReady waits until every entry is ready and sees all VMs of the list.
 func (s *System) awaitReady() error {
 	ctx, cancel := context.WithTimeout(s.ctx, readyLimit)
 	defer cancel()
 	for _, entry := range s.Entries {
-		for !entry.Ready() {
+		for !entry.Ready() || entry.Sees() < len(s.list) {
 			select {
 			case <-ctx.Done():
 				return errors.Wrap(ctx.Err(), "the entries did not become ready")
