--- a/internal/policy/replay/engine.go
+++ b/internal/policy/replay/engine.go
@@ -32,7 +32,7 @@
 	down     bool
 	cut      bool
 	crashes  int
-	suspect  *attempt // the one suspect that it runs
+	agent    agent
 	history  []sample
 }
 
@@ -47,6 +47,7 @@
 	load := chicoryrock.Load{Slots: e.Slots}
 	if e.world.scenario.Lag == 0 {
 		load.Running = len(e.streams)
+		load.Waiting = e.agent.waiting()
 		return load
 	}
 	for i := len(e.history) - 1; i >= 0; i-- {
@@ -67,20 +68,6 @@
 	e.history = append(e.history, sample{at: e.world.now, running: len(e.streams)})
 }
 
-// take runs an attempt, or says that there is no room. A second suspect is turned
-// away too.
-func (e *engine) take(a *attempt) bool {
-	second := e.suspect != nil && a.call.request.Suspect
-	if second || len(e.streams) >= e.Slots {
-		return false
-	}
-	if a.call.request.Suspect {
-		e.suspect = a
-	}
-	e.start(a)
-	return true
-}
-
 // start begins to run an attempt. The agent has found a free slot for it.
 func (e *engine) start(a *attempt) {
 	e.streams[a] = true
@@ -125,6 +112,7 @@
 		return
 	}
 	a.made += tokens
+	e.agent.produced(a, tokens)
 	left := a.call.record.Output - a.from - a.made
 	if left <= 0 {
 		e.remove(a)
@@ -145,9 +133,7 @@
 		}
 	}
 	e.note()
-	if e.suspect == a {
-		e.suspect = nil
-	}
+	e.agent.ended(a)
 }
 
 // crash ends everything that runs, and starts the engine again later.
@@ -162,9 +148,10 @@
 	e.world.after(e.Restart, func() { e.down = false })
 }
 
-// breakStreams ends all that runs. The agent names the crash; when the engine was
-// only cut off, there is none to name.
+// breakStreams ends all that runs or waits. The agent names the crash; when the
+// engine was only cut off, there is none to name.
 func (e *engine) breakStreams(crash suspect.Crash) {
+	e.agent.clear()
 	alone := len(e.order) == 1
 	for len(e.order) > 0 {
 		a := e.order[0]
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -118,14 +118,11 @@
 		return
 	}
 	w.after(wait, func() {
-		switch {
-		case a.engine.down || a.engine.cut:
+		if a.engine.down || a.engine.cut {
 			w.after(a.delay(), func() { a.notRun(nil) })
-		case !a.engine.take(a):
-			load := a.engine.load()
-			load.Running = a.engine.Slots
-			w.after(a.delay(), func() { a.notRun(&load) })
+			return
 		}
+		a.engine.agent.offer(a)
 	})
 }
 
@@ -195,6 +192,13 @@
 	e.pump(now)
 }
 
+// stopped tells the entry that the agent stopped the stream for a higher tier.
+func (a *attempt) stopped() {
+	w := a.call.entry.world
+	w.report.stopped++
+	w.after(a.delay(), func() { a.again(chicoryrock.ErrTruncated, true) })
+}
+
 // broke tells the entry that the stream ended before its end.
 func (a *attempt) broke(crash suspect.Crash, alone bool) {
 	a.call.entry.world.after(a.delay(), func() {
@@ -231,6 +235,9 @@
 	})
 	if verdict.Action != retry.Fail {
 		c.request.Deadline = verdict.Deadline
+		if c.request.Suspect {
+			c.request.Deadline = now.Add(suspectLimit)
+		}
 		e.core.Return(now, c.request, a.engine.Name)
 		e.pump(now)
 		return
--- a/internal/policy/replay/policies.go
+++ b/internal/policy/replay/policies.go
@@ -37,13 +37,24 @@
 	return Policy{Name: "pick", Queue: fifo, Picker: newPicker, Retrier: newRetrier}
 }
 
-// Router returns all of the router's own decisions.
+// Router returns the router's own decisions in the entries, with agents that only
+// count slots.
 func Router() Policy {
 	return Policy{Name: "router", Queue: newQueue, Picker: newPicker, Retrier: newRetrier, Suspects: true}
 }
 
+// Admitting returns all of the router's decisions: agents have a small queue too,
+// and stop streams for a higher tier.
+func Admitting() Policy {
+	policy := Router()
+	policy.Name = "router+agents"
+	policy.Picker = newDeepPicker
+	policy.Depth = agentDepth
+	return policy
+}
+
 // All returns every policy, the plain ones first.
-func All() []Policy { return append(Baselines(), Picking(), Router()) }
+func All() []Policy { return append(Baselines(), Picking(), Router(), Admitting()) }
 
 // newQueue gives an entry's queue the floors and shares of the scenario.
 func newQueue(scenario *Scenario, _ string) chicoryrock.Queue {
@@ -69,6 +80,16 @@
 	}
 }
 
+// agentDepth is how many requests may wait at an agent, as a share of its slots.
+const agentDepth = 0.25
+
+// newDeepPicker returns a picker that lets requests wait at the agents.
+func newDeepPicker(scenario *Scenario, entry int) chicoryrock.Picker {
+	picker := newPicker(scenario, entry).(*pick.Picker)
+	picker.Depth = agentDepth
+	return picker
+}
+
 func newRetrier() Retrier { return &retry.Retrier{} }
 
 // fourTimes is the plain rule for retries: up to four attempts, without a budget.
--- a/internal/policy/replay/report.go
+++ b/internal/policy/replay/report.go
@@ -22,6 +22,7 @@
 	Crashes  int
 	Broken   int           // answers that broke off and were not completed
 	Not      int           // calls that an agent turned away as not run
+	Stopped  int           // streams that an agent stopped for a higher tier
 	Crossed  int           // bytes of prompts between regions
 	Cost     time.Duration // time of all engines in service
 }
@@ -81,8 +82,8 @@
 // String returns the report on one line of a table.
 func (r *Report) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "%-16s %-14s goodput %5.3f wasted %5.3f worst %5.3f not-run %4d broken %3d crashes %d MB-across %5.2f server-hours %.2f |",
-		r.Scenario, r.Policy, r.Goodput(), r.Wasted(), r.Worst, r.Not, r.Broken, r.Crashes, float64(r.Crossed)/1e6, r.Cost.Hours())
+	fmt.Fprintf(&b, "%-16s %-14s goodput %5.3f wasted %5.3f worst %5.3f not-run %4d broken %3d stopped %3d crashes %d MB-across %5.2f server-hours %.2f |",
+		r.Scenario, r.Policy, r.Goodput(), r.Wasted(), r.Worst, r.Not, r.Broken, r.Stopped, r.Crashes, float64(r.Crossed)/1e6, r.Cost.Hours())
 	for i := range r.Classes {
 		fmt.Fprintf(&b, " %s %.3f", r.Classes[i].Name, r.Classes[i].Attainment())
 	}
@@ -106,6 +107,7 @@
 	made      int
 	crossed   int
 	corrected int
+	stopped   int
 	lost      int
 }
 
@@ -142,6 +144,7 @@
 		Made:     t.made,
 		Broken:   t.lost,
 		Not:      t.corrected,
+		Stopped:  t.stopped,
 		Crossed:  t.crossed,
 		Cost:     w.now * time.Duration(len(w.engines)),
 	}
--- a/internal/policy/replay/scenario.go
+++ b/internal/policy/replay/scenario.go
@@ -87,8 +87,11 @@
 	Retrier func() Retrier
 	// Suspects says whether requests that crash engines are looked for.
 	Suspects bool
-	Queue    func(scenario *Scenario, pool string) chicoryrock.Queue
-	Picker   func(scenario *Scenario, entry int) chicoryrock.Picker
+	// Depth is how many requests may wait at an engine's agent, as a share of its
+	// slots; zero for agents that only count slots.
+	Depth  float64
+	Queue  func(scenario *Scenario, pool string) chicoryrock.Queue
+	Picker func(scenario *Scenario, entry int) chicoryrock.Picker
 }
 
 func (s *Scenario) class(name string) *Class {
--- a/internal/policy/replay/suspects.go
+++ b/internal/policy/replay/suspects.go
@@ -9,7 +9,7 @@
 
 // suspectLimit is how long a call whose stream a crash broke may wait for an
 // engine that runs no other suspect.
-const suspectLimit = 30 * time.Second
+const suspectLimit = time.Minute
 
 // state says what may be done with a call.
 func (e *entry) state(now time.Time, c *call) suspect.State {
--- a/internal/policy/replay/world.go
+++ b/internal/policy/replay/world.go
@@ -71,12 +71,14 @@
 	w := &world{scenario: scenario}
 	w.report = newTally(scenario)
 	for i := range scenario.Engines {
-		w.engines = append(w.engines, &engine{
+		e := &engine{
 			Engine:  &scenario.Engines[i],
 			world:   w,
 			streams: make(map[*attempt]bool),
 			factor:  1,
-		})
+		}
+		e.agent = newAgent(e, policy.Depth)
+		w.engines = append(w.engines, e)
 	}
 	for i := range scenario.Entries {
 		w.entries = append(w.entries, w.newEntry(i, policy))
@@ -161,6 +163,7 @@
 	for _, e := range w.entries {
 		w.after(tick, e.tick)
 	}
+	w.after(tick, w.tick)
 }
 
 func (w *world) arrive(record *Record, number, comings int) {
@@ -186,3 +189,13 @@
 	w.report.arrived(c, number)
 	e.offer(now, c)
 }
+
+// tick is the timer of the agents.
+func (w *world) tick() {
+	for _, e := range w.engines {
+		e.agent.tick()
+	}
+	if w.open > 0 {
+		w.after(tick, w.tick)
+	}
+}
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -39,7 +39,7 @@
 type Attempt struct {
 	Request *chicoryrock.Request
 	Err     error         // of which chicoryrock.ErrNotRun is told apart from all others
-	Full    bool          // the agent said that it has no room; only with ErrNotRun
+	Full    bool          // the agent had no room, or stopped the stream for a higher tier
 	Sent    int           // attempts so far, without those that full agents turned away
 	Turned  int           // attempts that full agents turned away
 	Tokens  int           // output tokens that the caller has
@@ -101,19 +101,26 @@
 
 // resume continues a stream. The target for its first token has been met or
 // missed already, so the stream gets the same time once more to go on, and at
-// least leastResume: to give up on half an answer wastes all of it.
+// least leastResume: to give up on half an answer wastes all of it. One that an
+// agent stopped for a higher tier is no failure, and uses no budget.
 func (r *Retrier) resume(now time.Time, attempt *Attempt) Verdict {
 	if !attempt.Save || attempt.Tokens == 0 {
 		return failed(attempt)
 	}
-	if attempt.Full && attempt.Turned < maxTurned {
-		return Verdict{Action: Resume, From: attempt.Tokens, Deadline: attempt.Request.Deadline}
+	stopped := !errors.Is(attempt.Err, chicoryrock.ErrNotRun)
+	verdict := Verdict{Action: Resume, From: attempt.Tokens, Deadline: attempt.Request.Deadline}
+	if stopped {
+		target := attempt.Request.Deadline.Sub(attempt.Request.Arrived)
+		verdict.Deadline = now.Add(max(target, leastResume))
 	}
-	if attempt.Full || attempt.Sent >= maxSent || !r.Budget.Take(now) {
+	switch {
+	case attempt.Full && attempt.Turned < maxTurned:
+		return verdict
+	case attempt.Full || attempt.Sent >= maxSent || !r.Budget.Take(now):
 		return failed(attempt)
+	default:
+		return verdict
 	}
-	target := attempt.Request.Deadline.Sub(attempt.Request.Arrived)
-	return Verdict{Action: Resume, From: attempt.Tokens, Deadline: now.Add(max(target, leastResume))}
 }
 
 // Hedge says whether a second copy of a call that has had no answer yet may be
