Count usage at both ends and seal each window once

Cause: nothing counted what a workspace used in a form that survives a crash and can be reported once.

Ruled out: one count for each entry and one for all agents, of which the greater is billed (an entry and one agent that both die lose what each alone had); keeping open cells in the store (its writes would grow with the fleet); one sealed record for each workspace, since a paused collector could then add a record to a window after its successor had billed the same cells as late.

Change: package usage. A cell belongs to a pair of entry and agent process, a workspace and the window in which the entry sent the request; both ends count it, it only grows, and the greater of the two is billed. Ends send their cells until a seal in the store has them, so a collector keeps nothing of its own. A window closes with one create-only seal for all workspaces (usage/seal/WINDOW, its cells in chunks beside it). What grows later goes into the next seal, marked as late, as the difference to what earlier seals billed. Only sealed figures are sent.

Proved by a rapid machine: two collectors that both believe they are in charge, lost and late writes, outages of store and intake, crashes of either kind of end, lost acknowledgements: no window is reported with two figures, never more than was used, and in the end exactly what was used.

Not proved: an answer that the entry never got, together with a crash of its agent before it sent its cells, can hide as many requests of that pair.

--- /dev/null
+++ b/internal/state/usage/send.go
@@ -0,0 +1,96 @@
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// Send reports the seals that are not marked as sent, the oldest first, and marks
+// them. It reads the figures from the store, so that whoever sends a window sends
+// the same. Valid is asked before each report. Errors: the store's and the
+// intake's; chicoryrock.ErrFenced when the lease has ended.
+func Send(ctx context.Context, store chicoryrock.Store, intake chicoryrock.Intake, length time.Duration, fence uint64, valid func() bool) error {
+	mark, revision, err := readMark(ctx, store)
+	if err != nil {
+		return err
+	}
+	for window := mark.Sent + 1; window <= mark.Sealed; window++ {
+		seal, err := readLines(ctx, store, window)
+		if err != nil {
+			return err
+		}
+		for _, line := range seal.Lines {
+			if !valid() {
+				return errors.Wrap(chicoryrock.ErrFenced, "the lease has ended")
+			}
+			if err := intake.Report(ctx, seal.Report(line, length, fence)); err != nil {
+				return errors.Wrapf(err, "report window %d of %s", window, line.Workspace)
+			}
+		}
+		mark.Sent = window
+		if revision, err = writeMark(ctx, store, mark, revision); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// begin returns the mark, which it creates where there is none: before anything
+// is sealed, so that all agree on the first window.
+func begin(ctx context.Context, store chicoryrock.Store, first Window) (Mark, error) {
+	mark, revision, err := readMark(ctx, store)
+	if err != nil || revision != 0 {
+		return mark, err
+	}
+	mark = Mark{First: first, Sealed: first - 1, Sent: first - 1}
+	if _, err = writeMark(ctx, store, mark, 0); err != nil {
+		return Mark{}, err
+	}
+	return mark, nil
+}
+
+// NoteSealed moves the mark up to the newest seal. Errors: the store's.
+func (l *Ledger) NoteSealed(ctx context.Context, store chicoryrock.Store) error {
+	mark, revision, err := readMark(ctx, store)
+	if err != nil || mark.Sealed >= l.sealed {
+		return err
+	}
+	mark.Sealed = l.sealed
+	_, err = writeMark(ctx, store, mark, revision)
+	return err
+}
+
+// ReadMark reads how far seals and reports have got. Errors: the store's.
+func ReadMark(ctx context.Context, store chicoryrock.Store) (Mark, error) {
+	mark, _, err := readMark(ctx, store)
+	return mark, err
+}
+
+func readMark(ctx context.Context, store chicoryrock.Store) (Mark, uint64, error) {
+	entry, err := store.Get(ctx, MarkKey)
+	if errors.Is(err, chicoryrock.ErrNotFound) {
+		return Mark{}, 0, nil
+	}
+	if err != nil {
+		return Mark{}, 0, errors.Wrap(err, "read the mark of usage")
+	}
+	var mark Mark
+	if err := json.Unmarshal(entry.Value, &mark); err != nil {
+		return Mark{}, 0, errors.Wrapf(chicoryrock.ErrInvalid, "mark of usage: %v", err)
+	}
+	return mark, entry.Revision, nil
+}
+
+func writeMark(ctx context.Context, store chicoryrock.Store, mark Mark, prior uint64) (uint64, error) {
+	value, err := json.Marshal(mark)
+	if err != nil {
+		return 0, errors.WithStack(err)
+	}
+	revision, err := store.Put(ctx, chicoryrock.Change{Key: MarkKey, Value: value, Prior: prior})
+	return revision, errors.Wrap(err, "write the mark of usage")
+}
--- /dev/null
+++ b/internal/state/usage/usage_test.go
@@ -0,0 +1,283 @@
+package usage
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	length = 5 * time.Minute
+	first  = Window(100)
+)
+
+var background = context.Background()
+
+// end is a process that counts.
+type end struct {
+	name  string
+	tally Tally
+}
+
+// machine lets entries and agents count requests and several collectors, which
+// all believe they have the duty, seal them. Its oracle is the plain sum.
+type machine struct {
+	store      *memory
+	intake     *intake
+	now        Window
+	names      int
+	entries    []*end
+	agents     []*end
+	collectors []*Ledger
+	truth      map[Key]Counts
+}
+
+func (m *machine) newEnd() *end {
+	m.names++
+	return &end{name: fmt.Sprint("p", m.names)}
+}
+
+func newMachine() *machine {
+	m := &machine{
+		store:  newMemory(),
+		intake: &intake{taken: map[string]chicoryrock.UsageReport{}},
+		now:    first,
+		truth:  map[Key]Counts{},
+	}
+	m.entries = []*end{m.newEnd(), m.newEnd()}
+	m.agents = []*end{m.newEnd(), m.newEnd()}
+	m.collectors = []*Ledger{{}, {}}
+	return m
+}
+
+// request runs one request. Windows lag for streams that began long ago.
+func (m *machine) request(t *rapid.T) {
+	entry := rapid.SampledFrom(m.entries).Draw(t, "entry")
+	agent := rapid.SampledFrom(m.agents).Draw(t, "agent")
+	key := Key{Entry: entry.name, Agent: agent.name, Workspace: rapid.SampledFrom([]string{"trolley", "lens"}).Draw(t, "workspace")}
+	key.Window = max(first, m.now-Window(rapid.IntRange(0, 2).Draw(t, "age")))
+	counts := Counts{Requests: 1, Prompt: 3, Output: int64(rapid.IntRange(0, 9).Draw(t, "output"))}
+	agent.tally.Add(key, counts)
+	entry.tally.Add(key, counts)
+	m.truth[key] = m.truth[key].plus(counts)
+}
+
+// push sends an end's cells, which may grow before the answer; that may get lost.
+func (m *machine) push(t *rapid.T) {
+	one := rapid.SampledFrom(append(m.entries[:2:2], m.agents...)).Draw(t, "end")
+	between := func() {}
+	if rapid.Bool().Draw(t, "grows") {
+		between = func() { m.request(t) }
+	}
+	m.pushTo(one, rapid.SampledFrom(m.collectors).Draw(t, "collector"), rapid.Bool().Draw(t, "answered"), between)
+}
+
+func (m *machine) pushTo(one *end, ledger *Ledger, answered bool, between func()) {
+	if ledger.Load(background, m.store, first) != nil {
+		return
+	}
+	cells := one.tally.Pending(m.now)
+	billed := ledger.Merge(cells)
+	between()
+	if answered {
+		one.tally.Settle(cells, billed)
+	}
+}
+
+// closeWindow lets a collector seal a window that has passed, whoever has the
+// duty. Another one may go first, after it has read the store.
+func (m *machine) closeWindow(t *rapid.T) {
+	one, other := rapid.SampledFrom(m.collectors).Draw(t, "collector"), rapid.SampledFrom(m.collectors).Draw(t, "other")
+	between := func() {}
+	if one != other {
+		between = func() { m.closeBy(other, func() {}) }
+	}
+	m.closeBy(one, between)
+}
+
+func (m *machine) closeBy(ledger *Ledger, between func()) {
+	if ledger.Load(background, m.store, first) == nil && ledger.Sealed()+1 < m.now {
+		between()
+		_ = ledger.Close(background, m.store, 1)
+	}
+	_ = ledger.NoteSealed(background, m.store)
+}
+
+func (m *machine) send(*rapid.T) {
+	_ = Send(background, m.store, m.intake, length, 1, func() bool { return true })
+}
+
+// crash replaces an end; at most one kind dies, so that each pair keeps one end.
+func (m *machine) crash(t *rapid.T, ends []*end) {
+	ends[rapid.IntRange(0, 1).Draw(t, "which")] = m.newEnd()
+}
+
+func (m *machine) fail(t *rapid.T) {
+	switch rapid.IntRange(0, 4).Draw(t, "kind") {
+	case 0:
+		m.store.down = true
+	case 1:
+		m.store.lost = true
+	case 2:
+		m.store.late = true
+	case 3:
+		m.intake.lost = true
+	default:
+		m.intake.down = true
+	}
+}
+
+func (m *machine) heal(*rapid.T) {
+	m.store.down, m.store.lost, m.store.late = false, false, false
+	m.intake.lost, m.intake.down = false, false
+}
+
+func (m *machine) reported() map[string]Counts {
+	sums := map[string]Counts{}
+	for _, report := range m.intake.taken {
+		sums[report.Workspace] = sums[report.Workspace].plus(Counts{report.Requests, report.Prompt, report.Output})
+	}
+	return sums
+}
+
+func (m *machine) used() map[string]Counts {
+	sums := map[string]Counts{}
+	for key, counts := range m.truth {
+		sums[key.Workspace] = sums[key.Workspace].plus(counts)
+	}
+	return sums
+}
+
+func (m *machine) check(t *rapid.T) {
+	require.False(t, m.intake.other, "a window was reported with other figures")
+	used := m.used()
+	for name, counts := range m.reported() {
+		require.Equal(t, used[name], used[name].max(counts), "more reported than used by %s", name)
+	}
+}
+
+// settle ends all failures: a new collector reports all that was used, exactly.
+func (m *machine) settle(t *rapid.T) {
+	m.heal(t)
+	m.store.land()
+	last := &Ledger{}
+	for range 2 {
+		for _, one := range append(m.entries[:2:2], m.agents...) {
+			m.pushTo(one, last, true, func() {})
+		}
+		m.now += 2
+		for range 12 {
+			m.closeBy(last, func() {})
+		}
+	}
+	m.send(t)
+	require.Equal(t, m.used(), m.reported())
+	for _, one := range append(m.entries[:2:2], m.agents...) {
+		m.pushTo(one, last, true, func() {})
+		require.Empty(t, one.tally.Pending(m.now), "all is settled")
+	}
+	m.check(t)
+}
+
+func TestUsageIsReportedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		mortal := m.entries
+		if rapid.Bool().Draw(t, "agents die") {
+			mortal = m.agents
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"request": m.request,
+			"again":   m.request,
+			"push":    m.push,
+			"repush":  m.push,
+			"close":   m.closeWindow,
+			"send":    m.send,
+			"crash":   func(t *rapid.T) { m.crash(t, mortal) },
+			"replace": func(t *rapid.T) { m.collectors[rapid.IntRange(0, 1).Draw(t, "which")] = &Ledger{} },
+			"fail":    m.fail,
+			"heal":    m.heal,
+			"land":    func(*rapid.T) { m.store.land() },
+			"wait": func(*rapid.T) {
+				if m.now < first+6 {
+					m.now++
+				}
+			},
+			"": m.check,
+		})
+		m.settle(t)
+	})
+}
+
+func TestGrownCellStaysPending(t *testing.T) {
+	tally := &Tally{}
+	key := Key{Window: first}
+	tally.Add(key, Counts{Requests: 1})
+	sent := tally.Pending(first)
+	tally.Add(key, Counts{Requests: 1})
+	tally.Settle(sent, []int{0})
+	sent = tally.Pending(first)
+	require.Equal(t, []Cell{{key, Counts{Requests: 2}}}, sent)
+	tally.Settle(sent, []int{0, 7})
+	require.Empty(t, tally.Pending(first))
+	tally.Add(key, Counts{Output: 1})
+	require.Len(t, tally.Pending(first+Horizon+1), 1)
+	require.Empty(t, tally.Pending(first+Horizon+2))
+}
+
+func TestLateUsageIsMarked(t *testing.T) {
+	store, ledger := newMemory(), &Ledger{}
+	key := Key{Entry: "e", Agent: "a", Workspace: "lens", Window: first}
+	require.NoError(t, ledger.Load(background, store, first))
+	ledger.Merge([]Cell{{key, Counts{2, 10, 20}}})
+	require.NoError(t, ledger.Close(background, store, 1))
+	ledger.Merge([]Cell{{key, Counts{3, 15, 30}}, {Key{"e", "a", "lens", first + 1}, Counts{1, 1, 1}}})
+	require.NoError(t, ledger.Close(background, store, 1))
+	seal, err := ReadSeal(background, store, first+1)
+	require.NoError(t, err)
+	require.Equal(t, []Line{{Workspace: "lens", Counts: Counts{2, 6, 11}, Late: Counts{1, 5, 10}}}, seal.Lines)
+}
+
+// The store's writes for a window do not grow with the replicas but for one chunk
+// in maxChunkCells cells.
+func TestWritesForWindow(t *testing.T) {
+	for _, replicas := range []int{71, 355, 710} {
+		store, ledger := newMemory(), &Ledger{}
+		require.NoError(t, ledger.Load(background, store, first))
+		for i := range replicas * 9 * 4 {
+			ledger.Merge([]Cell{{Key{fmt.Sprintf("entry-%d/%026d", i%320, i), fmt.Sprintf("agent-%d/%026d", i, i), fmt.Sprint("workspace-", i%570), first}, Counts{1, 1000, 1000}}})
+		}
+		before := store.writes
+		require.NoError(t, ledger.Close(background, store, 1))
+		require.NoError(t, ledger.NoteSealed(background, store))
+		largest := 0
+		for _, entry := range store.entries {
+			largest = max(largest, len(entry.Value))
+		}
+		require.Less(t, largest, 1<<20)
+		require.Less(t, float64(store.writes-before)/length.Seconds(), 100.0)
+		t.Logf("%d replicas: %d writes a window, largest value %d bytes", replicas, store.writes-before, largest)
+	}
+}
+
+// TestMain gives the properties a fixed seed, so that each run has the same
+// verdict. A longer run, with RAPID_CHECKS set, draws a seed of its own.
+func TestMain(m *testing.M) {
+	if os.Getenv("RAPID_CHECKS") == "" {
+		fixed := map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.steps": "60"}
+		for name, value := range fixed {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	m.Run()
+}
