--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -62,6 +62,7 @@
 	running  map[*chicoryrock.Request]*run
 	stopping int // running requests that have been preempted
 	draining bool
+	computed int64 // tokens of prompts and answers
 	waste    Waste
 }
 
@@ -99,8 +100,9 @@
 
 // Started says that from now on the request may have reached the backend server.
 func (a *Admission) Started(request *chicoryrock.Request) {
-	if r, found := a.running[request]; found {
+	if r, found := a.running[request]; found && !r.started {
 		r.started = true
+		a.computed += int64(request.Prompt)
 	}
 }
 
@@ -111,6 +113,7 @@
 		return
 	}
 	r.output += tokens
+	a.computed += int64(tokens)
 	a.Queue.Charge(now, request, tokens)
 }
 
--- a/internal/policy/admit/preempt.go
+++ b/internal/policy/admit/preempt.go
@@ -6,12 +6,23 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
+// wastePart is the most that preemption may cost: tokens to compute again, as a
+// part of all tokens computed here. Each preemption helps one request and costs
+// another its place, so without a bound a busy tier would have the engines compute
+// the lower tiers' prompts over and over.
+const wastePart = 0.01
+
+// affordable says whether preemption has cost less than its part so far.
+func (a *Admission) affordable() bool {
+	return float64(a.waste.Preempted) <= wastePart*float64(a.computed)
+}
+
 // preempt stops a running request for the next waiting one, if that is of a
 // higher tier and would otherwise be too late. One at a time: the slot of the one
 // being stopped goes to the next in the queue anyway, and a burst of a high tier
 // doesn't stop everything else in one moment.
 func (a *Admission) preempt(now time.Time, actions []Action) []Action {
-	if a.stopping > 0 || len(a.running) < a.Slots {
+	if a.stopping > 0 || !a.affordable() || len(a.running) < a.Slots {
 		return actions
 	}
 	next, found := a.Queue.Peek(now)
@@ -32,7 +43,7 @@
 // compute again. Never one that may not be repeated, as nobody can say what its
 // backend server has done so far.
 func (a *Admission) victim(tier int) *chicoryrock.Request {
-	if !a.Save {
+	if !a.Save || !a.affordable() {
 		return nil
 	}
 	var victim *chicoryrock.Request
