Name the object behind each refusal and drop workspaces from the scrape

Cause: explain named the class whatever the reason was, and without its file; a busy spell filled a record with "sent, taken back"; a withdrawn key was answered as an unknown one; a request that found no backend server counted against no class. A scrape at 570 workspaces was 600,892 B, which at one scrape in 15 s is 40 kB/s against the 2 kB/s that control may cost.

Change: each reason maps to the object that set it (limit to workspace, late and queue-full to class, no-server to pool, or to the route when none of its pools has a server, claimed to route, withdrawn to key, no-route to none). A sending that is turned away for lack of room becomes a wait with a count. Busy turns no longer count as retries in the metrics, whose help says "after a failure". Requests and tokens lose the workspace label: /burn and /summary answer by workspace when they are asked. The two alerts that need a workspace get a series of incidents (crashing requests, unknown outcomes) for at most 64 workspaces, and places of removed ones are freed when the configuration changes.

Weighed: keeping the label and compressing (22,492 B a scrape with gzip, still 1.5 kB/s at 15 s, and 4.6 MB of memory) against dropping it.

--- a/internal/ops/explain/explain.go
+++ b/internal/ops/explain/explain.go
@@ -71,7 +71,7 @@
 	CauseLoad     Cause = "load"     // the least loaded
 	CausePrefix   Cause = "prefix"   // it knew the beginning of the prompt
 	CauseRegion   Cause = "region"   // nothing nearer could meet the target
-	CauseBusy     Cause = "busy"     // the backend server took no more
+	CauseBusy     Cause = "busy"     // the backend servers that were tried took no more
 	CauseFailure  Cause = "failure"  // the backend server failed
 	CauseLeaving  Cause = "leaving"  // the backend server is shutting down
 )
@@ -89,6 +89,7 @@
 	Ahead    int           `json:"ahead,omitempty"`    // requests that go first
 	Running  int           `json:"running,omitempty"`  // streams
 	Slots    int           `json:"slots,omitempty"`    // streams
+	Tries    int           `json:"tries,omitempty"`    // times a backend server took no more
 	Servers  int           `json:"servers,omitempty"`  // backend servers that came into question
 	Expected time.Duration `json:"expected,omitempty"` // wait until the first token
 	Age      time.Duration `json:"age,omitempty"`      // of the load reports
--- a/internal/ops/explain/explain_test.go
+++ b/internal/ops/explain/explain_test.go
@@ -88,6 +88,29 @@
 	}
 }
 
+// TestBusySpellIsOneSentence sends a request that is turned away again and again,
+// oftener than a record has steps.
+func TestBusySpellIsOneSentence(t *testing.T) {
+	pool := Object{Kind: "pool", Name: "lens", File: "pools.yaml"}
+	moments := []moment{{0, Step{Action: ActionQueue, Cause: CauseCapacity}}}
+	for i := range 20 {
+		at, name := time.Duration(100+10*i)*time.Millisecond, fmt.Sprint("lens-", i%3)
+		moments = append(moments,
+			moment{at, Step{Action: ActionSend, Choice: name, Cause: CauseLoad}},
+			moment{at + time.Millisecond, Step{Action: ActionRetry, Choice: name, Cause: CauseBusy, Rule: pool}})
+	}
+	moments = append(moments,
+		moment{350 * time.Millisecond, Step{Action: ActionSend, Choice: "lens-7"}},
+		moment{360 * time.Millisecond, Step{Action: ActionRetry, Choice: "lens-7", Cause: CauseFailure}})
+	story := tell(t, moments, time.Second, Result{Outcome: chicoryrock.OutcomeServed})
+	require.Contains(t, story, "It had to wait 100 milliseconds because every place")
+	require.Contains(t, story, "It had to wait 250 milliseconds because the backend servers that were tried could take no more "+
+		"(tried 20 times), as set by pool lens in pools.yaml.")
+	require.Contains(t, story, "taken back from backend server lens-7")
+	require.NotContains(t, story, "lens-1")
+	require.NotContains(t, story, "not recorded")
+}
+
 func TestOnlyFittingRulesAreNamed(t *testing.T) {
 	cases := []struct {
 		reason chicoryrock.Reason
--- a/internal/ops/explain/recorder.go
+++ b/internal/ops/explain/recorder.go
@@ -73,6 +73,9 @@
 	if step.Action == ActionToken && record.First.IsZero() {
 		record.First = now
 	}
+	if record.fold(step) {
+		return
+	}
 	if len(record.Steps) == maxSteps {
 		record.Omitted++
 		return
--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -22,7 +22,7 @@
 	CauseLoad:     "it was the least busy",
 	CausePrefix:   "it had already read the beginning of this request",
 	CauseRegion:   "no backend server nearer by could have met the target",
-	CauseBusy:     "that backend server could take no more",
+	CauseBusy:     "the backend servers that were tried could take no more",
 	CauseFailure:  "that backend server failed",
 	CauseLeaving:  "that backend server is shutting down",
 }
@@ -125,6 +125,9 @@
 	if step.Known.Slots > 0 {
 		fmt.Fprintf(&text, " (%d of %d places)", step.Known.Running, step.Known.Slots)
 	}
+	if step.Known.Tries > 0 {
+		fmt.Fprintf(&text, " (tried %s)", plural(step.Known.Tries, "time"))
+	}
 	if step.Known.Ahead > 0 {
 		fmt.Fprintf(&text, "; %s went first", plural(step.Known.Ahead, "request"))
 	}
@@ -156,7 +159,8 @@
 	if !r.Late() {
 		return []string{fmt.Sprintf("It was served whole, in time, at %s.", at)}
 	}
-	ending := []string{fmt.Sprintf("It was served whole at %s, but began %s later than its class's target.", at, span(r.begun().Sub(r.Deadline)))}
+	ending := []string{fmt.Sprintf("It was served whole at %s, but began %s later than its class's target%s.",
+		at, span(r.begun().Sub(r.Deadline)), ruleClause(r.Result.Rule))}
 	return append(ending, r.delayAdvice())
 }
 
--- a/internal/ops/metrics/define.go
+++ b/internal/ops/metrics/define.go
@@ -20,14 +20,15 @@
 
 // define creates all series but those that are computed at a scrape.
 func (m *Metrics) define() {
-	m.requests = counter("requests_total", "Requests that have ended.", labelClass, labelWorkspace, "outcome", "reason")
+	m.requests = counter("requests_total", "Requests that have ended.", labelClass, "outcome", "reason")
+	m.incidents = counter("workspace_incidents_total", "Requests refused because they crash backend servers (suspect), or that ended with an unknown outcome.", labelWorkspace, "incident")
 	m.verdicts = counter("objective_requests_total", "Requests judged against the class's service level.", labelClass, "verdict")
 	m.goals = gauge("objective_goal_ratio", "Share of the class's requests that should be good.", labelClass)
 	m.first = histogram("first_token_seconds", "Time from a request's arrival to its first token.", firstBuckets)
 	m.gap = histogram("token_gap_seconds", "Time between two tokens of an answer.", gapBuckets)
 	m.queue = gauge("queue_length", "Requests waiting for a backend server.", labelPool, "tier")
 	m.running = gauge("running_requests", "Requests running on backend servers for this process.", labelPool)
-	m.tokens = counter("tokens_total", "Tokens of requests; wasted ones are part of the output.", labelClass, labelWorkspace, "kind")
+	m.tokens = counter("tokens_total", "Tokens of requests; wasted ones are part of the output.", labelClass, "kind")
 	m.across = counter("region_bytes_total", "Bytes sent over the link between regions.", "from", "to")
 	m.retries = counter("retries_total", "Requests sent to another backend server after a failure.", labelClass)
 	m.held = gauge("duty_held", "1 while this process holds the control duty.", "duty")
--- a/internal/ops/metrics/limit.go
+++ b/internal/ops/metrics/limit.go
@@ -1,6 +1,10 @@
 package metrics
 
-import "sync"
+import (
+	"maps"
+	"slices"
+	"sync"
+)
 
 const (
 	// valueNone stands for a value that was not known when the request ended.
@@ -41,11 +45,16 @@
 	return name
 }
 
-// remove forgets name and reports whether it was known.
-func (l *limit) remove(name string) bool {
+// names returns the values that have series of their own.
+func (l *limit) names() []string {
+	l.mutex.RLock()
+	defer l.mutex.RUnlock()
+	return slices.Collect(maps.Keys(l.known))
+}
+
+// remove forgets name.
+func (l *limit) remove(name string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	_, found := l.known[name]
 	delete(l.known, name)
-	return found
 }
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -20,8 +20,8 @@
 	namespace = "chicoryrock"
 	// maxScrapes is how many scrapes are answered at once.
 	maxScrapes = 2
-	// maxWorkspaces is how many workspaces have series of their own.
-	maxWorkspaces = 1000
+	// maxWorkspaces is how many workspaces have series of incidents of their own.
+	maxWorkspaces = 64
 	// maxNames is how many classes, pools, regions or duties have series of their own.
 	maxNames = 64
 )
@@ -54,18 +54,19 @@
 	regions    *limit
 	duties     *limit
 
-	requests *prometheus.CounterVec
-	verdicts *prometheus.CounterVec
-	goals    *prometheus.GaugeVec
-	first    *prometheus.HistogramVec
-	gap      *prometheus.HistogramVec
-	queue    *prometheus.GaugeVec
-	running  *prometheus.GaugeVec
-	tokens   *prometheus.CounterVec
-	across   *prometheus.CounterVec
-	retries  *prometheus.CounterVec
-	held     *prometheus.GaugeVec
-	revision prometheus.Gauge
+	requests  *prometheus.CounterVec
+	incidents *prometheus.CounterVec
+	verdicts  *prometheus.CounterVec
+	goals     *prometheus.GaugeVec
+	first     *prometheus.HistogramVec
+	gap       *prometheus.HistogramVec
+	queue     *prometheus.GaugeVec
+	running   *prometheus.GaugeVec
+	tokens    *prometheus.CounterVec
+	across    *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+	held      *prometheus.GaugeVec
+	revision  prometheus.Gauge
 
 	confirmed atomic.Int64 // Unix time in nanoseconds; zero before the first configuration
 }
@@ -84,7 +85,7 @@
 	}
 	m.define()
 	m.registry.MustRegister(
-		m.requests, m.verdicts, m.goals, m.first, m.gap, m.queue, m.running,
+		m.requests, m.incidents, m.verdicts, m.goals, m.first, m.gap, m.queue, m.running,
 		m.tokens, m.across, m.retries, m.held, m.revision,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace,
@@ -102,11 +103,18 @@
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 }
 
-// Request counts a request that has ended.
+// Request counts a request that has ended. The workspace is a label of incidents
+// only, which are rare and need someone to talk to that workspace. Everything else
+// by workspace is asked of the reports, which send it when they are asked, and not
+// with each scrape: at 570 workspaces it made a scrape a hundred times as large.
 func (m *Metrics) Request(ended Ended) {
-	class := m.classes.value(ended.Class)
-	workspace := m.workspaces.value(ended.Workspace)
-	m.requests.WithLabelValues(class, workspace, string(ended.Outcome), ended.Reason.String()).Inc()
+	m.requests.WithLabelValues(m.classes.value(ended.Class), string(ended.Outcome), ended.Reason.String()).Inc()
+	switch {
+	case ended.Reason == chicoryrock.ReasonSuspect:
+		m.incidents.WithLabelValues(m.workspaces.value(ended.Workspace), "suspect").Inc()
+	case ended.Outcome == chicoryrock.OutcomeUnknown:
+		m.incidents.WithLabelValues(m.workspaces.value(ended.Workspace), "unknown").Inc()
+	}
 }
 
 // Verdict counts a request against its class's service level.
@@ -144,12 +152,11 @@
 }
 
 // Used counts the tokens of a request.
-func (m *Metrics) Used(class, workspace string, used Tokens) {
+func (m *Metrics) Used(class string, used Tokens) {
 	class = m.classes.value(class)
-	workspace = m.workspaces.value(workspace)
-	m.tokens.WithLabelValues(class, workspace, "prompt").Add(float64(used.Prompt))
-	m.tokens.WithLabelValues(class, workspace, "output").Add(float64(used.Output))
-	m.tokens.WithLabelValues(class, workspace, "wasted").Add(float64(used.Wasted))
+	m.tokens.WithLabelValues(class, "prompt").Add(float64(used.Prompt))
+	m.tokens.WithLabelValues(class, "output").Add(float64(used.Output))
+	m.tokens.WithLabelValues(class, "wasted").Add(float64(used.Wasted))
 }
 
 // Across counts bytes sent over the link between two regions.
@@ -178,15 +185,16 @@
 	m.confirmed.Store(confirmed.UnixNano())
 }
 
-// Forget removes the series of a workspace that is no longer configured and frees
-// its place among the limited number.
-func (m *Metrics) Forget(workspace string) {
-	if !m.workspaces.remove(workspace) {
-		return
+// Keep removes the series of workspaces that are no longer configured and frees
+// their places among the limited number.
+func (m *Metrics) Keep(configured func(workspace string) bool) {
+	for _, workspace := range m.workspaces.names() {
+		if workspace == valueNone || configured(workspace) {
+			continue
+		}
+		m.workspaces.remove(workspace)
+		m.incidents.DeletePartialMatch(prometheus.Labels{labelWorkspace: workspace})
 	}
-	labels := prometheus.Labels{"workspace": workspace}
-	m.requests.DeletePartialMatch(labels)
-	m.tokens.DeletePartialMatch(labels)
 }
 
 // age returns how old the configuration is, in seconds.
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -130,6 +130,7 @@
 func (e *Entry) ConfigChanged(table *object.Table) {
 	e.gate.change(func() { e.Rules(table) })
 	e.calls.withdraw(table)
+	e.Observer.configured(table)
 	e.place(table, e.Roster.VMs())
 }
 
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -150,15 +150,28 @@
 		return caller{}, false
 	}
 	secret := strings.TrimPrefix(headers[0], "Bearer ")
-	key, workspace, err := table.Authenticate(object.Digest(secret))
+	digest := object.Digest(secret)
+	key, workspace, err := table.Authenticate(digest)
 	if err != nil {
-		e.refuse(w, request, chicoryrock.ReasonUnknownKey, "")
+		e.refuseKey(w, request, table, digest)
 		return caller{}, false
 	}
 	request.Workspace = workspace.Name
 	return caller{secret: secret, key: key, workspace: workspace, table: table}, true
 }
 
+// refuseKey tells a withdrawn key from one that nobody ever had.
+func (e *Entry) refuseKey(w http.ResponseWriter, request *chicoryrock.Request, table *object.Table, digest string) {
+	if !table.Withdrawn(digest) {
+		e.refuse(w, request, chicoryrock.ReasonUnknownKey, "")
+		return
+	}
+	withdrawal := withdrawalOf(table, digest)
+	request.Workspace = withdrawal.Workspace
+	e.Observer.refusedUnder(time.Now(), request, chicoryrock.ReasonWithdrawn, keyRule(table, withdrawal.Key))
+	e.answer(w, request, wire.Refusal{Reason: chicoryrock.ReasonWithdrawn, Outcome: wire.OutcomeNotRun})
+}
+
 func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request, who caller) ([]byte, bool) {
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.MaxBody))
 	var tooLarge *http.MaxBytesError
@@ -211,19 +224,22 @@
 // newCall classifies a request. It refuses, and returns nil, when no backend
 // server of the route's pools is known.
 func (e *Entry) newCall(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request, who caller, route *object.Route) *call {
-	pool, found := e.gate.live(route.Pools)
-	if !found {
-		e.refuse(w, request, chicoryrock.ReasonNoServer, "")
-		return nil
-	}
 	class := who.table.Class(route.Class)
 	request.Class = class.Name
 	request.Route = route.Name
-	request.Pool = pool
 	request.Tier = class.Tier
 	request.Arrived = time.Now()
 	request.Deadline = request.Arrived.Add(class.First)
 	request.Repeat = route.Repeat
+	progress := &progress{observer: e.Observer, request: request, class: class, table: who.table, key: who.key.Name}
+	pool, found := e.gate.live(route.Pools)
+	if !found {
+		progress.begin(request.Arrived)
+		progress.end(request.Arrived, chicoryrock.OutcomeRefused, chicoryrock.ReasonNoServer)
+		e.answer(w, request, wire.Refusal{Reason: chicoryrock.ReasonNoServer, Outcome: wire.OutcomeNotRun})
+		return nil
+	}
+	request.Pool = pool
 	return &call{
 		entry:    e,
 		w:        w,
@@ -231,7 +247,7 @@
 		path:     r.URL.RequestURI(),
 		pool:     who.table.Pool(pool),
 		request:  request,
-		progress: &progress{observer: e.Observer, request: request, class: class},
+		progress: progress,
 	}
 }
 
--- a/internal/serve/entry/observe.go
+++ b/internal/serve/entry/observe.go
@@ -23,22 +23,35 @@
 
 // refused notes a request that was refused before it was classified.
 func (o *Observer) refused(now time.Time, request *chicoryrock.Request, reason chicoryrock.Reason) {
+	o.refusedUnder(now, request, reason, explain.Object{})
+}
+
+// refusedUnder does the same where an operator's object set the rule.
+func (o *Observer) refusedUnder(now time.Time, request *chicoryrock.Request, reason chicoryrock.Reason, rule explain.Object) {
 	o.Records.Begin(now, request)
-	o.Records.End(now, request.ID, explain.Result{Outcome: chicoryrock.OutcomeRefused, Reason: reason})
+	o.Records.End(now, request.ID, explain.Result{Outcome: chicoryrock.OutcomeRefused, Reason: reason, Rule: rule})
 	o.Metrics.Request(metrics.Ended{Workspace: request.Workspace, Outcome: chicoryrock.OutcomeRefused, Reason: reason})
 }
 
+// configured takes in a configuration: workspaces that it does not have make room
+// among the limited number of series.
+func (o *Observer) configured(table *object.Table) {
+	o.Metrics.Keep(func(workspace string) bool { return table.Workspace(workspace) != nil })
+}
+
 // progress is what is noted of one call on its way.
 type progress struct {
 	observer *Observer
 	request  *chicoryrock.Request
 	class    *object.Class
-	first    time.Time // of the first token
-	last     time.Time // of the newest token
-	output   int       // tokens that the caller got
-	prompt   int       // tokens as the engine counted them
-	centre   string    // of the last replica that did not turn the call away
-	held     time.Time // since when a replica has it; zero while none has
+	table    *object.Table // the configuration that the call came under
+	key      string        // name of the caller's key
+	first    time.Time     // of the first token
+	last     time.Time     // of the newest token
+	output   int           // tokens that the caller got
+	prompt   int           // tokens as the engine counted them
+	centre   string        // of the last replica that did not turn the call away
+	held     time.Time     // since when a replica has it; zero while none has
 }
 
 func (p *progress) begin(now time.Time) {
@@ -53,7 +66,7 @@
 // shortestWait is the wait below which a request counts as sent at once.
 const shortestWait = time.Millisecond
 
-// waited notes that the request waited under its class's rule.
+// waited notes that the request waited for one of its pool's slots.
 func (p *progress) waited(from, to time.Time, cause explain.Cause) {
 	if to.Sub(from) < shortestWait {
 		return
@@ -61,7 +74,7 @@
 	p.step(from, explain.Step{
 		Action: explain.ActionQueue,
 		Cause:  cause,
-		Rule:   explain.Object{Kind: string(object.KindClass), Name: p.class.Name},
+		Rule:   poolRule(p.table, p.request.Pool),
 	})
 }
 
@@ -81,7 +94,7 @@
 		Choice: replica.Name,
 		Cause:  explain.CauseLoad,
 		Known:  known,
-		Rule:   explain.Object{Kind: string(object.KindRoute), Name: p.request.Route},
+		Rule:   routeRule(p.table, p.request.Route),
 	})
 }
 
@@ -91,10 +104,10 @@
 		p.centre = ""
 	} else {
 		p.observer.Cost.Hold(now, p.request.Pool, p.centre, now.Sub(p.held))
+		p.observer.Metrics.Retry(p.class.Name)
 	}
 	p.held = time.Time{}
-	p.step(now, explain.Step{Action: explain.ActionRetry, Choice: replica, Cause: cause})
-	p.observer.Metrics.Retry(p.class.Name)
+	p.step(now, explain.Step{Action: explain.ActionRetry, Choice: replica, Cause: cause, Rule: poolRule(p.table, p.request.Pool)})
 }
 
 // tokens notes output that goes to the caller now.
@@ -128,12 +141,12 @@
 		p.observer.Metrics.Verdict(p.class.Name, verdict == burn.VerdictGood)
 	}
 	p.observer.Metrics.Request(metrics.Ended{Class: p.class.Name, Workspace: p.request.Workspace, Outcome: outcome, Reason: reason})
-	p.observer.Metrics.Used(p.class.Name, p.request.Workspace, p.used(outcome))
+	p.observer.Metrics.Used(p.class.Name, p.used(outcome))
 	p.cost(now, verdict, p.used(outcome))
 	p.observer.Records.End(now, p.request.ID, explain.Result{
 		Outcome: outcome,
 		Reason:  reason,
-		Rule:    explain.Object{Kind: string(object.KindClass), Name: p.class.Name},
+		Rule:    ruleOf(p.table, p.request, p.key, reason),
 		Output:  p.output,
 	})
 }
