--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -132,6 +132,7 @@
 	e.gate.change(func() { e.Rules(table) })
 	e.Limits.update(time.Now(), table)
 	e.calls.withdraw(table)
+	e.Observer.configured(table)
 	e.place(table, e.Roster.VMs())
 }
 
