--- /dev/null
+++ b/layers_test.go
@@ -0,0 +1,147 @@
+package chicoryrock_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// module is the path of this module.
+const module = "github.com/chicoryrock/chicoryrock"
+
+// layer is what the packages below a folder may import. docs/architecture.md
+// states the same rules in words.
+type layer struct {
+	folder string   // below the root; the longest that fits a package decides
+	own    []string // folders of this module that may be imported; "." is the root package
+	barred []string // packages of the standard library that may not be
+}
+
+// sockets are the packages by which a process reaches outside itself.
+var sockets = []string{"net", "net/http", "os", "os/exec", "os/signal"}
+
+var layers = []layer{
+	{".", nil, sockets},
+	{"internal/policy", []string{".", "internal/policy"}, sockets},
+	{"internal/state", []string{".", "internal/state"}, sockets},
+	{"internal/ops", []string{".", "internal/ops", "internal/state"}, []string{"net"}},
+	{"internal/ops/ctl", []string{".", "internal/ops", "internal/state", "internal/serve/admin", "internal/serve/web"}, []string{"net"}},
+	{"internal/serve", []string{".", "internal/ops", "internal/policy", "internal/serve", "internal/state"}, nil},
+	{"internal/serve/local", []string{".", "internal/ops", "internal/serve", "internal/standin", "internal/state"}, nil},
+	{"internal/serve/demo", []string{".", "internal/serve", "internal/standin", "internal/state"}, nil},
+	{"internal/standin", []string{".", "internal/standin", "internal/serve/platform", "internal/serve/wire"}, nil},
+	{"cmd", []string{".", "internal/ops/ctl", "internal/serve/platform", "internal/serve/program", "internal/standin/command"}, nil},
+}
+
+func layerOf(folder string) layer {
+	best := layers[0]
+	for _, one := range layers {
+		if below(folder, one.folder) && len(one.folder) > len(best.folder) {
+			best = one
+		}
+	}
+	return best
+}
+
+func below(folder, root string) bool {
+	return folder == root || strings.HasPrefix(folder, root+"/")
+}
+
+// fault says what is wrong with one import of a package, or nothing.
+func fault(folder, imported string) string {
+	rules := layerOf(folder)
+	if slices.Contains(rules.barred, imported) {
+		return folder + " may not reach outside itself by " + imported
+	}
+	if !below(imported, module) {
+		return ""
+	}
+	target := path.Clean("./" + strings.TrimPrefix(imported, module))
+	for _, allowed := range rules.own {
+		if target == allowed || allowed != "." && below(target, allowed) {
+			return ""
+		}
+	}
+	return folder + " may not import " + target
+}
+
+// eachFile calls look with every source file that is not a test.
+func eachFile(t *testing.T, look func(folder string, file *ast.File)) {
+	t.Helper()
+	set := token.NewFileSet()
+	err := filepath.WalkDir(".", func(name string, _ fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(name, ".go") || strings.HasSuffix(name, "_test.go") {
+			return err
+		}
+		file, err := parser.ParseFile(set, name, nil, 0)
+		if err != nil {
+			return err
+		}
+		look(filepath.ToSlash(filepath.Dir(name)), file)
+		return nil
+	})
+	require.NoError(t, err)
+}
+
+func TestLayers(t *testing.T) {
+	eachFile(t, func(folder string, file *ast.File) {
+		for _, one := range file.Imports {
+			imported, err := strconv.Unquote(one.Path.Value)
+			require.NoError(t, err)
+			require.Empty(t, fault(folder, imported))
+		}
+	})
+}
+
+// TestCoreIsToldTheTime holds the decisions to the rule that the present time is
+// an argument.
+func TestCoreIsToldTheTime(t *testing.T) {
+	clocks := []string{"Now", "Since", "Until", "After", "AfterFunc", "NewTimer", "NewTicker", "Tick", "Sleep"}
+	eachFile(t, func(folder string, file *ast.File) {
+		if !below(folder, "internal/policy") && !below(folder, "internal/state") {
+			return
+		}
+		ast.Inspect(file, func(node ast.Node) bool {
+			selector, ok := node.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			if name, ok := selector.X.(*ast.Ident); ok && name.Name == "time" {
+				require.NotContains(t, clocks, selector.Sel.Name, folder)
+			}
+			return true
+		})
+	})
+}
+
+func TestFault(t *testing.T) {
+	cases := []struct {
+		folder, imported string
+		fine             bool
+	}{
+		{"internal/policy/queue", "time", true},
+		{"internal/policy/queue", "net/netip", true},
+		{"internal/policy/queue", "net/http", false},
+		{"internal/policy/queue", module, true},
+		{"internal/policy/queue", module + "/internal/state/object", false},
+		{"internal/state/publish", module + "/internal/serve/feed", false},
+		{"internal/ops/burn", module + "/internal/serve/web", false},
+		{"internal/ops/ctl", module + "/internal/serve/web", true},
+		{"internal/ops/ctl", module + "/internal/serve/entry", false},
+		{"internal/serve/entry", module + "/internal/standin/engine", false},
+		{"internal/standin/store", module + "/internal/state/publish", false},
+		{".", module + "/internal/state/object", false},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.fine, fault(c.folder, c.imported) == "", "%v", c)
+	}
+}
