Order backend servers by the need that all entries state

Cause: the ordering duty only kept each pool's minimum. Change: every entry counts the slot-seconds that its requests held or, refused for want of room, would have held, and tells the others; whoever has the duty feeds the scale core with them. Orders are raised at once, and lowered only by a process that has listened for two minutes and hears every listed entry. Ruled out: tokens as the measure, since a replica's rate in tokens would have to be declared or guessed; slot time needs neither.

--- a/internal/serve/assembly/duties.go
+++ b/internal/serve/assembly/duties.go
@@ -1,11 +1,14 @@
 package assembly
 
 import (
+	"sync"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
+	"github.com/chicoryrock/chicoryrock/internal/state/need"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
 	"github.com/chicoryrock/chicoryrock/internal/state/order"
 )
 
@@ -17,7 +20,7 @@
 		orders := &duty.Orders{
 			Store:   p.feed.Store,
 			Orderer: &platform.Orderer{Address: p.Settings.Orderer, Timeout: callTimeout},
-			Wanted:  p.floors,
+			Wanted:  p.wanted,
 			Log:     p.Log,
 		}
 		duties = append(duties, p.newHolder(duty.OrdersDuty, orders.Work))
@@ -36,39 +39,33 @@
 	}
 }
 
-// floors wants each pool's minimum in every data centre that has fewer live
-// backend servers of it.
-func (p *Entry) floors(time.Time) map[order.Place]int {
-	wanted := make(map[order.Place]int)
-	table := p.tables.Table()
-	if table == nil {
-		return wanted
-	}
-	live, centres := countLive(p.roster.VMs())
-	for i := range table.Set.Pools {
-		pool := &table.Set.Pools[i]
-		for centre := range centres {
-			place := order.Place{Pool: pool.Name, Centre: centre}
-			if live[place] < pool.Min {
-				wanted[place] = pool.Min
-			}
-		}
-	}
-	return wanted
+// planner puts a lock round the core that works out how many backend servers are
+// wanted.
+type planner struct {
+	mu   sync.Mutex
+	core need.Planner
 }
 
-// countLive counts the live backend servers of each place, and names the data
-// centres.
-func countLive(vms []chicoryrock.VM) (live map[order.Place]int, centres map[string]bool) {
-	live = make(map[order.Place]int)
-	centres = make(map[string]bool)
-	for i := range vms {
-		centres[vms[i].Centre] = true
-		if vms[i].Pool != "" && vms[i].State == chicoryrock.VMLive {
-			live[order.Place{Pool: vms[i].Pool, Centre: vms[i].Centre}]++
-		}
+func (p *planner) hear(now time.Time, statement need.Statement) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.core.Hear(now, statement)
+}
+
+func (p *planner) wanted(now time.Time, set *object.Set, vms []chicoryrock.VM) map[order.Place]int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.core.Wanted(now, set, vms)
+}
+
+// wanted returns how many backend servers each pool should have in each data
+// centre. Without a configuration nothing is wanted otherwise than it is.
+func (p *Entry) wanted(now time.Time) map[order.Place]int {
+	table := p.tables.Table()
+	if table == nil {
+		return make(map[order.Place]int)
 	}
-	return live, centres
+	return p.planner.wanted(now, table.Set, p.roster.VMs())
 }
 
 // dutyStatus says what this process knows of each duty.
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -53,6 +53,8 @@
 	peerAddress netip.AddrPort
 	suspects    *entry.Suspects
 	limits      *entry.Limits
+	needs       *entry.Needs
+	planner     planner
 	exchange    *exchange.Exchange
 	operators   netip.AddrPort
 	tables      *object.Holder
@@ -105,9 +107,13 @@
 	p.cost = &cost.Meter{Process: p.instance}
 	p.suspects = &entry.Suspects{}
 	p.limits = entry.NewLimits(time.Now(), p.Settings.Name)
+	p.needs = &entry.Needs{Entry: p.Settings.Name}
+	p.planner.core.Since = time.Now()
 	p.exchange = &exchange.Exchange{
 		Self:     selfOf(&p.Settings.Common),
 		Limits:   p.limits,
+		Needs:    p.needs,
+		Hear:     p.planner.hear,
 		Suspects: p.suspects,
 		TLS:      p.secrets.dialPeers,
 		Log:      p.Log,
@@ -186,6 +192,7 @@
 		Rules:    rules.update,
 		Suspects: p.suspects,
 		Limits:   p.limits,
+		Needs:    p.needs,
 		Dispatcher: &dispatch.Dispatcher{
 			NewQueue: rules.newQueue,
 			Picker: &pick.Picker{
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -79,7 +79,11 @@
 		c.progress.sent(now, &replica, c.sent > 0)
 		c.timing = timing{sent: now}
 		err = c.attempt(&replica)
-		c.entry.gate.observe(time.Now(), &replica, c.timing.observation(err))
+		now = time.Now()
+		c.entry.gate.observe(now, &replica, c.timing.observation(err))
+		if !errors.Is(err, chicoryrock.ErrNotRun) {
+			c.entry.Needs.held(c.request, now.Sub(c.timing.sent))
+		}
 		if err != nil {
 			err = c.again(time.Now(), &replica, err)
 		} else {
@@ -283,6 +287,7 @@
 		return
 	}
 	refusal := c.refusalFor(err)
+	c.entry.Needs.refused(c.request, refusal.Reason)
 	c.settle(refusal.Outcome)
 	c.progress.end(time.Now(), outcomeOf(refusal, c.started), refusal.Reason)
 	if !c.started {
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -40,6 +40,7 @@
 	Observer   *Observer
 	Suspects   *Suspects
 	Limits     *Limits
+	Needs      *Needs
 	Claims     Claims
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
--- a/internal/serve/exchange/exchange.go
+++ b/internal/serve/exchange/exchange.go
@@ -22,6 +22,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/entry"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/state/member"
+	"github.com/chicoryrock/chicoryrock/internal/state/need"
 )
 
 // MethodTell is the peers' method that takes in a Message.
@@ -40,6 +41,7 @@
 type Message struct {
 	Uses     limit.Statement `json:"uses"`
 	Suspects suspect.Update  `json:"suspects"`
+	Needs    need.Statement  `json:"needs"`
 }
 
 // Exchange tells the other entries and takes in what they tell. Set the exported
@@ -47,6 +49,8 @@
 type Exchange struct {
 	Self     member.Self
 	Limits   *entry.Limits
+	Needs    *entry.Needs
+	Hear     func(now time.Time, needs need.Statement) // told of every entry's needs, the own included
 	Suspects *entry.Suspects
 	TLS      *tls.Config // towards peers; nil for plain connections
 	Log      *event.Log
@@ -95,11 +99,17 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticker.C:
-			e.tell(ctx, Message{Uses: e.Limits.State(now), Suspects: e.Suspects.Export()})
+			e.tellAll(ctx, now)
 		}
 	}
 }
 
+func (e *Exchange) tellAll(ctx context.Context, now time.Time) {
+	needs := e.Needs.State()
+	e.Hear(now, needs)
+	e.tell(ctx, Message{Uses: e.Limits.State(now), Suspects: e.Suspects.Export(), Needs: needs})
+}
+
 // Share tells the peers at once of the requests that crash engines.
 func (e *Exchange) Share(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
@@ -156,6 +166,9 @@
 	if message.Uses.Entry != "" {
 		e.Limits.Hear(now, message.Uses)
 	}
+	if message.Needs.Entry != "" {
+		e.Hear(now, message.Needs)
+	}
 	e.Suspects.Merge(now, message.Suspects)
 	return e.Suspects.Export(), nil
 }
--- /dev/null
+++ b/internal/state/need/need_test.go
@@ -0,0 +1,84 @@
+package need
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/member"
+	"github.com/chicoryrock/chicoryrock/internal/state/object"
+	"github.com/chicoryrock/chicoryrock/internal/state/order"
+)
+
+var (
+	start  = time.Unix(1_000_000, 0)
+	quan1  = order.Place{Pool: "lens", Centre: "quan-1"}
+	lenses = &object.Set{Pools: []object.Pool{{Name: "lens", Slots: 10, Min: 1, Max: 9, Start: time.Minute}}}
+)
+
+func list(servers int) []chicoryrock.VM {
+	vms := []chicoryrock.VM{
+		{Name: "entry-1", Role: member.RoleEntry, Centre: "quan-1", State: chicoryrock.VMLive},
+		{Name: "entry-2", Role: member.RoleEntry, Centre: "quan-1", State: chicoryrock.VMLive},
+	}
+	for range servers {
+		vms = append(vms, chicoryrock.VM{Role: member.RoleAgent, Pool: "lens", Centre: "quan-1", State: chicoryrock.VMLive})
+	}
+	return vms
+}
+
+// listen lets a planner hear both entries every two seconds, each needing so many
+// slots, and returns the time after the last statement.
+func listen(p *Planner, span time.Duration, slots float64, names ...string) time.Time {
+	now := start
+	for ; now.Before(start.Add(span)); now = now.Add(2 * time.Second) {
+		for _, name := range names {
+			used := slots * now.Sub(start).Seconds()
+			p.Hear(now, Statement{Entry: name, Cells: []Cell{{Pool: "lens", Tier: 3, Time: used}}})
+		}
+	}
+	return now
+}
+
+func expectWanted(t *testing.T, p *Planner, now time.Time, servers, want int) {
+	t.Helper()
+	require.Equal(t, want, p.Wanted(now, lenses, list(servers))[quan1])
+}
+
+func TestPlannerFollowsNeed(t *testing.T) {
+	cases := []struct {
+		name    string
+		span    time.Duration
+		slots   float64 // needed by each of two entries
+		servers int     // listed now
+		want    int
+	}{
+		{"raised at once", time.Minute, 10, 1, 3},
+		{"at most the pool's greatest", 5 * time.Minute, 100, 3, 9},
+		{"not lowered while the forecast is fresh", time.Minute, 1, 5, 5},
+		{"lowered when warm", 5 * time.Minute, 1, 5, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := &Planner{Since: start}
+			now := listen(p, c.span, c.slots, "entry-1", "entry-2")
+			expectWanted(t, p, now, c.servers, c.want)
+		})
+	}
+}
+
+func TestPlannerKeepsForTheUnheard(t *testing.T) {
+	p := &Planner{Since: start}
+	now := listen(p, 5*time.Minute, 1, "entry-1")
+	expectWanted(t, p, now, 5, 5)
+}
+
+func TestPlannerTakesRestart(t *testing.T) {
+	p := &Planner{Since: start}
+	now := listen(p, 5*time.Minute, 10, "entry-1", "entry-2")
+	p.Hear(now, Statement{Entry: "entry-1", Cells: []Cell{{Pool: "lens", Tier: 3, Time: 1}}})
+	require.InDelta(t, 1, p.sources["entry-1"].told[place{pool: "lens", tier: 3}], 0)
+	expectWanted(t, p, now, 3, 3)
+}
