Bill from both ends of each request, through the process with the duty

Cause: the usage core stood alone; no process counted, sealed or reported.

Ruled out: counting each end in its own window (the two cells of a pair would differ at the window's end and both be billed), so the entry states the window; a collector in each data centre, since no single one then sees both ends of a pair that spans two.

Change: entry and agent count each attempt under the pair of their processes, and send open cells 20 times a window to the process with the duty "usage", through an entry that reads the store. It seals a window a fifth of a window after its end and reports it to the intake. GET /usage shows windows as open, sealed or sent, and what was late. New settings: -window (5m). An entry without -intake neither collects nor passes cells on. Seals are deleted after 288 windows.

Not proved or partial: an answer lost between agent and entry and asked for again is billed for both runs. After an outage of the intake of more than 288 windows, the seals of that time are reported but not deleted.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -31,4 +31,6 @@
 	DutyLost     = Event{503, zapcore.InfoLevel, "duty given up or lost"}
 	DutyFailed   = Event{504, zapcore.WarnLevel, "lease could not be renewed"}
 	OrderFailed  = Event{505, zapcore.WarnLevel, "backend servers could not be ordered"}
+	UsageKept    = Event{601, zapcore.InfoLevel, "usage not handed on yet"}
+	UsageFailed  = Event{602, zapcore.WarnLevel, "usage could not be sealed or reported"}
 )
--- a/internal/ops/settings/check.go
+++ b/internal/ops/settings/check.go
@@ -19,6 +19,7 @@
 	peer, admin            *option
 	store, vms, peers      *option
 	cert, secret, ca, wait *option
+	window                 *option
 }
 
 func (p *parser) common(c *Common) *commonOptions {
@@ -36,6 +37,7 @@
 		secret: p.text(&c.Secret, "secret", "PEM file", "private key of the certificate shown to peers; needed unless -plain"),
 		ca:     p.text(&c.CA, "ca", "PEM file", "authorities that sign the certificates of peers; needed unless -plain"),
 		wait:   p.duration(&c.Drain, "drain", "longest wait for open requests at a shutdown"),
+		window: p.duration(&c.Window, "window", "length of a usage window; the same in all processes, and never changed while usage is unreported"),
 	}
 	p.boolean(&c.Plain, "plain", "no TLS; allowed with loopback addresses only")
 	p.boolean(&c.Verbose, "verbose", "log events of the level debug too")
@@ -57,6 +59,9 @@
 	}
 	checkPair(options.cert, options.secret, c.Cert, c.Secret, c.Plain)
 	checkAuthorities(options.ca, c.CA, c.Plain)
+	if !options.window.bad && c.Window < minWindow {
+		options.window.faultf("%s is shorter than %s", c.Window, minWindow)
+	}
 	if c.Drain < 0 {
 		options.wait.faultf("%s is negative; give a duration of zero or more", c.Drain)
 	}
--- a/internal/ops/settings/entry.go
+++ b/internal/ops/settings/entry.go
@@ -12,6 +12,10 @@
 	// defaultDrain is how long a shutdown waits for open requests. It is long,
 	// because a planned stop must not cut a stream.
 	defaultDrain = 30 * time.Minute
+	// defaultWindow is the length of a usage window.
+	defaultWindow = 5 * time.Minute
+	// minWindow is the shortest usage window: parts of it are timers.
+	minWindow = time.Second
 	// defaultSlots is how many streams a backend server runs at once.
 	defaultSlots = 16
 )
@@ -23,7 +27,7 @@
 // Errors: flag.ErrHelp after -h, with the help written to out; FaultErrors, which
 // matches chicoryrock.ErrInvalid and lists every fault.
 func ParseEntry(args, environ []string, out io.Writer) (*Entry, error) {
-	entry := &Entry{Common: Common{Drain: defaultDrain}, MaxBody: defaultMaxBody}
+	entry := &Entry{Common: Common{Drain: defaultDrain, Window: defaultWindow}, MaxBody: defaultMaxBody}
 	p := newParser("chicoryrock entry")
 	common := p.common(&entry.Common)
 	listen := p.address(&entry.Listen, "listen", "address where callers connect")
@@ -54,7 +58,7 @@
 // ParseAgent reads an agent's settings. Arguments and errors are those of
 // ParseEntry.
 func ParseAgent(args, environ []string, out io.Writer) (*Agent, error) {
-	agent := &Agent{Common: Common{Drain: defaultDrain}}
+	agent := &Agent{Common: Common{Drain: defaultDrain, Window: defaultWindow}}
 	count := int64(defaultSlots)
 	p := newParser("chicoryrock agent")
 	common := p.common(&agent.Common)
--- a/internal/ops/settings/settings.go
+++ b/internal/ops/settings/settings.go
@@ -23,6 +23,7 @@
 	Secret  string           // file with the private key, PEM
 	CA      string           // file with the authorities that sign peers, PEM
 	Drain   time.Duration    // longest wait for open requests at a shutdown
+	Window  time.Duration    // length of a usage window, the same in all processes
 	Verbose bool
 }
 
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -27,6 +27,8 @@
 	Log      *event.Log
 	TLS      *tls.Config // nil for plain HTTP towards entries
 	Opened   func(entries netip.AddrPort)
+	Process  string // this process's name, never used by another one before
+	Usage    UsageCounter
 
 	engine   httpc.Service
 	room     *room
--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -30,10 +30,14 @@
 		}
 	}
 	wire.SetLoad(header, v.agent.room.load())
+	v.stampUsage(header)
 	header.Set("Trailer", wire.Load)
 	v.w.WriteHeader(response.StatusCode)
 	streamed := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
-	if err := v.copy(response.Body, streamed); err != nil {
+	meter := &meter{path: v.r.URL.Path, status: response.StatusCode}
+	err := v.copy(response.Body, streamed, meter)
+	v.countUsage(meter.counts(streamed))
+	if err != nil {
 		v.cut(err, streamed)
 	}
 	load := v.agent.room.load()
@@ -43,17 +47,19 @@
 
 // copy passes on the body. Of a stream only whole lines go on, and their tokens
 // are counted.
-func (v *visit) copy(body io.Reader, streamed bool) error {
+func (v *visit) copy(body io.Reader, streamed bool, meter *meter) error {
 	controller := http.NewResponseController(v.w)
 	buffer := make([]byte, relayBuffer)
-	var meter wire.StreamMeter
 	for {
 		n, err := body.Read(buffer)
 		piece := buffer[:n]
 		if streamed {
 			var tokens int
-			piece, tokens = meter.Feed(piece)
+			piece, tokens = meter.stream.Feed(piece)
+			meter.output += int64(tokens)
 			v.count(tokens)
+		} else {
+			meter.keep(piece)
 		}
 		if len(piece) > 0 {
 			if _, writeErr := v.w.Write(piece); writeErr != nil {
@@ -63,6 +69,7 @@
 			_ = controller.Flush()
 		}
 		if errors.Is(err, io.EOF) {
+			meter.whole = true
 			return nil
 		}
 		if err != nil {
--- a/internal/serve/assembly/agent.go
+++ b/internal/serve/assembly/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	secret "crypto/rand"
 	"net/netip"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
 	"github.com/chicoryrock/chicoryrock/internal/serve/agent"
+	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/serve/feed"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
 	"github.com/chicoryrock/chicoryrock/internal/serve/roster"
@@ -32,6 +34,7 @@
 	roster *roster.Roster
 	feed   *feed.Feed
 	agent  *agent.Agent
+	usage  *duty.Counter
 }
 
 // Run builds the parts and runs them until the context ends and the open requests
@@ -42,8 +45,6 @@
 		return err
 	}
 	p.tables = &object.Holder{}
-	p.agent = &agent.Agent{Settings: p.Settings, Log: p.Log, TLS: secrets.acceptCalls, Opened: p.Opened}
-	p.agent.Prepare()
 	p.roster = &roster.Roster{
 		Self:      selfOf(&p.Settings.Common),
 		Directory: directoryOf(&p.Settings.Common),
@@ -51,6 +52,22 @@
 		Seeds:     p.Settings.Peers,
 		Log:       p.Log,
 	}
+	p.usage = &duty.Counter{
+		Process: p.Settings.Name + "/" + secret.Text(),
+		Window:  p.Settings.Window,
+		Sources: p.roster.Sources,
+		TLS:     secrets.dialPeers,
+		Log:     p.Log,
+	}
+	p.agent = &agent.Agent{
+		Settings: p.Settings,
+		Log:      p.Log,
+		TLS:      secrets.acceptCalls,
+		Opened:   p.Opened,
+		Process:  p.usage.Process,
+		Usage:    p.usage,
+	}
+	p.agent.Prepare()
 	p.feed = &feed.Feed{
 		Holder:  p.tables,
 		Log:     p.Log,
@@ -59,7 +76,7 @@
 		Sources: p.roster.Sources,
 		Changed: p.agent.ConfigChanged,
 	}
-	return runAll(ctx, p.agent.Run, p.roster.Run, p.feed.Run, p.operators().Run)
+	return runAll(ctx, p.agent.Run, p.roster.Run, p.feed.Run, p.usage.Run, p.operators().Run)
 }
 
 // operators serves those who run the system.
--- a/internal/serve/assembly/duties.go
+++ b/internal/serve/assembly/duties.go
@@ -1,6 +1,7 @@
 package assembly
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -22,6 +23,11 @@
 		}
 		duties = append(duties, p.newHolder(duty.OrdersDuty, orders.Work))
 	}
+	if p.Settings.Intake.IsValid() {
+		holder := p.newHolder(duty.UsageDuty, p.collector.Work)
+		p.collector.Holder = holder.Other
+		duties = append(duties, holder)
+	}
 	return duties
 }
 
@@ -29,6 +35,7 @@
 	return &duty.Holder{
 		Duty:      name,
 		Process:   p.instance,
+		Address:   p.peerAddress,
 		Store:     p.feed.Store,
 		Log:       p.Log,
 		Candidate: p.roster.Reader,
@@ -36,6 +43,28 @@
 	}
 }
 
+func (p *Entry) newCollector() *duty.Collector {
+	return &duty.Collector{
+		Store:  p.feed.Store,
+		Intake: &platform.Intake{Address: p.Settings.Intake, Timeout: callTimeout},
+		Window: p.Settings.Window,
+		Holder: func() netip.AddrPort { return netip.AddrPort{} },
+		TLS:    p.secrets.dialPeers,
+		Log:    p.Log,
+	}
+}
+
+func (p *Entry) newUsage() *duty.Counter {
+	return &duty.Counter{
+		Process: p.instance,
+		Window:  p.Settings.Window,
+		Sources: p.roster.Sources,
+		Local:   p.collector.Take,
+		TLS:     p.secrets.dialPeers,
+		Log:     p.Log,
+	}
+}
+
 // floors wants each pool's minimum in every data centre that has fewer live
 // backend servers of it.
 func (p *Entry) floors(time.Time) map[order.Place]int {
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -66,6 +66,8 @@
 	claims      *duty.Claims
 	instance    string // the process's name, and what no earlier process had
 	duties      []*duty.Holder
+	usage       *duty.Counter
+	collector   *duty.Collector
 }
 
 // Run builds the parts and runs them until the context ends and the open requests
@@ -84,7 +86,8 @@
 	if p.operators, err = operators.Open(); err != nil {
 		return err
 	}
-	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, peers.Run, p.exchange.Run, operators.Run}
+	p.duties = p.newDuties()
+	others := []func(context.Context) error{p.roster.Run, p.feed.Run, p.claims.Run, p.usage.Run, peers.Run, p.exchange.Run, operators.Run}
 	for _, holder := range p.duties {
 		others = append(others, holder.Run)
 	}
@@ -116,7 +119,8 @@
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.claims = &duty.Claims{Store: p.feed.Store, Log: p.Log}
-	p.duties = p.newDuties()
+	p.collector = p.newCollector()
+	p.usage = p.newUsage()
 	p.entry = p.newEntry()
 	p.entry.Prepare()
 	p.roster.Changed = p.serversChanged
@@ -195,6 +199,8 @@
 			},
 		},
 		Claims:    p.claims,
+		Process:   p.instance,
+		Usage:     p.usage,
 		CallerTLS: p.secrets.callers,
 		AgentTLS:  p.secrets.dialAgents,
 	}
@@ -208,6 +214,7 @@
 		Handlers: map[string]peer.Handler{
 			feed.MethodWatch:    p.feed.HandleWatch,
 			exchange.MethodTell: p.exchange.HandleTell,
+			duty.MethodUsage:    p.collector.Handle,
 		},
 		Log: p.Log,
 	}
--- a/internal/serve/assembly/questions.go
+++ b/internal/serve/assembly/questions.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
+	"github.com/chicoryrock/chicoryrock/internal/state/usage"
 )
 
 // questions returns the routes by which chicoryctl asks an entry about requests,
@@ -24,6 +25,7 @@
 		{Method: http.MethodGet, Path: "/summary", Handler: p.summary},
 		{Method: http.MethodGet, Path: "/burn", Handler: p.burnReading},
 		{Method: http.MethodGet, Path: "/cost", Handler: p.costReading},
+		{Method: http.MethodGet, Path: "/usage", Handler: p.usageReading},
 	}
 }
 
@@ -117,3 +119,17 @@
 	// The asker may be gone already; nothing is left to tell it then.
 	_ = json.NewEncoder(w).Encode(value)
 }
+
+// shownWindows is how many usage windows an entry shows.
+const shownWindows = 24
+
+// usageReading answers GET /usage with the newest usage windows, as the store has
+// them: open, sealed or sent, and what was late.
+func (p *Entry) usageReading(w http.ResponseWriter, r *http.Request) {
+	rows, err := usage.Overview(r.Context(), p.feed.Store, time.Now(), p.Settings.Window, shownWindows)
+	if err != nil {
+		problemOf(err).Write(w)
+		return
+	}
+	answer(w, rows)
+}
--- a/internal/serve/duty/holder.go
+++ b/internal/serve/duty/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -48,7 +49,8 @@
 	Process   string // this process's name, never used by another one before
 	Store     chicoryrock.Store
 	Log       *event.Log
-	Candidate func() bool // whether this process should try: few in each data centre
+	Address   netip.AddrPort // where peers reach this process; the zero value if they need not
+	Candidate func() bool    // whether this process should try: few in each data centre
 	Work      WorkFunc
 
 	mu    sync.Mutex
@@ -66,7 +68,7 @@
 
 // Run tries until the context ends, then stops the work and gives the duty up.
 func (h *Holder) Run(ctx context.Context) error {
-	h.lease = lease.Lease{Duty: h.Duty, Holder: h.Process, TTL: leaseTTL}
+	h.lease = lease.Lease{Duty: h.Duty, Holder: h.Process, TTL: leaseTTL, Address: h.Address}
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	defer h.release(context.WithoutCancel(ctx))
@@ -166,6 +168,13 @@
 	h.mu.Unlock()
 }
 
+// Other returns the address of the process that has the duty, if it is another
+// one and known.
+func (h *Holder) Other() netip.AddrPort {
+	current := h.snapshot()
+	return current.OtherAddress()
+}
+
 // Status returns what this process knows of the duty.
 func (h *Holder) Status(now time.Time) Status {
 	current := h.snapshot()
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -51,6 +51,7 @@
 	started bool                 // the answer's header has gone out
 	status  int                  // of the answer
 	claimed *claimed             // nil for a call that needs no claim
+	used    used                 // by the attempt under way
 }
 
 // run serves the call under its key's watch: it ends when the key is withdrawn,
@@ -135,6 +136,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	defer c.hear(replica, response)
+	defer c.countUsage(response.Header)
 	if err := agentError(response.Header); err != nil {
 		return err
 	}
@@ -184,6 +186,7 @@
 		request.Header.Set(wire.Suspect, "1")
 	}
 	c.stampClaim(request.Header)
+	c.stampUsage(time.Now(), request.Header)
 	if c.sent > 0 {
 		request.Header.Set(wire.Resume, strconv.Itoa(c.sent))
 	}
@@ -243,6 +246,7 @@
 			return err
 		}
 	}
+	c.noteWhole(response.StatusCode, data)
 	header := c.w.Header()
 	header.Set("Content-Type", response.Header.Get("Content-Type"))
 	header.Set("Content-Length", strconv.Itoa(len(data)))
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -41,6 +41,8 @@
 	Suspects   *Suspects
 	Limits     *Limits
 	Claims     Claims
+	Process    string // this process's name, never used by another one before
+	Usage      UsageCounter
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
 	Opened     func(callers netip.AddrPort)
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -38,12 +38,14 @@
 	if tokens := chunk.Tokens(); tokens > 0 {
 		now := time.Now()
 		c.sent += tokens
+		c.used.counts.Output += int64(tokens)
 		c.progress.tokens(now, tokens)
 		c.timing.token(now)
 		c.charge(now, tokens)
 	}
 	if chunk.Usage != nil {
 		c.progress.prompt = chunk.Usage.Prompt
+		c.used.counts.Prompt = int64(chunk.Usage.Prompt)
 	}
 	if isUsageOnly(&chunk) && !c.wantsUsage {
 		return nil
@@ -75,6 +77,7 @@
 }
 
 func (c *call) endStream() error {
+	c.used.counts.Requests = 1
 	c.startStream()
 	if err := wire.WriteDone(c.w); err != nil {
 		return errors.WithStack(err)
--- a/internal/serve/local/local.go
+++ b/internal/serve/local/local.go
@@ -31,6 +31,8 @@
 const (
 	// drainTime bounds the shutdown of the processes.
 	drainTime = 5 * time.Second
+	// usageWindow is the length of a usage window.
+	usageWindow = 5 * time.Minute
 	// readyLimit bounds the wait for the entries to take up the configuration.
 	readyLimit = 20 * time.Second
 	// readyPause is how often readiness is looked at.
@@ -258,6 +260,7 @@
 		VMs:    s.VMs.Addr(),
 		Plain:  true,
 		Drain:  drainTime,
+		Window: usageWindow,
 	}
 }
 
--- a/internal/serve/program/path_test.go
+++ b/internal/serve/program/path_test.go
@@ -53,10 +53,11 @@
 	require.NoError(p.store.t, err)
 }
 
-func startAgent(t *testing.T, name, pool string, engine *process) *process {
+func startAgent(t *testing.T, name, pool string, engine *process, more ...string) *process {
 	t.Helper()
-	return start(t, "chicoryrock", "agent", "-name", name, "-centre", "jamalpur", "-region", "ahmedabad",
-		"-listen", "127.0.0.1:0", "-admin", "127.0.0.1:0", "-engine", engine.address.String(), "-pool", pool, "-slots", "8", "-plain")
+	args := append([]string{"agent", "-name", name, "-centre", "jamalpur", "-region", "ahmedabad",
+		"-listen", "127.0.0.1:0", "-admin", "127.0.0.1:0", "-engine", engine.address.String(), "-pool", pool, "-slots", "8", "-plain"}, more...)
+	return start(t, "chicoryrock", args...)
 }
 
 func (p *path) startEntry(t *testing.T, name string, more ...string) *process {
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -35,6 +35,8 @@
 	CrashName = "X-Chicory-Crash"   // the crash that ended a call before its answer began
 	Once      = "X-Chicory-Once"    // "1" on a call that may not be repeated
 	Claim     = "X-Chicory-Claim"   // digest of its idempotency key, when it has one
+	Process   = "X-Chicory-Process" // the sending process, by a name that none had before
+	Window    = "X-Chicory-Window"  // number of the usage window that the call counts in
 )
 
 // Values of the Outcome header.
--- a/internal/state/lease/lease.go
+++ b/internal/state/lease/lease.go
@@ -18,6 +18,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -35,7 +36,8 @@
 
 // record is the value of a duty's key.
 type record struct {
-	Holder string `json:"holder"`
+	Holder  string         `json:"holder"`
+	Address netip.AddrPort `json:"address,omitzero"`
 }
 
 // Lease is what one process knows of one duty. Set the exported fields, then call
@@ -44,11 +46,13 @@
 	Duty   string        // name of the duty
 	Holder string        // this process's name, never used by another one before
 	TTL    time.Duration // after which the store drops a lease that was not renewed
+	// Address is where peers reach this process; the zero value if they need not.
+	Address netip.AddrPort
 
 	revision uint64    // of the key as this process last wrote it; zero when in doubt
 	fence    uint64    // zero before this process has got the duty
 	until    time.Time // end of validity
-	other    string    // holder as last read, when it is another process
+	other    record    // as last read, when another process has the duty
 }
 
 // Key returns the duty's key in the store.
@@ -66,7 +70,10 @@
 
 // Other returns the process that had the duty when it was last read, if it was
 // another one.
-func (l *Lease) Other() string { return l.other }
+func (l *Lease) Other() string { return l.other.Holder }
+
+// OtherAddress returns where that process is reached.
+func (l *Lease) OtherAddress() netip.AddrPort { return l.other.Address }
 
 // Try acquires the lease or renews it. The time must be taken before the call.
 // A duty that another process has is no error. Errors: the store's; validity then
@@ -80,7 +87,7 @@
 		}
 		prior = found
 	}
-	value, err := json.Marshal(record{Holder: l.Holder})
+	value, err := json.Marshal(record{Holder: l.Holder, Address: l.Address})
 	if err != nil {
 		return errors.WithStack(err)
 	}
@@ -119,7 +126,7 @@
 		return entry.Revision, true, nil
 	}
 	l.drop()
-	l.other = found.Holder
+	l.other = found
 	return entry.Revision, false, nil
 }
 
@@ -129,7 +136,7 @@
 		l.fence = revision
 	}
 	l.until = now.Add(l.TTL - l.TTL/marginPart)
-	l.other = ""
+	l.other = record{}
 }
 
 // drop gives up what this process knew: another one has the duty or may get it.
@@ -137,7 +144,7 @@
 	l.revision = 0
 	l.fence = 0
 	l.until = time.Time{}
-	l.other = ""
+	l.other = record{}
 }
 
 // Release gives the duty up, so that another process need not wait for the lease
--- a/internal/state/usage/store_test.go
+++ b/internal/state/usage/store_test.go
@@ -55,6 +55,15 @@
 	return m.revision, nil
 }
 
+func (m *memory) Delete(_ context.Context, key string, prior uint64) error {
+	if m.entries[key].Revision != prior {
+		return chicoryrock.ErrConflict
+	}
+	m.revision++
+	delete(m.entries, key)
+	return nil
+}
+
 func (m *memory) land() {
 	for _, change := range m.inFlight {
 		_, _ = m.swap(change)
--- a/internal/state/usage/usage_test.go
+++ b/internal/state/usage/usage_test.go
@@ -246,6 +246,33 @@
 	require.Equal(t, []Line{{Workspace: "lens", Counts: Counts{2, 6, 11}, Late: Counts{1, 5, 10}}}, seal.Lines)
 }
 
+func TestOverviewAndForget(t *testing.T) {
+	store, ledger := newMemory(), &Ledger{}
+	taker := &intake{taken: map[string]chicoryrock.UsageReport{}}
+	require.NoError(t, ledger.Load(background, store, first))
+	ledger.Merge([]Cell{{Key{"e", "a", "lens", first}, Counts{2, 10, 20}}})
+	require.NoError(t, ledger.Close(background, store, 1))
+	require.NoError(t, ledger.NoteSealed(background, store))
+	require.NoError(t, Send(background, store, taker, length, 1, func() bool { return true }))
+	require.NoError(t, ledger.Close(background, store, 1))
+	require.NoError(t, ledger.NoteSealed(background, store))
+	require.NoError(t, Send(background, store, taker, length, 1, func() bool { return false }), "an empty window has nothing to send")
+
+	now := (first + 2).Start(length)
+	rows, err := Overview(background, store, now, length, 5)
+	require.NoError(t, err)
+	require.Len(t, rows, 3)
+	require.Equal(t, []State{StateSent, StateSent, StateOpen}, []State{rows[0].State, rows[1].State, rows[2].State})
+	require.Equal(t, Counts{2, 10, 20}, rows[0].Total)
+
+	require.NoError(t, Forget(background, store, first))
+	require.NoError(t, Forget(background, store, first), "once more")
+	require.Len(t, store.entries, 2, "the mark and the other seal are left")
+	rows, err = Overview(background, store, now, length, 5)
+	require.NoError(t, err)
+	require.Len(t, rows, 2)
+}
+
 // The store's writes for a window do not grow with the replicas but for one chunk
 // in maxChunkCells cells.
 func TestWritesForWindow(t *testing.T) {
