--- a/internal/state/need/need.go
+++ b/internal/policy/need/need.go
@@ -10,9 +10,6 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/scale"
-	"github.com/chicoryrock/chicoryrock/internal/state/member"
-	"github.com/chicoryrock/chicoryrock/internal/state/object"
-	"github.com/chicoryrock/chicoryrock/internal/state/order"
 )
 
 const (
@@ -27,6 +24,8 @@
 	// silence is how long an entry may be unheard before orders are not lowered: its
 	// need may only be out of hearing.
 	silence = 10 * time.Second
+	// roleEntry is the role of entries in the list of VMs.
+	roleEntry = "entry"
 )
 
 // Cell is what one entry has needed of a pool for one tier since its start.
@@ -42,14 +41,31 @@
 	Cells []Cell `json:"cells,omitempty"`
 }
 
-type place struct {
+// Pool is what the configuration says of a pool.
+type Pool struct {
+	Name  string
+	Slots int           // requests that one backend server runs at once
+	Min   int           // backend servers kept in each data centre
+	Max   int           // most backend servers in each data centre
+	Start time.Duration // from the order to the first request
+	Cost  float64       // money for each backend server and hour
+}
+
+// Place is a pool in a data centre.
+type Place struct {
+	Pool   string
+	Centre string
+}
+
+// flow is the requests of one tier for one pool.
+type flow struct {
 	pool string
 	tier int
 }
 
 type source struct {
 	heard time.Time
-	told  map[place]float64
+	told  map[flow]float64
 }
 
 // Planner works out how many backend servers are wanted. Set the exported field
@@ -58,22 +74,22 @@
 	Since time.Time // when this process began to listen
 
 	sources   map[string]*source
-	forecasts map[place]*scale.Forecast
+	forecasts map[flow]*scale.Forecast
 	states    map[string]*scale.State
-	wanted    map[order.Place]int
+	wanted    map[Place]int
 }
 
 // Hear takes in a statement, also the process's own.
 func (p *Planner) Hear(now time.Time, statement Statement) {
 	if p.sources == nil {
 		p.sources = make(map[string]*source)
-		p.forecasts = make(map[place]*scale.Forecast)
+		p.forecasts = make(map[flow]*scale.Forecast)
 		p.states = make(map[string]*scale.State)
-		p.wanted = make(map[order.Place]int)
+		p.wanted = make(map[Place]int)
 	}
 	from := p.sources[statement.Entry]
 	if from == nil {
-		from = &source{told: make(map[place]float64)}
+		from = &source{told: make(map[flow]float64)}
 		p.sources[statement.Entry] = from
 	}
 	from.heard = now
@@ -83,7 +99,7 @@
 }
 
 func (p *Planner) add(now time.Time, from *source, cell Cell) {
-	at := place{pool: cell.Pool, tier: cell.Tier}
+	at := flow{pool: cell.Pool, tier: cell.Tier}
 	grown := cell.Time - from.told[at]
 	if grown < 0 {
 		// The entry has started anew and counts from zero.
@@ -99,16 +115,16 @@
 // Wanted returns the wanted count for each pool and data centre that the list of
 // VMs shows. Counts are raised at once, and lowered only by a process that has
 // listened long enough and hears every listed entry.
-func (p *Planner) Wanted(now time.Time, set *object.Set, vms []chicoryrock.VM) map[order.Place]int {
-	wanted := make(map[order.Place]int)
+func (p *Planner) Wanted(now time.Time, pools []Pool, vms []chicoryrock.VM) map[Place]int {
+	wanted := make(map[Place]int)
 	lower := now.Sub(p.Since) >= warmTime && p.hearsAll(now, vms)
-	for i := range set.Pools {
-		state := p.state(&set.Pools[i], vms)
+	for i := range pools {
+		state := p.state(&pools[i], vms)
 		if state == nil {
 			continue
 		}
 		for _, want := range scale.Decide(now, state) {
-			at := order.Place{Pool: want.Pool, Centre: want.Centre}
+			at := Place{Pool: want.Pool, Centre: want.Centre}
 			// The platform's order names no backend server, so none can be drained
 			// beforehand: the platform picks, and the agent beside the one it stops
 			// drains it before it ends.
@@ -128,7 +144,7 @@
 // hearsAll says whether every live entry of the list has been heard of late.
 func (p *Planner) hearsAll(now time.Time, vms []chicoryrock.VM) bool {
 	for i := range vms {
-		if vms[i].Role != member.RoleEntry || vms[i].State != chicoryrock.VMLive {
+		if vms[i].Role != roleEntry || vms[i].State != chicoryrock.VMLive {
 			continue
 		}
 		from := p.sources[vms[i].Name]
@@ -141,7 +157,7 @@
 
 // state brings what the scale core knows of a pool up to date. It is nil before
 // anything was heard.
-func (p *Planner) state(pool *object.Pool, vms []chicoryrock.VM) *scale.State {
+func (p *Planner) state(pool *Pool, vms []chicoryrock.VM) *scale.State {
 	if p.states == nil {
 		return nil
 	}
@@ -176,7 +192,7 @@
 
 // centres counts a pool's backend servers in every data centre of the list. What
 // was wanted and is not listed yet counts as starting.
-func (p *Planner) centres(pool *object.Pool, vms []chicoryrock.VM) []scale.Centre {
+func (p *Planner) centres(pool *Pool, vms []chicoryrock.VM) []scale.Centre {
 	var names []string
 	for i := range vms {
 		if !slices.Contains(names, vms[i].Centre) {
@@ -186,7 +202,7 @@
 	slices.Sort(names)
 	centres := make([]scale.Centre, len(names))
 	for i, name := range names {
-		at := order.Place{Pool: pool.Name, Centre: name}
+		at := Place{Pool: pool.Name, Centre: name}
 		running := live(vms, at)
 		centres[i] = scale.Centre{
 			Name:     name,
@@ -198,7 +214,7 @@
 	return centres
 }
 
-func live(vms []chicoryrock.VM, at order.Place) int {
+func live(vms []chicoryrock.VM, at Place) int {
 	count := 0
 	for i := range vms {
 		if vms[i].Pool == at.Pool && vms[i].Centre == at.Centre && vms[i].State == chicoryrock.VMLive {
--- a/internal/state/need/need_test.go
+++ b/internal/policy/need/need_test.go
@@ -7,24 +7,21 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock"
-	"github.com/chicoryrock/chicoryrock/internal/state/member"
-	"github.com/chicoryrock/chicoryrock/internal/state/object"
-	"github.com/chicoryrock/chicoryrock/internal/state/order"
 )
 
 var (
 	start  = time.Unix(1_000_000, 0)
-	quan1  = order.Place{Pool: "lens", Centre: "quan-1"}
-	lenses = &object.Set{Pools: []object.Pool{{Name: "lens", Slots: 10, Min: 1, Max: 9, Start: time.Minute}}}
+	quan1  = Place{Pool: "lens", Centre: "quan-1"}
+	lenses = []Pool{{Name: "lens", Slots: 10, Min: 1, Max: 9, Start: time.Minute}}
 )
 
 func list(servers int) []chicoryrock.VM {
 	vms := []chicoryrock.VM{
-		{Name: "entry-1", Role: member.RoleEntry, Centre: "quan-1", State: chicoryrock.VMLive},
-		{Name: "entry-2", Role: member.RoleEntry, Centre: "quan-1", State: chicoryrock.VMLive},
+		{Name: "entry-1", Role: roleEntry, Centre: "quan-1", State: chicoryrock.VMLive},
+		{Name: "entry-2", Role: roleEntry, Centre: "quan-1", State: chicoryrock.VMLive},
 	}
 	for range servers {
-		vms = append(vms, chicoryrock.VM{Role: member.RoleAgent, Pool: "lens", Centre: "quan-1", State: chicoryrock.VMLive})
+		vms = append(vms, chicoryrock.VM{Role: "agent", Pool: "lens", Centre: "quan-1", State: chicoryrock.VMLive})
 	}
 	return vms
 }
@@ -79,6 +76,6 @@
 	p := &Planner{Since: start}
 	now := listen(p, 5*time.Minute, 10, "entry-1", "entry-2")
 	p.Hear(now, Statement{Entry: "entry-1", Cells: []Cell{{Pool: "lens", Tier: 3, Time: 1}}})
-	require.InDelta(t, 1, p.sources["entry-1"].told[place{pool: "lens", tier: 3}], 0)
+	require.InDelta(t, 1, p.sources["entry-1"].told[flow{pool: "lens", tier: 3}], 0)
 	expectWanted(t, p, now, 3, 3)
 }
--- a/internal/serve/assembly/duties.go
+++ b/internal/serve/assembly/duties.go
@@ -1,13 +1,14 @@
 package assembly
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/need"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
-	"github.com/chicoryrock/chicoryrock/internal/state/need"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 	"github.com/chicoryrock/chicoryrock/internal/state/order"
 )
@@ -25,6 +26,11 @@
 		}
 		duties = append(duties, p.newHolder(duty.OrdersDuty, orders.Work))
 	}
+	if p.Settings.Intake.IsValid() {
+		holder := p.newHolder(duty.UsageDuty, p.collector.Work)
+		p.collector.Holder = holder.Other
+		duties = append(duties, holder)
+	}
 	return duties
 }
 
@@ -32,6 +38,7 @@
 	return &duty.Holder{
 		Duty:      name,
 		Process:   p.instance,
+		Address:   p.peerAddress,
 		Store:     p.feed.Store,
 		Log:       p.Log,
 		Candidate: p.roster.Reader,
@@ -39,6 +46,28 @@
 	}
 }
 
+func (p *Entry) newCollector() *duty.Collector {
+	return &duty.Collector{
+		Store:  p.feed.Store,
+		Intake: &platform.Intake{Address: p.Settings.Intake, Timeout: callTimeout},
+		Window: p.Settings.Window,
+		Holder: func() netip.AddrPort { return netip.AddrPort{} },
+		TLS:    p.secrets.dialPeers,
+		Log:    p.Log,
+	}
+}
+
+func (p *Entry) newUsage() *duty.Counter {
+	return &duty.Counter{
+		Process: p.instance,
+		Window:  p.Settings.Window,
+		Sources: p.roster.Sources,
+		Local:   p.collector.Take,
+		TLS:     p.secrets.dialPeers,
+		Log:     p.Log,
+	}
+}
+
 // planner puts a lock round the core that works out how many backend servers are
 // wanted.
 type planner struct {
@@ -53,9 +82,28 @@
 }
 
 func (p *planner) wanted(now time.Time, set *object.Set, vms []chicoryrock.VM) map[order.Place]int {
+	pools := make([]need.Pool, len(set.Pools))
+	for i := range set.Pools {
+		pools[i] = poolOf(&set.Pools[i])
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.core.Wanted(now, set, vms)
+	wanted := make(map[order.Place]int)
+	for place, count := range p.core.Wanted(now, pools, vms) {
+		wanted[order.Place(place)] = count
+	}
+	return wanted
+}
+
+func poolOf(pool *object.Pool) need.Pool {
+	return need.Pool{
+		Name:  pool.Name,
+		Slots: pool.Slots,
+		Min:   pool.Min,
+		Max:   pool.Max,
+		Start: pool.Start,
+		Cost:  pool.Cost,
+	}
 }
 
 // wanted returns how many backend servers each pool should have in each data
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -42,6 +42,8 @@
 	Limits     *Limits
 	Needs      *Needs
 	Claims     Claims
+	Process    string // this process's name, never used by another one before
+	Usage      UsageCounter
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
 	Opened     func(callers netip.AddrPort)
--- a/internal/serve/entry/needs.go
+++ b/internal/serve/entry/needs.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
-	"github.com/chicoryrock/chicoryrock/internal/state/need"
+	"github.com/chicoryrock/chicoryrock/internal/policy/need"
 )
 
 const (
--- a/internal/serve/exchange/exchange.go
+++ b/internal/serve/exchange/exchange.go
@@ -18,11 +18,11 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/limit"
+	"github.com/chicoryrock/chicoryrock/internal/policy/need"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/entry"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/state/member"
-	"github.com/chicoryrock/chicoryrock/internal/state/need"
 )
 
 // MethodTell is the peers' method that takes in a Message.
