--- a/internal/policy/queue/change.go
+++ b/internal/policy/queue/change.go
@@ -18,7 +18,7 @@
 	l := f.lane
 	// A request that comes back may have been given another deadline.
 	added.deadline = nanoseconds(added.request.Deadline)
-	added.cost = q.expected(l, added.request)
+	added.cost = l.expected(added.prompt)
 	added.last = q.lastStart(added.request)
 	if l.waiting == 0 {
 		// Turns missed while nothing waited are not owed.
@@ -44,7 +44,8 @@
 	q.chosen = nil
 }
 
-// unlink takes a request out of the waiting ones.
+// unlink takes a request out of the waiting ones. Its flow has to be placed anew
+// afterwards.
 func (q *Queue) unlink(gone *item) {
 	f := gone.flow
 	a := f.account
@@ -64,7 +65,6 @@
 		t.cost = 0
 		t.shares = 0
 	}
-	q.place(f)
 	gone.stay = 0
 	q.waiting--
 	if q.waiting == 0 {
@@ -97,9 +97,13 @@
 	a := popped.flow.account
 	popped.popped = now.UnixNano()
 	popped.output = 0
-	popped.charged = q.expected(l, popped.request)
+	popped.charged = l.expected(popped.prompt)
 	l.tier.virtual = math.Max(l.tier.virtual, a.used)
+	// This places all flows of the account anew but one that is empty now.
 	a.charge(popped.charged)
+	if popped.flow.head == nil {
+		q.place(popped.flow)
+	}
 	a.running++
 	l.running++
 	l.tier.running++
@@ -126,6 +130,7 @@
 // drop forgets a waiting request.
 func (q *Queue) drop(gone *item) {
 	q.unlink(gone)
+	q.place(gone.flow)
 	gone.flow.lane.tier.rest()
 	q.forget(gone)
 }
@@ -162,7 +167,7 @@
 		return nil, false
 	}
 	last := lowest.last()
-	if f.end()+q.expected(l, request)/f.account.share >= last.end() {
+	if f.end()+l.expected(float64(request.Prompt))/f.account.share >= last.end() {
 		return nil, false
 	}
 	return last.tail, true
@@ -184,6 +189,6 @@
 	if now.UnixNano() <= popped.pushed {
 		return
 	}
-	popped.metered = q.expected(popped.flow.lane, popped.request)
+	popped.metered = popped.cost
 	q.meter.add(now, popped.metered)
 }
--- a/internal/policy/queue/flow.go
+++ b/internal/policy/queue/flow.go
@@ -14,6 +14,7 @@
 	popped   int64   // when it was given out; zero while it waits
 	stay     uint64  // number of its stay among the waiting; zero while it runs
 	seq      uint64  // order of arrival, between equal deadlines
+	prompt   float64 // tokens of the prompt
 	cost     float64 // tokens it is expected to take, while it waits
 	charged  float64 // tokens its workspace has been charged, once given out
 	output   float64 // tokens produced so far, once given out
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -56,7 +56,7 @@
 func (q *Queue) Push(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	f := q.flow(request)
 	if q.late(now, f, request) {
-		q.refused.Add(now, q.expected(f.lane, request))
+		q.refused.Add(now, f.lane.expected(float64(request.Prompt)))
 		return nil, chicoryrock.ReasonLate
 	}
 	return q.put(now, f, request)
@@ -71,7 +71,7 @@
 func (q *Queue) put(now time.Time, f *flow, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	victim, fits := q.makeRoom(f, request)
 	if !fits {
-		q.refused.Add(now, q.expected(f.lane, request))
+		q.refused.Add(now, f.lane.expected(float64(request.Prompt)))
 		return nil, chicoryrock.ReasonQueueFull
 	}
 	var displaced *chicoryrock.Request
@@ -83,6 +83,7 @@
 	added := q.newItem()
 	added.request = request
 	added.flow = f
+	added.prompt = float64(request.Prompt)
 	f.lane.target = max(0, request.Deadline.Sub(request.Arrived))
 	added.pushed = now.UnixNano()
 	added.seq = q.seq
@@ -127,7 +128,7 @@
 	}
 	took := 0.0
 	if back.output > 0 {
-		took = float64(request.Prompt) + back.output
+		took = back.prompt + back.output
 	}
 	q.settle(back, took)
 	back.popped = 0
@@ -162,10 +163,10 @@
 		return
 	}
 	if running.output == 0 && tokens <= prefillChunk {
-		q.prefill.learn(request.Prompt, time.Duration(now.UnixNano()-running.popped))
+		q.prefill.learn(int(running.prompt), time.Duration(now.UnixNano()-running.popped))
 	}
 	running.output += float64(tokens)
-	over := float64(request.Prompt) + running.output - running.charged
+	over := running.prompt + running.output - running.charged
 	if over <= 0 {
 		return
 	}
@@ -183,7 +184,7 @@
 		return
 	}
 	done.flow.lane.learn(done.output)
-	q.settle(done, math.Max(1, float64(request.Prompt)+done.output))
+	q.settle(done, math.Max(1, done.prompt+done.output))
 	done.flow.lane.tier.rest()
 	q.forget(done)
 }
@@ -258,8 +259,3 @@
 	q.tiers = slices.Insert(q.tiers, at, t)
 	return t
 }
-
-// expected returns the tokens that a request will probably take.
-func (q *Queue) expected(l *lane, request *chicoryrock.Request) float64 {
-	return math.Max(1, float64(request.Prompt)+l.length)
-}
--- a/internal/policy/queue/tier.go
+++ b/internal/policy/queue/tier.go
@@ -43,6 +43,9 @@
 
 func (l *lane) learn(tokens float64) { l.length += (tokens - l.length) * lengthWeight }
 
+// expected returns the tokens that a request of the class will probably take.
+func (l *lane) expected(prompt float64) float64 { return math.Max(1, prompt+l.length) }
+
 // setFloor also sets the class's own room, a like share of the queue's limit.
 func (l *lane) setFloor(floor float64, limit int) {
 	before := l.shared()
