Give a class room of its own only while it is below its floor

Cause: at a backend server with few slots the own rooms were always taken by patient requests of low tiers. Whenever no hurried request happened to wait there they took the free slot, so a tier fared worse with a queue at the backend servers than without one.

Ruled out: no own rooms at backend servers, which a flood of the first tier would then keep a class from; no floors there, for the same reason.

Change: a class has its own room only while it runs fewer than its floor. What waits in the shared room is counted when a request comes, as it now depends on what runs. Rule 6 of docs/POLICY.md and the oracle say so; the oracle also bounds all that waits by the limit, the own rooms and what came back.

--- a/internal/policy/queue/change.go
+++ b/internal/policy/queue/change.go
@@ -32,7 +32,8 @@
 	a.cost += added.cost
 	a.waiting++
 	l.tier.cost += added.cost
-	q.shared += l.count(1)
+	l.waiting++
+	l.tier.waiting++
 	q.place(f)
 	q.stays++
 	added.stay = q.stays
@@ -55,7 +56,8 @@
 	a.cost -= gone.cost
 	a.waiting--
 	t.cost -= gone.cost
-	q.shared += f.lane.count(-1)
+	f.lane.waiting--
+	t.waiting--
 	if a.waiting == 0 {
 		a.cost = 0
 		t.shares -= a.share
@@ -156,27 +158,36 @@
 // the one that is refused.
 func (q *Queue) makeRoom(f *flow, request *chicoryrock.Request) (*item, bool) {
 	l := f.lane
-	if q.Limit <= 0 || q.shared < q.Limit || l.waiting < l.room {
+	if q.Limit <= 0 || q.shared() < q.Limit || l.waiting < l.own(q.running) {
 		return nil, true
 	}
 	lowest := q.lowest()
 	if lowest.rank > request.Tier {
-		return lowest.last().tail, true
+		return lowest.last(q.running).tail, true
 	}
 	if lowest.rank < request.Tier {
 		return nil, false
 	}
-	last := lowest.last()
+	last := lowest.last(q.running)
 	if f.end()+l.expected(float64(request.Prompt))/f.account.share >= last.end() {
 		return nil, false
 	}
 	return last.tail, true
 }
 
+// shared returns how many requests wait in the shared room.
+func (q *Queue) shared() int {
+	sum := 0
+	for _, t := range q.tiers {
+		sum += t.shared(q.running)
+	}
+	return sum
+}
+
 // lowest returns the lowest tier that uses the shared room. One does.
 func (q *Queue) lowest() *tier {
 	at := len(q.tiers) - 1
-	for q.tiers[at].shared == 0 {
+	for q.tiers[at].shared(q.running) == 0 {
 		at--
 	}
 	return q.tiers[at]
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -36,7 +36,6 @@
 	free    []*item
 	waiting int
 	running int
-	shared  int     // waiting requests that count against Limit
 	turn    float64 // requests given out so far
 	seq     uint64  // requests taken in so far
 	stays   uint64  // times that a request has begun to wait
--- a/internal/policy/queue/tier.go
+++ b/internal/policy/queue/tier.go
@@ -22,7 +22,6 @@
 	shares   float64 // of the workspaces that have requests waiting
 	waiting  int
 	running  int
-	shared   int    // waiting requests that count against the shared room
 	period   uint64 // number of the busy period
 }
 
@@ -37,7 +36,7 @@
 	length  float64 // usual length of an answer, tokens
 	target  time.Duration
 	floor   float64 // share of the running requests that the class always gets
-	room    int     // waiting requests that don't count against the shared room
+	room    int     // waiting requests of its own room, while it runs fewer than its floor
 	due     float64 // the turn from which the class is owed one
 }
 
@@ -48,26 +47,34 @@
 
 // setFloor also sets the class's own room, a like share of the queue's limit.
 func (l *lane) setFloor(floor float64, limit int) {
-	before := l.shared()
 	l.floor = floor
 	l.room = 0
 	if floor > 0 && limit > 0 {
 		l.room = max(1, int(math.Ceil(floor*float64(limit))))
 	}
-	l.tier.shared += l.shared() - before
 }
 
-func (l *lane) shared() int { return max(0, l.waiting-l.room) }
-
-// count adds to the number of waiting requests, and returns by how much those in
-// the shared room have changed.
-func (l *lane) count(change int) int {
-	before := l.shared()
-	l.waiting += change
-	l.tier.waiting += change
-	moved := l.shared() - before
-	l.tier.shared += moved
-	return moved
+// own returns how many of the class's requests may wait in its own room. It has
+// one only while it runs fewer than its floor: otherwise patient requests of low
+// tiers would always be there to take up a slot, and hurried ones of a higher
+// tier would have to be lucky.
+func (l *lane) own(running int) int {
+	if !l.belowFloor(running) {
+		return 0
+	}
+	return l.room
+}
+
+// shared returns how many of the class's requests wait in the shared room.
+func (l *lane) shared(running int) int { return max(0, l.waiting-l.own(running)) }
+
+// shared returns how many of the tier's requests wait in the shared room.
+func (t *tier) shared(running int) int {
+	sum := 0
+	for _, l := range t.lanes {
+		sum += l.shared(running)
+	}
+	return sum
 }
 
 // target returns the longest target of the tier's classes. What waits longer is
@@ -114,10 +121,10 @@
 
 // last returns the flow that would be served last among the classes that use the
 // shared room. The tier has such a class.
-func (t *tier) last() *flow {
+func (t *tier) last(running int) *flow {
 	var last *flow
 	for _, l := range t.lanes {
-		if l.shared() == 0 {
+		if l.shared(running) == 0 {
 			continue
 		}
 		if f := l.ends.first(); last == nil || f.end() > last.end() {
--- a/internal/policy/queue/update.go
+++ b/internal/policy/queue/update.go
@@ -5,12 +5,10 @@
 	q.Floors = floors
 	q.Shares = shares
 	q.floored = q.floored[:0]
-	q.shared = 0
 	for _, t := range q.tiers {
 		for _, l := range t.lanes {
 			q.setFloor(l)
 		}
-		q.shared += t.shared
 		q.reshare(t)
 	}
 	q.chosen = nil
