--- a/internal/policy/queue/change.go
+++ b/internal/policy/queue/change.go
@@ -18,7 +18,7 @@
 	l := f.lane
 	// A request that comes back may have been given another deadline.
 	added.deadline = nanoseconds(added.request.Deadline)
-	added.cost = q.expected(l, added.request)
+	added.cost = l.expected(added.prompt)
 	added.last = q.lastStart(added.request)
 	if l.waiting == 0 {
 		// Turns missed while nothing waited are not owed.
@@ -32,7 +32,8 @@
 	a.cost += added.cost
 	a.waiting++
 	l.tier.cost += added.cost
-	q.shared += l.count(1)
+	l.waiting++
+	l.tier.waiting++
 	q.place(f)
 	q.stays++
 	added.stay = q.stays
@@ -44,7 +45,8 @@
 	q.chosen = nil
 }
 
-// unlink takes a request out of the waiting ones.
+// unlink takes a request out of the waiting ones. Its flow has to be placed anew
+// afterwards.
 func (q *Queue) unlink(gone *item) {
 	f := gone.flow
 	a := f.account
@@ -54,7 +56,8 @@
 	a.cost -= gone.cost
 	a.waiting--
 	t.cost -= gone.cost
-	q.shared += f.lane.count(-1)
+	f.lane.waiting--
+	t.waiting--
 	if a.waiting == 0 {
 		a.cost = 0
 		t.shares -= a.share
@@ -64,7 +67,6 @@
 		t.cost = 0
 		t.shares = 0
 	}
-	q.place(f)
 	gone.stay = 0
 	q.waiting--
 	if q.waiting == 0 {
@@ -97,9 +99,13 @@
 	a := popped.flow.account
 	popped.popped = now.UnixNano()
 	popped.output = 0
-	popped.charged = q.expected(l, popped.request)
+	popped.charged = l.expected(popped.prompt)
 	l.tier.virtual = math.Max(l.tier.virtual, a.used)
+	// This places all flows of the account anew but one that is empty now.
 	a.charge(popped.charged)
+	if popped.flow.head == nil {
+		q.place(popped.flow)
+	}
 	a.running++
 	l.running++
 	l.tier.running++
@@ -126,6 +132,7 @@
 // drop forgets a waiting request.
 func (q *Queue) drop(gone *item) {
 	q.unlink(gone)
+	q.place(gone.flow)
 	gone.flow.lane.tier.rest()
 	q.forget(gone)
 }
@@ -151,27 +158,36 @@
 // the one that is refused.
 func (q *Queue) makeRoom(f *flow, request *chicoryrock.Request) (*item, bool) {
 	l := f.lane
-	if q.Limit <= 0 || q.shared < q.Limit || l.waiting < l.room {
+	if q.Limit <= 0 || q.shared() < q.Limit || l.waiting < l.own(q.running) {
 		return nil, true
 	}
 	lowest := q.lowest()
 	if lowest.rank > request.Tier {
-		return lowest.last().tail, true
+		return lowest.last(q.running).tail, true
 	}
 	if lowest.rank < request.Tier {
 		return nil, false
 	}
-	last := lowest.last()
-	if f.end()+q.expected(l, request)/f.account.share >= last.end() {
+	last := lowest.last(q.running)
+	if f.end()+l.expected(float64(request.Prompt))/f.account.share >= last.end() {
 		return nil, false
 	}
 	return last.tail, true
 }
 
+// shared returns how many requests wait in the shared room.
+func (q *Queue) shared() int {
+	sum := 0
+	for _, t := range q.tiers {
+		sum += t.shared(q.running)
+	}
+	return sum
+}
+
 // lowest returns the lowest tier that uses the shared room. One does.
 func (q *Queue) lowest() *tier {
 	at := len(q.tiers) - 1
-	for q.tiers[at].shared == 0 {
+	for q.tiers[at].shared(q.running) == 0 {
 		at--
 	}
 	return q.tiers[at]
@@ -184,6 +200,6 @@
 	if now.UnixNano() <= popped.pushed {
 		return
 	}
-	popped.metered = q.expected(popped.flow.lane, popped.request)
+	popped.metered = popped.cost
 	q.meter.add(now, popped.metered)
 }
