Say why a request waits, and feed the gauges that alerts rest on

Cause: explain blamed a full pool for every wait, also for the moment of handing a request over and for the time of a claim. Four alerts could never fire: nothing set the lengths of queues, the running requests, the bytes between regions or the duties held.

Change: the gate counts what waits by pool and tier. A request that is granted a slot at once has no wait in its story; one that finds requests of a higher tier waiting for its pool is told so, with their number and its class as the rule; any other wait is for a slot of the pool. Gauges are brought up to date at a scrape, from these counts. Bodies to and from another region are counted as they pass; headers and the overhead of TLS are not.

Ruled out: asking the queue why it chose another, which would cost a walk through it at each turn. So a wait behind a floor's owed turn or another workspace's better share is still told as a wait for a slot, which it is.

The duty gauge has no test of its own.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -248,6 +248,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		now := time.Now()
 		p.metrics.Configuration(p.tables.Revision(), now.Add(-p.feed.Age(now)))
+		p.entry.Measure()
+		for _, one := range p.dutyStatus(now) {
+			p.metrics.Duty(one.Name, one.Held)
+		}
 		handler.ServeHTTP(w, r)
 	})
 }
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -13,7 +13,6 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
-	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
@@ -72,7 +71,6 @@
 	now := time.Now()
 	c.progress.begin()
 	replica, err := c.acquire(now)
-	c.progress.waited(now, time.Now(), explain.CauseCapacity)
 	for err == nil {
 		c.granted = true
 		now = time.Now()
@@ -119,7 +117,10 @@
 	if err := c.claim(); err != nil {
 		return chicoryrock.Replica{}, err
 	}
-	return c.entry.gate.acquire(c.ctx, now, c.request)
+	begin := time.Now()
+	replica, seen, err := c.entry.gate.acquire(c.ctx, begin, c.request)
+	c.progress.waited(begin, seen)
+	return replica, err
 }
 
 // attempt sends the request to one replica and relays the answer. Errors:
@@ -137,6 +138,7 @@
 	if err != nil {
 		return c.classify(err)
 	}
+	response.Body = c.metered(replica, response.Body)
 	defer func() { _ = response.Body.Close() }()
 	defer c.hear(replica, response)
 	if err := agentError(response.Header); err != nil {
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -23,18 +23,34 @@
 	mu         sync.Mutex
 	dispatcher *dispatch.Dispatcher
 	waiters    map[*chicoryrock.Request]chan verdict
+	waiting    map[place]int // how many of them, by pool and tier
+}
+
+// place is where a request waits.
+type place struct {
+	pool string
+	tier int
+}
+
+func placeOf(request *chicoryrock.Request) place { return place{request.Pool, request.Tier} }
+
+// queued is what was so when a request was taken in.
+type queued struct {
+	waits  bool // it was not granted a replica at once
+	higher int  // requests of higher tiers that waited for the same pool
 }
 
 func newGate(dispatcher *dispatch.Dispatcher) *gate {
 	return &gate{
 		dispatcher: dispatcher,
 		waiters:    make(map[*chicoryrock.Request]chan verdict),
+		waiting:    make(map[place]int),
 	}
 }
 
 // acquire waits until a replica is granted. Errors: *refusedError; the context's
 // error when the caller has gone.
-func (g *gate) acquire(ctx context.Context, now time.Time, request *chicoryrock.Request) (chicoryrock.Replica, error) {
+func (g *gate) acquire(ctx context.Context, now time.Time, request *chicoryrock.Request) (chicoryrock.Replica, queued, error) {
 	g.mu.Lock()
 	displaced, reason := g.dispatcher.Offer(now, request)
 	if displaced != nil {
@@ -42,12 +58,24 @@
 	}
 	if reason != chicoryrock.ReasonNone {
 		g.mu.Unlock()
-		return chicoryrock.Replica{}, &refusedError{reason: reason}
+		return chicoryrock.Replica{}, queued{}, &refusedError{reason: reason}
 	}
+	seen := queued{higher: g.higher(request)}
 	wait := g.await(request)
 	g.pump(now)
+	_, seen.waits = g.waiters[request]
 	g.mu.Unlock()
-	return g.wait(ctx, request, wait)
+	replica, err := g.wait(ctx, request, wait)
+	return replica, seen, err
+}
+
+// higher counts the requests of higher tiers that wait for a request's pool.
+func (g *gate) higher(request *chicoryrock.Request) int {
+	count := 0
+	for tier := 1; tier < request.Tier; tier++ {
+		count += g.waiting[place{request.Pool, tier}]
+	}
+	return count
 }
 
 // reacquire puts a granted request back and waits for another replica.
@@ -63,6 +91,7 @@
 func (g *gate) await(request *chicoryrock.Request) chan verdict {
 	wait := make(chan verdict, 1)
 	g.waiters[request] = wait
+	g.waiting[placeOf(request)]++
 	return wait
 }
 
@@ -81,7 +110,7 @@
 	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.waiters, request)
+	g.forget(request)
 	if !g.dispatcher.Cancel(now, request) {
 		if answer := <-wait; answer.reason == chicoryrock.ReasonNone {
 			g.dispatcher.Finish(now, request, answer.grant.Replica.Name)
@@ -178,7 +207,37 @@
 
 func (g *gate) tell(request *chicoryrock.Request, answer verdict) {
 	if wait, found := g.waiters[request]; found {
-		delete(g.waiters, request)
+		g.forget(request)
 		wait <- answer
 	}
 }
+
+// forget notes that a request waits no more, if it did.
+func (g *gate) forget(request *chicoryrock.Request) {
+	if _, found := g.waiters[request]; !found {
+		return
+	}
+	delete(g.waiters, request)
+	at := placeOf(request)
+	if g.waiting[at]--; g.waiting[at] == 0 {
+		delete(g.waiting, at)
+	}
+}
+
+// count returns how many requests wait for a pool in a tier.
+func (g *gate) count(pool string, tier int) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiting[place{pool, tier}]
+}
+
+// open returns how many requests this entry has open on a pool's replicas.
+func (g *gate) open(pool string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	count := 0
+	for _, replica := range g.dispatcher.Replicas(pool) {
+		count += replica.Open
+	}
+	return count
+}
--- a/internal/serve/entry/observe.go
+++ b/internal/serve/entry/observe.go
@@ -64,20 +64,24 @@
 	p.observer.Records.Step(now, p.request.ID, step)
 }
 
-// shortestWait is the wait below which a request counts as sent at once. It is
-// longer than it takes to hand a request over when a slot is free.
-const shortestWait = 5 * time.Millisecond
-
-// waited notes that the request waited for one of its pool's slots.
-func (p *progress) waited(from, to time.Time, cause explain.Cause) {
-	if to.Sub(from) < shortestWait {
+// waited notes that the request waited from begin until now for one of its pool's
+// slots. Where requests of a higher tier waited too, those go first by their rank,
+// and a slot more might not have helped.
+func (p *progress) waited(begin time.Time, seen queued) {
+	if !seen.waits {
 		return
 	}
-	p.step(from, explain.Step{
+	step := explain.Step{
 		Action: explain.ActionQueue,
-		Cause:  cause,
+		Cause:  explain.CauseCapacity,
 		Rule:   poolRule(p.table, p.request.Pool),
-	})
+	}
+	if seen.higher > 0 {
+		step.Cause = explain.CauseTier
+		step.Known.Ahead = seen.higher
+		step.Rule = classRule(p.table, p.class.Name)
+	}
+	p.step(begin, step)
 }
 
 // sent notes the replica that was chosen and what was known of it then.
--- a/internal/serve/local/helper_test.go
+++ b/internal/serve/local/helper_test.go
@@ -103,10 +103,12 @@
 	return done
 }
 
-func (s *System) completion(key, tokens string) answer {
+func (s *System) completion(key, tokens string) answer { return s.completionOf("garland", key, tokens) }
+
+func (s *System) completionOf(model, key, tokens string) answer {
 	ctx, cancel := context.WithTimeout(context.Background(), safetyLimit)
 	defer cancel()
-	body := strings.NewReader(`{"model":"garland","max_tokens":` + tokens + `,"prompt":"lots"}`)
+	body := strings.NewReader(`{"model":"` + model + `","max_tokens":` + tokens + `,"prompt":"lots"}`)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Callers[0].String()+"/v1/completions", body)
 	if err != nil {
 		return answer{err: err}
