Keep a class's burn and summary whole with many workspaces

Cause: an entry kept counts by class and workspace only, in bounded memory. With 570 workspaces in a class they reached back 17,280 / 570 = 30 cells of five minutes in burn, two and a half hours of the six that the long span covers, and half of that in explain: "why were quotes slow at nine" had no answer at noon.

Who used the budget, and summaries of a workspace, still reach back as far as there is room, and the report says from when on. A user's share is now of the bad requests whose workspace is known.

The test of the counter's bound overflowed workspaces and expected a note that the counts are not whole. Seen failing: totals left out of the merged report; summaries of a class taken from the cells of workspaces.

--- a/internal/ops/burn/book.go
+++ b/internal/ops/burn/book.go
@@ -42,8 +42,9 @@
 // twice, or an older one after a newer, changes nothing. It is not safe for
 // concurrent use.
 type Book struct {
-	counts map[source]count
+	counts map[source]count     // a key without a workspace is a total
 	whole  map[string]time.Time // by process
+	traced time.Time            // of all processes together
 }
 
 // Terms says what a report covers. Zero spans stand for the defaults.
@@ -64,7 +65,10 @@
 	if known, found := b.whole[snapshot.Process]; !found || snapshot.Whole.After(known) {
 		b.whole[snapshot.Process] = snapshot.Whole
 	}
-	for _, c := range snapshot.Cells {
+	if snapshot.Traced.After(b.traced) {
+		b.traced = snapshot.Traced
+	}
+	for _, c := range slices.Concat(snapshot.Totals, snapshot.Cells) {
 		key := source{snapshot.Process, cell.KeyAt(c.Start, c.Class, c.Workspace)}
 		known := b.counts[key]
 		b.counts[key] = count{max(known.good, c.Good), max(known.bad, c.Bad)}
@@ -88,6 +92,7 @@
 		Processes: len(b.whole),
 		Missing:   terms.Missing,
 		Whole:     slices.MaxFunc(append(slices.Collect(maps.Values(b.whole)), time.Time{}), time.Time.Compare),
+		Traced:    b.traced,
 	}
 	ledgers := b.ledgers(now, terms)
 	for i := range terms.Classes {
@@ -113,7 +118,8 @@
 	return t
 }
 
-// ledgers adds the counts of all processes up by class.
+// ledgers adds the counts of all processes up by class: totals to the class's
+// spans, and the cells of workspaces to its users.
 func (b *Book) ledgers(now time.Time, terms Terms) map[string]*ledger {
 	ledgers := make(map[string]*ledger)
 	for source, value := range b.counts {
@@ -127,6 +133,10 @@
 			book = &ledger{users: make(map[string]count), trend: make(map[int64]count)}
 			ledgers[source.key.Class] = book
 		}
+		if workspace := source.key.Workspace; workspace != "" {
+			book.users[workspace] = book.users[workspace].plus(value)
+			continue
+		}
 		book.period = book.period.plus(value)
 		if age < terms.Long {
 			book.long = book.long.plus(value)
@@ -134,7 +144,6 @@
 		if age < terms.Short {
 			book.short = book.short.plus(value)
 		}
-		book.users[source.key.Workspace] = book.users[source.key.Workspace].plus(value)
 		book.trend[source.key.Start] = book.trend[source.key.Start].plus(value)
 	}
 	return ledgers
--- a/internal/ops/burn/burn_test.go
+++ b/internal/ops/burn/burn_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
@@ -164,13 +165,36 @@
 
 func TestSnapshotKeepsItsBound(t *testing.T) {
 	counter := &Counter{Process: "e1"}
-	for i := range maxCells + 1 {
-		counter.Add(start, "quote", fmt.Sprint(i), VerdictGood)
+	for i := range maxTotals + 1 {
+		counter.Add(start, fmt.Sprint(i), "hanoi", VerdictGood)
 	}
-	snapshot := counter.Snapshot(start)
-	require.Len(t, snapshot.Cells, maxCells)
-	got := report(t, start.Add(time.Hour), Terms{Classes: []object.Class{quote}}, counter)
+	require.Len(t, counter.Snapshot(start).Totals, maxTotals)
+	got := report(t, start.Add(time.Hour), Terms{Classes: []object.Class{quote, {Name: "1"}}}, counter)
 	require.Contains(t, got.Notes()[0], "not complete")
+	for i := range maxCells {
+		counter.Add(start, "1", fmt.Sprint(i), VerdictGood)
+	}
+	require.Len(t, counter.Snapshot(start).Cells, maxCells)
+}
+
+// TestManyWorkspacesLeaveBurnWhole counts a day of 570 workspaces, more than there
+// is room for by workspace.
+func TestManyWorkspacesLeaveBurnWhole(t *testing.T) {
+	const workspaces = 570
+	counter := &Counter{Process: "e1"}
+	spans := int(DefaultPeriod / cell.Span)
+	for i := range spans {
+		for w := range workspaces {
+			counter.Add(start.Add(time.Duration(i)*cell.Span), "quote", fmt.Sprint(w), VerdictBad)
+		}
+	}
+	got := report(t, start.Add(DefaultPeriod), Terms{Classes: []object.Class{quote}}, counter)
+	require.Equal(t, int64(workspaces*spans), got.Classes[0].Bad)
+	require.InDelta(t, 20, got.Classes[0].Long, 1e-9)
+	require.Len(t, got.Classes[0].Users, workspaces)
+	require.InDelta(t, 1.0/workspaces, got.Classes[0].Users[0].Share, 1e-4)
+	require.Len(t, got.Notes(), 2)
+	require.Contains(t, got.Notes()[0], "Which workspaces used the budget is known from")
 }
 
 // TestMergeProperty merges snapshots as they come over a faulty network: late,
--- a/internal/ops/burn/counter.go
+++ b/internal/ops/burn/counter.go
@@ -12,12 +12,18 @@
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
-// maxCells is how many cells a process keeps. With 60 pairs of class and
-// workspace it reaches back for a day.
-const maxCells = 17280
+const (
+	// maxCells is how many cells of classes and workspaces a process keeps. With 60
+	// such pairs in use they reach back for a day.
+	maxCells = 17280
+	// maxTotals is how many cells of classes over all workspaces a process keeps
+	// besides. With 30 classes they reach back for a day, however many workspaces
+	// there are: a class's burn must not be lost with the detail of who used it.
+	maxTotals = 8640
+)
 
 // Cell counts the requests of a class and workspace that ended within cell.Span
-// from Start.
+// from Start. An empty Workspace stands for all.
 type Cell struct {
 	Start     time.Time `json:"start"`
 	Class     string    `json:"class"`
@@ -29,8 +35,10 @@
 // Snapshot is what one process has counted.
 type Snapshot struct {
 	Process string    `json:"process"`
-	Whole   time.Time `json:"whole"` // nothing from before is complete; zero when all is
-	Cells   []Cell    `json:"cells"`
+	Whole   time.Time `json:"whole"`  // totals from before are not complete; zero when all are
+	Traced  time.Time `json:"traced"` // cells from before are not complete; zero when all are
+	Totals  []Cell    `json:"totals"` // by class
+	Cells   []Cell    `json:"cells"`  // by class and workspace
 }
 
 // count is the value of a cell.
@@ -45,8 +53,9 @@
 	// to count from zero, and its counts must not be taken for the earlier run's.
 	Process string
 
-	mutex sync.Mutex
-	table cell.Table[cell.Key, count]
+	mutex  sync.Mutex
+	table  cell.Table[cell.Key, count]
+	totals cell.Table[cell.Key, count]
 }
 
 // Add counts a request that has ended now.
@@ -57,11 +66,16 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.table.Limit = maxCells
-	value := c.table.At(cell.KeyAt(now, class, workspace))
+	c.totals.Limit = maxTotals
+	c.table.At(cell.KeyAt(now, class, workspace)).add(verdict)
+	c.totals.At(cell.KeyAt(now, class, "")).add(verdict)
+}
+
+func (c *count) add(verdict Verdict) {
 	if verdict == VerdictGood {
-		value.good++
+		c.good++
 	} else {
-		value.bad++
+		c.bad++
 	}
 }
 
@@ -69,16 +83,26 @@
 func (c *Counter) Snapshot(since time.Time) Snapshot {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	snapshot := Snapshot{Process: c.Process, Whole: c.table.Whole()}
-	for key, value := range c.table.All() {
+	return Snapshot{
+		Process: c.Process,
+		Whole:   c.totals.Whole(),
+		Traced:  c.table.Whole(),
+		Totals:  cellsOf(&c.totals, since),
+		Cells:   cellsOf(&c.table, since),
+	}
+}
+
+func cellsOf(table *cell.Table[cell.Key, count], since time.Time) []Cell {
+	var cells []Cell
+	for key, value := range table.All() {
 		if start := key.Begins(); !start.Before(since.Truncate(cell.Span)) {
-			snapshot.Cells = append(snapshot.Cells, Cell{start, key.Class, key.Workspace, value.good, value.bad})
+			cells = append(cells, Cell{start, key.Class, key.Workspace, value.good, value.bad})
 		}
 	}
-	slices.SortFunc(snapshot.Cells, func(a, b Cell) int {
+	slices.SortFunc(cells, func(a, b Cell) int {
 		return cmp.Or(a.Start.Compare(b.Start), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Workspace, b.Workspace))
 	})
-	return snapshot
+	return cells
 }
 
 // Reading is what a process answers when it is asked for its counts: these, and
--- a/internal/ops/burn/report.go
+++ b/internal/ops/burn/report.go
@@ -30,6 +30,7 @@
 	Missing   []string      `json:"missing"`   // processes whose counts are not
 	Removed   []string      `json:"removed"`   // classes with counts that are no longer configured
 	Whole     time.Time     `json:"whole"`     // counts from before are not complete; zero when all are
+	Traced    time.Time     `json:"traced"`    // use by workspace from before is not complete; zero when all is
 	Classes   []Level       `json:"classes"`   // by tier and name
 }
 
@@ -57,7 +58,7 @@
 	Good       int64   `json:"good"`
 	Bad        int64   `json:"bad"`
 	Attainment float64 `json:"attainment"`
-	Share      float64 `json:"share"` // of the class's bad requests
+	Share      float64 `json:"share"` // of the class's bad requests whose workspace is known
 }
 
 // Point is one cell of a class over all workspaces.
@@ -93,8 +94,12 @@
 		Short:      l.short.burn(class.Goal),
 	}
 	level.Alarm = level.Long >= AlarmBurn && level.Short >= AlarmBurn
+	var known int64 // bad requests whose workspace is known
+	for _, value := range l.users {
+		known += value.bad
+	}
 	for name, value := range l.users {
-		level.Users = append(level.Users, User{name, value.good, value.bad, value.attainment(), share(value.bad, l.period.bad)})
+		level.Users = append(level.Users, User{name, value.good, value.bad, value.attainment(), share(value.bad, known)})
 	}
 	slices.SortFunc(level.Users, func(a, b User) int {
 		return cmp.Or(cmp.Compare(b.Bad, a.Bad), cmp.Compare(a.Workspace, b.Workspace))
@@ -163,6 +168,9 @@
 	if begin := r.Now.Add(-r.Period); begin.Before(r.Whole) {
 		notes = append(notes, fmt.Sprintf("Counts from before %s are not complete.", r.Whole.Format(time.RFC3339)))
 	}
+	if begin := r.Now.Add(-r.Period); begin.Before(r.Traced) && r.Traced.After(r.Whole) {
+		notes = append(notes, fmt.Sprintf("Which workspaces used the budget is known from %s on only.", r.Traced.Format(time.RFC3339)))
+	}
 	if len(r.Removed) > 0 {
 		notes = append(notes, "Requests of classes that are no longer configured are left out: "+strings.Join(r.Removed, ", ")+".")
 	}
--- a/internal/ops/explain/recorder.go
+++ b/internal/ops/explain/recorder.go
@@ -35,6 +35,7 @@
 	index map[string]int // slot of each reference
 	gone  []uint64       // hashes of expired references, each at its own remainder
 	cells cell.Table[cell.Key, tally]
+	total cell.Table[cell.Key, tally] // over all workspaces
 }
 
 // Begin opens the record of a request. When room is needed, the oldest record that
@@ -96,6 +97,7 @@
 	record.Ended = now
 	record.Result = result
 	r.cells.At(cell.KeyAt(record.Arrived, record.Class, record.Workspace)).add(record)
+	r.total.At(cell.KeyAt(record.Arrived, record.Class, "")).add(record)
 }
 
 // Find returns a copy of a record. Error: MissingError.
@@ -127,6 +129,7 @@
 	if r.ring == nil {
 		r.index = make(map[string]int)
 		r.cells.Limit = maxCells
+		r.total.Limit = maxCells
 		r.gone = make([]uint64, max(minGone, r.Capacity*goneFactor))
 	}
 	if len(r.ring) < r.Capacity {
--- a/internal/ops/explain/summary.go
+++ b/internal/ops/explain/summary.go
@@ -50,8 +50,12 @@
 func (r *Recorder) Summary(from, to time.Time, class, workspace string) (Summary, error) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	summary := Summary{From: from.Truncate(cell.Span), To: widen(to), Class: class, Workspace: workspace, Whole: r.cells.Whole()}
-	for key, tally := range r.cells.All() {
+	cells := &r.cells
+	if workspace == "" {
+		cells = &r.total
+	}
+	summary := Summary{From: from.Truncate(cell.Span), To: widen(to), Class: class, Workspace: workspace, Whole: cells.Whole()}
+	for key, tally := range cells.All() {
 		start := key.Begins()
 		if start.Before(summary.From) || !start.Before(summary.To) {
 			continue
--- a/internal/ops/explain/summary_test.go
+++ b/internal/ops/explain/summary_test.go
@@ -118,3 +118,22 @@
 	_, err = recorder.Summary(start, at(cell.Span), "class1", "")
 	require.ErrorIs(t, err, ErrEmpty)
 }
+
+// TestManyWorkspacesLeaveClassesWhole sums up the first span of a day after more
+// pairs of class and workspace than there is room for.
+func TestManyWorkspacesLeaveClassesWhole(t *testing.T) {
+	recorder := &Recorder{Capacity: 1}
+	const workspaces, spans = 570, 24
+	for i := range spans {
+		for w := range workspaces {
+			run(recorder, "x", "quote", fmt.Sprint(w), at(time.Duration(i)*cell.Span), 0, served)
+		}
+	}
+	require.Len(t, maps.Collect(recorder.cells.All()), maxCells)
+	summary, err := recorder.Summary(start, at(cell.Span), "quote", "")
+	require.NoError(t, err)
+	require.Equal(t, workspaces, summary.Served)
+	require.True(t, summary.Whole.IsZero())
+	_, err = recorder.Summary(start, at(cell.Span), "quote", "0")
+	require.ErrorIs(t, err, ErrEmpty, "by workspace it has made room")
+}
--- a/internal/ops/explain/tally.go
+++ b/internal/ops/explain/tally.go
@@ -8,8 +8,10 @@
 )
 
 const (
-	// maxCells is how many cells are kept, which bounds their memory to a few
-	// megabytes. With 30 pairs of class and workspace it reaches back for a day.
+	// maxCells is how many cells of classes and workspaces are kept, and how many of
+	// classes over all workspaces, which bounds their memory to a few megabytes. A
+	// day has room for 30 pairs of the former and, whatever the number of
+	// workspaces, 30 classes of the latter.
 	maxCells = 8640
 	// reasonCount is the length of a table with one place for each reason.
 	reasonCount = int(chicoryrock.ReasonUnknownOutcome) + 1
