--- a/internal/policy/dispatch/suspects_test.go
+++ b/internal/policy/dispatch/suspects_test.go
@@ -73,6 +73,28 @@
 	assert.Empty(t, d.Suspects("p"))
 }
 
+// A replica whose suspect has passed its probation may run another.
+func TestPassedSuspectMakesWay(t *testing.T) {
+	d := newDispatcher()
+	all := []*chicoryrock.Request{request("a", 1), request("b", 1), request("c", 1)}
+	for _, r := range all {
+		r.Suspect = true
+	}
+	offer(t, d, all...)
+	grants := d.Next(start)
+	require.Len(t, grants, 2)
+	assert.Empty(t, d.Next(start))
+	d.Passed(grants[0].Request, grants[0].Replica.Name)
+	more := d.Next(start)
+	require.Len(t, more, 1)
+	assert.Equal(t, grants[0].Replica.Name, more[0].Replica.Name)
+	d.Finish(start, grants[0].Request, grants[0].Replica.Name)
+	last := request("d", 1)
+	last.Suspect = true
+	offer(t, d, last)
+	assert.Empty(t, d.Next(start), "the second one holds it still")
+}
+
 // A suspect that has not begun doesn't overtake a higher tier, a broken one does.
 func TestNewSuspectWaitsForHigherTier(t *testing.T) {
 	d := newDispatcher()
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -38,7 +38,6 @@
 	Centre string     // the entry's own data centre
 	Region string     // the entry's own region
 	Random *rand.Rand // seeded differently in each entry
-	Depth  float64    // requests that may wait at a replica, as a share of its slots
 
 	pools map[string]*pool
 }
@@ -145,8 +144,8 @@
 		return none
 	}
 	slots := float64(replica.Slots)
-	busy := float64(replica.Open) + p.others(now, target, replica)
-	if busy+1 > slots*(1+p.Depth) {
+	busy := float64(replica.Open) + target.others(now, replica)
+	if busy+1 > slots {
 		return none
 	}
 	if h := target.replicas[replica.Name]; h != nil || replica.New {
@@ -155,7 +154,7 @@
 		}
 		slots *= h.ramp(now)
 	}
-	if busy+1 > max(slots*(1+p.Depth), 1) {
+	if busy+1 > max(slots, 1) {
 		return none
 	}
 	return candidate{at: at, load: busy / slots}
@@ -164,7 +163,7 @@
 // others estimates how many requests of other entries a replica runs. What it
 // reported is believed less as it ages, and the pool's mean more. A replica that
 // was full is asked again after a while, because nothing else would tell.
-func (p *Picker) others(now time.Time, t *pool, replica *chicoryrock.Replica) float64 {
+func (t *pool) others(now time.Time, replica *chicoryrock.Replica) float64 {
 	if replica.Seen.IsZero() {
 		return t.mean * float64(replica.Slots)
 	}
@@ -172,7 +171,7 @@
 	believed := float64(forgetTime) / float64(forgetTime+age)
 	estimate := believed*float64(replica.Others) + (1-believed)*t.mean*float64(replica.Slots)
 	if age >= askInterval<<min(max(replica.Full-1, 0), maxDoublings) {
-		estimate = min(estimate, float64(replica.Slots)*(1+p.Depth)-1-float64(replica.Open))
+		estimate = min(estimate, float64(replica.Slots-1-replica.Open))
 	}
 	return max(estimate, 0)
 }
--- a/internal/policy/replay/agent.go
+++ b/internal/policy/replay/agent.go
@@ -86,9 +86,9 @@
 	g.engine.world.after(a.delay(), func() { a.notRun(&load) })
 }
 
-func (g *agent) produced(a *attempt, tokens int) {
+func (g *agent) produced(a *attempt) {
 	if g.core != nil {
-		g.core.Token(g.now(), a.call.request, tokens)
+		g.core.Token(g.now(), a.call.request, 1)
 	}
 }
 
--- a/internal/policy/replay/engine.go
+++ b/internal/policy/replay/engine.go
@@ -9,8 +9,6 @@
 )
 
 const (
-	// stepTokens is how many tokens an engine hands over at once after the first.
-	stepTokens = 8
 	// cachedPrefixes is how many prompt prefixes an engine keeps.
 	cachedPrefixes = 32
 	// cachedShare is the share of a prompt that its cached prefix makes up.
@@ -73,6 +71,9 @@
 	e.streams[a] = true
 	e.order = append(e.order, a)
 	e.note()
+	if a.call.request.Suspect {
+		e.world.after(suspect.Probation, func() { e.pass(a) })
+	}
 	if a.call.record.Poison {
 		e.world.after(poisonDelay, func() {
 			if e.streams[a] {
@@ -80,7 +81,22 @@
 			}
 		})
 	}
-	e.world.after(e.slowed(e.prefill(a)+e.Token), func() { e.step(a, 1) })
+	e.world.after(e.slowed(e.prefill(a)+e.Token), func() { e.step(a) })
+}
+
+// pass ends the probation of a suspect, at the agent and at its entry.
+func (e *engine) pass(a *attempt) {
+	if !e.streams[a] {
+		return
+	}
+	if e.agent.suspect == a {
+		e.agent.suspect = nil
+	}
+	entry := a.call.entry
+	e.world.after(a.delay(), func() {
+		entry.core.Passed(a.call.request, e.Name)
+		entry.pump(entry.now())
+	})
 }
 
 func (e *engine) prefill(a *attempt) time.Duration {
@@ -106,21 +122,20 @@
 	return time.Duration(float64(d) * e.factor)
 }
 
-// step hands over tokens and plans the next ones.
-func (e *engine) step(a *attempt, tokens int) {
+// step hands over a token and plans the next one.
+func (e *engine) step(a *attempt) {
 	if !e.streams[a] {
 		return
 	}
-	a.made += tokens
-	e.agent.produced(a, tokens)
+	a.made++
+	e.agent.produced(a)
 	left := a.call.record.Output - a.from - a.made
 	if left <= 0 {
 		e.remove(a)
 	}
-	a.produced(tokens, left <= 0)
+	a.produced(left <= 0)
 	if left > 0 {
-		next := min(left, stepTokens)
-		e.world.after(e.slowed(e.Token*time.Duration(next)), func() { e.step(a, next) })
+		e.world.after(e.slowed(e.Token), func() { e.step(a) })
 	}
 }
 
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -89,7 +89,8 @@
 	from   int // tokens that the caller had when it began
 	made   int
 	sent   time.Duration
-	heard  time.Duration // when the last tokens reached the entry
+	told   time.Duration // when the agent's load last came with a token
+	heard  time.Duration // when the last token reached the entry
 }
 
 func (a *attempt) delay() time.Duration {
@@ -145,35 +146,47 @@
 }
 
 // observe measures the first token, and later the time between tokens.
-func (a *attempt) observe(tokens int) {
+func (a *attempt) observe() {
 	e := a.call.entry
 	seen := chicoryrock.Observation{First: e.world.now - a.sent}
 	if a.heard > 0 {
-		seen = chicoryrock.Observation{Between: (e.world.now - a.heard) / time.Duration(tokens)}
+		seen = chicoryrock.Observation{Between: e.world.now - a.heard}
 	}
 	a.heard = e.world.now
 	e.core.Observe(e.now(), a.call.request.Pool, a.engine.Name, seen)
 }
 
-// produced carries tokens to the caller.
-func (a *attempt) produced(tokens int, ended bool) {
+// tells says whether this token's event carries the agent's load too.
+func (a *attempt) tells() bool {
+	w := a.call.entry.world
+	if w.policy.Riding == 0 || w.now-a.told < w.policy.Riding {
+		return false
+	}
+	a.told = w.now
+	return true
+}
+
+// produced carries a token to the caller.
+func (a *attempt) produced(ended bool) {
 	e := a.call.entry
 	load := a.engine.load()
 	if !ended {
 		load.Running = max(load.Running-1, 0)
 	}
-	e.world.report.made += tokens
+	e.world.report.made++
 	e.world.after(a.delay(), func() {
 		c := a.call
 		if c.has == 0 {
 			c.first = e.world.now
 		}
-		a.observe(tokens)
-		c.has += tokens
+		a.observe()
+		c.has++
 		c.last = e.world.now
 		now := e.now()
-		e.core.Charge(now, c.request, tokens)
-		e.core.Heard(now, c.request.Pool, a.engine.Name, load)
+		e.core.Charge(now, c.request, 1)
+		if ended || a.tells() {
+			e.core.Heard(now, c.request.Pool, a.engine.Name, load)
+		}
 		if ended {
 			a.end(now)
 		}
--- a/internal/policy/replay/policies.go
+++ b/internal/policy/replay/policies.go
@@ -43,18 +43,27 @@
 	return Policy{Name: "router", Queue: newQueue, Picker: newPicker, Retrier: newRetrier, Suspects: true}
 }
 
-// Admitting returns all of the router's decisions: agents have a small queue too,
-// and stop streams for a higher tier.
-func Admitting() Policy {
+// Wired returns what the processes run now: agents with a queue, which stop
+// streams for a higher tier and state their load at the end of an answer.
+func Wired() Policy {
 	policy := Router()
-	policy.Name = "router+agents"
-	policy.Picker = newDeepPicker
-	policy.Depth = agentDepth
+	policy.Name = "wired"
+	policy.Depth = wiredDepth
+	return policy
+}
+
+// Riding returns the same with a shorter queue at the agents, and with their load
+// riding inside the streams too.
+func Riding() Policy {
+	policy := Router()
+	policy.Name = "riding"
+	policy.Depth = ridingDepth
+	policy.Riding = ridingInterval
 	return policy
 }
 
 // All returns every policy, the plain ones first.
-func All() []Policy { return append(Baselines(), Picking(), Router(), Admitting()) }
+func All() []Policy { return append(Baselines(), Picking(), Router(), Wired(), Riding()) }
 
 // newQueue gives an entry's queue the floors and shares of the scenario.
 func newQueue(scenario *Scenario, _ string) chicoryrock.Queue {
@@ -80,15 +89,14 @@
 	}
 }
 
-// agentDepth is how many requests may wait at an agent, as a share of its slots.
-const agentDepth = 0.25
-
-// newDeepPicker returns a picker that lets requests wait at the agents.
-func newDeepPicker(scenario *Scenario, entry int) chicoryrock.Picker {
-	picker := newPicker(scenario, entry).(*pick.Picker)
-	picker.Depth = agentDepth
-	return picker
-}
+const (
+	// wiredDepth and ridingDepth are how many requests may wait at an agent, as a
+	// share of its slots.
+	wiredDepth  = 0.5
+	ridingDepth = 0.1
+	// ridingInterval is how often an agent states its load inside a stream.
+	ridingInterval = 100 * time.Millisecond
+)
 
 func newRetrier() Retrier { return &retry.Retrier{} }
 
--- a/internal/policy/replay/report.go
+++ b/internal/policy/replay/report.go
@@ -20,7 +20,6 @@
 	Worst    float64 // share of the worst-served workspace against its fair share
 	Poorest  string  // that workspace
 	Crashes  int
-	Broken   int           // answers that broke off and were not completed
 	Not      int           // calls that an agent turned away as not run
 	Stopped  int           // streams that an agent stopped for a higher tier
 	Crossed  int           // bytes of prompts between regions
@@ -36,6 +35,7 @@
 	First    int // had their first token in time
 	Token    int // had their tokens in time, as the mean over the whole answer
 	Attained int // both, and the answer was whole
+	Broken   int // answers that broke off and were not completed
 }
 
 // Refusal counts the refusals for one reason.
@@ -69,6 +69,15 @@
 	return 1 - float64(r.Good)/float64(r.Made)
 }
 
+// Broken returns how many answers broke off and were not completed.
+func (r *Report) Broken() int {
+	broken := 0
+	for i := range r.Classes {
+		broken += r.Classes[i].Broken
+	}
+	return broken
+}
+
 // Class returns the report on one class, and an empty one when there is none.
 func (r *Report) Class(name string) ClassReport {
 	for i := range r.Classes {
@@ -83,7 +92,7 @@
 func (r *Report) String() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%-16s %-14s goodput %5.3f wasted %5.3f worst %5.3f not-run %4d broken %3d stopped %3d crashes %d MB-across %5.2f server-hours %.2f |",
-		r.Scenario, r.Policy, r.Goodput(), r.Wasted(), r.Worst, r.Not, r.Broken, r.Stopped, r.Crashes, float64(r.Crossed)/1e6, r.Cost.Hours())
+		r.Scenario, r.Policy, r.Goodput(), r.Wasted(), r.Worst, r.Not, r.Broken(), r.Stopped, r.Crashes, float64(r.Crossed)/1e6, r.Cost.Hours())
 	for i := range r.Classes {
 		fmt.Fprintf(&b, " %s %.3f", r.Classes[i].Name, r.Classes[i].Attainment())
 	}
@@ -108,7 +117,7 @@
 	crossed   int
 	corrected int
 	stopped   int
-	lost      int
+	lost      map[string]int // by class
 }
 
 func newTally(scenario *Scenario) *tally {
@@ -116,6 +125,7 @@
 		number:   make(map[*Record]int),
 		outcomes: make([]outcome, len(scenario.Trace)),
 		refusals: make(map[chicoryrock.Reason]int),
+		lost:     make(map[string]int),
 	}
 }
 
@@ -123,7 +133,7 @@
 
 func (t *tally) refused(_ *call, reason chicoryrock.Reason) { t.refusals[reason]++ }
 
-func (t *tally) broken(*call) { t.lost++ }
+func (t *tally) broken(c *call) { t.lost[c.class.Name]++ }
 
 // served judges a whole answer against its class.
 func (t *tally) served(c *call) {
@@ -142,7 +152,6 @@
 		Policy:   policy,
 		Bound:    Clairvoyant(w.scenario),
 		Made:     t.made,
-		Broken:   t.lost,
 		Not:      t.corrected,
 		Stopped:  t.stopped,
 		Crossed:  t.crossed,
@@ -169,7 +178,7 @@
 }
 
 func (t *tally) class(scenario *Scenario, class *Class) ClassReport {
-	report := ClassReport{Name: class.Name, Tier: class.Tier}
+	report := ClassReport{Name: class.Name, Tier: class.Tier, Broken: t.lost[class.Name]}
 	for i := range scenario.Trace {
 		if scenario.Trace[i].Class != class.Name {
 			continue
--- a/internal/policy/replay/scenario.go
+++ b/internal/policy/replay/scenario.go
@@ -84,14 +84,17 @@
 // Policy makes the decisions that are measured.
 type Policy struct {
 	Name    string
+	Queue   func(scenario *Scenario, pool string) chicoryrock.Queue
+	Picker  func(scenario *Scenario, entry int) chicoryrock.Picker
 	Retrier func() Retrier
 	// Suspects says whether requests that crash engines are looked for.
 	Suspects bool
 	// Depth is how many requests may wait at an engine's agent, as a share of its
 	// slots; zero for agents that only count slots.
-	Depth  float64
-	Queue  func(scenario *Scenario, pool string) chicoryrock.Queue
-	Picker func(scenario *Scenario, entry int) chicoryrock.Picker
+	Depth float64
+	// Riding is how often an agent states its load inside a stream; zero when only
+	// at the end of an answer.
+	Riding time.Duration
 }
 
 func (s *Scenario) class(name string) *Class {
--- a/internal/policy/replay/world.go
+++ b/internal/policy/replay/world.go
@@ -34,6 +34,7 @@
 type world struct {
 	loop
 	scenario *Scenario
+	policy   *Policy
 	entries  []*entry
 	engines  []*engine
 	report   *tally
@@ -68,7 +69,7 @@
 
 // Run replays a scenario under a policy.
 func Run(scenario *Scenario, policy *Policy) Report {
-	w := &world{scenario: scenario}
+	w := &world{scenario: scenario, policy: policy}
 	w.report = newTally(scenario)
 	for i := range scenario.Engines {
 		e := &engine{
--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -1,7 +1,8 @@
 // Package suspect finds requests that crash engines. Every request that was in
-// flight at a crash is a suspect. A suspect never runs beside another suspect, so
-// that a second crash can be the second one of a single request only. That request
-// is refused everywhere: entries exchange what they saw and merge it.
+// flight at a crash is a suspect. A suspect doesn't run beside another one that
+// has just begun, so that a second crash can be the second one of a single request
+// only. That request is refused everywhere: entries exchange what they saw and
+// merge it.
 //
 // Suspects do run beside requests that are not suspect. To empty an engine for
 // each of them would make the streams that a crash broke off wait for minutes,
@@ -18,6 +19,12 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
+// Probation is how long a suspect has to run before another may join it. A stream
+// that is resumed goes on where the crash was, so a request that crashes engines
+// does so again soon; to wait for the end of each would let the last of a hundred
+// interrupted streams wait for minutes. Its sightings count until it has ended.
+const Probation = 500 * time.Millisecond
+
 const (
 	// expiry is how long what was seen counts. It bounds how long a request can be
 	// refused that was only twice in bad company.
