State the agents' load inside streams and keep their queues short

Change: an agent states its load in a comment of each stream every 100 ms, which the entry takes in and leaves out; at an agent a tenth of its slots may wait; entries observe the time between tokens during a stream; a suspect that has run for half a second lets the next one in. The replay's policy "wired" follows, and the earlier wiring stays in it as "ended".

--- a/internal/policy/replay/policies.go
+++ b/internal/policy/replay/policies.go
@@ -43,27 +43,27 @@
 	return Policy{Name: "router", Queue: newQueue, Picker: newPicker, Retrier: newRetrier, Suspects: true}
 }
 
-// Wired returns what the processes run now: agents with a queue, which stop
-// streams for a higher tier and state their load at the end of an answer.
-func Wired() Policy {
+// Ended returns the router with a longer queue at the agents, and with their load
+// stated at the end of each answer only.
+func Ended() Policy {
 	policy := Router()
-	policy.Name = "wired"
-	policy.Depth = wiredDepth
+	policy.Name = "ended"
+	policy.Depth = endedDepth
 	return policy
 }
 
-// Riding returns the same with a shorter queue at the agents, and with their load
-// riding inside the streams too.
-func Riding() Policy {
+// Wired returns what the processes run: agents with a short queue, which stop
+// streams for a higher tier and state their load inside the streams too.
+func Wired() Policy {
 	policy := Router()
-	policy.Name = "riding"
-	policy.Depth = ridingDepth
+	policy.Name = "wired"
+	policy.Depth = wiredDepth
 	policy.Riding = ridingInterval
 	return policy
 }
 
 // All returns every policy, the plain ones first.
-func All() []Policy { return append(Baselines(), Picking(), Router(), Wired(), Riding()) }
+func All() []Policy { return append(Baselines(), Picking(), Router(), Ended(), Wired()) }
 
 // newQueue gives an entry's queue the floors and shares of the scenario.
 func newQueue(scenario *Scenario, _ string) chicoryrock.Queue {
@@ -90,10 +90,10 @@
 }
 
 const (
-	// wiredDepth and ridingDepth are how many requests may wait at an agent, as a
+	// endedDepth and wiredDepth are how many requests may wait at an agent, as a
 	// share of its slots.
-	wiredDepth  = 0.5
-	ridingDepth = 0.1
+	endedDepth = 0.5
+	wiredDepth = 0.1
 	// ridingInterval is how often an agent states its load inside a stream.
 	ridingInterval = 100 * time.Millisecond
 )
--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -39,6 +39,7 @@
 	r       *http.Request
 	ctx     context.Context // ends when the entry goes or the request is preempted
 	request *chicoryrock.Request
+	told    time.Time // when a stream last told the load
 }
 
 // handle admits one request and forwards it.
--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
@@ -20,6 +21,9 @@
 // eventStream is the content type of streamed answers.
 const eventStream = "text/event-stream"
 
+// loadInterval is how often a stream tells its entry the agent's load.
+const loadInterval = 100 * time.Millisecond
+
 // relay passes the answer on as it comes. One that breaks off cuts the
 // connection, so that the entry sees it is not whole.
 func (v *visit) relay(response *http.Response) {
@@ -40,9 +44,7 @@
 	if err != nil {
 		v.cut(err, streamed)
 	}
-	load := v.agent.room.load()
-	load.Running--
-	wire.SetLoad(header, load)
+	wire.SetLoad(header, v.others())
 }
 
 // copy passes on the body. Of a stream only whole lines go on, and their tokens
@@ -58,6 +60,7 @@
 			piece, tokens = meter.stream.Feed(piece)
 			meter.output += int64(tokens)
 			v.count(tokens)
+			piece = v.addLoad(piece)
 		} else {
 			meter.keep(piece)
 		}
@@ -78,6 +81,24 @@
 	}
 }
 
+// addLoad adds the agent's load to a piece of a stream when it is time. Without it
+// an entry would hear of a backend server only when a stream ends.
+func (v *visit) addLoad(piece []byte) []byte {
+	now := time.Now()
+	if len(piece) == 0 || now.Sub(v.told) < loadInterval {
+		return piece
+	}
+	v.told = now
+	return append(piece, wire.LoadComment(v.others())...)
+}
+
+// others returns the agent's load without this request.
+func (v *visit) others() chicoryrock.Load {
+	load := v.agent.room.load()
+	load.Running--
+	return load
+}
+
 func (v *visit) count(tokens int) {
 	if tokens > 0 {
 		v.agent.room.token(time.Now(), v.request, tokens)
--- a/internal/serve/agent/room.go
+++ b/internal/serve/agent/room.go
@@ -10,6 +10,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/admit"
 	"github.com/chicoryrock/chicoryrock/internal/policy/queue"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 )
 
 const (
@@ -18,7 +19,7 @@
 	// waitingShare is how many requests may wait in an agent, as a share of its
 	// slots. Long queues belong into the entries, which can still choose another
 	// backend server.
-	waitingShare = 0.5
+	waitingShare = 0.1
 )
 
 // errPreempted ends a request on the engine to make room for a higher tier.
@@ -82,12 +83,25 @@
 	if taken.suspect && r.suspect {
 		return false
 	}
-	r.suspect = r.suspect || taken.suspect
+	if taken.suspect {
+		r.suspect = true
+		time.AfterFunc(suspect.Probation, func() { r.pass(request, taken) })
+	}
 	r.seats[request] = taken
 	r.apply(r.core.Offer(now, request))
 	return true
 }
 
+// pass lets in another suspect after one has run for a while without a crash.
+func (r *room) pass(request *chicoryrock.Request, taken *seat) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if taken.suspect && r.seats[request] == taken {
+		r.suspect = false
+	}
+	taken.suspect = false
+}
+
 // cancel takes out a request whose entry has gone before it ran.
 func (r *room) cancel(request *chicoryrock.Request) {
 	r.mu.Lock()
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -77,7 +77,7 @@
 		now = time.Now()
 		c.progress.sent(now, &replica, c.sent > 0)
 		c.timing = timing{sent: now}
-		err = c.attempt(&replica)
+		err = c.attemptWatched(&replica)
 		now = time.Now()
 		c.entry.gate.observe(now, &replica, c.timing.observation(err))
 		if !errors.Is(err, chicoryrock.ErrNotRun) {
@@ -124,6 +124,17 @@
 	return replica, err
 }
 
+// attemptWatched is attempt, with the replica open to other suspects again after a
+// suspect has run there for a while.
+func (c *call) attemptWatched(replica *chicoryrock.Replica) error {
+	if c.suspect {
+		name := replica.Name
+		timer := time.AfterFunc(suspect.Probation, func() { c.entry.gate.passed(c.request, name) })
+		defer timer.Stop()
+	}
+	return c.attempt(replica)
+}
+
 // attempt sends the request to one replica and relays the answer. Errors:
 // chicoryrock.ErrNotRun, chicoryrock.ErrTruncated, chicoryrock.ErrUnknownOutcome,
 // or the context's.
@@ -147,7 +158,7 @@
 		return err
 	}
 	if c.stream && response.StatusCode == http.StatusOK {
-		return c.relayStream(response.Body)
+		return c.relayStream(replica, response.Body)
 	}
 	return c.relayWhole(response)
 }
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -139,6 +139,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatcher.Heard(now, pool, replica, load)
+	g.pump(now)
 }
 
 func (g *gate) observe(now time.Time, replica *chicoryrock.Replica, seen chicoryrock.Observation) {
@@ -147,6 +148,14 @@
 	g.dispatcher.Observe(now, replica.Pool, replica.Name, seen)
 }
 
+// passed says that a suspect has run for a while without a crash.
+func (g *gate) passed(request *chicoryrock.Request, replica string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.dispatcher.Passed(request, replica)
+	g.pump(time.Now())
+}
+
 func (g *gate) charge(now time.Time, request *chicoryrock.Request, tokens int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -14,8 +14,11 @@
 
 // relayStream passes events on as they come. The answer's header goes out with
 // the first event, so that a stream that breaks before it can start elsewhere.
-func (c *call) relayStream(stream io.Reader) error {
+func (c *call) relayStream(replica *chicoryrock.Replica, stream io.Reader) error {
 	events := wire.NewEventReader(stream)
+	events.Heard = func(load chicoryrock.Load) {
+		c.entry.gate.heard(time.Now(), replica.Pool, replica.Name, load)
+	}
 	for {
 		data, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -24,13 +27,13 @@
 		if err != nil {
 			return c.classify(err)
 		}
-		if err := c.relayEvent(data); err != nil {
+		if err := c.relayEvent(replica, data); err != nil {
 			return err
 		}
 	}
 }
 
-func (c *call) relayEvent(data []byte) error {
+func (c *call) relayEvent(replica *chicoryrock.Replica, data []byte) error {
 	chunk, err := wire.ParseChunk(data)
 	if err != nil {
 		return errors.Wrap(chicoryrock.ErrTruncated, err.Error())
@@ -40,7 +43,9 @@
 		c.sent += tokens
 		c.used.counts.Output += int64(tokens)
 		c.progress.tokens(now, tokens)
-		c.timing.token(now)
+		if seen, due := c.timing.token(now); due {
+			c.entry.gate.observe(now, replica, seen)
+		}
 		c.charge(now, tokens)
 	}
 	if chunk.Usage != nil {
--- a/internal/serve/entry/suspects.go
+++ b/internal/serve/entry/suspects.go
@@ -94,6 +94,7 @@
 		return &refusedError{reason: chicoryrock.ReasonSuspect}
 	case suspect.Suspect:
 		c.suspect = true
+		c.request.Suspect = true
 	case suspect.Clean:
 	}
 	return nil
--- a/internal/serve/entry/timing.go
+++ b/internal/serve/entry/timing.go
@@ -8,32 +8,49 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
+// observeInterval is how often the time between tokens is observed in a stream.
+const observeInterval = 100 * time.Millisecond
+
 // timing is what the entry measures itself of one attempt on one replica.
 type timing struct {
 	sent   time.Time
-	first  time.Time
-	last   time.Time
-	tokens int
+	seen   time.Time // of the last observation
+	last   time.Time // of the newest token
+	tokens int       // since the last observation
 }
 
-func (t *timing) token(now time.Time) {
-	if t.tokens == 0 {
-		t.first = now
-	}
+// token takes in a token and says whether it is time for an observation: at the
+// first token, and then now and then, so that a straggler shows before its streams
+// end.
+func (t *timing) token(now time.Time) (chicoryrock.Observation, bool) {
 	t.last = now
+	if t.seen.IsZero() {
+		t.seen = now
+		return chicoryrock.Observation{First: now.Sub(t.sent)}, true
+	}
 	t.tokens++
+	if now.Sub(t.seen) < observeInterval {
+		return chicoryrock.Observation{}, false
+	}
+	return t.between(), true
 }
 
-// observation returns what an attempt that ended with the given error says of its
-// replica. A refusal by a full or leaving agent says nothing of its speed.
+// between observes the tokens since the last observation.
+func (t *timing) between() chicoryrock.Observation {
+	seen := chicoryrock.Observation{Between: t.last.Sub(t.seen) / time.Duration(t.tokens)}
+	t.seen = t.last
+	t.tokens = 0
+	return seen
+}
+
+// observation returns what the end of an attempt says of its replica. A refusal by
+// a full or leaving agent says nothing of it.
 func (t *timing) observation(err error) chicoryrock.Observation {
-	seen := chicoryrock.Observation{Lost: lost(err)}
+	var seen chicoryrock.Observation
 	if t.tokens > 0 {
-		seen.First = t.first.Sub(t.sent)
-	}
-	if t.tokens > 1 {
-		seen.Between = t.last.Sub(t.first) / time.Duration(t.tokens-1)
+		seen = t.between()
 	}
+	seen.Lost = lost(err)
 	return seen
 }
 
--- a/internal/serve/wire/crash.go
+++ b/internal/serve/wire/crash.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -8,11 +9,12 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
-// Comments that an agent writes into a stream before it cuts it, so that the
-// entry knows why. Backend servers' own comments are not passed on.
+// Comments that an agent writes into a stream: its load now and then, and before
+// it cuts the stream the reason why. Backend servers' own comments are not passed on.
 const (
 	commentPreempted = "preempted"
 	commentCrash     = "crash "
+	commentLoad      = "load "
 	aloneSuffix      = " alone"
 )
 
@@ -59,6 +61,26 @@
 // CrashComment returns the comment of a stream whose engine crashed.
 func CrashComment(crash Crash) []byte { return []byte(": " + commentCrash + crash.String() + "\n\n") }
 
+// LoadComment returns the comment by which an agent states its load.
+func LoadComment(load chicoryrock.Load) []byte {
+	// A load always has a JSON form.
+	text, _ := json.Marshal(load)
+	return []byte(": " + commentLoad + string(text) + "\n\n")
+}
+
+// comment takes in a comment. Error: that of commentError.
+func (r *EventReader) comment(line string) error {
+	text, found := strings.CutPrefix(strings.TrimSpace(strings.TrimPrefix(line, ":")), commentLoad)
+	if !found {
+		return commentError(line)
+	}
+	var load chicoryrock.Load
+	if err := json.Unmarshal([]byte(text), &load); err == nil && r.Heard != nil {
+		r.Heard(load)
+	}
+	return nil
+}
+
 // commentError returns what a comment says of the end of its stream, or nil.
 func commentError(line string) error {
 	comment := strings.TrimSpace(strings.TrimPrefix(line, ":"))
--- a/internal/serve/wire/events.go
+++ b/internal/serve/wire/events.go
@@ -22,6 +22,9 @@
 
 // EventReader reads the data of server-sent events, one event at a time.
 type EventReader struct {
+	// Heard is told of the loads that an agent states between events; may be nil.
+	Heard func(load chicoryrock.Load)
+
 	scanner *bufio.Scanner
 }
 
@@ -39,7 +42,7 @@
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
 		if bytes.HasPrefix(line, commentPrefix) {
-			if err := commentError(string(line)); err != nil {
+			if err := r.comment(string(line)); err != nil {
 				return nil, err
 			}
 			continue
