--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -57,7 +57,7 @@
 type Admission struct {
 	Slots int          // requests that the backend server runs at once
 	Save  bool         // its engines can resume a stream that was stopped
-	Queue *queue.Queue // with a small Limit: long queues belong into the entries
+	Queue *queue.Queue // Limit at most a quarter of Slots: long queues belong into the entries
 
 	running  map[*chicoryrock.Request]*run
 	stopping int // running requests that have been preempted
