List the usage windows with chicoryctl usage

Cause: entries answer GET /usage with what the store knows of each window, and no command asked.

Change: chicoryctl usage prints the newest windows as a table or JSON: open, sealed or sent, the figures of all workspaces or of one, what came late, and what is overdue half an hour after it began. It asks the processes of -admin one after another until one answers: all read the same records, so merging would add nothing.

--- a/internal/ops/ctl/ctl.go
+++ b/internal/ops/ctl/ctl.go
@@ -56,6 +56,7 @@
 		explainCommand,
 		burnCommand,
 		costCommand,
+		usageCommand,
 	}
 }
 
--- a/internal/ops/ctl/report_test.go
+++ b/internal/ops/ctl/report_test.go
@@ -21,6 +21,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/admin"
 	"github.com/chicoryrock/chicoryrock/internal/serve/local"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
+	"github.com/chicoryrock/chicoryrock/internal/standin/store"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 	"github.com/chicoryrock/chicoryrock/internal/state/publish"
 )
@@ -117,6 +118,10 @@
 	require.Equal(t, "jamalpur", report.Lines[0].Centre)
 	expectNow(t, ExitFailed, []string{"1 of 1 process gave no answer"}, "cost", "-admin", silent)
 	expectNow(t, ExitFailed, []string{"1 of 1 process gave no answer"}, "burn", "-admin", silent)
+	expectNow(t, ExitFine, []string{"open"}, "usage", "-admin", silent+","+both)
+	system.Store.Switch(store.Switches{Outage: true})
+	expectNow(t, ExitFailed, []string{"2 of 2 processes gave no answer"}, "usage", "-admin", both)
+	expectNow(t, ExitFine, nil, "burn", "-admin", both)
 }
 
 // TestNoServer counts a request that found no backend server against its class.
