--- a/internal/serve/duty/holder.go
+++ b/internal/serve/duty/holder.go
@@ -68,7 +68,10 @@
 
 // Run tries until the context ends, then stops the work and gives the duty up.
 func (h *Holder) Run(ctx context.Context) error {
+	// Status may be asked already, since the admin address opens before.
+	h.mu.Lock()
 	h.lease = lease.Lease{Duty: h.Duty, Holder: h.Process, TTL: leaseTTL, Address: h.Address}
+	h.mu.Unlock()
 	ticker := time.NewTicker(renewInterval)
 	defer ticker.Stop()
 	defer h.release(context.WithoutCancel(ctx))
