--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -6,14 +6,14 @@
 #
 # WORKSPACES (570) is the size of the configuration. GHOSTS is how many agents
 # that do not run stand in the list of VMs besides. SIZES ("1 50 200") is the
-# numbers of processes for config, each a fifth entries. BASE (21000) is the first
-# of about 700 ports.
+# numbers of processes for config, each a fifth entries. BASE is the first of about
+# 700 ports, by default one that follows from the script's process id.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
 what=${1:?latency, memory, config or withdraw}
 workspaces=${WORKSPACES:-570}
-port=${BASE:-21000}
+port=${BASE:-$((10000 + $$ % 22 * 1000))}
 folder=$(mktemp -d)
 pids=()
 
