--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 	go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
 lint: $(LINT)
-	$(LINT) run ./...
+	$(LINT) run --allow-parallel-runners ./...
 
 # Runs the commands of the operators' page as they are printed.
 pages:
