Compress what entries answer to reports

From 320 entries that is 542 MB, a good part of it over the slow link between regions.

Change: the answers are compressed for an asker who accepts gzip, and chicoryctl does. Its limit on an answer's size holds for the unpacked one.

Figures, go test -run '^$' -bench Reading ./internal/ops/burn, 10, 100 and 570 workspaces: 866,734, 1,678,048 and 1,693,738 B plain; 27,978, 54,687 and 50,987 B with gzip. All counts are equal there; real ones pack less well.

Seen failing: answers never compressed; compressed answers read as plain.

--- a/internal/ops/burn/burn_test.go
+++ b/internal/ops/burn/burn_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"testing"
 	"time"
@@ -242,3 +244,30 @@
 		counter.Add(start, "quote", "hanoi", VerdictGood)
 	}
 }
+
+// BenchmarkReading reports how large the answer to chicoryctl burn is after a day
+// of so many workspaces in three classes each.
+func BenchmarkReading(b *testing.B) {
+	for _, workspaces := range []int{10, 100, 570} {
+		b.Run(fmt.Sprint(workspaces), func(b *testing.B) {
+			counter := &Counter{Process: "e1"}
+			for i := range int(DefaultPeriod / cell.Span) {
+				for w := range workspaces {
+					for class := range 3 {
+						counter.Add(start.Add(time.Duration(i)*cell.Span), fmt.Sprint("class", class), fmt.Sprint("workspace", w), VerdictGood)
+					}
+				}
+			}
+			var plain, packed bytes.Buffer
+			for b.Loop() {
+				plain.Reset()
+				packed.Reset()
+				writer := gzip.NewWriter(&packed)
+				require.NoError(b, json.NewEncoder(io.MultiWriter(&plain, writer)).Encode(Reading{Snapshot: counter.Snapshot(start)}))
+				require.NoError(b, writer.Close())
+			}
+			b.ReportMetric(float64(plain.Len()), "plain-B")
+			b.ReportMetric(float64(packed.Len()), "gzip-B")
+		})
+	}
+}
--- a/internal/ops/ctl/ask.go
+++ b/internal/ops/ctl/ask.go
@@ -1,6 +1,7 @@
 package ctl
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -72,14 +73,15 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	request.Header.Set("Accept-Encoding", "gzip")
 	response, err := service.DoRequest(request)
 	if err != nil {
 		return errors.WithStack(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	content, err := readReply(response)
 	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
 	if response.StatusCode != http.StatusOK {
 		return problemOf(response.StatusCode, content)
@@ -90,6 +92,21 @@
 	return nil
 }
 
+// readReply reads an answer up to the largest size, which bounds what a compressed
+// one may grow to as well.
+func readReply(response *http.Response) ([]byte, error) {
+	var body io.Reader = response.Body
+	if response.Header.Get("Content-Encoding") == "gzip" {
+		unpacked, err := gzip.NewReader(response.Body)
+		if err != nil {
+			return nil, errors.New("its answer cannot be read")
+		}
+		body = unpacked
+	}
+	content, err := io.ReadAll(io.LimitReader(body, maxReplyBytes))
+	return content, errors.Wrap(err, "read the answer")
+}
+
 // problemOf tells a process that says what is wrong from something that does not
 // know the question, such as an agent or another program at that address.
 func problemOf(status int, content []byte) error {
--- a/internal/ops/ctl/report_test.go
+++ b/internal/ops/ctl/report_test.go
@@ -195,6 +195,11 @@
 		(&admin.ProblemError{Status: http.StatusGone, Text: (&explain.MissingError{Ref: "x", Expired: true}).Error()}).Write(w)
 	})
 	other := startAnswer(t, func(w http.ResponseWriter) { http.NotFound(w, nil) })
+	halfPacked := startAnswer(t, func(w http.ResponseWriter) {
+		w.Header().Set("Content-Encoding", "gzip")
+		_, _ = io.WriteString(w, "{}")
+	})
+	expectNow(t, ExitFailed, []string{"cannot be read"}, "explain", "x", "-admin", halfPacked)
 	rubbish := startAnswer(t, func(w http.ResponseWriter) { _, _ = io.WriteString(w, "<html>") })
 	expectNow(t, ExitNothing, []string{"has made room for newer ones"}, "explain", "x", "-admin", unknown+","+expired+","+other)
 	expectNow(t, ExitFailed, []string{"answered with status 404"}, "explain", "x", "-admin", unknown+","+other)
--- a/internal/serve/assembly/questions.go
+++ b/internal/serve/assembly/questions.go
@@ -1,6 +1,7 @@
 package assembly
 
 import (
+	"compress/gzip"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -36,7 +37,7 @@
 		problemOf(err).Write(w)
 		return
 	}
-	answer(w, record)
+	answer(w, r, record)
 }
 
 // summary answers GET /summary?from=TIME&to=TIME&class=NAME&workspace=NAME, with
@@ -54,7 +55,7 @@
 		problemOf(err).Write(w)
 		return
 	}
-	answer(w, summary)
+	answer(w, r, summary)
 }
 
 // burnReading answers GET /burn?since=TIME with the counts against service levels.
@@ -65,7 +66,7 @@
 		return
 	}
 	table := p.tableOrEmpty()
-	answer(w, burn.Reading{Revision: table.Revision, Classes: table.Set.Classes, Snapshot: p.burn.Snapshot(since)})
+	answer(w, r, burn.Reading{Revision: table.Revision, Classes: table.Set.Classes, Snapshot: p.burn.Snapshot(since)})
 }
 
 // costReading answers GET /cost?since=TIME with what was paid and served.
@@ -76,7 +77,7 @@
 		return
 	}
 	table := p.tableOrEmpty()
-	answer(w, cost.Reading{Revision: table.Revision, Pools: table.Set.Pools, Snapshot: p.cost.Snapshot(since)})
+	answer(w, r, cost.Reading{Revision: table.Revision, Pools: table.Set.Pools, Snapshot: p.cost.Snapshot(since)})
 }
 
 // tableOrEmpty returns the configuration in force, or an empty one before the
@@ -113,11 +114,19 @@
 	return &admin.ProblemError{Status: status, Text: err.Error()}
 }
 
-// answer sends a value as JSON.
-func answer(w http.ResponseWriter, value any) {
+// answer sends a value as JSON, compressed for an asker who accepts it: the
+// readings of many entries may come over the link between regions.
+func answer(w http.ResponseWriter, r *http.Request, value any) {
 	w.Header().Set("Content-Type", "application/json")
 	// The asker may be gone already; nothing is left to tell it then.
-	_ = json.NewEncoder(w).Encode(value)
+	if r.Header.Get("Accept-Encoding") != "gzip" {
+		_ = json.NewEncoder(w).Encode(value)
+		return
+	}
+	w.Header().Set("Content-Encoding", "gzip")
+	packed := gzip.NewWriter(w)
+	_ = json.NewEncoder(packed).Encode(value)
+	_ = packed.Close()
 }
 
 // shownWindows is how many usage windows an entry shows.
@@ -131,5 +140,5 @@
 		problemOf(err).Write(w)
 		return
 	}
-	answer(w, rows)
+	answer(w, r, rows)
 }
--- a/internal/serve/assembly/questions_test.go
+++ b/internal/serve/assembly/questions_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -49,3 +50,20 @@
 		require.Contains(t, recorder.Body.String(), c.part)
 	}
 }
+
+// TestAnswerIsCompressed asks with and without saying that gzip is accepted.
+func TestAnswerIsCompressed(t *testing.T) {
+	long := strings.Repeat("workspace", 1000)
+	cases := []struct {
+		accepts string
+		smaller bool
+	}{{"", false}, {"gzip", true}}
+	for _, c := range cases {
+		request := httptest.NewRequest(http.MethodGet, "/burn", nil)
+		request.Header.Set("Accept-Encoding", c.accepts)
+		recorder := httptest.NewRecorder()
+		answer(recorder, request, long)
+		require.Equal(t, c.smaller, recorder.Body.Len() < len(long)/10, c.accepts)
+		require.Equal(t, c.accepts, recorder.Header().Get("Content-Encoding"))
+	}
+}
