--- a/layers_test.go
+++ b/layers_test.go
@@ -39,6 +39,7 @@
 	{"internal/serve/local", []string{".", "internal/ops", "internal/serve", "internal/standin", "internal/state"}, nil},
 	{"internal/serve/demo", []string{".", "internal/serve", "internal/standin", "internal/state"}, nil},
 	{"internal/standin", []string{".", "internal/standin", "internal/serve/platform", "internal/serve/wire"}, nil},
+	{"internal/standin/measure", []string{".", "internal/standin", "internal/serve", "internal/state"}, nil},
 	{"cmd", []string{".", "internal/ops/ctl", "internal/serve/platform", "internal/serve/program", "internal/standin/command"}, nil},
 }
 
