Tell the measuring tool from the fakes in the layers

Cause: standin/measure came in with an import of state, which the layers bar from stand-ins, so TestLayers failed on the two together.

Change: a row of its own. The rule is there so that a fake does not share the faults of what it is held against; measure is no fake, it publishes to real processes and times them.

--- a/layers_test.go
+++ b/layers_test.go
@@ -39,6 +39,9 @@
 	{"internal/serve/local", []string{".", "internal/ops", "internal/serve", "internal/standin", "internal/state"}, nil},
 	{"internal/serve/demo", []string{".", "internal/serve", "internal/standin", "internal/state"}, nil},
 	{"internal/standin", []string{".", "internal/standin", "internal/serve/platform", "internal/serve/wire"}, nil},
+	{"internal/standin/measure", []string{
+		".", "internal/ops/event", "internal/serve/admin", "internal/serve/platform", "internal/serve/wire", "internal/standin", "internal/state",
+	}, nil},
 	{"cmd", []string{".", "internal/ops/ctl", "internal/serve/platform", "internal/serve/program", "internal/standin/command"}, nil},
 }
 
@@ -139,6 +142,8 @@
 		{"internal/ops/ctl", module + "/internal/serve/entry", false},
 		{"internal/serve/entry", module + "/internal/standin/engine", false},
 		{"internal/standin/store", module + "/internal/state/publish", false},
+		{"internal/standin/measure", module + "/internal/state/publish", true},
+		{"internal/standin/measure", module + "/internal/serve/entry", false},
 		{".", module + "/internal/state/object", false},
 	}
 	for _, c := range cases {
