--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -6,7 +6,7 @@
 #
 # WORKSPACES (570) is the size of the configuration. GHOSTS is how many agents
 # that do not run stand in the list of VMs besides. SIZES ("1 50 200") is the
-# numbers of processes for config, each a fifth entries. BASE is the first of about
+# numbers of processes for config, of which one in SHARE (5) is an entry. BASE is the first of about
 # 700 ports, by default one that follows from the script's process id.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -105,7 +105,8 @@
   ;;
 config)
   for size in ${SIZES:-1 50 200}; do
-    entries=$(((size + 4) / 5))
+    share=${SHARE:-5}
+    entries=$(((size + share - 1) / share))
     fleet "$entries" $((size - entries))
     if ((size - entries == 0)); then engine; fi
     measure "${GHOSTS:-0}"
