Share one failing store between the tests that need one

The tests of claim, publish, order, usage and feed each had a key-value service in memory of their own, with nearly the same switches for its failures. memory.Store replaces the five: outage, reads without an answer, lost answers, late and doubled puts, and another process that goes first. Counted switches serve where a test had a flag, through memory.Always.

Publish keeps a thin type round it for what only its tests need: failures at the head alone, an old head, and moments between chunks and lists. Lease keeps its own, because its leases end and its calls take time by a clock that the processes share. Ruled out for publish: switches by key in memory.Store, which would make the other four harder to read.

No assertion changed but for the names of fields. Differences of the store: a delete of a missing key is not found, and a delete fails during an outage, also in the usage tests, as the Store interface says; lists come in key order in the order tests.

--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -3,73 +3,20 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/state/memory"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 	"github.com/chicoryrock/chicoryrock/internal/state/publish"
 )
 
-// fakeStore is the platform's store, which a test can take away.
-type fakeStore struct {
-	mu      sync.Mutex
-	entries map[string]chicoryrock.Entry
-	count   uint64
-	out     bool
-	calls   int
-}
-
-func (s *fakeStore) Get(_ context.Context, key string) (chicoryrock.Entry, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.calls++
-	entry, found := s.entries[key]
-	switch {
-	case s.out:
-		return entry, errors.WithStack(chicoryrock.ErrUnavailable)
-	case !found:
-		return entry, errors.WithStack(chicoryrock.ErrNotFound)
-	}
-	return entry, nil
-}
-
-func (s *fakeStore) Put(_ context.Context, change chicoryrock.Change) (uint64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.out {
-		return 0, errors.WithStack(chicoryrock.ErrUnavailable)
-	}
-	if s.entries[change.Key].Revision != change.Prior {
-		return 0, errors.WithStack(chicoryrock.ErrConflict)
-	}
-	s.count++
-	s.entries[change.Key] = chicoryrock.Entry{Key: change.Key, Value: change.Value, Revision: s.count}
-	return s.count, nil
-}
-
-// Watch answers at once, as a watch whose wait has passed.
-func (s *fakeStore) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (chicoryrock.Entry, error) {
-	return s.Get(ctx, key)
-}
-
-func (s *fakeStore) List(context.Context, string) ([]chicoryrock.Entry, error) { return nil, nil }
-
-func (s *fakeStore) Delete(context.Context, string, uint64) error { return nil }
-
-func (s *fakeStore) setOut(out bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.out = out
-}
-
 // set returns a configuration with so many workspaces.
 func set(workspaces int) *object.Set {
 	made := &object.Set{
@@ -83,9 +30,9 @@
 	return made
 }
 
-func (s *fakeStore) publish(t *testing.T, id string, workspaces int) {
+func mustPublish(t *testing.T, store *memory.Store, id string, workspaces int) {
 	t.Helper()
-	publisher := publish.Publisher{Store: s}
+	publisher := publish.Publisher{Store: store}
 	_, err := publisher.Publish(context.Background(), time.Unix(0, 0), publish.Publication{ID: id}, set(workspaces))
 	require.NoError(t, err)
 }
@@ -134,15 +81,15 @@
 func later() time.Time { return time.Now().Add(StaleLimit + time.Second) }
 
 func TestFeedThroughPeers(t *testing.T) {
-	store := &fakeStore{entries: make(map[string]chicoryrock.Entry)}
-	store.publish(t, "one", 1)
+	store := &memory.Store{}
+	mustPublish(t, store, "one", 1)
 	reader := newFeed(store, true)
 	require.NoError(t, reader.step(t.Context()))
 	follower := newFeed(nil, false, serve(t, reader))
 	require.NoError(t, follower.step(t.Context()))
 	expectRevision(t, follower, 1)
 
-	store.publish(t, "two", 2)
+	mustPublish(t, store, "two", 2)
 	require.NoError(t, reader.step(t.Context()))
 	require.NoError(t, follower.step(t.Context()))
 	expectRevision(t, follower, 2)
@@ -153,8 +100,8 @@
 // TestOutageOrCut tells an outage of the store, in which serving on is safe, from
 // being cut off from a store that may still accept a withdrawal.
 func TestOutageOrCut(t *testing.T) {
-	store := &fakeStore{entries: make(map[string]chicoryrock.Entry)}
-	store.publish(t, "one", 1)
+	store := &memory.Store{}
+	mustPublish(t, store, "one", 1)
 	beside := newFeed(store, true)
 	require.NoError(t, beside.step(t.Context()))
 	address := serve(t, beside)
@@ -163,7 +110,9 @@
 	require.True(t, linked.Safe(time.Now()))
 	require.False(t, linked.Safe(later()), "nothing heard for too long: cut off")
 
-	store.setOut(true)
+	store.Lock()
+	store.Down = true
+	store.Unlock()
 	require.ErrorIs(t, beside.step(t.Context()), chicoryrock.ErrUnavailable)
 	require.NoError(t, linked.step(t.Context()))
 	beside.mu.Lock()
@@ -184,21 +133,21 @@
 
 // TestNeverBack takes neither an older head from the store nor from a peer.
 func TestNeverBack(t *testing.T) {
-	store := &fakeStore{entries: make(map[string]chicoryrock.Entry)}
-	store.publish(t, "one", 1)
-	old := store.entries[publish.HeadKey]
+	store := &memory.Store{}
+	mustPublish(t, store, "one", 1)
+	old := store.Entries[publish.HeadKey]
 	behind := newFeed(store, true)
 	require.NoError(t, behind.step(t.Context()))
-	store.publish(t, "two", 2)
+	mustPublish(t, store, "two", 2)
 	ahead := newFeed(store, true, serve(t, behind))
 	require.NoError(t, ahead.step(t.Context()))
 	expectRevision(t, ahead, 2)
 
-	store.mu.Lock()
-	store.count++
-	old.Revision = store.count
-	store.entries[publish.HeadKey] = old
-	store.mu.Unlock()
+	store.Lock()
+	store.Revision++
+	old.Revision = store.Revision
+	store.Entries[publish.HeadKey] = old
+	store.Unlock()
 	require.ErrorIs(t, ahead.readStore(t.Context()), chicoryrock.ErrStale)
 	require.NoError(t, ahead.askPeers(t.Context()))
 	expectRevision(t, ahead, 2)
@@ -206,8 +155,8 @@
 
 // TestForgedSet takes no set from a peer that is not the published one.
 func TestForgedSet(t *testing.T) {
-	store := &fakeStore{entries: make(map[string]chicoryrock.Entry)}
-	store.publish(t, "one", 1)
+	store := &memory.Store{}
+	mustPublish(t, store, "one", 1)
 	forger := newFeed(store, true)
 	require.NoError(t, forger.step(t.Context()))
 	forger.mu.Lock()
--- a/internal/state/claim/claim_test.go
+++ b/internal/state/claim/claim_test.go
@@ -13,6 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/memory"
 )
 
 var (
@@ -29,7 +30,7 @@
 // machine lets entries race for a few keys of one shard. Its oracle counts how
 // often the backend server ran each key.
 type machine struct {
-	store *memory
+	store *memory.Store
 	now   time.Time
 	ids   int
 	ready []held // claimed, not yet run
@@ -57,7 +58,7 @@
 	}
 }
 
-func (m *machine) race(t *rapid.T) { m.store.race = func() { m.call(t) } }
+func (m *machine) race(t *rapid.T) { m.store.Race = func() { m.call(t) } }
 
 // take removes one of a list, or says that there is none and the action does nothing.
 func (m *machine) take(t *rapid.T, list *[]held) (held, bool) {
@@ -96,27 +97,27 @@
 func (m *machine) fail(t *rapid.T) {
 	switch rapid.IntRange(0, 4).Draw(t, "kind") {
 	case 0:
-		m.store.down = true
+		m.store.Down = true
 	case 1:
-		m.store.lost = rapid.IntRange(1, attempts).Draw(t, "lost")
+		m.store.Lost = rapid.IntRange(1, attempts).Draw(t, "lost")
 	case 2:
-		m.store.blind = 1
+		m.store.Blind = 1
 	default:
-		m.store.late = rapid.SampledFrom([]int{1, attempts}).Draw(t, "late")
+		m.store.Late = rapid.SampledFrom([]int{1, attempts}).Draw(t, "late")
 	}
 }
 
 func TestRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{store: newMemory(), now: clock, runs: map[int]int{}}
+		m := &machine{store: &memory.Store{}, now: clock, runs: map[int]int{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"call":  m.call,
 			"race":  m.race,
 			"run":   m.run,
 			"note":  m.note,
 			"fail":  m.fail,
-			"heal":  func(*rapid.T) { m.store.down, m.store.lost, m.store.late, m.store.blind = false, 0, 0, 0 },
-			"land":  func(*rapid.T) { m.store.land() },
+			"heal":  func(*rapid.T) { m.store.Down, m.store.Lost, m.store.Late, m.store.Blind = false, 0, 0, 0 },
+			"land":  func(*rapid.T) { m.store.Land() },
 			"crash": func(t *rapid.T) { m.take(t, &m.ready) },
 			"die":   func(t *rapid.T) { m.take(t, &m.ended) },
 			"wait":  func(t *rapid.T) { m.now = m.now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "s")) * time.Second) },
@@ -131,7 +132,7 @@
 
 func take(key, body, id string) Op { return Op{Action: ActionTake, Key: key, Body: body, ID: id} }
 
-func expectVerdict(t *testing.T, store *memory, now time.Time, op Op, verdict Verdict, state State) {
+func expectVerdict(t *testing.T, store *memory.Store, now time.Time, op Op, verdict Verdict, state State) {
 	t.Helper()
 	results, err := Commit(background, now, store, shard, []Op{op})
 	require.NoError(t, err)
@@ -142,7 +143,7 @@
 }
 
 func TestSecondCallIsTold(t *testing.T) {
-	store := newMemory()
+	store := &memory.Store{}
 	expectVerdict(t, store, clock, take("k", "b", "r1"), VerdictTaken, StateOpen)
 	expectVerdict(t, store, clock, take("k", "b", "r2"), VerdictHeld, StateOpen)
 	expectVerdict(t, store, clock, take("k", "other", "r2"), VerdictOther, "")
@@ -155,25 +156,25 @@
 
 // A claim still on its way to the store must not take effect after its release.
 func TestReleaseStopsLateClaim(t *testing.T) {
-	store := newMemory()
-	store.late = attempts
+	store := &memory.Store{}
+	store.Late = attempts
 	_, err := Commit(background, clock, store, shard, []Op{take("k", "b", "r1")})
 	require.ErrorIs(t, err, chicoryrock.ErrUnknownOutcome)
 	expectVerdict(t, store, clock, Op{Action: ActionRelease, Key: "k", ID: "r1"}, VerdictTaken, "")
-	store.land()
+	store.Land()
 	expectVerdict(t, store, clock, take("k", "b", "r2"), VerdictTaken, StateOpen)
 }
 
 func TestFullShardClaimsNothing(t *testing.T) {
-	store := newMemory()
+	store := &memory.Store{}
 	var ops []Op
 	for i := range MaxClaims {
 		ops = append(ops, take(fmt.Sprintf("%022d", i), fmt.Sprintf("%022d", i), fmt.Sprintf("%026d", i)))
 	}
 	_, err := Commit(background, clock, store, shard, ops)
 	require.NoError(t, err)
-	require.EqualValues(t, 1, store.revision, "one write for the whole group")
-	require.Less(t, len(store.entries[shard].Value), 512<<10)
+	require.EqualValues(t, 1, store.Revision, "one write for the whole group")
+	require.Less(t, len(store.Entries[shard].Value), 512<<10)
 	expectVerdict(t, store, clock, take("k", "b", "r"), VerdictFull, "")
 }
 
--- a/internal/state/lease/lease_test.go
+++ b/internal/state/lease/lease_test.go
@@ -22,7 +22,8 @@
 )
 
 // world is a store with one key and leases, several processes with clocks of
-// their own, and the true time.
+// their own, and the true time. It is not a memory.Store, because leases end and
+// calls take time by a clock that all of it shares.
 type world struct {
 	chicoryrock.Store
 
--- /dev/null
+++ b/internal/state/memory/memory.go
@@ -0,0 +1,176 @@
+// Package memory is a key-value service in memory for tests, with switches for
+// the failures that the platform's service can have. Programs don't import it.
+package memory
+
+import (
+	"context"
+	"math"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// Always sets a counted switch until it is set to 0 again.
+const Always = math.MaxInt
+
+// Store is a chicoryrock.Store without leases. The zero value is empty and works.
+// The numbers count the calls that still fail, so that Lost: 1 loses one answer.
+// Where several goroutines use a store, the test holds its Mutex to change a field.
+type Store struct {
+	sync.Mutex
+
+	Revision uint64
+	Entries  map[string]chicoryrock.Entry
+	Writes   int // puts that reached the service
+
+	Down  bool // every call fails before it takes effect
+	Blind int  // reads of one key without an answer
+	Lost  int  // puts that take effect, but whose answer is lost
+	Late  int  // puts without an answer, which take effect at Land or never
+	Twice int  // puts that the transport sends twice; the second answer arrives
+
+	Race func()                  // runs once, just before the next put
+	Took func(chicoryrock.Entry) // runs in each put that takes effect; may be nil
+
+	inFlight []chicoryrock.Change
+}
+
+// Get reads one key. Errors: ErrNotFound, ErrUnavailable, ErrUnknownOutcome.
+func (s *Store) Get(_ context.Context, key string) (chicoryrock.Entry, error) {
+	s.Lock()
+	defer s.Unlock()
+	if s.Down {
+		return chicoryrock.Entry{}, chicoryrock.ErrUnavailable
+	}
+	if spend(&s.Blind) {
+		return chicoryrock.Entry{}, chicoryrock.ErrUnknownOutcome
+	}
+	entry, found := s.Entries[key]
+	if !found {
+		return chicoryrock.Entry{}, chicoryrock.ErrNotFound
+	}
+	return entry, nil
+}
+
+// List reads every key below a prefix, in key order. Error: ErrUnavailable.
+func (s *Store) List(_ context.Context, prefix string) ([]chicoryrock.Entry, error) {
+	s.Lock()
+	defer s.Unlock()
+	if s.Down {
+		return nil, chicoryrock.ErrUnavailable
+	}
+	var found []chicoryrock.Entry
+	for key, entry := range s.Entries {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, entry)
+		}
+	}
+	slices.SortFunc(found, func(a, b chicoryrock.Entry) int { return strings.Compare(a.Key, b.Key) })
+	return found, nil
+}
+
+// Put writes one key. Errors: ErrConflict, ErrUnavailable, ErrUnknownOutcome.
+func (s *Store) Put(_ context.Context, change chicoryrock.Change) (uint64, error) {
+	s.race()
+	s.Lock()
+	defer s.Unlock()
+	if s.Down {
+		return 0, chicoryrock.ErrUnavailable
+	}
+	s.Writes++
+	if spend(&s.Late) {
+		s.inFlight = append(s.inFlight, change)
+		return 0, chicoryrock.ErrUnknownOutcome
+	}
+	revision, err := s.swap(change)
+	if spend(&s.Lost) {
+		return 0, chicoryrock.ErrUnknownOutcome
+	}
+	if spend(&s.Twice) {
+		return s.swap(change)
+	}
+	return revision, err
+}
+
+// Swap is a put that no switch but Down hinders. Errors: ErrConflict, ErrUnavailable.
+func (s *Store) Swap(change chicoryrock.Change) (uint64, error) {
+	s.Lock()
+	defer s.Unlock()
+	if s.Down {
+		return 0, chicoryrock.ErrUnavailable
+	}
+	return s.swap(change)
+}
+
+// Land lets all late puts arrive, also while the service is down.
+func (s *Store) Land() {
+	s.Lock()
+	defer s.Unlock()
+	for _, change := range s.inFlight {
+		_, _ = s.swap(change)
+	}
+	s.inFlight = nil
+}
+
+// Delete removes one key. Errors: ErrNotFound, ErrConflict, ErrUnavailable.
+func (s *Store) Delete(_ context.Context, key string, prior uint64) error {
+	s.Lock()
+	defer s.Unlock()
+	if s.Down {
+		return chicoryrock.ErrUnavailable
+	}
+	entry, found := s.Entries[key]
+	if !found {
+		return chicoryrock.ErrNotFound
+	}
+	if entry.Revision != prior {
+		return chicoryrock.ErrConflict
+	}
+	s.Revision++
+	delete(s.Entries, key)
+	return nil
+}
+
+// Watch answers at once, as a watch whose wait has passed. Errors: as Get.
+func (s *Store) Watch(ctx context.Context, key string, _ uint64, _ time.Duration) (chicoryrock.Entry, error) {
+	return s.Get(ctx, key)
+}
+
+// race runs without the mutex, because the other process uses the store too.
+func (s *Store) race() {
+	s.Lock()
+	race := s.Race
+	s.Race = nil
+	s.Unlock()
+	if race != nil {
+		race()
+	}
+}
+
+func (s *Store) swap(change chicoryrock.Change) (uint64, error) {
+	if s.Entries[change.Key].Revision != change.Prior {
+		return 0, chicoryrock.ErrConflict
+	}
+	if s.Entries == nil {
+		s.Entries = make(map[string]chicoryrock.Entry)
+	}
+	s.Revision++
+	entry := chicoryrock.Entry{Key: change.Key, Value: change.Value, Revision: s.Revision}
+	s.Entries[change.Key] = entry
+	if s.Took != nil {
+		s.Took(entry)
+	}
+	return s.Revision, nil
+}
+
+// spend uses up one call of a counted switch and says whether it was set.
+func spend(count *int) bool {
+	if *count == 0 {
+		return false
+	}
+	*count--
+	return true
+}
--- a/internal/state/order/order_test.go
+++ b/internal/state/order/order_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"os"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/memory"
 )
 
 var (
@@ -21,70 +21,6 @@
 	place      = Place{Pool: "garland", Centre: "jamalpur"}
 )
 
-// memory is a key-value service with switches for its failures.
-type memory struct {
-	chicoryrock.Store
-
-	revision   uint64
-	entries    map[string]chicoryrock.Entry
-	intents    []chicoryrock.Order // every order that was ever an intent
-	down, lost bool
-	late       bool
-	inFlight   []chicoryrock.Change
-}
-
-func (m *memory) Get(_ context.Context, key string) (chicoryrock.Entry, error) {
-	if m.down {
-		return chicoryrock.Entry{}, chicoryrock.ErrUnavailable
-	}
-	entry, found := m.entries[key]
-	if !found {
-		return chicoryrock.Entry{}, chicoryrock.ErrNotFound
-	}
-	return entry, nil
-}
-
-func (m *memory) List(_ context.Context, prefix string) ([]chicoryrock.Entry, error) {
-	if m.down {
-		return nil, chicoryrock.ErrUnavailable
-	}
-	var found []chicoryrock.Entry
-	for key, entry := range m.entries {
-		if strings.HasPrefix(key, prefix) {
-			found = append(found, entry)
-		}
-	}
-	return found, nil
-}
-
-func (m *memory) Put(_ context.Context, change chicoryrock.Change) (uint64, error) {
-	if m.down {
-		return 0, chicoryrock.ErrUnavailable
-	}
-	if m.late {
-		m.inFlight = append(m.inFlight, change)
-		return 0, chicoryrock.ErrUnknownOutcome
-	}
-	revision, err := m.swap(change)
-	if m.lost {
-		return 0, chicoryrock.ErrUnknownOutcome
-	}
-	return revision, err
-}
-
-func (m *memory) swap(change chicoryrock.Change) (uint64, error) {
-	if m.entries[change.Key].Revision != change.Prior {
-		return 0, chicoryrock.ErrConflict
-	}
-	m.revision++
-	entry := chicoryrock.Entry{Key: change.Key, Value: change.Value, Revision: m.revision}
-	m.entries[change.Key] = entry
-	if _, found, err := decode(entry); err == nil {
-		m.intents = append(m.intents, found.intent.Order)
-	}
-	return m.revision, nil
-}
-
 // receiver is the platform's ordering, which checks fencing numbers or not.
 type receiver struct {
 	checks bool
@@ -107,15 +43,29 @@
 }
 
 type machine struct {
-	store    *memory
+	store    *memory.Store
+	intents  []chicoryrock.Order // every order that was ever an intent
 	receiver receiver
 	holders  []*holder
 	transit  []chicoryrock.Order // sent, not yet arrived
 }
 
+func newMachine() *machine {
+	m := &machine{store: &memory.Store{}}
+	m.store.Took = m.note
+	return m
+}
+
+// note keeps the order of each intent that the store took.
+func (m *machine) note(entry chicoryrock.Entry) {
+	if _, found, err := decode(entry); err == nil {
+		m.intents = append(m.intents, found.intent.Order)
+	}
+}
+
 func (m *machine) change(t *rapid.T) {
-	m.store.revision += 2
-	h := &holder{book: Book{Store: m.store, Fence: m.store.revision, Since: clock}}
+	m.store.Revision += 2
+	h := &holder{book: Book{Store: m.store, Fence: m.store.Revision, Since: clock}}
 	if h.book.Adopt(background) == nil {
 		m.holders = append(m.holders, h)
 	}
@@ -173,7 +123,7 @@
 
 func (m *machine) check(t *rapid.T) {
 	for i, order := range m.receiver.taken {
-		require.True(t, slices.Contains(m.store.intents, order), "an order without an intent")
+		require.True(t, slices.Contains(m.intents, order), "an order without an intent")
 		if i > 0 && m.receiver.checks {
 			require.GreaterOrEqual(t, order.Fence, m.receiver.taken[i-1].Fence)
 		}
@@ -183,10 +133,8 @@
 // settle lets a new holder take over after all failures: the receiver ends with
 // the count of the last intent, also when its holder died before sending it.
 func (m *machine) settle(t *rapid.T) {
-	m.store.down, m.store.lost, m.store.late = false, false, false
-	for _, change := range m.store.inFlight {
-		_, _ = m.store.swap(change)
-	}
+	m.store.Down, m.store.Lost, m.store.Late = false, 0, 0
+	m.store.Land()
 	m.arrive(t)
 	m.change(t)
 	last := m.holders[len(m.holders)-1]
@@ -199,16 +147,24 @@
 		require.NoError(t, last.book.Arrived(background, clock, order))
 	}
 	require.Empty(t, last.book.Due(clock), "nothing is open any more")
-	if len(m.store.intents) > 0 {
-		newest := m.store.intents[len(m.store.intents)-1]
+	if len(m.intents) > 0 {
+		newest := m.intents[len(m.intents)-1]
 		require.Equal(t, newest.Wanted, m.receiver.taken[len(m.receiver.taken)-1].Wanted)
 	}
 	m.check(t)
 }
 
+// while returns how many calls fail for as long as a failure lasts.
+func while(failing bool) int {
+	if failing {
+		return memory.Always
+	}
+	return 0
+}
+
 func TestOrders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &machine{store: &memory{entries: map[string]chicoryrock.Entry{}}}
+		m := newMachine()
 		m.receiver.checks = rapid.Bool().Draw(t, "checks")
 		t.Repeat(map[string]func(*rapid.T){
 			"change": m.change,
@@ -217,11 +173,11 @@
 			"resend": m.send,
 			"arrive": m.arrive,
 			"fail": func(t *rapid.T) {
-				m.store.down = rapid.Bool().Draw(t, "down")
-				m.store.lost = rapid.Bool().Draw(t, "lost")
-				m.store.late = rapid.Bool().Draw(t, "late")
+				m.store.Down = rapid.Bool().Draw(t, "down")
+				m.store.Lost = while(rapid.Bool().Draw(t, "lost"))
+				m.store.Late = while(rapid.Bool().Draw(t, "late"))
 			},
-			"heal": func(*rapid.T) { m.store.down, m.store.lost, m.store.late = false, false, false },
+			"heal": func(*rapid.T) { m.store.Down, m.store.Lost, m.store.Late = false, 0, 0 },
 			"":     m.check,
 		})
 		m.settle(t)
@@ -230,7 +186,7 @@
 
 // A holder whose successor has written must not get another intent in.
 func TestOldHolderIsFenced(t *testing.T) {
-	m := &machine{store: &memory{entries: map[string]chicoryrock.Entry{}}}
+	m := newMachine()
 	old := &Book{Store: m.store, Fence: 1, Since: clock}
 	require.NoError(t, old.Adopt(background))
 	_, err := old.Intend(background, place, 3)
--- a/internal/state/publish/bench_test.go
+++ b/internal/state/publish/bench_test.go
@@ -42,7 +42,7 @@
 func BenchmarkDelta(b *testing.B) {
 	for _, count := range []int{10, 100, 570} {
 		b.Run(fmt.Sprintf("workspaces=%d", count), func(b *testing.B) {
-			store := newMemory()
+			store := newFake()
 			publisher := &Publisher{Store: store}
 			old := sized(count)
 			first, err := publisher.Publish(background, clock, Publication{ID: "first"}, old)
@@ -71,7 +71,7 @@
 
 // BenchmarkRead measures a process that starts: all chunks, verified and checked.
 func BenchmarkRead(b *testing.B) {
-	store := newMemory()
+	store := newFake()
 	_, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: "first"}, sized(570))
 	require.NoError(b, err)
 	for b.Loop() {
--- a/internal/state/publish/machine_test.go
+++ b/internal/state/publish/machine_test.go
@@ -39,7 +39,7 @@
 // machine drives racing publishers against a failing store. Its oracle is the
 // list of accepted revisions, which may only grow.
 type machine struct {
-	store    *memory
+	store    *fake
 	chain    []accept           // chain[i] is revision i+1
 	told     map[string]outcome // by publication
 	withdrew map[string]bool    // digests
@@ -50,7 +50,7 @@
 }
 
 func newMachine() *machine {
-	store := newMemory()
+	store := newFake()
 	return &machine{store: store, told: map[string]outcome{}, withdrew: map[string]bool{}, reader: Reader{Store: store}}
 }
 
@@ -106,12 +106,12 @@
 // race lets another publisher go first, between the reading and the writing.
 func (m *machine) race(t *rapid.T) {
 	other, set := m.next(), m.edit(t)
-	m.store.race = func() {
+	m.store.Race = func() {
 		head, err := m.publisher().Publish(background, clock, other, set)
 		m.note(t, other, head, err)
 	}
 	m.publish(t)
-	m.store.race = nil
+	m.store.Race = nil
 }
 
 // prune removes old chunks, alone or at the worst moments of another's work: just
@@ -129,7 +129,7 @@
 	case 0:
 		run()
 	case 1:
-		m.store.race = run
+		m.store.Race = run
 		m.rollback(t)
 	case 2:
 		m.store.written = run
@@ -138,7 +138,7 @@
 		m.store.listed = func() { m.publish(t) }
 		run()
 	}
-	m.store.race, m.store.written, m.store.listed = nil, nil, nil
+	m.store.Race, m.store.written, m.store.listed = nil, nil, nil
 }
 
 func (m *machine) rollback(t *rapid.T) {
@@ -172,19 +172,19 @@
 }
 
 func (m *machine) fail(t *rapid.T) {
-	m.store.down = rapid.Bool().Draw(t, "down") && rapid.Bool().Draw(t, "really")
+	m.store.Down = rapid.Bool().Draw(t, "down") && rapid.Bool().Draw(t, "really")
 	m.store.blind = rapid.Bool().Draw(t, "blind") && rapid.Bool().Draw(t, "really")
-	m.store.lost = rapid.IntRange(0, 4).Draw(t, "lost")
-	m.store.late = rapid.IntRange(0, 4).Draw(t, "late")
-	m.store.twice = rapid.IntRange(0, 1).Draw(t, "twice")
+	m.store.Lost = rapid.IntRange(0, 4).Draw(t, "lost")
+	m.store.Late = rapid.IntRange(0, 4).Draw(t, "late")
+	m.store.Twice = rapid.IntRange(0, 1).Draw(t, "twice")
 }
 
 func (m *machine) heal(*rapid.T) {
-	m.store.down, m.store.blind = false, false
-	m.store.lost, m.store.late, m.store.twice = 0, 0, 0
+	m.store.Down, m.store.blind = false, false
+	m.store.Lost, m.store.Late, m.store.Twice = 0, 0, 0
 }
 
-func (m *machine) land(*rapid.T) { m.store.land() }
+func (m *machine) land(*rapid.T) { m.store.Land() }
 
 // read lets one process read on, sometimes from a store that answers an old head.
 func (m *machine) read(t *rapid.T) {
--- a/internal/state/publish/oracle_test.go
+++ b/internal/state/publish/oracle_test.go
@@ -6,12 +6,13 @@
 	"pgregory.net/rapid"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/memory"
 )
 
 // check walks the whole chain in the store past its failures and compares it with
 // what was there before and with what the publishers were told.
 func (m *machine) check(t *rapid.T) {
-	whole := &memory{entries: m.store.entries}
+	whole := &fake{Store: memory.Store{Entries: m.store.Entries}}
 	head, _, err := readHead(background, whole)
 	if errors.Is(err, chicoryrock.ErrNotFound) {
 		require.Empty(t, m.chain)
@@ -31,7 +32,7 @@
 }
 
 // extend reads the revisions that are new and holds them against the oracle's.
-func (m *machine) extend(t *rapid.T, whole *memory, head Head) {
+func (m *machine) extend(t *rapid.T, whole *fake, head Head) {
 	require.GreaterOrEqual(t, int(head.Revision), len(m.chain), "the head went back")
 	var fresh []accept
 	for int(head.Revision) > len(m.chain) {
@@ -76,7 +77,7 @@
 	if len(m.chain) == 0 {
 		return
 	}
-	whole := &memory{entries: m.store.entries}
+	whole := &fake{Store: memory.Store{Entries: m.store.Entries}}
 	head, _, err := readHead(background, whole)
 	require.NoError(t, err)
 	for i := len(m.chain) - 1; i >= m.floor; i-- {
--- a/internal/state/publish/publish_test.go
+++ b/internal/state/publish/publish_test.go
@@ -19,7 +19,7 @@
 	return set
 }
 
-func mustPublish(t *testing.T, store *memory, id string, set *object.Set) Head {
+func mustPublish(t *testing.T, store *fake, id string, set *object.Set) Head {
 	t.Helper()
 	head, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: id, Author: id}, set)
 	require.NoError(t, err)
@@ -29,7 +29,7 @@
 // expectClash publishes mine from revision 1 after theirs made revision 2.
 func expectClash(t *testing.T, base, mine, theirs *object.Set, want ...string) {
 	t.Helper()
-	store := newMemory()
+	store := newFake()
 	mustPublish(t, store, "first", base)
 	mustPublish(t, store, "theirs", theirs)
 	_, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: "mine", Base: 1}, mine)
@@ -53,28 +53,28 @@
 }
 
 func TestPublishFromTheFuture(t *testing.T) {
-	store := newMemory()
+	store := newFake()
 	mustPublish(t, store, "first", workspaces(1))
 	_, err := (&Publisher{Store: store}).Publish(background, clock, Publication{ID: "x", Base: 2}, workspaces(2))
 	require.ErrorIs(t, err, chicoryrock.ErrStale)
 }
 
 func TestPublishSameAgain(t *testing.T) {
-	store := newMemory()
+	store := newFake()
 	first := mustPublish(t, store, "first", workspaces(1, 2))
 	require.Equal(t, first, mustPublish(t, store, "second", workspaces(1, 2)))
 }
 
 func TestPublishRejectsFaults(t *testing.T) {
-	_, err := (&Publisher{Store: newMemory()}).Publish(background, clock, Publication{ID: "x"}, workspaces(-1))
+	_, err := (&Publisher{Store: newFake()}).Publish(background, clock, Publication{ID: "x"}, workspaces(-1))
 	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
-	_, err = (&Publisher{Store: newMemory()}).Publish(background, clock, Publication{}, workspaces(1))
+	_, err = (&Publisher{Store: newFake()}).Publish(background, clock, Publication{}, workspaces(1))
 	require.ErrorIs(t, err, chicoryrock.ErrInvalid)
 }
 
 // TestWithdrawnKeyStays tries to bring a withdrawn key back on every way.
 func TestWithdrawnKeyStays(t *testing.T) {
-	store := newMemory()
+	store := newFake()
 	publisher := &Publisher{Store: store}
 	set := workspaces(1)
 	set.Keys = []object.Key{{Name: "desk", Workspace: "w0", Digest: object.Digest("invented")}}
@@ -103,9 +103,9 @@
 
 // expectRubbish puts something damaged into the store and expects that neither a
 // reader nor a publisher takes it.
-func expectRubbish(t *testing.T, want error, damage func(store *memory, head Head)) {
+func expectRubbish(t *testing.T, want error, damage func(store *fake, head Head)) {
 	t.Helper()
-	store := newMemory()
+	store := newFake()
 	mustPublish(t, store, "first", workspaces(1))
 	head := mustPublish(t, store, "second", workspaces(2))
 	damage(store, head)
@@ -116,26 +116,26 @@
 }
 
 func TestRubbish(t *testing.T) {
-	set := func(store *memory, key, value string) {
-		store.entries[key] = chicoryrock.Entry{Key: key, Value: []byte(value), Revision: store.entries[key].Revision}
+	set := func(store *fake, key, value string) {
+		store.Entries[key] = chicoryrock.Entry{Key: key, Value: []byte(value), Revision: store.Entries[key].Revision}
 	}
-	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, _ Head) { set(store, HeadKey, "{") })
-	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, _ Head) { set(store, HeadKey, "null") })
-	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, _ Head) {
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *fake, _ Head) { set(store, HeadKey, "{") })
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *fake, _ Head) { set(store, HeadKey, "null") })
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *fake, _ Head) {
 		set(store, HeadKey, `{"revision":3,"id":"x","prior":"y","chunks":["../head"]}`)
 	})
-	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, head Head) { set(store, ChunkPrefix+head.Chunks[0], "{}") })
-	expectRubbish(t, chicoryrock.ErrInvalid, func(store *memory, head Head) { delete(store.entries, ChunkPrefix+head.Chunks[0]) })
-	expectRubbish(t, chicoryrock.ErrStale, func(store *memory, _ Head) { delete(store.entries, HeadKey) })
-	expectRubbish(t, chicoryrock.ErrStale, func(store *memory, head Head) {
-		set(store, HeadKey, string(store.entries[ChunkPrefix+head.Prior].Value))
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *fake, head Head) { set(store, ChunkPrefix+head.Chunks[0], "{}") })
+	expectRubbish(t, chicoryrock.ErrInvalid, func(store *fake, head Head) { delete(store.Entries, ChunkPrefix+head.Chunks[0]) })
+	expectRubbish(t, chicoryrock.ErrStale, func(store *fake, _ Head) { delete(store.Entries, HeadKey) })
+	expectRubbish(t, chicoryrock.ErrStale, func(store *fake, head Head) {
+		set(store, HeadKey, string(store.Entries[ChunkPrefix+head.Prior].Value))
 	})
 }
 
 // TestReadFork has the store answer another publication of the revision in force,
 // as one would that lost its last write and took another.
 func TestReadFork(t *testing.T) {
-	store := newMemory()
+	store := newFake()
 	head := mustPublish(t, store, "first", workspaces(1))
 	head.ID = "fork"
 	_, _, err := Read(background, store, head)
@@ -143,7 +143,7 @@
 }
 
 func TestDeltaRefused(t *testing.T) {
-	store := newMemory()
+	store := newFake()
 	first := mustPublish(t, store, "first", workspaces(1, 1))
 	second := mustPublish(t, store, "second", workspaces(2))
 	delta, err := NewDelta(first, workspaces(1, 1), second, workspaces(2))
--- a/internal/state/usage/usage_test.go
+++ b/internal/state/usage/usage_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/memory"
 )
 
 const (
@@ -30,7 +31,7 @@
 // machine lets entries and agents count requests and several collectors, which
 // all believe they have the duty, seal them. Its oracle is the plain sum.
 type machine struct {
-	store      *memory
+	store      *memory.Store
 	intake     *intake
 	now        Window
 	names      int
@@ -47,7 +48,7 @@
 
 func newMachine() *machine {
 	m := &machine{
-		store:  newMemory(),
+		store:  &memory.Store{},
 		intake: &intake{taken: map[string]chicoryrock.UsageReport{}},
 		now:    first,
 		truth:  map[Key]Counts{},
@@ -123,11 +124,11 @@
 func (m *machine) fail(t *rapid.T) {
 	switch rapid.IntRange(0, 4).Draw(t, "kind") {
 	case 0:
-		m.store.down = true
+		m.store.Down = true
 	case 1:
-		m.store.lost = true
+		m.store.Lost = memory.Always
 	case 2:
-		m.store.late = true
+		m.store.Late = memory.Always
 	case 3:
 		m.intake.lost = true
 	default:
@@ -136,7 +137,7 @@
 }
 
 func (m *machine) heal(*rapid.T) {
-	m.store.down, m.store.lost, m.store.late = false, false, false
+	m.store.Down, m.store.Lost, m.store.Late = false, 0, 0
 	m.intake.lost, m.intake.down = false, false
 }
 
@@ -167,7 +168,7 @@
 // settle ends all failures: a new collector reports all that was used, exactly.
 func (m *machine) settle(t *rapid.T) {
 	m.heal(t)
-	m.store.land()
+	m.store.Land()
 	last := &Ledger{}
 	for range 2 {
 		for _, one := range append(m.entries[:2:2], m.agents...) {
@@ -205,7 +206,7 @@
 			"replace": func(t *rapid.T) { m.collectors[rapid.IntRange(0, 1).Draw(t, "which")] = &Ledger{} },
 			"fail":    m.fail,
 			"heal":    m.heal,
-			"land":    func(*rapid.T) { m.store.land() },
+			"land":    func(*rapid.T) { m.store.Land() },
 			"wait": func(*rapid.T) {
 				if m.now < first+6 {
 					m.now++
@@ -234,7 +235,7 @@
 }
 
 func TestLateUsageIsMarked(t *testing.T) {
-	store, ledger := newMemory(), &Ledger{}
+	store, ledger := &memory.Store{}, &Ledger{}
 	key := Key{Entry: "e", Agent: "a", Workspace: "lens", Window: first}
 	require.NoError(t, ledger.Load(background, store, first))
 	ledger.Merge([]Cell{{key, Counts{2, 10, 20}}})
@@ -247,7 +248,7 @@
 }
 
 func TestOverviewAndForget(t *testing.T) {
-	store, ledger := newMemory(), &Ledger{}
+	store, ledger := &memory.Store{}, &Ledger{}
 	taker := &intake{taken: map[string]chicoryrock.UsageReport{}}
 	require.NoError(t, ledger.Load(background, store, first))
 	ledger.Merge([]Cell{{Key{"e", "a", "lens", first}, Counts{2, 10, 20}}})
@@ -267,7 +268,7 @@
 
 	require.NoError(t, Forget(background, store, first))
 	require.NoError(t, Forget(background, store, first), "once more")
-	require.Len(t, store.entries, 2, "the mark and the other seal are left")
+	require.Len(t, store.Entries, 2, "the mark and the other seal are left")
 	rows, err = Overview(background, store, now, length, 5)
 	require.NoError(t, err)
 	require.Len(t, rows, 2)
@@ -277,21 +278,21 @@
 // in maxChunkCells cells.
 func TestWritesForWindow(t *testing.T) {
 	for _, replicas := range []int{71, 355, 710} {
-		store, ledger := newMemory(), &Ledger{}
+		store, ledger := &memory.Store{}, &Ledger{}
 		require.NoError(t, ledger.Load(background, store, first))
 		for i := range replicas * 9 * 4 {
 			ledger.Merge([]Cell{{Key{fmt.Sprintf("entry-%d/%026d", i%320, i), fmt.Sprintf("agent-%d/%026d", i, i), fmt.Sprint("workspace-", i%570), first}, Counts{1, 1000, 1000}}})
 		}
-		before := store.writes
+		before := store.Writes
 		require.NoError(t, ledger.Close(background, store, 1))
 		require.NoError(t, ledger.NoteSealed(background, store))
 		largest := 0
-		for _, entry := range store.entries {
+		for _, entry := range store.Entries {
 			largest = max(largest, len(entry.Value))
 		}
 		require.Less(t, largest, 1<<20)
-		require.Less(t, float64(store.writes-before)/length.Seconds(), 100.0)
-		t.Logf("%d replicas: %d writes a window, largest value %d bytes", replicas, store.writes-before, largest)
+		require.Less(t, float64(store.Writes-before)/length.Seconds(), 100.0)
+		t.Logf("%d replicas: %d writes a window, largest value %d bytes", replicas, store.Writes-before, largest)
 	}
 }
 
--- a/layers_test.go
+++ b/layers_test.go
@@ -102,6 +102,17 @@
 	})
 }
 
+// TestMemoryIsForTests keeps the store that fails on demand out of the programs.
+func TestMemoryIsForTests(t *testing.T) {
+	eachFile(t, func(folder string, file *ast.File) {
+		for _, one := range file.Imports {
+			imported, err := strconv.Unquote(one.Path.Value)
+			require.NoError(t, err)
+			require.NotEqual(t, module+"/internal/state/memory", imported, folder)
+		}
+	})
+}
+
 // TestCoreIsToldTheTime holds the decisions to the rule that the present time is
 // an argument.
 func TestCoreIsToldTheTime(t *testing.T) {
