Never say "not run" after an attempt that may have run

Cause: a call whose attempt may have run could be ended later by a lapsed deadline, a full agent, a spent retry budget or its fingerprint's suspicion. The caller was then told "not run", and the claim of a booking would have been given back. Found while reading how a claim is released; it had no test.

Ruled out: judging by the last error alone, which says nothing of earlier attempts.

Change: a call remembers that an attempt may have run; every later refusal of it says "unknown". Tests of what a second caller is told, and of a backend server that hangs up after it ran a booking.

--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -35,6 +35,7 @@
 
 	ctx     context.Context // ends when the caller goes or its key is withdrawn
 	granted bool            // a replica was given the request
+	begun   bool            // an attempt may have run
 	done    bool            // the answer has gone out whole
 	tries   tries
 	suspect bool                 // it was in flight at a crash
@@ -72,6 +73,7 @@
 		c.progress.sent(now, &replica, c.sent > 0)
 		c.timing = timing{sent: now}
 		err = c.attemptWatched(&replica)
+		c.begun = c.begun || mayHaveRun(err)
 		now = time.Now()
 		c.entry.gate.observe(now, &replica, c.timing.observation(err))
 		if !errors.Is(err, chicoryrock.ErrNotRun) {
@@ -276,7 +278,17 @@
 	return wire.OutcomeNotRun
 }
 
+// refusalFor returns what the caller is told. After an attempt that may have run,
+// nothing that ends the call later makes "not run" true again.
 func (c *call) refusalFor(err error) wire.Refusal {
+	refusal := c.lastRefusal(err)
+	if c.begun {
+		refusal.Outcome = wire.OutcomeUnknown
+	}
+	return refusal
+}
+
+func (c *call) lastRefusal(err error) wire.Refusal {
 	var refused, withdrawn *refusedError
 	switch {
 	case errors.As(context.Cause(c.ctx), &withdrawn):
--- a/internal/serve/entry/errors.go
+++ b/internal/serve/entry/errors.go
@@ -44,6 +44,12 @@
 	return target == chicoryrock.ErrNotRun
 }
 
+// mayHaveRun says whether an attempt that ended so may have run.
+func mayHaveRun(err error) bool {
+	var refused *refusedError
+	return err != nil && !errors.Is(err, chicoryrock.ErrNotRun) && !errors.As(err, &refused)
+}
+
 // isBusy says whether an agent had no room. The request goes back to its queue as
 // if it had not been sent; its deadline, not a count of attempts, ends its waiting.
 func isBusy(err error) bool {
--- a/internal/serve/program/once_test.go
+++ b/internal/serve/program/once_test.go
@@ -151,3 +151,16 @@
 	require.Equal(t, refused, send("r3", "d1"))
 	require.Equal(t, map[string]int{"lots": 2}, p.runs(t))
 }
+
+// The backend server hangs up after it ran a booking: the refusal may not say
+// "not run", and the key stays claimed.
+func TestBookingWithoutAnswer(t *testing.T) {
+	p := startPath(t)
+	p.plain.post("/switch", map[string]any{"hangup": 1}, nil)
+	got := tryBook(p.entry, "k1", "the same lots")
+	require.Equal(t, wire.OutcomeUnknown, got.outcome)
+	eventually(t, func() bool {
+		return strings.Contains(tryBook(p.entry, "k1", "the same lots").body, "not known whether it ran")
+	}, "the claim tells that nothing is known")
+	require.Equal(t, 1, p.runs(t)["k1"])
+}
