Let a pool without idempotent calls come back after a failure

Cause: a suspended replica is only probed with calls that may be repeated, so a pool of plain services with none stayed out for good after one hang-up: every later booking was refused as late, over 80 s watched. Change: when all replicas of a pool are suspended, a call that may not be repeated goes to one that is due. Ruled out: probing with such calls while another replica is there, since a straggler may lose them.

--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -75,11 +75,36 @@
 	if !best.found() {
 		best = p.far(now, target, request, replicas, region)
 	}
-	if !best.found() {
-		return 0, false
+	if best.found() {
+		target.chosen(now, &replicas[best.at])
+		return best.at, true
+	}
+	if at := p.lastResort(now, target, replicas); at >= 0 {
+		target.chosen(now, &replicas[at])
+		return at, true
+	}
+	return 0, false
+}
+
+// lastResort returns a suspended replica that is due to be tried when all of them
+// are suspended, or -1. It is for calls that may not be repeated, with which no
+// probe is made while another replica is there: a pool that gets nothing else would
+// never come back.
+func (p *Picker) lastResort(now time.Time, t *pool, replicas []chicoryrock.Replica) int {
+	due := -1
+	for i := range replicas {
+		if replicas[i].Leaving {
+			continue
+		}
+		h := t.replicas[replicas[i].Name]
+		if h == nil || !h.suspended {
+			return -1
+		}
+		if due < 0 && replicas[i].Open == 0 && !now.Before(h.due) {
+			due = i
+		}
 	}
-	target.chosen(now, &replicas[best.at])
-	return best.at, true
+	return due
 }
 
 // nearby returns the best replica of the own region.
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -202,6 +202,23 @@
 	assert.LessOrEqual(t, probes, 8)
 }
 
+// A pool that only has calls which may not be repeated comes back too: when all of
+// its replicas are suspended, such a call is the only probe that there is.
+func TestLostWithoutIdempotentCalls(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(2, 1)
+	p.Arrange(replicas)
+	once := request()
+	once.Repeat = false
+	p.Observe(start, "small", replicas[0].Name, chicoryrock.Observation{Lost: true})
+	now := start.Add(10 * time.Second)
+	assert.Zero(t, counts(now, p, once, replicas, 50)[replicas[0].Name], "another replica is there")
+	p.Observe(now, "small", replicas[1].Name, chicoryrock.Observation{Lost: true})
+	assert.Empty(t, counts(now, p, once, replicas[1:], 1), "not at once")
+	now = now.Add(10 * time.Second)
+	assert.Len(t, counts(now, p, once, replicas, 1), 1)
+}
+
 // A replica that joins a running pool gets work step by step.
 func TestSlowStart(t *testing.T) {
 	p := newPicker(1)
