Split the loop of a call's attempts into named steps

Cause: serve had grown to thirty lines with two flags. Change: serve, try and observedAttempt; no behaviour changed.

--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -64,31 +64,10 @@
 // serve sends the request to one replica after another until it is answered,
 // refused, or may not be tried again.
 func (c *call) serve() {
-	now := time.Now()
 	c.progress.begin()
-	replica, err := c.acquire(now)
-	for err == nil {
-		c.granted = true
-		now = time.Now()
-		c.progress.sent(now, &replica, c.sent > 0)
-		c.timing = timing{sent: now}
-		err = c.attemptWatched(&replica)
-		c.begun = c.begun || mayHaveRun(err)
-		now = time.Now()
-		c.entry.gate.observe(now, &replica, c.timing.observation(err))
-		if !errors.Is(err, chicoryrock.ErrNotRun) {
-			c.entry.Needs.held(c.request, now.Sub(c.timing.sent))
-		}
-		if err != nil {
-			err = c.again(time.Now(), &replica, err)
-		} else {
-			c.done = true
-		}
-		if err != nil || c.done {
-			c.entry.gate.finish(time.Now(), c.request, replica.Name)
-			break
-		}
-		replica, err = c.entry.gate.reacquire(c.ctx, time.Now(), c.request, replica.Name)
+	replica, err := c.acquire(time.Now())
+	for err == nil && !c.done {
+		replica, err = c.try(replica)
 	}
 	if err != nil {
 		c.fail(err)
@@ -101,6 +80,39 @@
 	c.progress.end(time.Now(), chicoryrock.OutcomeServed, chicoryrock.ReasonNone)
 }
 
+// try makes one attempt on a replica. If that did not answer the call, and it may
+// go on, the next replica is returned.
+func (c *call) try(replica chicoryrock.Replica) (chicoryrock.Replica, error) {
+	err := c.observedAttempt(&replica)
+	if err == nil {
+		c.done = true
+	} else {
+		err = c.again(time.Now(), &replica, err)
+	}
+	if err != nil || c.done {
+		c.entry.gate.finish(time.Now(), c.request, replica.Name)
+		return replica, err
+	}
+	return c.entry.gate.reacquire(c.ctx, time.Now(), c.request, replica.Name)
+}
+
+// observedAttempt is an attempt with what its course says of the replica and of the
+// need for more of them.
+func (c *call) observedAttempt(replica *chicoryrock.Replica) error {
+	c.granted = true
+	now := time.Now()
+	c.progress.sent(now, replica, c.sent > 0)
+	c.timing = timing{sent: now}
+	err := c.attemptWatched(replica)
+	c.begun = c.begun || mayHaveRun(err)
+	now = time.Now()
+	c.entry.gate.observe(now, replica, c.timing.observation(err))
+	if !errors.Is(err, chicoryrock.ErrNotRun) {
+		c.entry.Needs.held(c.request, now.Sub(c.timing.sent))
+	}
+	return err
+}
+
 // acquire claims a call that may not be repeated, before it takes up a place in
 // the queue, and waits for a replica.
 func (c *call) acquire(now time.Time) (chicoryrock.Replica, error) {
