Prove that a server listed as leaving gets no new work

Cause: the promise was only tested through the agent's own shutdown. Change: TestListedAsLeaving, with an agent that knows nothing of it. Ruled out: a first version with any replica leaving passed on a broken variant, since the same prompt always went to the other one. Result: fails when the entry drops the mark from the list, passes as it is.

--- a/internal/serve/local/promise_test.go
+++ b/internal/serve/local/promise_test.go
@@ -148,6 +148,34 @@
 	require.NoError(t, word.Check(running.response.Header.Get(wire.RequestID), running.text.String(), 800))
 }
 
+// TestListedAsLeaving gives no new work to a backend server once the list of VMs
+// says that it leaves, though its agent knows nothing of it. The same prompt goes to
+// the same one until then.
+func TestListedAsLeaving(t *testing.T) {
+	system := startSystem(t, twoWorkspaces(), engines(2))
+	call := func() {
+		whole := <-system.complete(hawkerKey, "1")
+		require.NoError(t, whole.err)
+	}
+	call()
+	leaving := 0
+	if system.Engines[1].Stats().Begun > 0 {
+		leaving = 1
+	}
+	system.Leave([]string{"backend-1", "backend-2"}[leaving])
+	begun := func() int { return system.Engines[leaving].Stats().Begun }
+	require.Eventually(t, func() bool {
+		before := begun()
+		call()
+		return begun() == before
+	}, safetyLimit, time.Millisecond)
+	before := begun()
+	for range 40 {
+		call()
+	}
+	require.Equal(t, before, begun())
+}
+
 // TestStartInOutage lets an entry that starts while the store is out learn the
 // configuration from its peers.
 func TestStartInOutage(t *testing.T) {
