Measure a queue's work by the time in slots, and judge stragglers by their tokens

The wait was tokens ahead over tokens a second, but a token of a prompt takes 0.2 ms and one of an answer 40 ms, so that twenty sheets looked three times as long as they were. Ruled out: idle slots (143 of 144 ran throughout the burst) and late starts (10 questions of 1,033). Change: the service rate and what waits are counted in seconds of slots, learnt for each class at the end of its answers. Fairness is counted in tokens as before.

Change: where the time between tokens is known it alone decides. New replicas and those that come back ramp for 2 s instead of 5.

--- a/internal/policy/pick/health.go
+++ b/internal/policy/pick/health.go
@@ -23,8 +23,11 @@
 	// firstProbe and lastProbe bound the time between two probes of a replica.
 	firstProbe = 250 * time.Millisecond
 	lastProbe  = 8 * time.Second
+	// lostProbe is the longest time between two probes of a replica that could not
+	// be reached. Such a probe costs its request a moment, not its answer.
+	lostProbe = 3 * time.Second
 	// rampTime is how long a new replica takes to get its whole share.
-	rampTime = 5 * time.Second
+	rampTime = 2 * time.Second
 	// rampStart is the share that it begins with.
 	rampStart = 0.25
 	// measureInterval is how often a pool's medians are set.
@@ -151,9 +154,13 @@
 }
 
 // slow says whether times are those of a straggler; zero stands for not measured.
+// Where the time between tokens is known it alone decides: the first token also
+// waits for a slot, so by it the replicas of a full pool take turns at looking slow.
 func (t *pool) slow(first, between time.Duration) bool {
-	return (t.first > 0 && float64(first) > slowFirst*float64(t.first)) ||
-		(t.between > 0 && float64(between) > slowBetween*float64(t.between))
+	if t.between > 0 && between > 0 {
+		return float64(between) > slowBetween*float64(t.between)
+	}
+	return t.first > 0 && float64(first) > slowFirst*float64(t.first)
 }
 
 // measure sets the pool's medians, from time to time.
@@ -186,7 +193,7 @@
 		h.wait = firstProbe
 		t.down++
 	} else {
-		h.wait = min(2*h.wait, lastProbe)
+		h.wait = min(2*h.wait, longest(lost))
 	}
 	h.lost = lost
 	h.due = now.Add(h.wait)
@@ -225,11 +232,19 @@
 // chosen puts off the next probe of a replica that is being probed.
 func (t *pool) chosen(now time.Time, replica *chicoryrock.Replica) {
 	if h := t.replicas[replica.Name]; h != nil && h.suspended {
-		h.wait = min(2*h.wait, lastProbe)
+		h.wait = min(2*h.wait, longest(h.lost))
 		h.due = now.Add(h.wait)
 	}
 }
 
+// longest returns the longest time between two probes.
+func longest(lost bool) time.Duration {
+	if lost {
+		return lostProbe
+	}
+	return lastProbe
+}
+
 // probe returns a suspended replica that is due to be tried, or -1. Only
 // idempotent requests are used, because a straggler may fail them.
 func (p *Picker) probe(now time.Time, t *pool, request *chicoryrock.Request, replicas []chicoryrock.Replica) int {
--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -269,3 +269,24 @@
 		}
 	}
 }
+
+// A replica whose tokens come as fast as the others' is no straggler when its
+// first tokens come late: they waited for a slot.
+func TestWaitingIsNoStraggler(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(10, 1)
+	p.Arrange(replicas)
+	for i := range replicas {
+		first := 60 * time.Millisecond
+		if i == 3 {
+			first = 400 * time.Millisecond
+		}
+		for step := range 8 {
+			now := start.Add(time.Duration(step) * 200 * time.Millisecond)
+			p.Observe(now, "small", replicas[i].Name, chicoryrock.Observation{Between: 40 * time.Millisecond})
+			p.Observe(now, "small", replicas[i].Name, chicoryrock.Observation{First: first})
+		}
+	}
+	got := counts(start.Add(2*time.Second), p, request(), replicas, 300)
+	assert.Positive(t, got[replicas[3].Name])
+}
--- a/internal/policy/queue/change.go
+++ b/internal/policy/queue/change.go
@@ -200,6 +200,6 @@
 	if now.UnixNano() <= popped.pushed {
 		return
 	}
-	popped.metered = popped.cost
+	popped.metered = popped.flow.lane.hold
 	q.meter.add(now, popped.metered)
 }
--- a/internal/policy/queue/flow.go
+++ b/internal/policy/queue/flow.go
@@ -18,7 +18,7 @@
 	cost     float64 // tokens it is expected to take, while it waits
 	charged  float64 // tokens its workspace has been charged, once given out
 	output   float64 // tokens produced so far, once given out
-	metered  float64 // tokens that the service rate has counted
+	metered  float64 // seconds of a slot that the service rate has counted
 	due      float64 // when its class was owed a turn, before it took this one
 }
 
--- a/internal/policy/queue/late.go
+++ b/internal/policy/queue/late.go
@@ -70,13 +70,14 @@
 		if t.rank >= f.lane.tier.rank {
 			break
 		}
-		seconds += math.Min(t.cost/rate, t.target().Seconds())
+		seconds += math.Min(t.work()/rate, t.target().Seconds())
 	}
 	return time.Duration(math.Min(seconds, maxAfter.Seconds()) * float64(time.Second))
 }
 
-// ahead returns the tokens of its own tier that go before a request which came to
-// the end of the flow now.
+// ahead returns the work of its own tier, in seconds of slots, that goes before a
+// request which came to the end of the flow now. Turns go by tokens, so it is the
+// part of the tier's work that its tokens are of the tier's.
 func (f *flow) ahead() float64 {
 	t := f.lane.tier
 	a := f.account
@@ -84,8 +85,11 @@
 	if a.waiting == 0 {
 		shares += a.share
 	}
+	if t.waiting == 0 {
+		return 0
+	}
 	fair := (math.Max(0, a.used-t.virtual) + a.cost/a.share) * shares
-	return math.Min(fair, t.cost)
+	return t.work() * math.Min(fair/t.cost, 1)
 }
 
 // After implements chicoryrock.Queue (17, 18). The caller is sent away until the
--- a/internal/policy/queue/meter.go
+++ b/internal/policy/queue/meter.go
@@ -16,7 +16,7 @@
 // when something waited: an idle pool serves slowly because little is asked of
 // it, which says nothing of how fast it could be.
 type meter struct {
-	work  float64 // tokens taken up, decayed
+	work  float64 // seconds of slots taken up, decayed
 	turns float64 // requests taken up, decayed
 	span  float64 // busy seconds, decayed
 	mark  time.Time
@@ -56,7 +56,7 @@
 	return m.span + max(0, now.Sub(m.mark).Seconds())
 }
 
-// rate returns tokens a second, or false while too little is known.
+// rate returns seconds of slots a second, or false while too little is known.
 func (m *meter) rate(now time.Time) (float64, bool) {
 	seconds := m.seconds(now)
 	if seconds < meterTrust.Seconds() || m.work <= 0 {
--- a/internal/policy/queue/queue.go
+++ b/internal/policy/queue/queue.go
@@ -55,7 +55,7 @@
 func (q *Queue) Push(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	f := q.flow(request)
 	if q.late(now, f, request) {
-		q.refused.Add(now, f.lane.expected(float64(request.Prompt)))
+		q.refused.Add(now, f.lane.hold)
 		return nil, chicoryrock.ReasonLate
 	}
 	return q.put(now, f, request)
@@ -70,13 +70,13 @@
 func (q *Queue) put(now time.Time, f *flow, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
 	victim, fits := q.makeRoom(f, request)
 	if !fits {
-		q.refused.Add(now, f.lane.expected(float64(request.Prompt)))
+		q.refused.Add(now, f.lane.hold)
 		return nil, chicoryrock.ReasonQueueFull
 	}
 	var displaced *chicoryrock.Request
 	if victim != nil {
 		displaced = victim.request
-		q.refused.Add(now, victim.cost)
+		q.refused.Add(now, victim.flow.lane.hold)
 		q.drop(victim)
 	}
 	added := q.newItem()
@@ -149,7 +149,7 @@
 	var late []*chicoryrock.Request
 	for gone := q.expiry.next(now.UnixNano()); gone != nil; gone = q.expiry.next(now.UnixNano()) {
 		late = append(late, gone.request)
-		q.refused.Add(now, gone.cost)
+		q.refused.Add(now, gone.flow.lane.hold)
 		q.drop(gone)
 	}
 	return late
@@ -177,12 +177,12 @@
 }
 
 // Finish implements chicoryrock.Queue.
-func (q *Queue) Finish(_ time.Time, request *chicoryrock.Request) {
+func (q *Queue) Finish(now time.Time, request *chicoryrock.Request) {
 	done, found := q.items[request]
 	if !found || done.popped == 0 {
 		return
 	}
-	done.flow.lane.learn(done.output)
+	done.flow.lane.learn(done.output, float64(now.UnixNano()-done.popped)/float64(time.Second))
 	q.settle(done, math.Max(1, done.prompt+done.output))
 	done.flow.lane.tier.rest()
 	q.forget(done)
@@ -238,7 +238,7 @@
 	if l := t.lane(request.Class); l != nil {
 		return l
 	}
-	l := &lane{tier: t, class: request.Class, length: firstLength, due: q.turn}
+	l := &lane{tier: t, class: request.Class, length: firstLength, hold: firstHold.Seconds(), due: q.turn}
 	t.lanes = append(t.lanes, l)
 	q.setFloor(l)
 	return l
--- a/internal/policy/queue/tier.go
+++ b/internal/policy/queue/tier.go
@@ -8,7 +8,9 @@
 const (
 	// firstLength is the expected answer of a class before any has ended, tokens.
 	firstLength = 256
-	// lengthWeight is the weight of the newest answer in the usual length.
+	// firstHold is the expected time in a slot before any answer has ended.
+	firstHold = 2 * time.Second
+	// lengthWeight is the weight of the newest answer in the usual length and time.
 	lengthWeight = 1.0 / 16
 )
 
@@ -34,13 +36,30 @@
 	waiting int
 	running int
 	length  float64 // usual length of an answer, tokens
+	hold    float64 // usual time for which a request keeps its slot, seconds
 	target  time.Duration
 	floor   float64 // share of the running requests that the class always gets
 	room    int     // waiting requests of its own room, while it runs fewer than its floor
 	due     float64 // the turn from which the class is owed one
 }
 
-func (l *lane) learn(tokens float64) { l.length += (tokens - l.length) * lengthWeight }
+// learn takes in an answer: its tokens, and for how many seconds it kept its slot.
+func (l *lane) learn(tokens, seconds float64) {
+	l.length += (tokens - l.length) * lengthWeight
+	l.hold += (seconds - l.hold) * lengthWeight
+}
+
+// work returns for how many seconds of slots the tier's waiting requests will
+// probably run. Tokens don't tell: one of a prompt takes a small part of the time
+// that one of an answer takes, so by tokens a queue of long prompts would look
+// several times as long as it is.
+func (t *tier) work() float64 {
+	sum := 0.0
+	for _, l := range t.lanes {
+		sum += float64(l.waiting) * l.hold
+	}
+	return sum
+}
 
 // expected returns the tokens that a request of the class will probably take.
 func (l *lane) expected(prompt float64) float64 { return math.Max(1, prompt+l.length) }
--- a/internal/policy/spread/spread.go
+++ b/internal/policy/spread/spread.go
@@ -19,21 +19,21 @@
 	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
 }
 
-// Refused sums the tokens of requests refused of late, whose callers are expected
+// Refused sums the work of requests refused of late, in the unit of its caller, whose callers are expected
 // back. Older refusals lose weight.
 type Refused struct {
-	tokens float64
-	at     time.Time
+	work float64
+	at   time.Time
 }
 
 // Add counts a refused request.
-func (r *Refused) Add(now time.Time, tokens float64) {
-	r.tokens = r.sum(now) + tokens
+func (r *Refused) Add(now time.Time, work float64) {
+	r.work = r.sum(now) + work
 	r.at = now
 }
 
 // Time returns how long it takes to serve what has been refused of late, at a
-// rate in tokens a second, but no less than shortest and no more than longest.
+// rate in work a second, but no less than shortest and no more than longest.
 func (r *Refused) Time(now time.Time, rate float64, shortest, longest time.Duration) time.Duration {
 	if rate <= 0 {
 		return shortest
@@ -44,5 +44,5 @@
 
 func (r *Refused) sum(now time.Time) float64 {
 	elapsed := max(0, now.Sub(r.at).Seconds())
-	return r.tokens * math.Exp(-elapsed/window.Seconds())
+	return r.work * math.Exp(-elapsed/window.Seconds())
 }
