Move streams off a straggler and find it also when few replicas were seen

Streams that were there when it slowed down stayed. And the entry beside it found it only after 6 s: no more than a third of a pool may be suspended, and the pool was taken to be the two replicas that this entry had heard of. Ruled out: the lagging report, which choices no longer follow.

Change: the third is of the whole pool. dispatch.Moves says whether a stream leaves: its replica is a straggler, another has room, it may be repeated and is no suspect. The replay and the entries ask it after each observation between tokens, break off, and resume after the last token that the caller has. A stream whose last chunk has come stays.

--- a/internal/policy/pick/health.go
+++ b/internal/policy/pick/health.go
@@ -45,6 +45,7 @@
 	scratch  []time.Duration
 	measured time.Time // when the medians were last set
 	down     int       // replicas that are suspended
+	size     int       // replicas of the pool, also those with nothing observed
 	due      time.Time // no probe is due before
 	missed   time.Time // when a request was last given up as late
 }
@@ -99,6 +100,12 @@
 	return h
 }
 
+// Slow implements chicoryrock.Observer.
+func (p *Picker) Slow(pool, replica string) bool {
+	h := p.pool(pool).replicas[replica]
+	return h != nil && h.suspended && !h.lost
+}
+
 // Missed implements chicoryrock.Observer.
 func (p *Picker) Missed(now time.Time, pool string) { p.pool(pool).missed = now }
 
@@ -148,7 +155,7 @@
 	if h.between.count < minSamples {
 		between = 0
 	}
-	if t.slow(first, between) && float64(t.down+1) <= maxSuspended*float64(len(t.replicas)) {
+	if t.slow(first, between) && float64(t.down+1) <= maxSuspended*float64(max(t.size, len(t.replicas))) {
 		t.suspend(now, h, false)
 	}
 }
--- a/internal/policy/pick/place.go
+++ b/internal/policy/pick/place.go
@@ -65,6 +65,7 @@
 		return
 	}
 	t := p.pool(replicas[0].Pool)
+	t.size = len(replicas)
 	for name, h := range t.replicas {
 		here := slices.ContainsFunc(replicas, func(r chicoryrock.Replica) bool { return r.Name == name })
 		if here {
--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -91,6 +91,7 @@
 	sent   time.Duration
 	told   time.Duration // when the agent's load last came with a token
 	heard  time.Duration // when the last token reached the entry
+	left   bool          // the entry has moved the stream elsewhere
 }
 
 func (a *attempt) delay() time.Duration {
@@ -176,6 +177,9 @@
 	e.world.report.made++
 	e.world.after(a.delay(), func() {
 		c := a.call
+		if a.left {
+			return
+		}
 		if c.has == 0 {
 			c.first = e.world.now
 		}
@@ -189,7 +193,9 @@
 		}
 		if ended {
 			a.end(now)
+			return
 		}
+		a.move(now)
 	})
 }
 
@@ -209,12 +215,19 @@
 func (a *attempt) stopped() {
 	w := a.call.entry.world
 	w.report.stopped++
-	w.after(a.delay(), func() { a.again(chicoryrock.ErrTruncated, true) })
+	w.after(a.delay(), func() {
+		if !a.left {
+			a.again(chicoryrock.ErrTruncated, true)
+		}
+	})
 }
 
 // broke tells the entry that the stream ended before its end.
 func (a *attempt) broke(crash suspect.Crash, alone bool) {
 	a.call.entry.world.after(a.delay(), func() {
+		if a.left {
+			return
+		}
 		a.lost()
 		if crash != "" {
 			a.call.entry.crashed(a.call, crash, alone)
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -148,6 +148,13 @@
 	g.dispatcher.Observe(now, replica.Pool, replica.Name, seen)
 }
 
+// moves says whether a stream should leave its replica.
+func (g *gate) moves(now time.Time, request *chicoryrock.Request, replica string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.Moves(now, request, replica)
+}
+
 // passed says that a suspect has run for a while without a crash.
 func (g *gate) passed(request *chicoryrock.Request, replica string) {
 	g.mu.Lock()
--- a/internal/serve/entry/retries.go
+++ b/internal/serve/entry/retries.go
@@ -47,7 +47,7 @@
 	if c.ctx.Err() != nil {
 		return failure
 	}
-	full := isBusy(failure) || errors.Is(failure, wire.ErrPreempted)
+	full := isBusy(failure) || errors.Is(failure, wire.ErrPreempted) || errors.Is(failure, errSlow)
 	if full {
 		c.tries.turned++
 	} else {
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -33,11 +33,15 @@
 	}
 }
 
+// errSlow ends an attempt whose stream leaves a straggler to go on elsewhere.
+var errSlow = errors.New("the stream leaves a straggler")
+
 func (c *call) relayEvent(replica *chicoryrock.Replica, data []byte) error {
 	chunk, err := wire.ParseChunk(data)
 	if err != nil {
 		return errors.Wrap(chicoryrock.ErrTruncated, err.Error())
 	}
+	moves := false
 	if tokens := chunk.Tokens(); tokens > 0 {
 		now := time.Now()
 		c.sent += tokens
@@ -45,6 +49,7 @@
 		c.progress.tokens(now, tokens)
 		if seen, due := c.timing.token(now); due {
 			c.entry.gate.observe(now, replica, seen)
+			moves = c.moves(now, replica, &chunk)
 		}
 		c.charge(now, tokens)
 	}
@@ -60,9 +65,23 @@
 		return errors.WithStack(err)
 	}
 	c.flush()
+	if moves {
+		return errors.WithStack(errSlow)
+	}
 	return nil
 }
 
+// moves says whether the stream goes on elsewhere after a chunk. One that has come
+// to its end doesn't, although the event that says so may still be to come.
+func (c *call) moves(now time.Time, replica *chicoryrock.Replica, chunk *wire.Chunk) bool {
+	for i := range chunk.Choices {
+		if chunk.Choices[i].FinishReason != nil {
+			return false
+		}
+	}
+	return c.pool.Save && c.entry.gate.moves(now, c.request, replica.Name)
+}
+
 // isUsageOnly says whether a chunk only carries the usage that the entry itself
 // asked for.
 func isUsageOnly(chunk *wire.Chunk) bool {
--- a/request.go
+++ b/request.go
@@ -62,6 +62,9 @@
 type Observer interface {
 	// Observe takes in one observation on a replica of a pool.
 	Observe(now time.Time, pool, replica string, seen Observation)
+	// Slow says whether a replica is a straggler by what was observed: its tokens
+	// come far slower than the others'.
+	Slow(pool, replica string) bool
 	// Missed says that a waiting request of a pool was given up as late.
 	Missed(now time.Time, pool string)
 	// Arrange puts a pool's replicas into the order that Pick expects.
