--- a/internal/policy/pick/health.go
+++ b/internal/policy/pick/health.go
@@ -23,8 +23,11 @@
 	// firstProbe and lastProbe bound the time between two probes of a replica.
 	firstProbe = 250 * time.Millisecond
 	lastProbe  = 8 * time.Second
+	// lostProbe is the longest time between two probes of a replica that could not
+	// be reached. Such a probe costs its request a moment, not its answer.
+	lostProbe = 3 * time.Second
 	// rampTime is how long a new replica takes to get its whole share.
-	rampTime = 5 * time.Second
+	rampTime = 2 * time.Second
 	// rampStart is the share that it begins with.
 	rampStart = 0.25
 	// measureInterval is how often a pool's medians are set.
@@ -42,6 +45,7 @@
 	scratch  []time.Duration
 	measured time.Time // when the medians were last set
 	down     int       // replicas that are suspended
+	size     int       // replicas of the pool, also those with nothing observed
 	due      time.Time // no probe is due before
 	missed   time.Time // when a request was last given up as late
 }
@@ -96,6 +100,12 @@
 	return h
 }
 
+// Slow implements chicoryrock.Observer.
+func (p *Picker) Slow(pool, replica string) bool {
+	h := p.pool(pool).replicas[replica]
+	return h != nil && h.suspended && !h.lost
+}
+
 // Missed implements chicoryrock.Observer.
 func (p *Picker) Missed(now time.Time, pool string) { p.pool(pool).missed = now }
 
@@ -145,15 +155,19 @@
 	if h.between.count < minSamples {
 		between = 0
 	}
-	if t.slow(first, between) && float64(t.down+1) <= maxSuspended*float64(len(t.replicas)) {
+	if t.slow(first, between) && float64(t.down+1) <= maxSuspended*float64(max(t.size, len(t.replicas))) {
 		t.suspend(now, h, false)
 	}
 }
 
 // slow says whether times are those of a straggler; zero stands for not measured.
+// Where the time between tokens is known it alone decides: the first token also
+// waits for a slot, so by it the replicas of a full pool take turns at looking slow.
 func (t *pool) slow(first, between time.Duration) bool {
-	return (t.first > 0 && float64(first) > slowFirst*float64(t.first)) ||
-		(t.between > 0 && float64(between) > slowBetween*float64(t.between))
+	if t.between > 0 && between > 0 {
+		return float64(between) > slowBetween*float64(t.between)
+	}
+	return t.first > 0 && float64(first) > slowFirst*float64(t.first)
 }
 
 // measure sets the pool's medians, from time to time.
@@ -186,7 +200,7 @@
 		h.wait = firstProbe
 		t.down++
 	} else {
-		h.wait = min(2*h.wait, lastProbe)
+		h.wait = min(2*h.wait, longest(lost))
 	}
 	h.lost = lost
 	h.due = now.Add(h.wait)
@@ -225,11 +239,19 @@
 // chosen puts off the next probe of a replica that is being probed.
 func (t *pool) chosen(now time.Time, replica *chicoryrock.Replica) {
 	if h := t.replicas[replica.Name]; h != nil && h.suspended {
-		h.wait = min(2*h.wait, lastProbe)
+		h.wait = min(2*h.wait, longest(h.lost))
 		h.due = now.Add(h.wait)
 	}
 }
 
+// longest returns the longest time between two probes.
+func longest(lost bool) time.Duration {
+	if lost {
+		return lostProbe
+	}
+	return lastProbe
+}
+
 // probe returns a suspended replica that is due to be tried, or -1. Only
 // idempotent requests are used, because a straggler may fail them.
 func (p *Picker) probe(now time.Time, t *pool, request *chicoryrock.Request, replicas []chicoryrock.Replica) int {
