Embed one socket in all stand-ins

Store, vms, orderer, intake, weights, plain and engine each built a handler, copied the address into a host, started it and passed Addr and Close on. They embed host.Host now, whose Open does all of it, and whose Close also ends the waits of slow calls, for which fault.Gate, weights and plain kept a context each. Host.Run had no caller and is gone.

Gate embeds the host for the four stand-ins that have one and adds its own routes. Ruled out: a field Listen in Host, because the literals that set it, e.g. store.Server{Listen: listen}, would not compile any more. The engine's crash is exported, so that the embedded one, which does not count, cannot be called in its place by mistake.

Behaviour is unchanged and no test was touched.

--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -74,7 +74,7 @@
 	down := s.switches.Down
 	s.mutex.Unlock()
 	if poisoned {
-		s.crash(down)
+		s.Crash(down)
 		host.HangUp()
 	}
 }
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -32,7 +32,7 @@
 	Prefill time.Duration // time of a prompt token at full speed
 	Output  int           // tokens of an answer whose request sets no limit
 
-	host      host.Host
+	host.Host
 	mutex     sync.Mutex
 	core      Core
 	switches  Switches
@@ -48,7 +48,7 @@
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	s.setDefaults()
-	handler, err := host.Routes(nil,
+	return s.Open(s.Listen, nil,
 		rest.Route{Method: http.MethodPost, Path: "/v1/chat/completions", Handler: s.chat},
 		rest.Route{Method: http.MethodPost, Path: "/v1/completions", Handler: s.text},
 		rest.Route{Method: http.MethodGet, Path: "/v1/models", Handler: s.list},
@@ -58,12 +58,6 @@
 		rest.Route{Method: http.MethodPost, Path: "/order", Handler: s.order},
 		rest.Route{Method: http.MethodPost, Path: "/switch", Handler: s.change},
 	)
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
 }
 
 func (s *Server) setDefaults() {
@@ -82,12 +76,6 @@
 	s.admitted = make(map[uint64]chan struct{})
 }
 
-// Addr returns the address that the engine listens on, also while it is crashed.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
-// Close stops the engine at once.
-func (s *Server) Close() { s.host.Close() }
-
 // Load returns the present load, without the lag.
 func (s *Server) Load() chicoryrock.Load {
 	s.mutex.Lock()
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -53,7 +53,7 @@
 func (s *Server) Switch(switches Switches) {
 	crash := s.set(&switches)
 	if crash > 0 {
-		s.crash(crash)
+		s.Crash(crash)
 	}
 }
 
@@ -111,12 +111,12 @@
 	return append([]Order(nil), s.orders...)
 }
 
-// crash resets all connections and forgets all that ran, as a new process would.
-func (s *Server) crash(down time.Duration) {
+// Crash resets all connections and forgets all that ran, as a new process would.
+func (s *Server) Crash(down time.Duration) {
 	s.mutex.Lock()
 	s.stats.Crashes++
 	s.mutex.Unlock()
-	s.host.Crash(down)
+	s.Host.Crash(down)
 }
 
 func (s *Server) change(w http.ResponseWriter, r *http.Request) {
@@ -131,7 +131,7 @@
 	if crash > 0 {
 		// The answer goes out before the crash cuts its connection.
 		_ = http.NewResponseController(w).Flush()
-		s.crash(crash)
+		s.Crash(crash)
 	}
 }
 
--- a/internal/standin/fault/fault.go
+++ b/internal/standin/fault/fault.go
@@ -3,9 +3,9 @@
 package fault
 
 import (
-	"context"
 	"maps"
 	"net/http"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -33,19 +33,19 @@
 // Gate stands between the calls and the core of a stand-in. The zero value is
 // ready, without a failure.
 type Gate struct {
+	host.Host
 	mutex    sync.Mutex
 	switches Switches
 	calls    map[string]int
-	closing  context.Context
-	close    context.CancelFunc
 }
 
-// Routes returns the routes that change the switches and show the counts.
-func (g *Gate) Routes() []rest.Route {
-	return []rest.Route{
-		{Method: http.MethodPost, Path: PathSwitch, Handler: g.change},
-		{Method: http.MethodGet, Path: PathCalls, Handler: g.count},
-	}
+// Open listens and serves the routes and those of the switches and the counts.
+// Port 0 means any free port.
+func (g *Gate) Open(listen netip.AddrPort, routes ...rest.Route) error {
+	return g.Host.Open(listen, nil, append(routes,
+		rest.Route{Method: http.MethodPost, Path: PathSwitch, Handler: g.change},
+		rest.Route{Method: http.MethodGet, Path: PathCalls, Handler: g.count},
+	)...)
 }
 
 // Switch sets all switches.
@@ -62,25 +62,17 @@
 	return maps.Clone(g.calls)
 }
 
-// Close ends the waits of a slow stand-in.
-func (g *Gate) Close() {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.open()
-	g.close()
-}
-
 // Enter reads a call's body into request, unless that is nil, counts the call
 // and applies the switches that act before it. It returns false when the call
 // is already answered.
 func (g *Gate) Enter(w http.ResponseWriter, r *http.Request, request any) bool {
-	switches, closing := g.enter(r.URL.Path)
+	switches := g.enter(r.URL.Path)
 	if request != nil && !host.ReadJSON(w, r, request) {
 		return false
 	}
 	// The call goes on after the wait even when its client has given up: that is
 	// how an answer comes to be lost after a write took effect.
-	host.Wait(closing, switches.Slow)
+	g.Wait(switches.Slow)
 	return !g.Out(w)
 }
 
@@ -128,20 +120,14 @@
 	}
 }
 
-func (g *Gate) enter(path string) (Switches, context.Context) {
+func (g *Gate) enter(path string) Switches {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.open()
-	g.calls[path]++
-	return g.switches, g.closing
-}
-
-// open makes the zero value ready. It runs with the mutex held.
-func (g *Gate) open() {
 	if g.calls == nil {
 		g.calls = make(map[string]int)
-		g.closing, g.close = context.WithCancel(context.Background())
 	}
+	g.calls[path]++
+	return g.switches
 }
 
 func (g *Gate) change(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -26,9 +26,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
 }
 
-// Routes builds a handler from routes. A nil rest answers all other paths with
-// status 404.
-func Routes(other http.Handler, routes ...rest.Route) (http.Handler, error) {
+// build makes a handler of routes, and of one for all other paths.
+func build(other http.Handler, routes []rest.Route) (http.Handler, error) {
 	// A literal leaves all middlewares off: no shedding, breakers, limits on
 	// connections or timeouts that would stand between a test and its fake.
 	server, err := rest.NewServer(rest.RestConf{}, rest.WithNotFoundHandler(other))
@@ -43,24 +42,31 @@
 	return http.HandlerFunc(serverless.Serve), nil
 }
 
-// Host serves one handler. The exported fields are set before Start.
+// Host is the socket of a stand-in, which embeds it. The zero value is ready.
 type Host struct {
-	Listen  netip.AddrPort // port 0 means any free port
-	Handler http.Handler
-
 	mutex    sync.Mutex
+	handler  http.Handler
 	addr     netip.AddrPort
 	listener net.Listener
 	server   *http.Server
 	conns    map[net.Conn]struct{}
 	closed   bool
+	closing  context.Context // ends with Close
+	end      context.CancelFunc
 }
 
-// Start listens and serves in the background.
-func (h *Host) Start() error {
+// Open listens and serves the routes in the background. Port 0 means any free
+// port. A nil handler answers all other paths with status 404.
+func (h *Host) Open(listen netip.AddrPort, other http.Handler, routes ...rest.Route) error {
+	handler, err := build(other, routes)
+	if err != nil {
+		return err
+	}
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.listen(h.Listen)
+	h.handler = handler
+	h.closing, h.end = context.WithCancel(context.Background())
+	return h.listen(listen)
 }
 
 // Addr returns the address that the host listens on, also while it is crashed.
@@ -82,23 +88,29 @@
 	time.AfterFunc(down, h.revive)
 }
 
-// Close stops the host at once.
+// Close stops the host and the waits of its calls at once.
 func (h *Host) Close() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	h.closed = true
+	if h.end != nil {
+		h.end()
+	}
 	h.reset()
 }
 
-// Run serves until the context ends. It calls ready once it listens.
-func (h *Host) Run(ctx context.Context, ready func(netip.AddrPort)) error {
-	if err := h.Start(); err != nil {
-		return err
+// Wait sleeps for a time, or until the host is closed. Only calls that the host
+// serves may wait.
+func (h *Host) Wait(span time.Duration) {
+	if span <= 0 {
+		return
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-h.closing.Done():
 	}
-	ready(h.Addr())
-	<-ctx.Done()
-	h.Close()
-	return nil
 }
 
 func (h *Host) listen(at netip.AddrPort) error {
@@ -115,7 +127,7 @@
 	h.addr = netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), uint16(tcp.Port))
 	h.conns = make(map[net.Conn]struct{})
 	h.server = &http.Server{
-		Handler:           h.Handler,
+		Handler:           h.handler,
 		ReadHeaderTimeout: HeaderTimeout,
 		ConnState:         h.track,
 	}
--- a/internal/standin/intake/intake.go
+++ b/internal/standin/intake/intake.go
@@ -51,32 +51,16 @@
 	Listen netip.AddrPort
 
 	fault.Gate
-	host  host.Host
 	mutex sync.Mutex
 	core  Core
 }
 
 // Start listens and serves in the background.
 func (s *Server) Start() error {
-	handler, err := host.Routes(nil, append(s.Routes(),
+	return s.Open(s.Listen,
 		rest.Route{Method: http.MethodPost, Path: platform.PathReport, Handler: s.report},
 		rest.Route{Method: http.MethodGet, Path: "/reports", Handler: s.list},
-	)...)
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
-}
-
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
-// Close stops the server at once.
-func (s *Server) Close() {
-	s.Gate.Close()
-	s.host.Close()
+	)
 }
 
 // Received returns every report that came, repeats and refused ones included.
--- a/internal/standin/orderer/server.go
+++ b/internal/standin/orderer/server.go
@@ -24,7 +24,6 @@
 	Down    func(Backend) // called when one stops; may be nil
 
 	fault.Gate
-	host   host.Host
 	mutex  sync.Mutex
 	core   Core
 	orders []chicoryrock.Order
@@ -34,25 +33,15 @@
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	s.core = Core{Startup: s.Startup, Fence: s.Fence, Cost: s.Cost}
-	handler, err := host.Routes(nil, append(s.Routes(),
+	return s.Open(s.Listen,
 		rest.Route{Method: http.MethodPost, Path: platform.PathOrder, Handler: s.order},
 		rest.Route{Method: http.MethodGet, Path: "/spent", Handler: s.money},
-	)...)
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
+	)
 }
 
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
 // Close stops the server at once. No backend server starts or stops after it.
 func (s *Server) Close() {
 	s.Gate.Close()
-	s.host.Close()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.timer != nil {
--- a/internal/standin/plain/plain.go
+++ b/internal/standin/plain/plain.go
@@ -4,7 +4,6 @@
 package plain
 
 import (
-	"context"
 	"io"
 	"maps"
 	"net/http"
@@ -38,14 +37,12 @@
 type Server struct {
 	Listen netip.AddrPort
 
-	host     host.Host
+	host.Host
 	mutex    sync.Mutex
 	switches Switches
 	books    map[string]int
 	reads    map[string]int
 	headers  []http.Header
-	closing  context.Context
-	close    context.CancelFunc
 }
 
 // maxHeaders bounds the headers kept.
@@ -55,31 +52,12 @@
 func (s *Server) Start() error {
 	s.books = make(map[string]int)
 	s.reads = make(map[string]int)
-	s.closing, s.close = context.WithCancel(context.Background())
-	handler, err := host.Routes(http.HandlerFunc(s.serve),
+	return s.Open(s.Listen, http.HandlerFunc(s.serve),
 		rest.Route{Method: http.MethodPost, Path: "/switch", Handler: s.change},
 		rest.Route{Method: http.MethodGet, Path: "/runs", Handler: s.runs},
 	)
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
-}
-
-// Addr returns the address that the service listens on.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
-// Close stops the service at once.
-func (s *Server) Close() {
-	s.close()
-	s.host.Close()
 }
 
-// Crash cuts all connections and refuses new ones for a time.
-func (s *Server) Crash(down time.Duration) { s.host.Crash(down) }
-
 // Switch sets all switches.
 func (s *Server) Switch(switches Switches) {
 	s.mutex.Lock()
@@ -117,12 +95,12 @@
 	s.mutex.Lock()
 	switches := s.switches
 	s.mutex.Unlock()
-	host.Wait(s.closing, switches.Slow)
+	s.Wait(switches.Slow)
 	receipt, hangup := s.run(r, string(body))
 	if hangup {
 		host.HangUp()
 	}
-	host.Wait(s.closing, switches.Late)
+	s.Wait(switches.Late)
 	host.WriteJSON(w, http.StatusOK, receipt)
 }
 
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -11,7 +11,6 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/serve/platform"
 	"github.com/chicoryrock/chicoryrock/internal/standin/fault"
-	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 )
 
 // Switches are the failures that the store can be put into.
@@ -22,7 +21,6 @@
 	Listen netip.AddrPort
 
 	fault.Gate
-	host    host.Host
 	mutex   sync.Mutex
 	core    Core
 	changed chan struct{} // closed and replaced at each write
@@ -31,28 +29,13 @@
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	s.changed = make(chan struct{})
-	handler, err := host.Routes(nil, append(s.Routes(),
+	return s.Open(s.Listen,
 		rest.Route{Method: http.MethodPost, Path: platform.PathGet, Handler: s.get},
 		rest.Route{Method: http.MethodPost, Path: platform.PathList, Handler: s.list},
 		rest.Route{Method: http.MethodPost, Path: platform.PathPut, Handler: s.put},
 		rest.Route{Method: http.MethodPost, Path: platform.PathDelete, Handler: s.remove},
 		rest.Route{Method: http.MethodPost, Path: platform.PathWatch, Handler: s.watch},
-	)...)
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
-}
-
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
-// Close stops the server at once.
-func (s *Server) Close() {
-	s.Gate.Close()
-	s.host.Close()
+	)
 }
 
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/vms/vms.go
+++ b/internal/standin/vms/vms.go
@@ -51,7 +51,6 @@
 	Lag    time.Duration
 
 	fault.Gate
-	host  host.Host
 	mutex sync.Mutex
 	core  Core
 }
@@ -59,25 +58,10 @@
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	s.core.Lag = s.Lag
-	handler, err := host.Routes(nil, append(s.Routes(),
+	return s.Open(s.Listen,
 		rest.Route{Method: http.MethodGet, Path: platform.PathVMs, Handler: s.list},
 		rest.Route{Method: http.MethodPost, Path: platform.PathVMs, Handler: s.set},
-	)...)
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
-}
-
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
-// Close stops the server at once.
-func (s *Server) Close() {
-	s.Gate.Close()
-	s.host.Close()
+	)
 }
 
 // Set replaces the list; readers see it after the lag.
--- a/internal/standin/weights/weights.go
+++ b/internal/standin/weights/weights.go
@@ -3,7 +3,6 @@
 package weights
 
 import (
-	"context"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -37,11 +36,9 @@
 	Rate   int64            // bytes per second, all readings together
 	Sizes  map[string]int64 // bytes of each model's weights
 
-	host    host.Host
-	mutex   sync.Mutex
-	core    Core
-	closing context.Context
-	close   context.CancelFunc
+	host.Host
+	mutex sync.Mutex
+	core  Core
 }
 
 // Weights is the answer to a reading.
@@ -53,23 +50,7 @@
 // Start listens and serves in the background.
 func (s *Server) Start() error {
 	s.core.Rate = max(1, s.Rate)
-	s.closing, s.close = context.WithCancel(context.Background())
-	handler, err := host.Routes(nil, rest.Route{Method: http.MethodGet, Path: "/weights", Handler: s.fetch})
-	if err != nil {
-		return err
-	}
-	s.host.Listen = s.Listen
-	s.host.Handler = handler
-	return s.host.Start()
-}
-
-// Addr returns the address that the server listens on.
-func (s *Server) Addr() netip.AddrPort { return s.host.Addr() }
-
-// Close stops the server at once.
-func (s *Server) Close() {
-	s.close()
-	s.host.Close()
+	return s.Open(s.Listen, nil, rest.Route{Method: http.MethodGet, Path: "/weights", Handler: s.fetch})
 }
 
 func (s *Server) fetch(w http.ResponseWriter, r *http.Request) {
@@ -82,6 +63,6 @@
 	s.mutex.Lock()
 	end := s.core.Fetch(time.Now(), size)
 	s.mutex.Unlock()
-	host.Wait(s.closing, time.Until(end))
+	s.Wait(time.Until(end))
 	host.WriteJSON(w, http.StatusOK, Weights{Model: name, Size: size})
 }
