Write the two reports of the operators by one package

The burn and the cost report ended in the same lines for JSON and for the table. They call layout.JSON and layout.Table now. The stand-ins' and the demonstration's tables stay as they are: the layers keep them off internal/ops, or they write as they go without a heading.

Behaviour is unchanged and no test was touched. Race tests of burn, cost and ctl pass.

--- a/internal/ops/burn/report.go
+++ b/internal/ops/burn/report.go
@@ -2,18 +2,15 @@
 
 import (
 	"cmp"
-	"encoding/json"
 	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/chicoryrock/chicoryrock/internal/ops/cell"
+	"github.com/chicoryrock/chicoryrock/internal/ops/layout"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
@@ -122,9 +119,7 @@
 
 // WriteJSON writes the report as one JSON object.
 func (r *Report) WriteJSON(w io.Writer) error {
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	return errors.Wrap(encoder.Encode(r), "write the report")
+	return layout.JSON(w, r)
 }
 
 // WriteTable writes the report for a terminal.
@@ -134,16 +129,7 @@
 	for _, note := range r.Notes() {
 		fmt.Fprintln(&text, note)
 	}
-	fmt.Fprintln(&text)
-	table := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
-	if _, err := io.WriteString(table, r.rows()); err != nil {
-		return errors.Wrap(err, "lay out the report")
-	}
-	if err := table.Flush(); err != nil {
-		return errors.Wrap(err, "lay out the report")
-	}
-	_, err := io.WriteString(w, text.String())
-	return errors.Wrap(err, "write the report")
+	return layout.Table(w, text.String(), r.rows())
 }
 
 // rows returns the table's lines, with a tab between two columns.
