Note an object's source where the object is decoded

Each of the five kinds repeated the line that keeps the source; decode does it now. The file and the list stay with the kinds, because a shared version needs two functions for every kind and gets longer. Behaviour is unchanged and no test was touched. Race tests of the package pass.

--- a/internal/state/object/decode.go
+++ b/internal/state/object/decode.go
@@ -27,41 +27,36 @@
 			kind = Kind(node.Content[i+1].Value)
 		}
 	}
-	set, sources := l.declared.Set, l.declared.Sources
+	set := l.declared.Set
 	switch kind {
 	case KindWorkspace:
-		object, source := decode(l, file, node, kind, workspaceFields)
+		object := decode(l, file, node, kind, workspaceFields)
 		object.File = file
 		set.Workspaces = append(set.Workspaces, object)
-		sources[kind] = append(sources[kind], source)
 	case KindKey:
-		object, source := decode(l, file, node, kind, keyFields)
+		object := decode(l, file, node, kind, keyFields)
 		object.File = file
 		set.Keys = append(set.Keys, object)
-		sources[kind] = append(sources[kind], source)
 	case KindClass:
-		object, source := decode(l, file, node, kind, classFields)
+		object := decode(l, file, node, kind, classFields)
 		object.File = file
 		set.Classes = append(set.Classes, object)
-		sources[kind] = append(sources[kind], source)
 	case KindRoute:
-		object, source := decode(l, file, node, kind, routeFields)
+		object := decode(l, file, node, kind, routeFields)
 		object.File = file
 		set.Routes = append(set.Routes, object)
-		sources[kind] = append(sources[kind], source)
 	case KindPool:
-		object, source := decode(l, file, node, kind, poolFields)
+		object := decode(l, file, node, kind, poolFields)
 		object.File = file
 		set.Pools = append(set.Pools, object)
-		sources[kind] = append(sources[kind], source)
 	default:
 		l.fault(file, node.Line, "", "The field kind must be one of workspace, key, class, route, pool.")
 	}
 }
 
 // decode fills one object field by field, so that every wrong field of it is
-// reported and not only the first.
-func decode[T any](l *loader, file string, node *yaml.Node, kind Kind, fields map[string]setter[T]) (T, Source) {
+// reported and not only the first. It notes where the object stands.
+func decode[T any](l *loader, file string, node *yaml.Node, kind Kind, fields map[string]setter[T]) T {
 	var object T
 	source := Source{File: file, Line: node.Line, fields: map[string]int{}}
 	label := Ref{Kind: kind, Name: nameOf(node)}.String()
@@ -84,7 +79,8 @@
 			l.fault(file, value.Line, label, fmt.Sprintf("The field %s must be %s.", name.Value, want))
 		}
 	}
-	return object, source
+	l.declared.Sources[kind] = append(l.declared.Sources[kind], source)
+	return object
 }
 
 func nameOf(node *yaml.Node) string {
