Take in the list of VMs only when it differs

Cause: an idle entry sorted the same list of VMs into its pools each second. Change: the list is read every 2 s; what depends on it is told only when it differs. The meter of cost still hears of every reading.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -37,7 +37,7 @@
 	// callTimeout bounds one call to the platform beyond the wait it asks for.
 	callTimeout = 2 * time.Second
 	// rosterInterval is how often the platform's list of VMs is read.
-	rosterInterval = time.Second
+	rosterInterval = 2 * time.Second
 	// recordCapacity is how many requests an entry can explain.
 	recordCapacity = 8192
 )
@@ -129,6 +129,7 @@
 	p.usage = p.newUsage()
 	p.entry = p.newEntry()
 	p.entry.Prepare()
+	p.roster.Read = func(vms []chicoryrock.VM) { p.cost.Observe(time.Now(), vms) }
 	p.roster.Changed = p.serversChanged
 	p.feed.Changed = p.entry.ConfigChanged
 	return nil
@@ -156,7 +157,6 @@
 
 // serversChanged takes in a list of VMs as it was read.
 func (p *Entry) serversChanged(vms []chicoryrock.VM) {
-	p.cost.Observe(time.Now(), vms)
 	p.exchange.ServersChanged(vms)
 	p.entry.ServersChanged(vms)
 }
--- a/internal/serve/roster/roster.go
+++ b/internal/serve/roster/roster.go
@@ -22,7 +22,8 @@
 	Directory chicoryrock.Directory // nil in a process that only knows its seeds
 	Interval  time.Duration
 	Seeds     []netip.AddrPort           // peers from the settings, asked when the list names none
-	Changed   func(vms []chicoryrock.VM) // called with each list read; may be nil
+	Read      func(vms []chicoryrock.VM) // called with each list read; may be nil
+	Changed   func(vms []chicoryrock.VM) // called with each list that differs from the last; may be nil
 	Log       *event.Log
 
 	vms atomic.Pointer[[]chicoryrock.VM]
@@ -54,13 +55,24 @@
 		r.Log.Write(event.ServersLost, zap.Error(err))
 		return
 	}
+	changed := !same(r.VMs(), vms)
 	r.vms.Store(&vms)
 	r.Log.Write(event.ServersRead, zap.Int("vms", len(vms)))
-	if r.Changed != nil {
+	if r.Read != nil {
+		r.Read(vms)
+	}
+	if changed && r.Changed != nil {
 		r.Changed(vms)
 	}
 }
 
+// same says whether two lists are one and the same in memory, as a Directory returns
+// them while nothing changes. To sort hundreds of VMs into pools each time would cost
+// more than all else that an idle process does.
+func same(a, b []chicoryrock.VM) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // VMs returns the last list read, which callers must not change.
 func (r *Roster) VMs() []chicoryrock.VM {
 	if vms := r.vms.Load(); vms != nil {
