Print the other JSON of chicoryctl by layout too

printJSON was a third copy of the lines in layout.JSON. Behaviour is unchanged and no test was touched. Race tests of ctl, cmd/chicoryctl and the layers pass.

--- a/internal/ops/ctl/flags.go
+++ b/internal/ops/ctl/flags.go
@@ -1,7 +1,6 @@
 package ctl
 
 import (
-	"encoding/json"
 	"flag"
 	"fmt"
 	"io"
@@ -9,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicoryrock/chicoryrock/internal/ops/layout"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 )
 
@@ -79,7 +79,5 @@
 
 // printJSON writes a value for use in a pipeline.
 func printJSON(out io.Writer, value any) {
-	encoder := json.NewEncoder(out)
-	encoder.SetIndent("", "  ")
-	_ = encoder.Encode(value) // a closed pipe leaves nobody to tell
+	_ = layout.JSON(out, value) // a closed pipe leaves nobody to tell
 }
