Answer a request that was preempted before it ran

Cause: an agent that preempts a request in the moment in which it got its slot said nothing, and an empty answer with status 200 went to the entry. Found by reading.

--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -55,6 +55,7 @@
 	})
 	switch {
 	case err != nil:
+		v.gaveUp()
 	case action.Kind == admit.Refuse:
 		a.refuse(w, action.Reason, action.After)
 	default:
@@ -62,6 +63,15 @@
 	}
 }
 
+// gaveUp answers for a request that was given up before it ran. Its entry has gone,
+// unless it was preempted in the moment in which it got its slot: an answer without
+// a word would read as an empty one then.
+func (v *visit) gaveUp() {
+	if errors.Is(context.Cause(v.ctx), errPreempted) {
+		v.agent.refuse(v.w, chicoryrock.ReasonQueueFull, 0)
+	}
+}
+
 // run forwards a request that has a slot.
 func (v *visit) run() {
 	a := v.agent
