Show usage reports that are off, and let them not hold up the rest

Cause: an intake that had other figures for one workspace and window made the sender stop there for ever: no later window of any workspace was reported. Found while looking for how to show reports that are off. Change: such a report is noted, once, in the mark that says how far reports have got, shown by chicoryctl usage, and the next one is sent. Nothing is ever sent with other figures. Result: TestDifferingReport failed before with the conflict, passes now.

--- a/internal/ops/ctl/usage.go
+++ b/internal/ops/ctl/usage.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -82,7 +83,7 @@
 	for i := range rows {
 		total, late := f.figures(&rows[i])
 		_, _ = fmt.Fprintf(out, "%s\t%s\t%d\t%d\t%d\t%d\t%s\n", rows[i].Start.Format(time.RFC3339), rows[i].State,
-			total.Requests, total.Prompt, total.Output, late.Requests, overdue(now, &rows[i]))
+			total.Requests, total.Prompt, total.Output, late.Requests, noteOf(now, &rows[i]))
 	}
 }
 
@@ -100,6 +101,14 @@
 	return usage.Counts{}, usage.Counts{}
 }
 
+// noteOf says what an operator has to look into.
+func noteOf(now time.Time, row *usage.Row) string {
+	if len(row.Off) > 0 {
+		return "off: the intake has other figures for " + strings.Join(row.Off, ", ")
+	}
+	return overdue(now, row)
+}
+
 // overdue says that a window should have been reported by now.
 func overdue(now time.Time, row *usage.Row) string {
 	age := now.Sub(row.Start)
--- a/internal/state/usage/overview.go
+++ b/internal/state/usage/overview.go
@@ -26,7 +26,8 @@
 	State  State     `json:"state"`
 	Lines  []Line    `json:"lines,omitempty"`
 	Total  Counts    `json:"total"`
-	Late   Counts    `json:"late"` // the part that belongs to earlier windows
+	Late   Counts    `json:"late"`          // the part that belongs to earlier windows
+	Off    []string  `json:"off,omitempty"` // workspaces of which the intake has other figures
 }
 
 // Overview returns the newest windows up to the current one, the oldest first.
@@ -62,6 +63,11 @@
 		r.State = StateSent
 	}
 	r.Lines = seal.Lines
+	for _, off := range mark.Off {
+		if off.Window == r.Window {
+			r.Off = append(r.Off, off.Workspace)
+		}
+	}
 	for _, line := range seal.Lines {
 		r.Total = r.Total.plus(line.Counts)
 		r.Late = r.Late.plus(line.Late)
--- a/internal/state/usage/seal.go
+++ b/internal/state/usage/seal.go
@@ -41,11 +41,21 @@
 	Cells  []Cell   `json:"-"`      // kept in the chunks
 }
 
+// maxOff is how many refused reports the mark keeps.
+const maxOff = 64
+
+// Off is a report that the intake refused, since it has other figures for it.
+type Off struct {
+	Window    Window `json:"window"`
+	Workspace string `json:"workspace"`
+}
+
 // Mark says how far the duty has got. It only grows. Seals may be ahead of it.
 type Mark struct {
 	First  Window `json:"first"` // ever to be sealed
 	Sealed Window `json:"sealed"`
 	Sent   Window `json:"sent"`
+	Off    []Off  `json:"off,omitempty"` // the newest ones, the oldest first
 }
 
 // Report returns what the platform's intake gets for a line. The same line always
--- a/internal/state/usage/send.go
+++ b/internal/state/usage/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,7 +13,8 @@
 
 // Send reports the seals that are not marked as sent, the oldest first, and marks
 // them. It reads the figures from the store, so that whoever sends a window sends
-// the same. Valid is asked before each report. Errors: the store's and the
+// the same. A report that the intake has with other figures is noted as off and does
+// not hold up the others. Valid is asked before each report. Errors: the store's and the
 // intake's; chicoryrock.ErrFenced when the lease has ended.
 func Send(ctx context.Context, store chicoryrock.Store, intake chicoryrock.Intake, length time.Duration, fence uint64, valid func() bool) error {
 	mark, revision, err := readMark(ctx, store)
@@ -28,7 +30,12 @@
 			if !valid() {
 				return errors.Wrap(chicoryrock.ErrFenced, "the lease has ended")
 			}
-			if err := intake.Report(ctx, seal.Report(line, length, fence)); err != nil {
+			err := intake.Report(ctx, seal.Report(line, length, fence))
+			if errors.Is(err, chicoryrock.ErrConflict) {
+				mark.addOff(Off{Window: window, Workspace: line.Workspace})
+				continue
+			}
+			if err != nil {
 				return errors.Wrapf(err, "report window %d of %s", window, line.Workspace)
 			}
 		}
@@ -40,6 +47,15 @@
 	return nil
 }
 
+// addOff notes a refused report once.
+func (m *Mark) addOff(off Off) {
+	if slices.Contains(m.Off, off) {
+		return
+	}
+	m.Off = append(m.Off, off)
+	m.Off = m.Off[max(0, len(m.Off)-maxOff):]
+}
+
 // begin returns the mark, which it creates where there is none: before anything
 // is sealed, so that all agree on the first window.
 func begin(ctx context.Context, store chicoryrock.Store, first Window) (Mark, error) {
--- a/internal/state/usage/usage_test.go
+++ b/internal/state/usage/usage_test.go
@@ -247,6 +247,32 @@
 	require.Equal(t, []Line{{Workspace: "lens", Counts: Counts{2, 6, 11}, Late: Counts{1, 5, 10}}}, seal.Lines)
 }
 
+// TestDifferingReport shows a report that the intake has with other figures as off,
+// and does not let it hold up the others.
+func TestDifferingReport(t *testing.T) {
+	store, ledger := &memory.Store{}, &Ledger{}
+	taker := &intake{taken: map[string]chicoryrock.UsageReport{}}
+	require.NoError(t, ledger.Load(background, store, first))
+	ledger.Merge([]Cell{{Key{"e", "a", "lens", first}, Counts{2, 10, 20}}, {Key{"e", "a", "shutter", first}, Counts{1, 1, 1}}})
+	require.NoError(t, ledger.Close(background, store, 1))
+	require.NoError(t, ledger.NoteSealed(background, store))
+	seal, err := ReadSeal(background, store, first)
+	require.NoError(t, err)
+	other := seal.Report(seal.Lines[0], length, 0)
+	other.Requests++
+	taker.taken[other.ID] = other
+
+	for range 2 {
+		require.NoError(t, Send(background, store, taker, length, 1, func() bool { return true }))
+	}
+	require.Len(t, taker.taken, 2, "the other workspace's report was sent")
+	rows, err := Overview(background, store, (first + 1).Start(length), length, 5)
+	require.NoError(t, err)
+	require.Equal(t, StateSent, rows[0].State)
+	require.Equal(t, []string{"lens"}, rows[0].Off)
+	require.Equal(t, other, taker.taken[other.ID], "nothing was reported twice with different figures")
+}
+
 func TestOverviewAndForget(t *testing.T) {
 	store, ledger := &memory.Store{}, &Ledger{}
 	taker := &intake{taken: map[string]chicoryrock.UsageReport{}}
