Say once what a suspect and a failed dial are, and read each chunk once

Cause, found by reading the whole change: a call kept "suspect" beside the same flag of its request; entry and agent each had their own test for an error before a connection stood, on which "not run" rests; the agent's meter parsed the chunk with the usage twice, and had an accessor that nobody called; the entry went over all pools a hundred times a second to look for late requests while none waited. Change: the request's flag alone; web.DialFailed for both; one parsing; no look without a waiting request. Usage is read from any valid JSON now, where it had to stand without a space after the colon. No test was changed. Ruled out: one HTTP client for platform and peers, since their time limits differ; one start for the servers of entry and agent, which was tried and got longer. Result: race tests of entry, agent, local, the layers and the event catalogue pass, lint clean; no time was measured.

--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +12,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/admit"
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
 
@@ -169,8 +169,7 @@
 		return
 	}
 	a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.Error(err))
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
+	if web.DialFailed(err) {
 		a.once.forget(v.r.Header)
 		a.refuse(v.w, chicoryrock.ReasonNoServer, 0)
 		return
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -13,6 +13,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -38,7 +39,6 @@
 	begun   bool            // an attempt may have run
 	done    bool            // the answer has gone out whole
 	tries   tries
-	suspect bool                 // it was in flight at a crash
 	print   *suspect.Fingerprint // once it has been taken
 	sent    int                  // output tokens that the caller has
 	timing  timing               // of the attempt under way
@@ -74,7 +74,7 @@
 		return
 	}
 	c.settle("")
-	if c.suspect {
+	if c.request.Suspect {
 		c.entry.Suspects.cleared(time.Now(), c)
 	}
 	c.progress.end(time.Now(), chicoryrock.OutcomeServed, chicoryrock.ReasonNone)
@@ -135,7 +135,7 @@
 // attemptWatched is attempt, with the replica open to other suspects again after a
 // suspect has run there for a while.
 func (c *call) attemptWatched(replica *chicoryrock.Replica) error {
-	if c.suspect {
+	if c.request.Suspect {
 		name := replica.Name
 		timer := time.AfterFunc(suspect.Probation, func() { c.entry.gate.passed(c.request, name) })
 		defer timer.Stop()
@@ -207,7 +207,7 @@
 	request.Header.Set(wire.Tier, strconv.Itoa(c.request.Tier))
 	request.Header.Set(wire.Prompt, strconv.Itoa(c.request.Prompt))
 	request.Header.Set(wire.Due, strconv.FormatInt(time.Until(c.request.Deadline).Milliseconds(), 10))
-	if c.suspect {
+	if c.request.Suspect {
 		request.Header.Set(wire.Suspect, "1")
 	}
 	c.stampClaim(request.Header)
@@ -235,7 +235,7 @@
 	if c.ctx.Err() != nil {
 		return errors.WithStack(c.ctx.Err())
 	}
-	if dialFailed(err) {
+	if web.DialFailed(err) {
 		return &notRunError{reason: chicoryrock.ReasonNoServer}
 	}
 	if errors.Is(err, chicoryrock.ErrTruncated) || errors.Is(err, wire.ErrPreempted) {
--- a/internal/serve/entry/errors.go
+++ b/internal/serve/entry/errors.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -65,9 +64,3 @@
 	}
 	return &notRunError{reason: reason}
 }
-
-// dialFailed says whether an error arose before a connection stood.
-func dialFailed(err error) bool {
-	var operation *net.OpError
-	return errors.As(err, &operation) && operation.Op == "dial"
-}
--- a/internal/serve/entry/gate.go
+++ b/internal/serve/entry/gate.go
@@ -208,6 +208,9 @@
 func (g *gate) expire(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if len(g.waiters) == 0 {
+		return
+	}
 	for _, request := range g.dispatcher.Expire(now) {
 		g.tell(request, verdict{reason: chicoryrock.ReasonLate})
 	}
--- a/internal/serve/entry/retries.go
+++ b/internal/serve/entry/retries.go
@@ -87,7 +87,7 @@
 // pauseSuspect lets time pass before a suspect that an agent had no room for asks
 // again. Without it suspects would go round among agents that have one already.
 func (c *call) pauseSuspect(full bool) {
-	if !c.suspect || !full {
+	if !c.request.Suspect || !full {
 		return
 	}
 	c.pause(suspectPause/2 + rand.N(suspectPause))
--- a/internal/serve/entry/suspects.go
+++ b/internal/serve/entry/suspects.go
@@ -65,7 +65,7 @@
 		Print:     mark,
 		Crash:     suspect.Crash(crash.Name),
 		// An agent lets one suspect in at a time, so it was the only one of them.
-		Alone: crash.Alone || c.suspect,
+		Alone: crash.Alone || c.request.Suspect,
 	})
 }
 
@@ -93,7 +93,6 @@
 	case suspect.Refused:
 		return &refusedError{reason: chicoryrock.ReasonSuspect}
 	case suspect.Suspect:
-		c.suspect = true
 		c.request.Suspect = true
 	case suspect.Clean:
 	}
@@ -110,7 +109,7 @@
 	}
 	c.entry.Suspects.crashed(now, c, crash.Crash)
 	c.entry.Suspects.Share(c.ctx)
-	if !c.suspect {
+	if !c.request.Suspect {
 		c.pause(crashSettle)
 	}
 	return c.judge(now)
--- a/internal/serve/web/client.go
+++ b/internal/serve/web/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 )
@@ -39,6 +40,13 @@
 	}
 }
 
+// DialFailed says whether an error arose before a connection stood, so that no byte
+// of the call can have left this process.
+func DialFailed(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
 // NewService wraps a client in go-zero's httpc under a name. The library's
 // circuit breaker is switched off for the name: it refuses at random and counts
 // one peer's faults against all.
--- a/internal/serve/wire/meter.go
+++ b/internal/serve/wire/meter.go
@@ -8,10 +8,7 @@
 // counted but not read for usage.
 const maxMeterLine = 64 << 10
 
-var (
-	lineEnd    = []byte("\n")
-	usageField = []byte(`"usage":{`)
-)
+var lineEnd = []byte("\n")
 
 // StreamMeter passes through the whole lines of a stream of events that are fit
 // to be relayed, and counts its tokens. Comments of the backend server are left
@@ -41,9 +38,6 @@
 	return relay, tokens
 }
 
-// Rest returns what came after the last line's end.
-func (m *StreamMeter) Rest() []byte { return m.rest }
-
 func (m *StreamMeter) count(line []byte) int {
 	data, found := bytes.CutPrefix(line, dataPrefix)
 	if !found {
@@ -53,19 +47,12 @@
 	if bytes.Equal(data, doneData) || len(data) > maxMeterLine {
 		return 0
 	}
-	if bytes.Contains(data, usageField) {
-		m.readUsage(data)
-	}
 	chunk, err := ParseChunk(data)
 	if err != nil {
 		return 0
 	}
-	return chunk.Tokens()
-}
-
-func (m *StreamMeter) readUsage(data []byte) {
-	chunk, err := ParseChunk(data)
-	if err == nil && chunk.Usage != nil {
+	if chunk.Usage != nil {
 		m.Last = *chunk.Usage
 	}
+	return chunk.Tokens()
 }
