Suspect what had just begun at a crash before what had run well

Change: a sighting says whether its request had run for a probation's time on that engine. Such a sighting weighs half: once it leaves the request clean, twice make it a suspect. One that crashes engines late has just begun where it is resumed, so it is refused after its third crash.

Tests TestSettledRequestsAreSuspectedLater and TestLatePoisonIsFoundAfterThreeCrashes fail without the weights.

--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -90,7 +90,8 @@
 	made   int
 	sent   time.Duration
 	told   time.Duration // when the agent's load last came with a token
-	heard  time.Duration // when the last token reached the entry
+	began  time.Duration // when the first token reached the entry
+	heard  time.Duration // when the last one did
 	left   bool          // the entry has moved the stream elsewhere
 }
 
@@ -152,6 +153,8 @@
 	seen := chicoryrock.Observation{First: e.world.now - a.sent}
 	if a.heard > 0 {
 		seen = chicoryrock.Observation{Between: e.world.now - a.heard}
+	} else {
+		a.began = e.world.now
 	}
 	a.heard = e.world.now
 	e.core.Observe(e.now(), a.call.request.Pool, a.engine.Name, seen)
@@ -211,6 +214,11 @@
 	e.pump(now)
 }
 
+// settled says whether the engine has run the attempt for a probation's time.
+func (a *attempt) settled() bool {
+	return a.heard > 0 && a.call.entry.world.now-a.began >= suspect.Probation
+}
+
 // stopped tells the entry that the agent stopped the stream for a higher tier.
 func (a *attempt) stopped() {
 	w := a.call.entry.world
@@ -230,7 +238,7 @@
 		}
 		a.lost()
 		if crash != "" {
-			a.call.entry.crashed(a.call, crash, alone)
+			a.call.entry.crashed(a, crash, alone)
 		}
 		a.again(chicoryrock.ErrTruncated, false)
 	})
--- a/internal/policy/replay/suspects.go
+++ b/internal/policy/replay/suspects.go
@@ -19,20 +19,25 @@
 	return e.seen.State(now, c.record.Workspace, c.print)
 }
 
-// crashed makes a call that was in flight at a crash a suspect.
-func (e *entry) crashed(c *call, crash suspect.Crash, alone bool) {
+// crashed notes that an attempt was in flight at a crash, which may make its call
+// a suspect.
+func (e *entry) crashed(a *attempt, crash suspect.Crash, alone bool) {
 	if e.seen == nil {
 		return
 	}
 	now := e.now()
+	c := a.call
 	e.share(now, e.seen.Crashed(now, suspect.Sighting{
 		Workspace: c.record.Workspace,
 		Print:     c.print,
 		Crash:     crash,
 		Alone:     alone,
+		Settled:   !alone && a.settled(),
 	}))
-	c.request.Suspect = true
-	c.request.Deadline = now.Add(suspectLimit)
+	if e.state(now, c) == suspect.Suspect {
+		c.request.Suspect = true
+		c.request.Deadline = now.Add(suspectLimit)
+	}
 }
 
 // share sends an update to the other entries, and acts on it here at once.
--- a/internal/policy/suspect/merge.go
+++ b/internal/policy/suspect/merge.go
@@ -69,6 +69,7 @@
 func (rec *record) add(sighting Sighting) {
 	if known := rec.at(sighting.Crash); known != nil {
 		known.Alone = known.Alone && sighting.Alone
+		known.Settled = known.Settled && sighting.Settled
 		if sighting.At.Before(known.At) {
 			known.At = sighting.At
 		}
--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -1,5 +1,5 @@
-// Package suspect finds requests that crash engines. Every request that was in
-// flight at a crash is a suspect. A suspect doesn't run beside another one that
+// Package suspect finds requests that crash engines. Every request that had just
+// begun at a crash is a suspect. A suspect doesn't run beside another one that
 // has just begun, so that a second crash can be the second one of a single request
 // only. That request is refused everywhere: entries exchange what they saw and
 // merge it.
@@ -80,6 +80,9 @@
 	Crash     Crash       `json:"crash"`
 	At        time.Time   `json:"at"`
 	Alone     bool        `json:"alone,omitempty"` // nothing else ran on the engine
+	// Settled says that it had run for Probation or longer on that engine, and not
+	// alone: one of many that the engine bore well before something else came.
+	Settled bool `json:"settled,omitempty"`
 }
 
 // Clearing is that a request ran well, beside no other suspect, after it had been
@@ -149,27 +152,46 @@
 	if rec == nil {
 		return Clean
 	}
-	switch count := r.counted(now, rec); {
-	case count >= 2:
+	switch weight := r.evidence(now, rec); {
+	case weight >= refuseWeight:
 		return Refused
-	case count == 1:
+	case weight >= suspectWeight:
 		return Suspect
 	default:
 		return Clean
 	}
 }
 
-// counted returns at how many crashes a request was seen that still count and
-// that no other request is proven to have caused.
-func (r *Registry) counted(now time.Time, rec *record) int {
+// What the sightings of a request weigh together before it is a suspect, and
+// before it is refused. One that crashes engines as soon as it runs is refused
+// after two crashes; one that does so late, after three: resumed where it broke
+// off, it has hardly begun at the next one.
+const (
+	freshWeight   = 2
+	settledWeight = 1
+	suspectWeight = freshWeight
+	refuseWeight  = 2 * freshWeight
+)
+
+// weight is how much a sighting speaks against its request.
+func (s *Sighting) weight() int {
+	if s.Settled {
+		return settledWeight
+	}
+	return freshWeight
+}
+
+// evidence returns what the sightings of a request weigh that still count, at
+// crashes that no other request is proven to have caused.
+func (r *Registry) evidence(now time.Time, rec *record) int {
 	proven := rec.proven(now)
-	count := 0
+	sum := 0
 	for i := range rec.seen {
 		if rec.counts(now, &rec.seen[i]) && (proven || !r.explained(now, rec, rec.seen[i].Crash)) {
-			count++
+			sum += rec.seen[i].weight()
 		}
 	}
-	return count
+	return sum
 }
 
 // explained says whether a request other than this one is proven to crash engines
@@ -185,16 +207,17 @@
 	return false
 }
 
-// proven says whether a request was seen at two crashes, and alone at one.
+// proven says whether a request was seen at enough crashes to be refused, and
+// alone at one.
 func (rec *record) proven(now time.Time) bool {
-	count, alone := 0, false
+	sum, alone := 0, false
 	for i := range rec.seen {
 		if rec.counts(now, &rec.seen[i]) {
-			count++
+			sum += rec.seen[i].weight()
 			alone = alone || rec.seen[i].Alone
 		}
 	}
-	return count >= 2 && alone
+	return sum >= refuseWeight && alone
 }
 
 // counts says whether a sighting is neither too old nor followed by a clean run.
--- a/internal/policy/suspect/suspect_test.go
+++ b/internal/policy/suspect/suspect_test.go
@@ -77,6 +77,50 @@
 	expectState(t, &r, start.Add(time.Second), "y", suspect.Clean)
 }
 
+// What an engine had run well for a while when it crashed goes on unhindered. Seen so
+// again it is a suspect, and refused once it is also seen where it had just begun.
+func TestSettledRequestsAreSuspectedLater(t *testing.T) {
+	var r suspect.Registry
+	settled := func(crash string) suspect.Sighting {
+		s := seen("a", "x", crash, false)
+		s.Settled = true
+		return s
+	}
+	r.Crashed(start, settled("vm-1/1"))
+	expectState(t, &r, start, "x", suspect.Clean)
+	r.Crashed(start, settled("vm-1/1"))
+	expectState(t, &r, start, "x", suspect.Clean)
+	r.Crashed(start.Add(time.Second), settled("vm-2/1"))
+	expectState(t, &r, start.Add(time.Second), "x", suspect.Suspect)
+	r.Crashed(start.Add(2*time.Second), seen("a", "x", "vm-3/1", true))
+	expectState(t, &r, start.Add(2*time.Second), "x", suspect.Refused)
+}
+
+// A stream that crashes engines late does so at once where it is resumed, and is
+// refused after its third crash. Those that ran beside it never are.
+func TestLatePoisonIsFoundAfterThreeCrashes(t *testing.T) {
+	var r suspect.Registry
+	now := start
+	for crash := range 3 {
+		name := fmt.Sprint("vm-", crash, "/1")
+		for _, body := range []string{"bad", "x", "y"} {
+			state := r.State(now, "a", suspect.Of("a", []byte(body)))
+			if body != "bad" && crash == 2 {
+				require.NotEqual(t, suspect.Refused, state, body)
+				continue // another replica runs these, as no two suspects run together
+			}
+			require.NotEqual(t, suspect.Refused, state, body)
+			s := seen("a", body, name, crash == 2)
+			s.Settled = crash == 0
+			r.Crashed(now, s)
+		}
+		now = now.Add(time.Second)
+	}
+	expectState(t, &r, now, "bad", suspect.Refused)
+	expectState(t, &r, now, "x", suspect.Clean)
+	expectState(t, &r, now, "y", suspect.Clean)
+}
+
 // A workspace that crashes engines again and again cannot get another's request
 // refused for longer than the evidence counts.
 func TestNobodyIsRefusedForGood(t *testing.T) {
@@ -129,6 +173,7 @@
 			}
 			s := seen("a", body, rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "crash"), rapid.Bool().Draw(t, "alone"))
 			s.At = at
+			s.Settled = rapid.Bool().Draw(t, "settled")
 			updates = append(updates, suspect.Update{Seen: []suspect.Sighting{s}})
 		}
 		var one, two suspect.Registry
--- a/internal/serve/entry/suspects.go
+++ b/internal/serve/entry/suspects.go
@@ -58,14 +58,16 @@
 
 func (s *Suspects) crashed(now time.Time, c *call, crash wire.Crash) {
 	mark := c.fingerprint()
+	// An agent lets one suspect in at a time, so it was the only one of them.
+	alone := crash.Alone || c.request.Suspect
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.registry.Crashed(now, suspect.Sighting{
 		Workspace: c.request.Workspace,
 		Print:     mark,
 		Crash:     suspect.Crash(crash.Name),
-		// An agent lets one suspect in at a time, so it was the only one of them.
-		Alone: crash.Alone || c.request.Suspect,
+		Alone:     alone,
+		Settled:   !alone && c.timing.settled(now),
 	})
 }
 
--- a/internal/serve/entry/timing.go
+++ b/internal/serve/entry/timing.go
@@ -6,6 +6,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 )
 
 // observeInterval is how often the time between tokens is observed in a stream.
@@ -14,6 +15,7 @@
 // timing is what the entry measures itself of one attempt on one replica.
 type timing struct {
 	sent   time.Time
+	began  time.Time // of the first token
 	seen   time.Time // of the last observation
 	last   time.Time // of the newest token
 	tokens int       // since the last observation
@@ -25,7 +27,7 @@
 func (t *timing) token(now time.Time) (chicoryrock.Observation, bool) {
 	t.last = now
 	if t.seen.IsZero() {
-		t.seen = now
+		t.began, t.seen = now, now
 		return chicoryrock.Observation{First: now.Sub(t.sent)}, true
 	}
 	t.tokens++
@@ -35,6 +37,11 @@
 	return t.between(), true
 }
 
+// settled says whether the replica has run the attempt for a probation's time.
+func (t *timing) settled(now time.Time) bool {
+	return !t.began.IsZero() && now.Sub(t.began) >= suspect.Probation
+}
+
 // between observes the tokens since the last observation.
 func (t *timing) between() chicoryrock.Observation {
 	seen := chicoryrock.Observation{Between: t.last.Sub(t.seen) / time.Duration(t.tokens)}
