Place by what is overdue, and among a few, so that fronts don't follow each other

What the others had open was taken in only with each report of one's own, every 0.33 s, on top of the age of theirs. Engines that read long prompts changed back one by one each 1.5 s, so that a burst of questions found 11 of 51 engines.

Change: a prompt whose first token is overdue counts as unread. A request is placed among its session's homes, the engines that read its parts, and eight of its side, drawn by a sequence that each process has for itself; among all only where none of these would do. Others' loads are taken in every 40 ms. A twelfth of a pool changes back at once, each 0.7 s.

--- a/internal/policy/place/engine_test.go
+++ b/internal/policy/place/engine_test.go
@@ -181,9 +181,28 @@
 	processes int
 	kinds     []kind
 	tell      float64 // milliseconds between two reports
+	swings    []swing // of the loads; none for steady ones
 	pick      func(p *Placer, now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica) (int, bool)
 }
 
+// swing multiplies the load of one kind for some seconds.
+type swing struct {
+	kind        int
+	from, until float64 // seconds
+	times       float64
+}
+
+// rate is how many requests of a kind arrive in a millisecond.
+func (p *play) rate(now float64, k int) float64 {
+	rate := p.kinds[k].perSecond / 1000
+	for _, s := range p.swings {
+		if s.kind == k && now >= 1000*s.from && now < 1000*s.until {
+			rate *= s.times
+		}
+	}
+	return rate
+}
+
 // result is what callers of one kind got.
 type result struct {
 	asked, intime, refused int
@@ -243,7 +262,7 @@
 		for k := range w.play.kinds {
 			for next[k] <= now {
 				w.arrive(now, k)
-				next[k] += w.random.ExpFloat64() * 1000 / w.play.kinds[k].perSecond
+				next[k] += w.random.ExpFloat64() / w.play.rate(now, k)
 			}
 		}
 	}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -37,6 +37,8 @@
 	// Fetches returns how long an engine takes to fetch a token of a prompt from
 	// another's memory; zero where engines can't.
 	Fetches func(pool string) time.Duration
+	// Seed begins the sequence by which replicas are drawn: another one in each process.
+	Seed uint64
 
 	pools     map[string]*pool
 	reads     []chicoryrock.Read // to be told
@@ -61,7 +63,7 @@
 	oversize oversize
 	longs    int // of jobs, those with long prompts
 	known    bool
-	looked   uint64                         // where the next look at a part of a large pool begins
+	drawn    uint64                         // the last number of the sequence that draw goes on with
 	fetch    float64                        // time to fetch a token from another engine, milliseconds; zero for never
 	holders  map[uint32][holderCount]holder // by the session's part, in short
 	byHash   map[uint32]*replica
@@ -146,9 +148,13 @@
 	// rereadWeight is how much the time to read shared parts again counts beside
 	// the request's own wait: other prompts wait for it too.
 	rereadWeight = 3.0
-	// lookAt is how many replicas are looked at for one request at most, besides its
-	// session's homes.
+	// lookAt is how many replicas are looked at for one request at most where none of
+	// the few is good enough.
 	lookAt = 48
+	// few is how many replicas of its side are looked at for a request, besides those
+	// that know its session: what other processes have sent since they last told is not
+	// known, and if all of them looked at all replicas, all would choose the same one.
+	few = 8
 	// sureTokens is how many tokens of a prompt may be in doubt for its time to say
 	// something of the engine's pace: about a chunk's tenth.
 	sureTokens = 100
@@ -204,7 +210,12 @@
 			}
 		}
 	}
-	t.each(replicas, home, look)
+	if engine {
+		t.some(now, request, replicas, home, look)
+	}
+	if best < 0 || engine && !bestSound {
+		t.each(replicas, home, look)
+	}
 	// One that has just failed is better than none, but not than to wait for those
 	// that are well.
 	if best < 0 || engine && sound && !bestSound {
@@ -232,6 +243,34 @@
 	return best, true
 }
 
+// some looks at the replicas that know a request's session, and at a few others of
+// its side.
+func (t *pool) some(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica, home homes, look func(i int)) {
+	check := func(r *replica) {
+		if r != nil && r.at < len(replicas) && replicas[r.at].Name == r.name {
+			look(r.at)
+		}
+	}
+	check(t.replicas[home.first])
+	check(t.replicas[home.second])
+	for _, known := range home.holders {
+		check(t.byHash[known.server])
+	}
+	side := t.side(request)
+	if len(side) == 0 {
+		return
+	}
+	for range few {
+		check(side[t.draw(len(side))])
+	}
+}
+
+// draw returns a number below n of a sequence that is the process's own.
+func (t *pool) draw(n int) int {
+	t.drawn = t.drawn*6364136223846793005 + 1442695040888963407
+	return int(t.drawn >> 33 % uint64(n))
+}
+
 // each looks at all replicas of a small pool, and at a session's homes and some
 // others of a large one: the best of a few dozen is hardly worse than the best of
 // all, and takes no longer in a larger pool. Other processes look at others.
@@ -248,8 +287,7 @@
 		}
 	}
 	for range lookAt {
-		t.looked = t.looked*6364136223846793005 + 1442695040888963407
-		look(int(t.looked >> 33 % uint64(len(replicas))))
+		look(t.draw(len(replicas)))
 	}
 }
 
@@ -264,6 +302,7 @@
 		name:     name,
 		replicas: make(map[string]*replica),
 		pace:     newPace(),
+		drawn:    p.Seed,
 		jobs:     make(map[*chicoryrock.Request]*job),
 	}
 	p.describe(t)
@@ -321,12 +360,22 @@
 	r.counted = now
 	r.backlog = 0
 	for _, j := range r.unread {
-		done := milliseconds(now.Sub(j.sent))/(t.pace.perToken()*r.speed) - j.ahead
-		r.backlog += max(0, j.unread-max(0, done))
+		r.backlog += j.left(milliseconds(now.Sub(j.sent)), t.pace.perToken()*r.speed, t.pace.base()*r.speed)
 	}
 	return r.backlog
 }
 
+// left estimates how many tokens of a prompt are yet to be read so long after it was
+// sent. One whose first token is overdue has waited for more than was known: it is
+// taken not to have been read at all.
+func (j *job) left(elapsed, perToken, base float64) float64 {
+	if elapsed > base+(j.ahead+j.unread)*perToken {
+		return j.unread
+	}
+	done := elapsed/perToken - j.ahead
+	return max(0, j.unread-max(0, done))
+}
+
 // slotWait is the time until a replica has a slot for one more, milliseconds.
 func (t *pool) slotWait(r *replica) float64 {
 	over := float64(r.all() + 1 - t.slots)
--- a/internal/policy/place/sides.go
+++ b/internal/policy/place/sides.go
@@ -44,7 +44,7 @@
 	slotLoad = 0.85
 	// settle is how long the number of readers stays once it has changed, so that
 	// what they have in memory is used.
-	settle = 1500 * time.Millisecond
+	settle = 700 * time.Millisecond
 	// rush is how long it stays at least while more are needed: prompts wait then.
 	rush = 500 * time.Millisecond
 	// slack is how many readers more than needed are kept before one is let go.
@@ -60,8 +60,10 @@
 	// wrongSide is what a replica of the other side costs, as a share of a
 	// request's target.
 	wrongSide = 0.6
-	// fastest is the largest share of a pool that changes sides at once.
-	fastest = 0.16
+	// fastest is the largest share of a pool that begins to read long prompts at once,
+	// and release that which ends: half as fast, as what it has in memory of them is
+	// lost.
+	fastest, release = 0.16, 0.08
 )
 
 // sides divides a pool into replicas that read long prompts and those that run
@@ -186,7 +188,7 @@
 	case wanted > s.readers && now.Sub(s.changed) >= rush:
 		s.readers = min(wanted, s.readers+max(1, int(fastest*float64(len(s.order)))))
 	case wanted < s.readers-slack && now.Sub(s.changed) >= settle:
-		s.readers--
+		s.readers = max(wanted+slack, s.readers-max(1, int(release*float64(len(s.order)))))
 	default:
 		return false
 	}
@@ -209,15 +211,7 @@
 		return homes{}
 	}
 	h := homes{now: now, holders: t.holders[short(id)]}
-	side := t.sides.order
-	if t.harmed() {
-		readers := min(t.sides.readers, len(side))
-		if long(request) {
-			side = side[:readers]
-		} else {
-			side = side[readers:]
-		}
-	}
+	side := t.side(request)
 	if len(side) > neighbours {
 		// Looking at a few only, round a place that the session gives, is as quick in
 		// a large pool as in a small one.
@@ -237,6 +231,20 @@
 	return h
 }
 
+// side returns the replicas of a request's side: all of them where long prompts do no
+// harm.
+func (t *pool) side(request *chicoryrock.Request) []*replica {
+	all := t.sides.order
+	if !t.harmed() {
+		return all
+	}
+	readers := min(t.sides.readers, len(all))
+	if long(request) {
+		return all[:readers]
+	}
+	return all[readers:]
+}
+
 // neighbours is among how many replicas a session's homes are chosen.
 const neighbours = 64
 
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -117,7 +117,6 @@
 		})
 		p.firstOf(ctx, configured, asked, p.fetchConfig)
 		p.firstOf(ctx, listed, asked, p.fetchServers)
-		p.share(now)
 	}
 	return nil
 }
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -128,6 +129,7 @@
 	if node.Ports[0] != 0 {
 		group.Go(func() error { return p.peerServer().Run(background) })
 		group.Go(func() error { return p.gossip().Run(background) })
+		group.Go(func() error { return p.share(background) })
 		group.Go(func() error { return p.peers.join(background, node.Name) })
 		group.Go(func() error { return p.catchUp(background) })
 		group.Go(func() error { return p.tellBreaks(background) })
@@ -178,7 +180,11 @@
 		Upstream: &upstream.Client{
 			Control: platform.SetUnackedTimeout(upstreamSilence),
 		},
-		Placer:  &place.Placer{Centre: node.Centre, Region: node.Region, Slots: p.slots, Strides: p.stride, Fetches: p.fetchTime},
+		Placer: &place.Placer{
+			Centre: node.Centre, Region: node.Region,
+			Slots: p.slots, Strides: p.stride, Fetches: p.fetchTime,
+			Seed: xxhash.Sum64String(p.peers.process),
+		},
 		Budget:  p.budget,
 		Began:   p.book.Began,
 		Needs:   p.needs,
--- a/internal/serve/assembly/relays.go
+++ b/internal/serve/assembly/relays.go
@@ -111,8 +111,17 @@
 	p.front.Teach(learned)
 }
 
-// share tells the placer what the others have open.
-func (p *Front) share(now time.Time) {
+// shareInterval is how often the placer is told what was heard of the others: well
+// below the time between two reports of one of them.
+const shareInterval = 40 * time.Millisecond
+
+// share tells the placer, again and again, what the others have open.
+func (p *Front) share(ctx context.Context) error {
+	pause.Every(ctx, shareInterval, p.shareOnce)
+	return nil
+}
+
+func (p *Front) shareOnce(now time.Time) {
 	var loads map[uint32]chicoryrock.Burden
 	var processes int
 	p.peers.ask(func(f *fleet.Fleet) {
