Refuse requests that state both a length and chunks

Cause: the HTTP library takes such a body by its chunks and drops the length, so the front could not tell it from others.

Ruled out: a server with a parser of its own; looking at the parsed request, from which the length is gone.

Change: a connection's bytes are followed as far as it takes to find headers, and the request whose header states both is answered with 400 and its connection closed. Nothing of it runs.

--- a/internal/serve/assembly/front_test.go
+++ b/internal/serve/assembly/front_test.go
@@ -87,6 +87,7 @@
 		{"a length that is none", head + "Content-Length: -4\r\n\r\n"},
 		{"a bad chunk", head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nhello\r\n0\r\n\r\n"},
 		{"an unknown coding", head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"},
+		{"both a length and chunks", head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"},
 		{"no host", "POST /book/ HTTP/1.1\r\nRequest-Id: x1\r\nConnection: close\r\n\r\n"},
 		{"no request at all", "\x16\x03\x01\x02\x00\x01\r\n\r\n"},
 	}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -237,7 +237,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return serve(server, callers) })
+	group.Go(func() error { return serve(server, framedListener{callers}) })
 	group.Go(func() error { return serve(ready, asked) })
 	group.Go(func() error { return f.tick(background) })
 	group.Go(func() error {
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -61,6 +61,11 @@
 	}
 	ask := platform.ReadAsk(r.Header)
 	table := f.Table()
+	if clashes(r) {
+		w.Header().Set("Connection", "close")
+		f.turnAway(now, w, ask, table, chicoryrock.ReasonMalformed, 0)
+		return
+	}
 	if table == nil || !f.known.Load() {
 		f.turnAway(now, w, ask, table, chicoryrock.ReasonStaleConfig, unconfigured)
 		return
