Keep streams off long prompts where they were seen to be late beside them

The sides were given up, as the pauses of streams with long prompts were short enough; but these have few events. After a loss of all processes the sides were decided anew: 148 ms learned, 150 allowed.

Change: while engines do both, each front counts which share of its streams is late, and tells the others. From 15 in 100 on the sides are kept, for 30 s at least, twice as long each further time, but not where there are too few engines for what both sides need. The sides as they were are read back at a start.

--- a/internal/policy/place/pace.go
+++ b/internal/policy/place/pace.go
@@ -143,6 +143,7 @@
 	tokenName, tokenScale = "/token", 1e5
 	baseName, baseScale   = "/base", 1e2
 	pauseName, pauseScale = "/pause", 1e2
+	mixedName, mixedScale = "/mixed", 1e4
 )
 
 // hold is how long requests stay on a replica.
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -492,6 +492,9 @@
 	if j != nil && j.long && pause > 0 {
 		t.paused(milliseconds(pause))
 	}
+	if j != nil && j.fragile() > 0 && pause > 0 && !t.harmed() {
+		t.sides.mixed.add(pause > request.Gap)
+	}
 	if j == nil || !failed {
 		return
 	}
--- a/internal/policy/place/sides.go
+++ b/internal/policy/place/sides.go
@@ -81,6 +81,7 @@
 	pauses  int     // streams that the estimate comes from
 	heard   heard   // the others' estimates of it
 	apart   bool    // long prompts and streams are kept on different replicas
+	mixed   mixed   // how streams fare where they are not
 	at      time.Time
 	others  float64 // for long prompts, of the other processes
 	briefs  float64 // for short ones, of the other processes
@@ -134,6 +135,7 @@
 	if !long(request) && request.Gap > 0 {
 		s.gap = request.Gap
 	}
+	t.separate(now)
 	if !s.move(now, s.wanted(t)) && !s.stale {
 		return
 	}
@@ -146,24 +148,41 @@
 	}
 }
 
+// needs are how many replicas each side asks for: so that it works at all, and so
+// that it is at ease.
+type needs struct {
+	readers, easyReaders float64
+	streams, easyStreams float64
+}
+
+func (s *sides) needs(t *pool) needs {
+	slots := float64(max(t.slots, 1))
+	reading, brief := s.reading+s.others, s.brief+s.briefs
+	longs, shorts := float64(t.longs+s.long), float64(len(t.jobs)-t.longs+s.short)
+	var n needs
+	n.readers = max(reading/mostReaderLoad, longs/(mostSlots*slots))
+	n.easyReaders = max(n.readers, reading/readerLoad, longs/(slotLoad*slots))
+	n.streams = streamWeight * max(brief/mostStreamLoad, shorts/(mostSlots*slots))
+	n.easyStreams = max(n.streams, streamWeight*max(brief/streamLoad, shorts/(slotLoad*slots)))
+	return n
+}
+
+// over is how many of so many replicas are left when each side has what it needs.
+func (n *needs) over(all int) float64 { return float64(all) - n.readers - n.streams }
+
 // wanted is the number of readers that the work asks for. Both sides get what they
 // need at least, the streams first where that is too much already; what is left
 // over is shared by what each would need to be at ease.
 func (s *sides) wanted(t *pool) int {
-	slots := float64(max(t.slots, 1))
-	reading, brief := s.reading+s.others, s.brief+s.briefs
-	longs, shorts := float64(t.longs+s.long), float64(len(t.jobs)-t.longs+s.short)
-	least := max(reading/mostReaderLoad, longs/(mostSlots*slots))
-	ease := max(least, reading/readerLoad, longs/(slotLoad*slots))
-	leastStreams := streamWeight * max(brief/mostStreamLoad, shorts/(mostSlots*slots))
-	easeStreams := max(leastStreams, streamWeight*max(brief/streamLoad, shorts/(slotLoad*slots)))
+	n := s.needs(t)
 	all := float64(len(s.order))
-	readers := ease
-	switch over := all - least - leastStreams; {
+	readers := n.easyReaders
+	switch over := n.over(len(s.order)); {
 	case over <= 0:
-		readers = all * least / (least + leastStreams)
-	case ease+easeStreams > all:
-		readers = least + over*(ease-least)/(ease-least+easeStreams-leastStreams)
+		readers = all * n.readers / (n.readers + n.streams)
+	case n.easyReaders+n.easyStreams > all:
+		more, moreStreams := n.easyReaders-n.readers, n.easyStreams-n.streams
+		readers = n.readers + over*more/(more+moreStreams)
 	}
 	return max(1, min(int(math.Ceil(readers)), len(s.order)-1))
 }
@@ -324,16 +343,31 @@
 }
 
 // harmed says whether reading long prompts makes the pauses of a pool's streams
-// too long.
-func (t *pool) harmed() bool {
+// too long, so that the sides are kept.
+func (t *pool) harmed() bool { return t.sides.apart }
+
+// separate decides that.
+func (t *pool) separate(now time.Time) {
 	s := &t.sides
 	if s.gap == 0 {
-		return false // no stream that could be harmed has been seen
+		return // no stream that could be harmed has been seen
 	}
 	allowed := milliseconds(s.gap)
-	if s.apart {
-		allowed *= harmless
+	pause := t.usualPause()
+	// With too few replicas for both sides, keeping them makes prompts wait that
+	// would be in time on the others'.
+	n := s.needs(t)
+	crowded := n.over(len(s.order)) <= 0
+	switch {
+	case s.apart:
+		if pause <= harmless*allowed && (crowded || !now.Before(s.mixed.until)) {
+			s.apart = false
+			s.mixed.start()
+		}
+	case pause > allowed:
+		s.apart = true
+	case !crowded && s.mixed.harms():
+		s.apart = true
+		s.mixed.stop(now)
 	}
-	s.apart = t.usualPause() > allowed
-	return s.apart
 }
--- a/internal/policy/place/tell.go
+++ b/internal/policy/place/tell.go
@@ -25,6 +25,10 @@
 			tell(t.name+tokenName, t.pace.ownPerToken(), tokenScale, t.pace.weight()),
 			tell(t.name+baseName, t.pace.ownBase(), baseScale, t.pace.weight()),
 			tell(t.name+pauseName, t.ownPause(), pauseScale, float64(min(t.sides.pauses, maxWeight))))
+		if !t.harmed() {
+			m := &t.sides.mixed
+			loads = append(loads, tell(t.name+mixedName, m.late, mixedScale, m.weight()))
+		}
 	}
 	return loads
 }
@@ -42,6 +46,7 @@
 		t.pace.token = told(others, t.name+tokenName, tokenScale)
 		t.pace.start = told(others, t.name+baseName, baseScale)
 		t.sides.heard = told(others, t.name+pauseName, pauseScale)
+		t.sides.mixed.others = told(others, t.name+mixedName, mixedScale)
 	}
 }
 
@@ -50,6 +55,7 @@
 	Base  float64 `json:"base"`  // milliseconds
 	Token float64 `json:"token"` // milliseconds for a token of prompt
 	Pause float64 `json:"pause"` // usual longest pause beside long prompts, milliseconds
+	Apart bool    `json:"apart"` // long prompts and streams are kept apart
 }
 
 // taught is how many observations what was learned before counts for.
@@ -60,7 +66,7 @@
 	learned := make(map[string]Learned)
 	for name, t := range p.pools {
 		if t.slots > 0 && t.pace.seen >= taught && t.sides.pauses >= taught {
-			learned[name] = Learned{t.pace.base(), t.pace.perToken(), t.usualPause()}
+			learned[name] = Learned{t.pace.base(), t.pace.perToken(), t.usualPause(), t.harmed()}
 		}
 	}
 	return learned
@@ -74,7 +80,7 @@
 			continue
 		}
 		t.pace.assume(known.Base, known.Token, taught)
-		t.sides.pause, t.sides.pauses = known.Pause, taught
+		t.sides.pause, t.sides.pauses, t.sides.apart = known.Pause, taught, known.Apart
 	}
 }
 
@@ -85,6 +91,7 @@
 	Readers  int           // replicas that read long prompts
 	Wanted   int           // readers that the work asks for
 	Apart    bool          // long prompts and streams are kept apart
+	Mixed    float64       // share of streams that were late where they were not
 	Pause    time.Duration // usual longest pause of a stream beside long prompts
 	Base     time.Duration // to a first token without a prompt
 	PerToken time.Duration // of prompt
@@ -106,6 +113,7 @@
 			Readers:  t.sides.readers,
 			Wanted:   t.sides.wanted(t),
 			Apart:    t.harmed(),
+			Mixed:    t.sides.mixed.share(),
 			Pause:    duration(t.usualPause()),
 			Base:     duration(t.pace.base()),
 			PerToken: duration(t.pace.perToken()),
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -331,7 +331,7 @@
 	for i := range views {
 		v := &views[i]
 		f.Log.Write(event.PoolBelief, zap.String("pool", v.Pool), zap.Int("replicas", v.Replicas), zap.Int("readers", v.Readers),
-			zap.Int("wanted", v.Wanted), zap.Bool("apart", v.Apart), zap.Duration("pause", v.Pause), zap.Duration("base", v.Base),
+			zap.Int("wanted", v.Wanted), zap.Bool("apart", v.Apart), zap.Float64("mixed", v.Mixed), zap.Duration("pause", v.Pause), zap.Duration("base", v.Base),
 			zap.Duration("token", v.PerToken), zap.Float64("reading", v.Reading), zap.Int("open", v.Open))
 	}
 }
