Learn the pace of engines faster, and more from the quicker observations

Engines are assumed to read 25 tokens a millisecond until they are observed; these read about 60 beside a batch, and 0.028 ms a token was believed for the first seconds.

Ruled out: another assumption, as slow engines would be overrun by it.

Change: the assumption counts for three observations instead of eight, and what came later than expected counts 0.12 instead of 0.25.

--- a/internal/policy/place/pace.go
+++ b/internal/policy/place/pace.go
@@ -28,11 +28,11 @@
 	paceMemory = 0.995
 	// lateWeight is the weight of an observation that came later than expected; one
 	// that came earlier has the rest.
-	lateWeight = 0.25
+	lateWeight = 0.12
 	// mostLate bounds what one observation says, as a multiple of the expectation.
 	mostLate = 1.6
 	// priorWeight is how many observations the assumption counts for.
-	priorWeight = 8
+	priorWeight = 3
 	// streamCost is what a running stream adds to the time to the first token, as
 	// a share of a base: each step of the engine takes longer with it.
 	streamCost = 0.004
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -340,3 +340,20 @@
 		}
 	}
 }
+
+// Engines that are faster than assumed are known as such after half a dozen prompts, of
+// which each third had to wait: one that has to be read whole is placed then.
+func TestFastEnginesAreSoonKnown(t *testing.T) {
+	p := newPace()
+	const perToken, base, target = 1.0 / 60, 60.0, 400.0 // milliseconds, with the steps of a batch
+	lengths := []float64{3000, 700, 5000, 2500, 900, 4000}
+	for i := range 6 {
+		tokens := lengths[i%len(lengths)]
+		took := base + tokens*perToken
+		if i%3 == 0 {
+			took *= 1.5
+		}
+		p.learn(tokens, took)
+	}
+	require.Less(t, p.base()+9190*p.perToken(), admitShare*target)
+}
