Let a stand-in close while a connection is being accepted

The stack shows Close, which holds the host's mutex, waiting for the server's Serve, and Serve waiting in the host's ConnState for the same mutex: a connection was accepted in the moment of the close.

Ruled out: the code under test; only the stand-in's socket is involved.

Change: the connections have a mutex of their own.

--- a/internal/standin/host/host.go
+++ b/internal/standin/host/host.go
@@ -64,10 +64,14 @@
 	addr     netip.AddrPort
 	listener net.Listener
 	server   *http.Server
-	conns    map[net.Conn]struct{}
 	closed   bool
 	closing  context.Context // ends with Close
 	end      context.CancelFunc
+
+	// The server waits for its connections' changes of state when it is closed, which
+	// is done under the mutex above.
+	tracking sync.Mutex
+	conns    map[net.Conn]struct{}
 }
 
 // Open listens and serves the routes in the background. Port 0 means any free
@@ -140,7 +144,6 @@
 	}
 	h.listener = listener
 	h.addr = netip.AddrPortFrom(tcp.AddrPort().Addr().Unmap(), uint16(tcp.Port))
-	h.conns = make(map[net.Conn]struct{})
 	h.server = &http.Server{
 		Handler:           h.handler,
 		ReadHeaderTimeout: HeaderTimeout,
@@ -154,10 +157,13 @@
 }
 
 func (h *Host) track(conn net.Conn, state http.ConnState) {
-	h.mutex.Lock()
-	defer h.mutex.Unlock()
+	h.tracking.Lock()
+	defer h.tracking.Unlock()
 	switch state {
 	case http.StateNew:
+		if h.conns == nil {
+			h.conns = make(map[net.Conn]struct{})
+		}
 		h.conns[conn] = struct{}{}
 	case http.StateClosed, http.StateHijacked:
 		delete(h.conns, conn)
@@ -170,20 +176,26 @@
 	if h.server == nil {
 		return
 	}
-	for conn := range h.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-	}
+	h.cut()
 	server := h.server
 	h.server = nil
-	h.conns = make(map[net.Conn]struct{})
 	// The server knows its listener only once Serve has begun, which may be later
 	// than this.
 	_ = h.listener.Close()
 	_ = server.Close()
 }
 
+func (h *Host) cut() {
+	h.tracking.Lock()
+	defer h.tracking.Unlock()
+	for conn := range h.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	}
+	h.conns = nil
+}
+
 func (h *Host) revive() {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
