Look at one replica by one function

Cause: some and each checked alike that a replica is still in its place.

Change: lookAtOne serves both; an argument without use is gone. Behaviour stays.

--- a/internal/policy/place/look.go
+++ b/internal/policy/place/look.go
@@ -1,30 +1,28 @@
 package place
 
-import (
-	"time"
-
-	"github.com/chicoryrock/chicoryrock"
-)
+import "github.com/chicoryrock/chicoryrock"
 
 // some looks at the replicas that know a request's session, and at a few others of
 // its side.
-func (t *pool) some(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica, home homes, look func(i int)) {
-	check := func(r *replica) {
-		if r != nil && r.at < len(replicas) && replicas[r.at].Name == r.name {
-			look(r.at)
-		}
-	}
-	check(t.replicas[home.first])
-	check(t.replicas[home.second])
+func (t *pool) some(request *chicoryrock.Request, replicas []chicoryrock.Replica, home homes, look func(i int)) {
+	lookAtOne(t.replicas[home.first], replicas, look)
+	lookAtOne(t.replicas[home.second], replicas, look)
 	for _, known := range home.holders {
-		check(t.byHash[known.server])
+		lookAtOne(t.byHash[known.server], replicas, look)
 	}
 	side := t.side(request)
 	if len(side) == 0 {
 		return
 	}
 	for range few {
-		check(side[t.draw(len(side))])
+		lookAtOne(side[t.draw(len(side))], replicas, look)
+	}
+}
+
+// lookAtOne looks at a replica, if it is known and still in its place of the list.
+func lookAtOne(r *replica, replicas []chicoryrock.Replica, look func(i int)) {
+	if r != nil && r.at < len(replicas) && replicas[r.at].Name == r.name {
+		look(r.at)
 	}
 }
 
@@ -48,11 +46,8 @@
 		}
 		return
 	}
-	for _, name := range [...]string{home.first, home.second} {
-		if r := t.replicas[name]; r != nil && r.at < len(replicas) && replicas[r.at].Name == name {
-			look(r.at)
-		}
-	}
+	lookAtOne(t.replicas[home.first], replicas, look)
+	lookAtOne(t.replicas[home.second], replicas, look)
 	for range lookAt {
 		look(t.draw(len(replicas)))
 	}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -211,7 +211,7 @@
 		}
 	}
 	if engine {
-		t.some(now, request, replicas, home, look)
+		t.some(request, replicas, home, look)
 	}
 	if best < 0 || engine && !bestSound {
 		t.each(replicas, home, look)
