Tell refused callers to return when the overload is likely over

Cause: a refused caller was told when the soonest engine would have room for one more, mostly 0.1 s, while all others were told the same and the burst went on for seconds. Ruled out: a wait by the length of the queue: refused requests leave it within 0.4 of their target, so that it is always short. Change: a request is sent away for as long as requests of its target and tier have been refused already, at most a third of the time that its caller has left. Not done: who returns is not told apart from who comes first, as each attempt has an id of its own and reaches another front.

--- a/internal/policy/place/fetch_test.go
+++ b/internal/policy/place/fetch_test.go
@@ -95,7 +95,7 @@
 	p.SetReplicas("llm", replicasNamed("a", "b"))
 	slots = 4
 	p.SetReplicas("llm", replicasNamed("a", "b"))
-	_, known := p.Room(epoch, question(1), replicasNamed("a", "b"))
+	_, known := p.Refused(epoch, question(1), replicasNamed("a", "b"))
 	require.True(t, known)
 }
 
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -133,7 +133,7 @@
 	}
 	require.GreaterOrEqual(t, len(sent), 8, "all slots are used")
 	require.Less(t, len(sent), 24, "but few more than there are")
-	room, known := p.Room(epoch, question(1000), replicas)
+	room, known := p.Refused(epoch, question(1000), replicas)
 	require.True(t, known)
 	require.Positive(t, room)
 	for _, request := range sent {
--- a/internal/policy/place/reserve.go
+++ b/internal/policy/place/reserve.go
@@ -44,6 +44,8 @@
 	of     uint32  // hash of the name under which processes tell of it
 	demand float64 // tokens of prompts that this process is asked to have read, a second
 	others float64 // the same of the other processes
+
+	overload overload
 }
 
 // reserve is the groups of a pool, the nearest target first.
--- a/internal/policy/place/room.go
+++ b/internal/policy/place/room.go
@@ -7,10 +7,34 @@
 	"github.com/chicoryrock/chicoryrock"
 )
 
-// Room returns how long it takes until a request like this one could begin in time, as
-// far as is known: by how much the soonest replica is too late now. The second result
-// is false for a pool of which nothing is known.
-func (p *Placer) Room(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica) (time.Duration, bool) {
+const (
+	// calm is how long nobody has to be refused for an overload to count as over.
+	calm = time.Second
+	// lastsOn is for how much longer an overload is taken to last, as a share of the
+	// time that it has lasted.
+	lastsOn = 1.0
+)
+
+// overload is the time for which requests of a group have been refused.
+type overload struct {
+	since time.Time
+	last  time.Time // when the last one was refused
+}
+
+// refused notes a refusal, and returns for how long the overload has lasted.
+func (o *overload) refused(now time.Time) time.Duration {
+	if now.Sub(o.last) > calm {
+		o.since = now
+	}
+	o.last = now
+	return now.Sub(o.since)
+}
+
+// Refused takes in that a request is refused, and returns how long it takes until one
+// like it could begin in time: by how much the soonest replica is too late now, or for
+// longer in an overload that has lasted, as whoever is refused twice has waited in vain.
+// The second result is false for a pool of which nothing is known.
+func (p *Placer) Refused(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica) (time.Duration, bool) {
 	t := p.pool(request.Pool)
 	if request.Prompt == 0 || t.slots == 0 {
 		return 0, false
@@ -19,7 +43,9 @@
 	if math.IsInf(soonest, 1) {
 		return 0, false
 	}
-	return max(0, duration(soonest)), true
+	g := t.reserve.group(t.name, milliseconds(request.Target), request.Tier)
+	lasted := g.overload.refused(now)
+	return max(0, duration(soonest), time.Duration(lastsOn*float64(lasted))), true
 }
 
 // soonest returns by how much the replica that is ready first is too late for a
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -374,6 +374,9 @@
 	// spreadShare is by how much of that time callers who are refused together are
 	// spread out.
 	spreadShare = 0.5
+	// returnPart is the part of the time that is left in which callers return; one that
+	// is sent away for longer has given up.
+	returnPart = 3
 )
 
 // wait returns when a refused caller should come back: when there will be room, as
@@ -383,8 +386,8 @@
 	if reason.Status() != http.StatusServiceUnavailable && reason.Status() != http.StatusTooManyRequests {
 		return 0
 	}
-	longest := c.front.Bounds().Return
-	room, known := c.front.room(now, c.request)
+	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
+	room, known := c.front.returns(now, c.request)
 	if !known {
 		return min(c.front.Gate.After(now, c.request), longest)
 	}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -385,11 +385,12 @@
 	return f.Gate.Address(service, name)
 }
 
-func (f *Front) room(now time.Time, request *chicoryrock.Request) (time.Duration, bool) {
+// returns says how long a refused request's caller should wait.
+func (f *Front) returns(now time.Time, request *chicoryrock.Request) (time.Duration, bool) {
 	replicas := f.Gate.Replicas(request.Pool)
 	f.placing.Lock()
 	defer f.placing.Unlock()
-	return f.Placer.Room(now, request, replicas)
+	return f.Placer.Refused(now, request, replicas)
 }
 
 func (f *Front) first(now time.Time, request *chicoryrock.Request) {
