Bound what is read of an answer, and pass long ones on

Cause: a server may send bytes without end. The head of an answer had no bound (611 MB in 2 s, measured by the users); an event was bounded by the line, not by the event; and a body of more than 16 MB was cut there and passed on as if it were whole. Ruled out: chunk sizes, extensions and trailers (the library bounds them, now shown by the test), answers to other requests (bounded before), pages of the store (bounded; heads of its answers took the library's 10 MB). Change: 64 KB for a head, eight heads below 200, 128 KB for an event with all its lines; up to 256 KB of another answer is held, a longer one is passed on as it comes, up to 64 MB, and then its connection ends. Beyond a bound the connection is closed and the server counts as failing.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -25,8 +25,11 @@
 )
 
 const (
-	// maxAnswer bounds an answer that is held until it is whole, bytes.
-	maxAnswer = 16 << 20
+	// maxHeld is how much of an answer is held, bytes, so that one that breaks off can
+	// be replaced by another server's. A longer one is passed on as it comes.
+	maxHeld = 256 << 10
+	// maxAnswer bounds an answer altogether, bytes.
+	maxAnswer = 64 << 20
 	// maxTurns is how many backend servers a request is offered to that turn it
 	// away without running it.
 	maxTurns = 4
@@ -245,18 +248,59 @@
 	if c.started {
 		return errors.Wrapf(errFailed, "status %d", answer.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswer))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
 	if err != nil {
 		return errors.Wrapf(chicoryrock.ErrTruncated, "%v", err)
 	}
+	failed := answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status)
+	if failed && len(body) > maxHeld {
+		return errors.Wrapf(upstream.ErrBadAnswer, "a failure of more than %d bytes", maxHeld)
+	}
 	c.front.first(time.Now(), c.request)
-	if answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status) {
+	if failed {
 		c.failure = &failure{answer.Status, answer.Header, body}
 		return errors.Wrapf(errFailed, "status %d", answer.Status)
 	}
+	if len(body) > maxHeld {
+		return c.pass(answer, body)
+	}
 	return c.write(answer.Status, answer.Header, body)
 }
 
+// pass passes on an answer that is too long to be held: what came of it, and the rest
+// as it comes.
+func (c *call) pass(answer *upstream.Answer, came []byte) error {
+	c.started = true
+	c.status = answer.Status
+	c.first = time.Since(c.begin)
+	platform.Answered(c.w.Header(), answer.Header)
+	if length := answer.Header.Get("Content-Length"); length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
+	c.w.WriteHeader(answer.Status)
+	if _, err := c.w.Write(came); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	buffer := make([]byte, passedAtOnce)
+	for passed := len(came); passed <= maxAnswer; {
+		n, err := answer.Body.Read(buffer)
+		passed += n
+		if _, failure := c.w.Write(buffer[:n]); failure != nil {
+			return errors.Wrap(errCallerGone, failure.Error())
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return errors.Wrapf(chicoryrock.ErrTruncated, "%v", err)
+		}
+	}
+	return errors.Wrapf(upstream.ErrBadAnswer, "an answer of more than %d bytes", maxAnswer)
+}
+
+// passedAtOnce is how much of a long answer is read before it is passed on, bytes.
+const passedAtOnce = 32 << 10
+
 // maxTurnedBody is how much of a refusal is read so that its connection can serve
 // on, bytes.
 const maxTurnedBody = 64 << 10
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -14,8 +14,8 @@
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
-// maxEvent is the longest event that is relayed, bytes.
-const maxEvent = 1 << 20
+// maxEvent is the longest event that is relayed, bytes, with all its lines.
+const maxEvent = 128 << 10
 
 // idField begins the line with an event's ID.
 var idField = []byte("id:")
@@ -28,7 +28,10 @@
 	for {
 		line, err := reader.ReadSlice('\n')
 		pending = append(pending, line...)
-		if errors.Is(err, bufio.ErrBufferFull) && len(pending) < maxEvent {
+		if len(pending) > maxEvent {
+			return errors.Wrapf(upstream.ErrBadAnswer, "an event of more than %d bytes", maxEvent)
+		}
+		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
 		if errors.Is(err, io.EOF) {
--- /dev/null
+++ b/internal/serve/program/endless_test.go
@@ -0,0 +1,175 @@
+package program
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/standin/store"
+	"github.com/chicoryrock/chicoryrock/platform"
+	"github.com/chicoryrock/chicoryrock/platform/sample"
+)
+
+// smallest is the memory of the smallest VM that a front is to run on, bytes.
+const smallest = 112 << 20
+
+// hostileServer answers each request with one text again and again behind a
+// beginning, until the other end closes.
+func hostileServer(t *testing.T, beginning, again string, asked *atomic.Int64) netip.AddrPort {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	block := bytes.Repeat([]byte(again), 1+(32<<10)/len(again))
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				request := make([]byte, 4<<10)
+				n, err := conn.Read(request)
+				asked.Add(1)
+				_, id, _ := strings.Cut(string(request[:n]), sample.ID+": ")
+				id, _, _ = strings.Cut(id, "\r")
+				if err == nil {
+					_, err = io.WriteString(conn, strings.ReplaceAll(beginning, "ID", id))
+				}
+				for err == nil {
+					_, err = conn.Write(block)
+				}
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// realFront starts a front as a process of its own, on a store.
+func realFront(t *testing.T, storeAt netip.AddrPort) (callers, ready netip.AddrPort, command *exec.Cmd) {
+	callers, ready = host.Own(), host.Own()
+	settings := fmt.Sprintf("node: one\nip: %q\nzone: a\nregion: north\nzones: {a: north}\nlisten: {front: %q, ready: %q}\n"+
+		"bounds: {graceS: 4, leaseMs: 1500, usageWindowS: 1, usageLateS: 3, budgetRatio: 0.2, budgetSlack: 60}\nplatform: {address: %q}\n",
+		callers.Addr(), callers, ready, storeAt)
+	file := filepath.Join(t.TempDir(), "node.yaml")
+	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
+	command = exec.Command(filepath.Join(binaries, "chicoryrock"), "front", "-settings", file)
+	require.NoError(t, command.Start())
+	t.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return callers, ready, command
+}
+
+// peakMemory is the most memory that a process has had resident, bytes.
+func peakMemory(t *testing.T, command *exec.Cmd) int {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", command.Process.Pid))
+	require.NoError(t, err)
+	_, rest, found := strings.Cut(string(status), "VmHWM:")
+	require.True(t, found)
+	kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+	require.NoError(t, err)
+	return kilobytes << 10
+}
+
+// Fifty servers at once that answer without end take a front neither its memory nor
+// its sound servers, and nothing of theirs looks like a whole answer.
+func TestFrontOutlivesAnswersWithoutEnd(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n" + sample.ID + ": ID\r\n" + sample.Seal + ": s\r\n"
+	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
+	const unframed = head + "Connection: close\r\n\r\n"
+	const events = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := []struct{ name, service, path, beginning, again string }{
+		{"head", "app", "/read/", head, "X-More: yes\r\n"},
+		{"interim heads", "app", "/read/", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"chunks", "app", "/read/", chunked, "10\r\n0123456789abcdef\r\n"},
+		{"body without length", "app", "/read/", unframed, "0123456789abcdef"},
+		{"failure without length", "app", "/read/", strings.Replace(unframed, "200 OK", "500 Oh", 1), "0123456789abcdef"},
+		{"trailer", "app", "/read/", chunked + "0\r\n", "X-More: yes\r\n"},
+		{"one line of an event", "llm", "/short/", events + "8000000\r\ndata: ", "yes"},
+		{"lines of an event", "llm", "/short/", events, "c\r\ndata: piece\n\r\n"},
+	}
+	const servers = 50
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			kept := &store.Server{Listen: host.Loopback()}
+			require.NoError(t, kept.Start())
+			t.Cleanup(kept.Close)
+			client := &platform.Store{Address: kept.Addr()}
+			put := func(key, value string) {
+				_, err := client.Commit(t.Context(), []chicoryrock.Change{{Key: key, Value: []byte(value), Any: true}})
+				require.NoError(t, err)
+			}
+			put(platform.ConfigKey, sample.Config(1, "k1"))
+			var asked atomic.Int64
+			for i := range servers {
+				put(platform.ServerPrefix+fmt.Sprintf("bad-%02d", i), sample.Entry(c.service, hostileServer(t, c.beginning, c.again, &asked), "ready"))
+			}
+			callers, ready, command := realFront(t, kept.Addr())
+			require.Eventually(t, func() bool { return isReady(ready) }, startLimit, 10*time.Millisecond)
+			var group sync.WaitGroup
+			for i := range servers {
+				group.Go(func() { askHostile(t, callers, c.path, fmt.Sprintf("r%d", i)) })
+			}
+			group.Wait()
+			require.GreaterOrEqual(t, asked.Load(), int64(servers), "all requests have reached a server")
+			require.True(t, isReady(ready))
+			require.Less(t, peakMemory(t, command), smallest)
+		})
+	}
+}
+
+func isReady(ready netip.AddrPort) bool {
+	response, err := http.Get("http://" + ready.String() + platform.ReadyPath)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// askHostile sends a request that no server answers. Its answer is a failure, or
+// breaks off.
+func askHostile(t *testing.T, callers netip.AddrPort, path, id string) {
+	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+callers.String()+path, strings.NewReader(id))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	request.Host = sample.Host
+	request.Header.Set(sample.ID, id)
+	request.Header.Set(sample.Patience, "3000")
+	request.Header.Set("Authorization", "Bearer k1")
+	request.Header.Set(sample.Tokens, "600,40")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if n, err := io.Copy(io.Discard, response.Body); err == nil && response.StatusCode == http.StatusOK {
+		t.Errorf("%s: an answer of %d bytes looks whole", id, n)
+	}
+	if ctx.Err() != nil {
+		t.Errorf("%s: no answer by the caller's time", id)
+	}
+}
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -38,12 +38,20 @@
 	// inlineBody is the largest request that is written before the answer is read,
 	// bytes; a longer one is written beside, as its answer may come first.
 	inlineBody = 16 << 10
+	// maxHead is the longest head of an answer, bytes: many times what servers send.
+	maxHead = 64 << 10
+	// maxInterim is how many heads without an answer of their own, with statuses below
+	// 200, may come before an answer.
+	maxInterim = 8
 	// maxForeign is how many answers to other requests are passed over.
 	maxForeign = 2
 	// maxForeignBody bounds each of them, bytes.
 	maxForeignBody = 1 << 20
 )
 
+// errLongHead says that the head of an answer does not end within its bound.
+var errLongHead = errors.Errorf("the head is longer than %d bytes", maxHead)
+
 // ErrBadAnswer says that what came back is no answer to the request.
 var ErrBadAnswer = errors.New("bad answer")
 
@@ -78,7 +86,8 @@
 	client  *Client
 	closed  sync.Once
 	address netip.AddrPort
-	reader  *bufio.Reader
+	head    *headReader
+	reader  *bufio.Reader // of head
 	raw     syscall.RawConn
 	since   time.Time // when it became idle
 	until   time.Time // when it may no longer be used
@@ -150,7 +159,8 @@
 		c.release(call.Address)
 		return nil, errors.Wrapf(chicoryrock.ErrNotRun, "connect: %v", err)
 	}
-	fresh := &conn{Conn: opened, client: c, address: call.Address, reader: bufio.NewReaderSize(opened, bufferSize)}
+	head := &headReader{Reader: opened}
+	fresh := &conn{Conn: opened, client: c, address: call.Address, head: head, reader: bufio.NewReaderSize(head, bufferSize)}
 	if tcp, ok := opened.(*net.TCPConn); ok {
 		if fresh.raw, err = tcp.SyscallConn(); err != nil {
 			fresh.raw = nil
@@ -315,31 +325,70 @@
 	return out.Bytes()
 }
 
+// headReader bounds what is read for the head of an answer: a server may send one
+// without end.
+type headReader struct {
+	io.Reader
+
+	bounded bool
+	left    int // bytes, while it is bounded
+}
+
+// Read implements io.Reader.
+func (r *headReader) Read(p []byte) (int, error) {
+	if !r.bounded {
+		return r.Reader.Read(p)
+	}
+	if r.left == 0 {
+		return 0, errLongHead
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.left)])
+	r.left -= n
+	return n, err
+}
+
 // receive reads the beginning of the answer. A late answer to an earlier request
 // may stand before it; a connection with one isn't clean.
 func (c *conn) receive(call *Call) (response *http.Response, clean bool, err error) {
 	clean = true
-	request := &http.Request{Method: call.Method}
-	for range maxForeign + 1 {
-		response, err = http.ReadResponse(c.reader, request)
-		if err != nil {
+	foreign, interim := 0, 0
+	for {
+		response, err = c.readHead(call)
+		switch {
+		case errors.Is(err, errLongHead):
+			return nil, false, errors.Wrap(ErrBadAnswer, err.Error())
+		case err != nil:
 			return nil, false, errors.Wrapf(chicoryrock.ErrUnknownOutcome, "read the answer: %v", err)
-		}
-		if response.StatusCode < http.StatusOK {
-			continue
-		}
-		if call.Mine == nil || call.Mine(response.Header) {
+		case response.StatusCode < http.StatusOK:
+			if interim++; interim > maxInterim {
+				return nil, false, errors.Wrapf(ErrBadAnswer, "more than %d heads without an answer", maxInterim)
+			}
+		case call.Mine == nil || call.Mine(response.Header):
 			return response, clean, nil
+		default:
+			clean = false
+			if foreign++; foreign > maxForeign || !skip(response) {
+				return nil, false, errors.Wrap(ErrBadAnswer, "it belongs to another request")
+			}
 		}
-		clean = false
-		if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-			break
-		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody)); err != nil {
-			break
-		}
 	}
-	return nil, false, errors.Wrap(ErrBadAnswer, "it belongs to another request")
+}
+
+// readHead reads one head, of bounded length.
+func (c *conn) readHead(call *Call) (*http.Response, error) {
+	c.head.bounded, c.head.left = true, maxHead
+	defer func() { c.head.bounded = false }()
+	return http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+}
+
+// skip reads an answer to another request to its end, and says whether another one
+// may follow.
+func skip(response *http.Response) bool {
+	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		return false
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBody))
+	return err == nil && n < maxForeignBody
 }
 
 // body is an answer's body. At its clean end the connection may serve another
--- a/internal/serve/web/client.go
+++ b/internal/serve/web/client.go
@@ -31,6 +31,8 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleLife,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeader,
 	}
 	return &http.Client{
 		Transport: transport,
