Hold requests that wait to the configuration in force

Ruled out: withdrawn keys and routes that are gone, which were refused. Change: the workspace is taken anew too, and a request whose route leads elsewhere waits for a server of the new service.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -44,6 +44,8 @@
 	errTurned = errors.WithMessage(chicoryrock.ErrNotRun, "turned away")
 	// errFailed says that the backend server answered with a failure of its own.
 	errFailed = errors.New("the backend server failed")
+	// errMoved says that a call's route leads to other services than when it came.
+	errMoved = errors.New("the route has moved")
 	// errCallerGone says that the answer could not be written.
 	errCallerGone = errors.New("the caller has left")
 )
@@ -107,9 +109,15 @@
 	for err == nil {
 		c.placed(&replica)
 		if err = c.current(); err != nil {
-			f.done(time.Now(), c.request, 0, false)
-			f.Gate.Finish(time.Now(), c.request, replica.Name)
-			break
+			now := time.Now()
+			f.done(now, c.request, 0, false)
+			f.Gate.Finish(now, c.request, replica.Name)
+			if !errors.Is(err, errMoved) {
+				break
+			}
+			c.request = c.describe(c.begin, f.Table())
+			replica, _, err = f.Gate.Acquire(c.ctx, now, c.request)
+			continue
 		}
 		sent := time.Now()
 		err = c.attempt(&replica)
@@ -143,15 +151,19 @@
 		zap.String("fetch", choice.Fetch))
 }
 
-// current checks a call that has waited against the configuration in force now:
-// its key may have been withdrawn and its route may lead elsewhere.
+// current checks a call that has waited against the configuration in force now: its
+// key may have been withdrawn or given to another workspace. It returns errMoved where
+// its route leads to other services.
 func (c *call) current() error {
 	table := c.front.Table()
-	route, _, reason := admit(table, c.r, c.ask.Key)
+	route, workspace, reason := admit(table, c.r, c.ask.Key)
 	if reason != chicoryrock.ReasonNone {
 		return &gate.RefusedError{Reason: reason}
 	}
-	c.route = route
+	c.route, c.workspace = route, workspace
+	if !route.Leads(c.request.Pool) {
+		return errMoved
+	}
 	return nil
 }
 
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -51,6 +51,11 @@
 	return r.Kind == Repeatable || r.Kind == Stream && r.Resumable
 }
 
+// Leads says whether the route leads to a service.
+func (r *Route) Leads(service string) bool {
+	return slices.ContainsFunc(r.Services, func(share Share) bool { return share.Service == service })
+}
+
 // Pick returns the service for a number from 0 to below 1.
 func (r *Route) Pick(at float64) string {
 	total := 0.0
