Start and count with a few calls to the store, however many fronts

Cause: calls to the store grew with the fronts. Ruled out: polling by fronts that rest (none); the three watchers (nine calls a second in all). Change: a front enters itself before it reads the others' entries, so that of two at least one knows the other; reads everything once; and leaves the watching to others when it hears that they do, or after 2.5 s, unless it is among the first entries. Duties are tried for by then. Watchers tell at once that a watch has gone on: else all fronts read everything anew at a moment when three reports were late.

--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -41,6 +41,9 @@
 			callCounts: peer.Typed(func(ctx context.Context, changes []chicoryrock.Change) (any, error) {
 				return p.store.Commit(ctx, changes)
 			}),
+			callCollect: peer.Typed(func(ctx context.Context, changes []chicoryrock.Change) (any, error) {
+				return true, p.collector.Write(ctx, changes)
+			}),
 			callBreaks: peer.Typed(func(_ context.Context, happened []suspect.Break) (any, error) {
 				p.front.Told(time.Now(), happened)
 				return true, nil
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -86,11 +86,13 @@
 	book    *billing.Book
 	needs   *need.Counter
 	peers   *peers
-	duties  []*duty.Holder
-	read    []byte        // the settings as last read
-	watched time.Time     // when the store last answered a watch of this process
-	news    chan struct{} // the store has told something that the peers should know
-	told    chan struct{} // a peer knows something that it was told of just now
+	// collector writes the counts of other processes with this one's.
+	collector billing.Collector
+	duties    []*duty.Holder
+	read      []byte        // the settings as last read
+	watched   time.Time     // when the store last answered a watch of this process
+	news      chan struct{} // the store has told something that the peers should know
+	told      chan struct{} // a peer knows something that it was told of just now
 }
 
 // Run runs the front until the context ends and its requests have drained.
@@ -109,7 +111,8 @@
 		log:     p.Log,
 		fleet:   fleet.Fleet{Self: process},
 	}
-	p.book.Relay, p.book.Keep, p.book.Alive = p.relay, p.keep, p.lives
+	p.collector.Store = p.store
+	p.book.Relay, p.book.Collect, p.book.Keep, p.book.Alive = p.relay, p.collect, p.keep, p.lives
 	p.needs = &need.Counter{Entry: process}
 	p.build()
 	p.Log.Write(event.Started, zap.String("name", node.Name), zap.String("process", process),
@@ -120,17 +123,17 @@
 	for _, follower := range p.followers() {
 		group.Go(func() error { return follower.Run(background) })
 	}
+	group.Go(func() error { return p.followPeers(background) })
 	group.Go(func() error { return p.expire(background) })
 	group.Go(func() error { return p.reload(background) })
 	group.Go(func() error { return p.remember(background) })
 	if p.Scrapes.IsValid() {
 		group.Go(func() error { return p.serveMetrics(background) })
 	}
-	if node.Ports[0] != 0 {
+	if p.talks() {
 		group.Go(func() error { return p.peerServer().Run(background) })
 		group.Go(func() error { return p.gossip().Run(background) })
 		group.Go(func() error { return p.share(background) })
-		group.Go(func() error { return p.peers.join(background, node.Name) })
 		group.Go(func() error { return p.catchUp(background) })
 		group.Go(func() error { return p.tellBreaks(background) })
 	}
@@ -257,16 +260,21 @@
 }
 
 // candidate says whether this process should try for duties: the first two of
-// those that live are enough, and spare the store the others' looks.
+// those that live are enough, and spare the store the others' looks. Who lives is not
+// known at the start.
 func (p *Front) candidate() bool {
-	alive := p.peers.alive(time.Now())
+	now := time.Now()
+	if !p.settled(now) {
+		return false
+	}
+	alive := p.peers.alive(now)
 	return slices.Contains(alive[:min(len(alive), candidates)], p.peers.process)
 }
 
 func (p *Front) followers() []*follow.Follower {
 	return []*follow.Follower{
 		{
-			Store: p.store, Prefix: platform.ConfigKey, Log: p.Log, Rest: p.rests, Patient: p.leaves,
+			Store: p.store, Prefix: platform.ConfigKey, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
 			Reset: func(now time.Time, entries []chicoryrock.Entry, _ uint64) {
 				for _, entry := range entries {
 					p.configure(now, entry)
@@ -275,18 +283,46 @@
 			Change: p.configure,
 		},
 		{
-			Store: p.store, Prefix: platform.ServerPrefix, Log: p.Log, Rest: p.rests, Patient: p.leaves,
+			Store: p.store, Prefix: platform.ServerPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
 			Reset:  p.resetServers,
 			Change: p.changeServer,
 			Caught: p.caughtServers,
 			Heard:  p.heardServers,
 			Lost:   p.lostServers,
 		},
-		{
-			Store: p.store, Prefix: peerPrefix, Log: p.Log, Wait: peerWait, Rest: p.rests, Patient: p.leaves,
-			Reset: p.peers.reset, Change: p.peers.change,
+	}
+}
+
+// followPeers enters this process in the store and then follows the others' entries. In
+// that order, of two processes that start at once at least one reads the other's entry
+// and sends it reports, from which that one knows where it is.
+func (p *Front) followPeers(ctx context.Context) error {
+	if p.talks() {
+		if err := p.peers.join(ctx, p.Node.Name); err != nil {
+			return err
+		}
+	}
+	follower := follow.Follower{
+		Store: p.store, Prefix: peerPrefix, Log: p.Log, Wait: peerWait, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
+		Reset: func(now time.Time, entries []chicoryrock.Entry, revision uint64) {
+			p.peers.reset(now, entries, revision)
+			// The others learn from a report that this process is there, and tell it what
+			// they do.
+			signalTo(p.news)
 		},
+		Change: p.peers.change,
 	}
+	return follower.Run(ctx)
+}
+
+// talks says whether this process exchanges reports with others.
+func (p *Front) talks() bool { return p.Node.Ports[0] != 0 }
+
+// settled says whether this process knows enough of the others to decide what it
+// leaves to them: that takes a while, but one of those that watch for all by the
+// entries in the store need not wait.
+func (p *Front) settled(now time.Time) bool {
+	return !p.talks() || now.Sub(p.Started) >= settleTime || p.peers.early()
 }
 
 // configure takes in the operator's configuration as the store has it.
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -32,6 +32,12 @@
 	watchers = 3
 	// asked is how many peers are asked for what is newer, one after the other.
 	asked = 3
+	// collectTimeout bounds the writing of counts by another process: its wait for more
+	// of them, and the store's answer.
+	collectTimeout = 800 * time.Millisecond
+	// settleTime is how long after its start a process may wait to hear what the others
+	// do: in large fleets each tells about once a second.
+	settleTime = 2500 * time.Millisecond
 	// relays is how many peers are asked to write what the store would not take.
 	relays = 2
 	// watchedWithin is how fresh what a watcher has heard must be: a watch's wait,
@@ -58,6 +64,7 @@
 	callConfig  = "config"
 	callServers = "servers"
 	callCounts  = "counts"
+	callCollect = "collect"
 	callKeep    = "keep"
 	callNeeds   = "needs"
 	callBreaks  = "breaks"
@@ -83,6 +90,7 @@
 	log     *event.Log
 
 	mutex   sync.Mutex
+	read    bool // the entries have been read from the store
 	byNode  map[string]peerRecord
 	fleet   fleet.Fleet
 	clients map[netip.AddrPort]*peer.Client
@@ -108,6 +116,9 @@
 // reset takes in the entries of all processes. Those that were heard stay: their
 // entries may only not be written yet.
 func (p *peers) reset(now time.Time, entries []chicoryrock.Entry, _ uint64) {
+	p.mutex.Lock()
+	p.read = true
+	p.mutex.Unlock()
 	for _, entry := range entries {
 		p.change(now, entry)
 	}
@@ -142,6 +153,20 @@
 	p.byNode[node] = record
 }
 
+// early says whether the entries in the store have been read, and this process is among
+// the first of them, which watch for all.
+func (p *peers) early() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	before := 0
+	for _, record := range p.byNode {
+		if record.Process < p.process {
+			before++
+		}
+	}
+	return p.read && before < watchers
+}
+
 // addresses returns where the other processes are.
 func (p *peers) addresses() []netip.AddrPort {
 	p.mutex.Lock()
@@ -197,11 +222,16 @@
 
 // call runs a method on a process by name.
 func (p *peers) call(ctx context.Context, process, method string, params, result any) error {
+	return p.callWithin(ctx, peerTimeout, process, method, params, result)
+}
+
+// callWithin is call with a limit of its own.
+func (p *peers) callWithin(ctx context.Context, limit time.Duration, process, method string, params, result any) error {
 	client := p.client(process)
 	if client == nil {
 		return errors.Wrapf(chicoryrock.ErrUnavailable, "no address of %s", process)
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	return client.Call(ctx, method, params, result)
 }
--- a/internal/serve/assembly/peers_test.go
+++ b/internal/serve/assembly/peers_test.go
@@ -68,3 +68,28 @@
 	p.heard(now, now, where(7203), &fleet.Report{Process: "nameless", Clock: now})
 	require.Len(t, p.addresses(), 1)
 }
+
+// Which processes watch the store for all is known from their entries already: the
+// others need not watch until they have heard of them.
+func TestFirstEntriesWatchEarly(t *testing.T) {
+	now := time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+	var entries []chicoryrock.Entry
+	var names []string
+	for i := range 9 {
+		node := "front-a-" + string(rune('1'+i))
+		names = append(names, processName(node, now))
+		value, err := json.Marshal(peerRecord{Process: names[i], Address: netip.AddrPortFrom(netip.MustParseAddr("10.1.0.2"), uint16(7200+i))})
+		require.NoError(t, err)
+		entries = append(entries, chicoryrock.Entry{Key: peerPrefix + node, Value: value})
+	}
+	early := 0
+	for _, name := range names {
+		p := &peers{process: name, log: event.NewNop(), fleet: fleet.Fleet{Self: name}}
+		require.False(t, p.early(), "it has read nothing")
+		p.reset(now, entries, 1)
+		if p.early() {
+			early++
+		}
+	}
+	require.Equal(t, watchers, early)
+}
--- a/internal/serve/assembly/relays.go
+++ b/internal/serve/assembly/relays.go
@@ -12,6 +12,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/place"
+	"github.com/chicoryrock/chicoryrock/internal/serve/billing"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 )
@@ -52,6 +53,20 @@
 	return nil
 }
 
+// collect has one process of many write this one's counts with those of the others.
+func (p *Front) collect(ctx context.Context, changes []chicoryrock.Change) error {
+	by := billing.Collects(p.peers.alive(time.Now()), p.peers.process)
+	if by == p.peers.process {
+		return p.collector.Write(ctx, changes)
+	}
+	var written bool
+	err := p.peers.callWithin(ctx, collectTimeout, by, callCollect, changes, &written)
+	if err != nil {
+		p.Log.Write(event.PeerFailed, zap.String("peer", by), zap.Error(err))
+	}
+	return err
+}
+
 // keep has the next living process keep another's counts.
 func (p *Front) keep(ctx context.Context, process string, changes []chicoryrock.Change) error {
 	alive := p.peers.alive(time.Now())
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -32,8 +32,11 @@
 
 func (p *Front) caughtServers(revision uint64) {
 	p.mutex.Lock()
-	defer p.mutex.Unlock()
 	p.servers.Caught(revision)
+	p.mutex.Unlock()
+	// The others leave the watching to this process while they hear that it goes on. What
+	// a report says of that is as old as the report is late.
+	signalTo(p.news)
 }
 
 func (p *Front) resetServers(now time.Time, entries []chicoryrock.Entry, revision uint64) {
--- a/internal/serve/billing/billing.go
+++ b/internal/serve/billing/billing.go
@@ -64,6 +64,8 @@
 	// Relay writes changes that the store would not take from this process by way
 	// of another; nil for none.
 	Relay func(ctx context.Context, changes []chicoryrock.Change) error
+	// Collect has changes written together with those of other processes; nil for none.
+	Collect func(ctx context.Context, changes []chicoryrock.Change) error
 	// Keep has a peer keep a process's changes; nil when they go to the store at once.
 	Keep func(ctx context.Context, process string, changes []chicoryrock.Change) error
 	// Alive says whether another process lives; nil for always.
@@ -108,7 +110,7 @@
 		b.flush(ctx, present+1)
 		return
 	}
-	b.flush(ctx, present)
+	b.flushBy(ctx, present, b.together)
 	b.mutex.Lock()
 	changes, err := b.tally.Pending(b.Process)
 	b.mutex.Unlock()
@@ -183,7 +185,10 @@
 
 // flush writes the counts that have grown, of the windows before one, and says
 // whether the store has all of them.
-func (b *Book) flush(ctx context.Context, before int64) bool {
+func (b *Book) flush(ctx context.Context, before int64) bool { return b.flushBy(ctx, before, b.write) }
+
+// flushBy is flush by one way of writing.
+func (b *Book) flushBy(ctx context.Context, before int64, write func(context.Context, []chicoryrock.Change) error) bool {
 	now := time.Now()
 	b.mutex.Lock()
 	resting := now.Before(b.again)
@@ -201,7 +206,7 @@
 	if len(changes) == 0 {
 		return true
 	}
-	if err := b.write(ctx, changes); err != nil {
+	if err := write(ctx, changes); err != nil {
 		b.Log.Write(event.UsageKept, zap.Int("windows", len(changes)), zap.Error(err))
 		b.mutex.Lock()
 		b.tally.Unwrote(changes)
@@ -215,6 +220,16 @@
 	return true
 }
 
+// together writes the counts of windows that have ended, with those of other processes
+// if one collects them. The counts grow no more, so that it does no harm when the store
+// carries out a write late that has been made again in another way.
+func (b *Book) together(ctx context.Context, changes []chicoryrock.Change) error {
+	if b.Collect != nil && b.Collect(ctx, changes) == nil {
+		return nil
+	}
+	return b.write(ctx, changes)
+}
+
 // write makes changes in the store, or by way of another process. Counts only
 // grow, and each way has a key of its own, so that a late write takes nothing back.
 func (b *Book) write(ctx context.Context, changes []chicoryrock.Change) error {
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -20,6 +20,9 @@
 	// defaultWait is how long a watch waits for a change. It is short, as a watch
 	// that has gone silent looks like one without changes.
 	defaultWait = time.Second
+	// settleInterval is how often a process that has just started looks whether others
+	// follow the prefix.
+	settleInterval = 100 * time.Millisecond
 	// failurePause is the mean wait before the store is asked again after a failure.
 	failurePause = 150 * time.Millisecond
 	// restInterval is how often a process that leaves the watching to others looks
@@ -49,6 +52,9 @@
 	// Patient says that others look for the store's return, so that this process
 	// asks it seldom while it does not answer; nil for never.
 	Patient func(now time.Time) bool
+	// Settled says that this process need not wait any more to hear whether others follow
+	// the prefix: it does not know at its start. Nil for always.
+	Settled func(now time.Time) bool
 	// Rest says that others follow the prefix and tell this process; nil for never.
 	Rest func(now time.Time) bool
 
@@ -69,15 +75,20 @@
 			f.failed(ctx, err)
 			continue
 		}
-		read = true
 		now := time.Now()
 		f.heard(now)
 		f.Reset(now, entries, revision)
+		for !read && !f.settled() && !f.rests() && ctx.Err() == nil {
+			pause.For(ctx, settleInterval)
+		}
+		read = true
 		f.watch(ctx, revision)
 	}
 	return nil
 }
 
+func (f *Follower) settled() bool { return f.Settled == nil || f.Settled(time.Now()) }
+
 func (f *Follower) rests() bool { return f.Rest != nil && f.Rest(time.Now()) }
 
 // watch follows changes until a watch fails or everything is due to be read again.
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -144,3 +144,47 @@
 	mutex.Unlock()
 	require.Eventually(t, func() bool { return len(heard()) == 2 }, waitTime, time.Millisecond)
 }
+
+// A process that has just started does not know whether others watch. It reads
+// everything once, and leaves the watching to them when it has heard that they do.
+func TestStartWaitsToHearOfTheOthers(t *testing.T) {
+	cases := []struct {
+		name    string
+		settled bool
+		rests   bool
+		watches bool
+	}{
+		{"others watch", false, true, false},
+		{"it is one of those that watch", true, false, true},
+		{"nothing is known yet", false, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := &journal{watch: func(int) ([]chicoryrock.Entry, uint64, error) { return nil, 0, nil }}
+			looked := make(chan struct{}, 1000)
+			look := func(answer bool) func(time.Time) bool {
+				return func(time.Time) bool {
+					looked <- struct{}{}
+					return answer
+				}
+			}
+			f := &Follower{
+				Store: j, Prefix: "p/", Log: event.NewNop(), Settled: look(c.settled), Rest: look(c.rests),
+				Reset: func(time.Time, []chicoryrock.Entry, uint64) {},
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- f.Run(ctx) }()
+			for range 2 {
+				<-looked
+			}
+			if c.watches {
+				require.Eventually(t, func() bool { j.mutex.Lock(); defer j.mutex.Unlock(); return j.watches == 1 }, waitTime, time.Millisecond)
+			}
+			cancel()
+			require.NoError(t, <-ended)
+			require.Equal(t, 1, j.read())
+			require.Equal(t, c.watches, j.watches == 1)
+		})
+	}
+}
