Start parts of a process again that panic or fail

Ruled out: the product's own door, which recovers. Change: package guard runs the parts of a front: one that panics or ends with an error is logged (events 107 and 108) and starts again, later each time; a front whose part fails three times in a row says that it isn't ready. Entries and agents start parts again that panic, and still end with errors, which a person should see. A peer's call that panics is answered with an error.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -12,6 +12,8 @@
 	Stopped      = Event{104, zapcore.InfoLevel, "process stopped"}
 	CertTaken    = Event{105, zapcore.InfoLevel, "certificate read again"}
 	CertFailed   = Event{106, zapcore.WarnLevel, "certificate could not be read again"}
+	PartPanicked = Event{107, zapcore.ErrorLevel, "part of the process panicked"}
+	PartFailed   = Event{108, zapcore.WarnLevel, "part of the process starts again"}
 	LibraryDebug = Event{190, zapcore.DebugLevel, "message of a library"}
 	LibraryInfo  = Event{191, zapcore.InfoLevel, "message of a library"}
 	LibraryWarn  = Event{192, zapcore.WarnLevel, "warning of a library"}
--- a/internal/serve/assembly/agent.go
+++ b/internal/serve/assembly/agent.go
@@ -76,7 +76,7 @@
 		Sources: p.roster.Sources,
 		Changed: p.agent.ConfigChanged,
 	}
-	return runAll(ctx, p.agent.Run, p.roster.Run, p.feed.Run, p.usage.Run, p.operators().Run)
+	return runAll(ctx, p.Log, p.agent.Run, p.roster.Run, p.feed.Run, p.usage.Run, p.operators().Run)
 }
 
 // operators serves those who run the system.
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -94,7 +94,7 @@
 	for _, holder := range p.duties {
 		others = append(others, holder.Run)
 	}
-	return runAll(ctx, p.entry.Run, others...)
+	return runAll(ctx, p.Log, p.entry.Run, others...)
 }
 
 func (p *Entry) build() error {
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -30,6 +30,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/follow"
 	"github.com/chicoryrock/chicoryrock/internal/serve/front"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
@@ -77,6 +78,7 @@
 	// Scrapes is where metrics are served, at /metrics; the zero value for nowhere.
 	Scrapes netip.AddrPort
 
+	parts   guard.Parts
 	metrics *metrics.Metrics
 	front   *front.Front
 	store   *platform.Store
@@ -102,6 +104,7 @@
 	p.store = &platform.Store{Address: node.Store, Timeout: storeTimeout}
 	p.metrics = metrics.New(time.Now)
 	p.store.Called = func(kind string, err error) { p.metrics.Call(kind, err != nil) }
+	p.parts.Log = p.Log
 	p.news, p.told = make(chan struct{}, 1), make(chan struct{}, 1)
 	p.book = &billing.Book{Process: process, Length: node.Bounds.UsageWindow, Store: p.store, Log: p.Log, Clock: &p.clock}
 	p.peers = &peers{
@@ -120,29 +123,32 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
+	keep := func(ctx context.Context, part string, run func(context.Context) error) {
+		group.Go(func() error { return p.parts.Keep(ctx, part, run) })
+	}
 	for _, follower := range p.followers() {
-		group.Go(func() error { return follower.Run(background) })
+		keep(background, "follow "+follower.Prefix, follower.Run)
 	}
-	group.Go(func() error { return p.followPeers(background) })
-	group.Go(func() error { return p.expire(background) })
-	group.Go(func() error { return p.reload(background) })
-	group.Go(func() error { return p.remember(background) })
+	keep(background, "follow "+peerPrefix, p.followPeers)
+	keep(background, "lapse", p.expire)
+	keep(background, "settings", p.reload)
+	keep(background, "learned", p.remember)
 	if p.Scrapes.IsValid() {
-		group.Go(func() error { return p.serveMetrics(background) })
+		keep(background, "metrics", p.serveMetrics)
 	}
 	if p.talks() {
-		group.Go(func() error { return p.peerServer().Run(background) })
-		group.Go(func() error { return p.gossip().Run(background) })
-		group.Go(func() error { return p.share(background) })
-		group.Go(func() error { return p.catchUp(background) })
-		group.Go(func() error { return p.tellBreaks(background) })
+		keep(background, "peers", func(ctx context.Context) error { return p.peerServer().Run(ctx) })
+		keep(background, "reports", func(ctx context.Context) error { return p.gossip().Run(ctx) })
+		keep(background, "share", p.share)
+		keep(background, "catch up", p.catchUp)
+		keep(background, "breaks", p.tellBreaks)
 	}
 	if node.Bill {
-		group.Go(func() error { return p.book.Run(background) })
-		group.Go(func() error { return p.hold(p.reporter(process)).Run(ctx) })
+		keep(background, "counts", p.book.Run)
+		keep(ctx, "duty "+dutyUsage, p.hold(p.reporter(process)).Run)
 	}
 	if node.Scale {
-		group.Go(func() error { return p.hold(p.orders(process)).Run(ctx) })
+		keep(ctx, "duty "+duty.OrdersDuty, p.hold(p.orders(process)).Run)
 	}
 	group.Go(func() error {
 		defer cancel()
@@ -193,6 +199,7 @@
 		Needs:   p.needs,
 		Metrics: p.metrics,
 		Dropped: p.Dropped,
+		Sound:   p.parts.Sound,
 	}
 	newQueue := func(string) chicoryrock.Queue { return &queue.Queue{Limit: frontQueue} }
 	p.front.Gate = gate.New(&dispatch.Dispatcher{NewQueue: newQueue, Picker: p.front.Picker()})
--- a/internal/serve/duty/holder.go
+++ b/internal/serve/duty/holder.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/state/lease"
 )
 
@@ -142,7 +143,12 @@
 	h.Log.Write(event.DutyTaken, zap.String("duty", h.Duty), zap.Uint64("fence", started.fence))
 	go func() {
 		defer close(started.done)
-		h.Work(ctx, Grant{Fence: started.fence, Valid: h.valid})
+		parts := guard.Parts{Log: h.Log}
+		// It ends with the context, and has no errors of its own.
+		_ = parts.Keep(ctx, "work of "+h.Duty, func(ctx context.Context) error {
+			h.Work(ctx, Grant{Fence: started.fence, Valid: h.valid})
+			return nil
+		})
 	}()
 }
 
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -101,16 +101,27 @@
 	}
 	f.fresh(c.begin, c.request.Pool)
 	f.asked(c.begin, c.request)
+	granted := "" // the server whose slot the call has
+	defer func() {
+		// A panic ends the call, and must not keep the slot.
+		if granted != "" {
+			now := time.Now()
+			f.done(now, c.request, 0, false)
+			f.Gate.Finish(now, c.request, granted)
+		}
+	}()
 	replica, seen, err := f.Gate.Acquire(c.ctx, c.begin, c.request)
 	if seen.Waits {
 		c.waited = true
 		c.trail.Write(event.Queued, time.Now(), zap.Int("higher", seen.Higher), zap.Bool("given", err == nil))
 	}
 	for err == nil {
+		granted = replica.Name
 		c.placed(&replica)
 		if err = c.current(); err != nil {
 			now := time.Now()
 			f.done(now, c.request, 0, false)
+			granted = ""
 			f.Gate.Finish(now, c.request, replica.Name)
 			if !errors.Is(err, errMoved) {
 				break
@@ -126,9 +137,11 @@
 		c.broke(now, replica.Name, err)
 		f.done(now, c.request, c.pause, blames(err) && c.ctx.Err() == nil)
 		if err == nil || !c.again(now, &replica, err) {
+			granted = ""
 			f.Gate.Finish(now, c.request, replica.Name)
 			break
 		}
+		granted = ""
 		replica, err = f.Gate.Reacquire(c.ctx, now, c.request, replica.Name)
 	}
 	c.end(err)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -25,6 +25,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/place"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/platform"
@@ -70,6 +71,8 @@
 	Needs    *need.Counter
 	Metrics  *metrics.Metrics
 	Dropped  func() int64 // lines of the log that were dropped; may be nil
+	// Sound says whether the other parts of the process run; nil for always.
+	Sound func(now time.Time) bool
 
 	bounds    atomic.Pointer[platform.Bounds]
 	table     atomic.Pointer[routing.Table]
@@ -84,6 +87,7 @@
 	served    counts
 	trails    trail.Book
 	conns     conns
+	parts     guard.Parts
 }
 
 // Bounds returns the platform's bounds that are in force.
@@ -206,7 +210,8 @@
 
 // Ready says whether the process can serve.
 func (f *Front) Ready() bool {
-	return f.table.Load() != nil && f.known.Load() && !f.draining.Load()
+	sound := f.Sound == nil || f.Sound(time.Now())
+	return f.table.Load() != nil && f.known.Load() && !f.draining.Load() && sound
 }
 
 // Run serves until the context ends, then drains within the platform's grace.
@@ -221,7 +226,7 @@
 		return err
 	}
 	server := &http.Server{
-		Handler:           http.HandlerFunc(f.handle),
+		Handler:           http.HandlerFunc(f.safely),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
@@ -239,7 +244,7 @@
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return serve(server, framedListener{callers}) })
 	group.Go(func() error { return serve(ready, asked) })
-	group.Go(func() error { return f.tick(background) })
+	group.Go(func() error { return f.parts.Keep(background, "tick", f.tick) })
 	group.Go(func() error {
 		defer cancel()
 		select {
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -50,6 +50,22 @@
 		zap.Int64("unwritten", unwritten), zap.Int64("dropped", dropped))
 }
 
+// safely serves one request. A panic ends just that request: its connection is closed
+// without the end of an answer, which promises its caller nothing.
+func (f *Front) safely(w http.ResponseWriter, r *http.Request) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		if err, isError := cause.(error); !isError || !errors.Is(err, http.ErrAbortHandler) {
+			f.Log.Write(event.Panicked, zap.String("ref", platform.ReadAsk(r.Header).ID), zap.String("path", r.URL.Path), zap.Any("cause", cause), zap.Stack("stack"))
+		}
+		panic(http.ErrAbortHandler)
+	}()
+	f.handle(w, r)
+}
+
 // handle serves one request.
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 )
@@ -54,9 +55,19 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for reports")
 	}
+	defer func() { _ = socket.Close() }()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
-	go g.send(ctx, socket)
+	sending := guard.Parts{Log: g.Log}
+	go func() {
+		// It ends with the context, and has no errors of its own.
+		_ = sending.Keep(ctx, "send reports", func(ctx context.Context) error {
+			g.send(ctx, socket)
+			return nil
+		})
+	}()
 	buffer := make([]byte, maxReport)
 	for {
 		n, from, err := socket.ReadFromUDPAddrPort(buffer)
--- a/internal/serve/peer/server.go
+++ b/internal/serve/peer/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 )
 
 // maxCalls bounds the calls of one connection that are worked on at once.
@@ -68,6 +69,7 @@
 	s.conns = make(map[*jsonrpc2.Conn]struct{})
 	stop := context.AfterFunc(ctx, func() { _ = s.listener.Close() })
 	defer stop()
+	defer func() { _ = s.listener.Close() }()
 	defer s.closeAll()
 	for {
 		conn, err := s.listener.Accept()
@@ -134,7 +136,11 @@
 	if request.Params != nil {
 		params = *request.Params
 	}
-	result, err := handler(ctx, params)
+	var result any
+	err := guard.Try(h.server.Log, "call "+request.Method, func() (err error) {
+		result, err = handler(ctx, params)
+		return err
+	})
 	if err != nil {
 		h.sent(conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}))
 		return
