Count suspended time against a duty's lease

Cause: Go's steady clock stands still while a VM is suspended, the store's lease does not. A holder that woke took its lease for valid until its next renewal, up to a second later, while another process had the duty: both would have acted, and where the platform does not check the fencing number an old one would have been taken. Ruled out: freezes (the steady clock goes on, and the check right before each sending sees it; held by the machine of package lease), clocks that are set, renewals whose answer is late. Change: the holder's time is shifted by how long the VM was suspended, the difference of two of the kernel's clocks.

--- a/internal/serve/duty/holder.go
+++ b/internal/serve/duty/holder.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/awake"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/state/lease"
 )
@@ -56,6 +57,9 @@
 	Work      WorkFunc
 	TTL       time.Duration // of the lease; 0 means 6 s
 	Renew     time.Duration // how often the lease is renewed; 0 means 2 s
+	// Suspended returns for how long this VM has been suspended, which the steady clock
+	// leaves out and the store's lease does not; nil means what the kernel says.
+	Suspended func() time.Duration
 
 	mu    sync.Mutex
 	lease lease.Lease
@@ -94,7 +98,7 @@
 		h.release(ctx)
 		return
 	}
-	now := time.Now()
+	now := h.shifted(time.Now())
 	tried, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	// The lock is not held during the call, so that Valid answers meanwhile.
@@ -109,6 +113,14 @@
 	h.work(ctx, &next)
 }
 
+// shifted returns a time on a clock that goes on while the VM is suspended.
+func (h *Holder) shifted(now time.Time) time.Time {
+	if h.Suspended == nil {
+		return now.Add(awake.Suspended())
+	}
+	return now.Add(h.Suspended())
+}
+
 func (h *Holder) snapshot() lease.Lease {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -117,7 +129,7 @@
 
 // work starts, prolongs or stops the work, as the lease says.
 func (h *Holder) work(ctx context.Context, current *lease.Lease) {
-	now := time.Now()
+	now := h.shifted(time.Now())
 	valid := current.Valid(now)
 	if h.job != nil {
 		if valid && h.job.fence == current.Fence() && h.job.expiry.Stop() {
@@ -154,7 +166,7 @@
 
 func (h *Holder) valid(now time.Time) bool {
 	current := h.snapshot()
-	return current.Valid(now)
+	return current.Valid(h.shifted(now))
 }
 
 func (h *Holder) stop() {
@@ -190,7 +202,7 @@
 // Status returns what this process knows of the duty.
 func (h *Holder) Status(now time.Time) Status {
 	current := h.snapshot()
-	status := Status{Name: h.Duty, Held: current.Valid(now), Other: current.Other()}
+	status := Status{Name: h.Duty, Held: current.Valid(h.shifted(now)), Other: current.Other()}
 	if status.Held {
 		status.Fence = current.Fence()
 	}
