--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 KNOWN_RED := $(shell sed -n 's/^\(Test[^ ]*\) .*/^\1$$/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|' -)
 SKIP := $(if $(KNOWN_RED),-skip '$(KNOWN_RED)')
 
-.PHONY: all build test race known-red fuzz soak bench format vet lint pages demo clean
+.PHONY: all build test race known-red fuzz decoders soak bench format vet lint pages demo clean
 
 all: build
 
@@ -23,6 +23,15 @@
 fuzz:
 	RAPID_CHECKS=5000 go test -count=1 ./internal/policy/... ./internal/state/...
 
+# Feeds each decoder of what comes from outside TRIES made-up messages besides its seeds.
+TRIES ?= 3000x
+decoders:
+	@for test in $$(grep -rl --include='*_test.go' '^func Fuzz' . | sort); do \
+	  for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$test); do \
+	    go test -run '^$$' -fuzz "^$$name$$" -fuzztime $(TRIES) ./$$(dirname $$test) || exit 1; \
+	  done; \
+	done
+
 # So many real fronts between loopback proxies for SECONDS, disturbed as SEED has
 # it; make test runs a few seconds of seed 1 with three.
 SEED ?= 1
--- a/internal/serve/front/framing_test.go
+++ b/internal/serve/front/framing_test.go
@@ -59,3 +59,23 @@
 		require.Equal(t, int64(len(requests)+1), found)
 	})
 }
+
+// Whatever a caller sends, its framing is followed or given up on.
+func FuzzFrames(f *testing.F) {
+	for _, seed := range []string{plainRequest, sizedRequest, chunkedRequest, clashRequest, "POST / HTTP/1.1\r\nContent-Length: 9223372036854775807\r\n\r\n", "\r\n:\r\n"} {
+		f.Add([]byte(seed), 3)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, piece int) {
+		var whole, pieces frames
+		want := whole.scan(data)
+		got := int64(0)
+		for piece = max(1, piece); len(data) > 0; {
+			n := min(piece, len(data))
+			got = max(got, pieces.scan(data[:n]))
+			data = data[n:]
+		}
+		if want != got {
+			t.Errorf("%d at once, %d in pieces", want, got)
+		}
+	})
+}
--- a/internal/serve/peer/codec.go
+++ b/internal/serve/peer/codec.go
@@ -62,10 +62,14 @@
 	if length > maxMessage {
 		return errors.Wrapf(chicoryrock.ErrInvalid, "message of %d bytes", length)
 	}
-	data := make([]byte, length)
-	if _, err := io.ReadFull(stream, data); err != nil {
+	// The room grows with what comes: a length alone claims none.
+	data, err := io.ReadAll(io.LimitReader(stream, int64(length)))
+	if err != nil {
 		return errors.WithStack(err)
 	}
+	if uint64(len(data)) < length {
+		return errors.WithStack(io.ErrUnexpectedEOF)
+	}
 	if bytes.HasPrefix(data, packedMark) {
 		if data, err = unpack(data); err != nil {
 			return err
--- /dev/null
+++ b/internal/serve/upstream/fuzz_test.go
@@ -0,0 +1,33 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"testing"
+)
+
+// Whatever a server sends is refused, or is an answer that is the request's own.
+func FuzzReceive(f *testing.F) {
+	for _, seed := range []string{
+		headBegin + "Content-Length: 4\r\n\r\nfine",
+		headBegin + chunks + "4;x=y\r\nfine\r\n0\r\nA: b\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" + foreignBegin + "Content-Length: 1\r\n\r\nx" + headBegin + "\r\n",
+		"HTTP/1.1 999\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "rubbish", "",
+	} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		head := &headReader{Reader: bytes.NewReader(data)}
+		c := &conn{head: head, reader: bufio.NewReaderSize(head, bufferSize)}
+		response, _, err := c.receive(&Call{Method: http.MethodPost, Mine: func(header http.Header) bool { return header.Get("Request-Id") == "ID" }})
+		if err != nil {
+			return
+		}
+		if response.Header.Get("Request-Id") != "ID" || response.StatusCode < http.StatusOK {
+			t.Errorf("%d %v", response.StatusCode, response.Header)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+	})
+}
--- /dev/null
+++ b/internal/state/fleet/fuzz_test.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+// Whatever comes as a datagram is refused, or is a report that can be told again.
+func FuzzParse(f *testing.F) {
+	now := time.Unix(1_767_000_000, 0)
+	report := Report{
+		Process: "front-a-1", Sent: now, Store: now, Clock: now, Version: 7, Servers: 9,
+		Loads: []chicoryrock.Burden{{Of: 1, Running: 2, Fragile: 1, Unread: 300}}, Reads: []chicoryrock.Read{{Session: 1, Server: 2}},
+	}
+	whole := report.Append(nil)
+	report.Brief = true
+	for _, seed := range [][]byte{whole, report.Append(nil), whole[:len(whole)-3], append(whole, 1), {form}, {form, 255}, nil} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		got, err := Parse(data)
+		if err != nil {
+			require.ErrorIs(t, err, chicoryrock.ErrInvalid)
+			return
+		}
+		again, err := Parse(got.Append(nil))
+		require.NoError(t, err)
+		require.Equal(t, got.Process, again.Process)
+		require.Equal(t, got.Loads, again.Loads)
+		require.Equal(t, got.Reads, again.Reads)
+		fleet := Fleet{Self: "me"}
+		fleet.Hear(now, now, &got)
+		fleet.Loads(now)
+		fleet.Alive(now)
+		fleet.Shift(now)
+	})
+}
