--- a/internal/serve/assembly/front_waiting_test.go
+++ b/internal/serve/assembly/front_waiting_test.go
@@ -50,37 +50,23 @@
 func TestConfigurationHoldsForWhatWaits(t *testing.T) {
 	cases := []struct {
 		name      string
-		change    func(config string) string
+		config    string
 		status    int
 		server    string // that runs the request
 		workspace string // that the server is told
 	}{
-		{"nothing changes", func(config string) string { return config }, http.StatusOK, "i-app", "w1"},
-		{"the key is withdrawn", func(config string) string {
-			return strings.Replace(config, `"apiKeys":["k1"]`, `"apiKeys":["k2"]`, 1)
-		}, http.StatusUnauthorized, "", ""},
-		{"the workspace is gone", func(config string) string {
-			return strings.Replace(config, `{"name":"w1","apiKeys":["k1"]}`, `{"name":"w2","apiKeys":["k2"]}`, 1)
-		}, http.StatusUnauthorized, "", ""},
-		{"the key has another workspace", func(config string) string {
-			return strings.Replace(config, `"name":"w1"`, `"name":"w2"`, 1)
-		}, http.StatusOK, "i-app", "w2"},
-		{"the route is gone", func(config string) string {
-			return strings.Replace(config, `"pathPrefix":"/read/"`, `"pathPrefix":"/other/"`, 1)
-		}, http.StatusNotFound, "", ""},
-		{"the route has moved", func(config string) string {
-			return strings.Replace(config, `"targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2`,
-				`"targetLatencyMs":300,"priority":2,"service":"next","maxAttempts":2`, 1) // of /read/
-		}, http.StatusOK, "i-next", "w1"},
+		{"nothing changes", sample.Config(2, "k1"), http.StatusOK, "i-app", "w1"},
+		{"the key is withdrawn", sample.Config(2, "k2"), http.StatusUnauthorized, "", ""},
+		{"the workspace is gone", sample.Owned(sample.Config(2, "k2"), "w2"), http.StatusUnauthorized, "", ""},
+		{"the key has another workspace", sample.Owned(sample.Config(2, "k1"), "w2"), http.StatusOK, "i-app", "w2"},
+		{"the route is gone", sample.Unread(sample.Config(2, "k1")), http.StatusNotFound, "", ""},
+		{"the route has moved", sample.Moved(sample.Config(2, "k1")), http.StatusOK, "i-next", "w1"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			log := &lines{}
 			d := deployWith(t, func(front *Front) { front.Log = event.New(zapcore.InfoLevel, log) })
-			with := func(config string) string {
-				return strings.Replace(config, `{"name":"llm"`, `{"name":"next"},{"name":"llm"`, 1)
-			}
-			d.configureWith(1, with)
+			d.configureWith(1, sample.Extended)
 			servers := map[string]*backend{"i-app": d.add("i-app", "app", fine), "i-next": d.add("i-next", "next", fine)}
 			d.settle(1, 2)
 			answers := make(chan answered, 1)
@@ -88,7 +74,7 @@
 			d.front.front.Gate.Change(func() {
 				go func() { answers <- d.send("GET", "/read/x", "w1", "k1", "") }()
 				require.Eventually(t, func() bool { return log.tells(event.Accepted.Text, `"w1"`) }, waitTime, time.Millisecond)
-				table, err := platform.ReadConfig([]byte(c.change(with(sample.Config(2, "k1")))))
+				table, err := platform.ReadConfig([]byte(sample.Extended(c.config)))
 				require.NoError(t, err)
 				require.True(t, d.front.front.Configure(table))
 			})
--- a/internal/serve/guard/guard_test.go
+++ b/internal/serve/guard/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -22,9 +23,8 @@
 	}{
 		{"it ends by itself", false, func() error { return nil }, 1, nil},
 		{"it panics", false, func() error { panic("message") }, 2, nil},
-		{"it panics on nil", false, func() error {
-			var table map[string]int
-			table["a"] = 1
+		{"it panics with an error of the runtime", false, func() error {
+			_ = strings.Repeat("x", -1)
 			return nil
 		}, 2, nil},
 		{"it fails", false, func() error { return chicoryrock.ErrInvalid }, 2, nil},
--- a/internal/serve/program/endless_test.go
+++ b/internal/serve/program/endless_test.go
@@ -1,11 +1,9 @@
 package program
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -14,7 +12,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,6 +19,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/standin/pour"
 	"github.com/chicoryrock/chicoryrock/internal/standin/store"
 	"github.com/chicoryrock/chicoryrock/platform"
 	"github.com/chicoryrock/chicoryrock/platform/sample"
@@ -30,38 +28,6 @@
 // smallest is the memory of the smallest VM that a front is to run on, bytes.
 const smallest = 112 << 20
 
-// hostileServer answers each request with one text again and again behind a
-// beginning, until the other end closes.
-func hostileServer(t *testing.T, beginning, again string, asked *atomic.Int64) netip.AddrPort {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	block := bytes.Repeat([]byte(again), 1+(32<<10)/len(again))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				request := make([]byte, 4<<10)
-				n, err := conn.Read(request)
-				asked.Add(1)
-				_, id, _ := strings.Cut(string(request[:n]), sample.ID+": ")
-				id, _, _ = strings.Cut(id, "\r")
-				if err == nil {
-					_, err = io.WriteString(conn, strings.ReplaceAll(beginning, "ID", id))
-				}
-				for err == nil {
-					_, err = conn.Write(block)
-				}
-			}()
-		}
-	}()
-	return netip.MustParseAddrPort(listener.Addr().String())
-}
-
 // realFront starts a front as a process of its own, on a store.
 func realFront(t *testing.T, storeAt netip.AddrPort) (callers, ready netip.AddrPort, command *exec.Cmd) {
 	callers, ready = host.Own(), host.Own()
@@ -119,9 +85,14 @@
 				require.NoError(t, err)
 			}
 			put(platform.ConfigKey, sample.Config(1, "k1"))
-			var asked atomic.Int64
+			var hostile []*pour.Server
 			for i := range servers {
-				put(platform.ServerPrefix+fmt.Sprintf("bad-%02d", i), sample.Entry(c.service, hostileServer(t, c.beginning, c.again, &asked), "ready"))
+				server := &pour.Server{Beginning: c.beginning, Again: c.again, Echo: sample.ID}
+				address, err := server.Start()
+				require.NoError(t, err)
+				t.Cleanup(server.Close)
+				hostile = append(hostile, server)
+				put(platform.ServerPrefix+fmt.Sprintf("bad-%02d", i), sample.Entry(c.service, address, "ready"))
 			}
 			callers, ready, command := realFront(t, kept.Addr())
 			require.Eventually(t, func() bool { return isReady(ready) }, startLimit, 10*time.Millisecond)
@@ -130,7 +101,11 @@
 				group.Go(func() { askHostile(t, callers, c.path, fmt.Sprintf("r%d", i)) })
 			}
 			group.Wait()
-			require.GreaterOrEqual(t, asked.Load(), int64(servers), "all requests have reached a server")
+			asked := int64(0)
+			for _, server := range hostile {
+				asked += server.Asked()
+			}
+			require.GreaterOrEqual(t, asked, int64(servers), "all requests have reached a server")
 			require.True(t, isReady(ready))
 			require.Less(t, peakMemory(t, command), smallest)
 		})
--- a/internal/state/fleet/relay.go
+++ b/internal/state/fleet/relay.go
@@ -29,6 +29,7 @@
 // Content is what the loads of a report are.
 type Content byte
 
+// The contents.
 const (
 	Own   Content = iota // those of the sender
 	Group                // the sum of the sender's group
