--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -134,7 +134,9 @@
 	keep(background, "settings", p.reload)
 	keep(background, "learned", p.remember)
 	if p.Scrapes.IsValid() {
-		keep(background, "metrics", p.serveMetrics)
+		// Callers are served without metrics too: their failures leave the front ready.
+		aside := &guard.Parts{Log: p.Log}
+		group.Go(func() error { return aside.Keep(background, "metrics", p.serveMetrics) })
 	}
 	if p.talks() {
 		keep(background, "peers", func(ctx context.Context) error { return p.peerServer().Run(ctx) })
