--- a/internal/standin/pour/pour.go
+++ b/internal/standin/pour/pour.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/netip"
@@ -34,7 +35,8 @@
 
 // Start listens on loopback and returns where.
 func (s *Server) Start() (netip.AddrPort, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	config := net.ListenConfig{}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "listen")
 	}
