--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -84,6 +84,7 @@
 	suspects  suspects
 	cold      map[boot]time.Time // until when servers that have just started are slow
 	retries   retriers
+	limits    limits
 	served    counts
 	trails    trail.Book
 	conns     conns
@@ -316,6 +317,7 @@
 			f.Upstream.Sweep(now)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
 			f.writeViews(now)
+			f.limits.write(f.Log)
 		}
 	}
 }
