Show with a test that fronts exceed a backend server's limit

Six fronts on loopback with unequal shares of some 90 requests a second place them among three engines, one of which states in its answers that it takes 1.5 a second.

--- /dev/null
+++ b/internal/serve/assembly/server_limit_test.go
@@ -0,0 +1,128 @@
+package assembly
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/platform"
+	"github.com/chicoryrock/chicoryrock/platform/sample"
+)
+
+const (
+	// limitNotice is how long after a backend server first states a limit the limit
+	// holds.
+	limitNotice = 3 * time.Second
+	// limitWindow is the span over which requests are compared with the limit.
+	limitWindow = 4 * time.Second
+	// limitFactor is how far a span may exceed the limit, besides limitExtra requests.
+	limitFactor = 1.5
+	limitExtra  = 5
+)
+
+// arrivals are the times at which a limited backend server got requests.
+type arrivals struct {
+	mutex sync.Mutex
+	times []time.Time
+}
+
+// limiting wraps an answer so that it states a limit.
+func (a *arrivals) limiting(limit float64, answer http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a.mutex.Lock()
+		a.times = append(a.times, time.Now())
+		a.mutex.Unlock()
+		w.Header().Set(sample.Limit, strconv.FormatFloat(limit, 'f', -1, 64))
+		answer(w, r)
+	}
+}
+
+// most returns the most arrivals in a window that begins after the notice, and how
+// many came after it in all.
+func (a *arrivals) most() (most, all int) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	for i, begin := range a.times {
+		if begin.Sub(a.times[0]) < limitNotice {
+			continue
+		}
+		all++
+		end := i
+		for end < len(a.times) && a.times[end].Sub(begin) <= limitWindow {
+			end++
+		}
+		most = max(most, end-i)
+	}
+	return most, all
+}
+
+// deployMany starts fronts that share one platform and talk to each other.
+func deployMany(t *testing.T, count int) []*deployment {
+	talks := func(node *platform.Node) {
+		at := host.Own()
+		node.Address, node.Ports = at.Addr(), [2]uint16{at.Port(), at.Port()}
+	}
+	all := []*deployment{deploy(t, talks)}
+	for i := 1; i < count; i++ {
+		node := *all[0].node
+		node.Name, node.Callers, node.Ready = fmt.Sprintf("front-a-%d", i+1), host.Own(), host.Own()
+		talks(&node)
+		d := &deployment{t: t, store: all[0].store, server: all[0].server, node: &node, ended: make(chan error, 1)}
+		d.front = &Front{Node: &node, Log: event.NewNop(), Started: time.Now()}
+		ctx, stop := context.WithCancel(context.Background())
+		d.stop = stop
+		go func() { d.ended <- d.front.Run(ctx) }()
+		t.Cleanup(func() {
+			stop()
+			assert.NoError(t, <-d.ended)
+		})
+		all = append(all, d)
+	}
+	return all
+}
+
+// Six fronts with unequal shares of the traffic place requests among three engines, one
+// of which states how many it takes from all of them. Each front that heeds the limit by
+// itself, or not at all, exceeds it.
+func TestServerLimitHoldsOverAllFronts(t *testing.T) {
+	const fronts, limit = 6, 1.5
+	all := deployMany(t, fronts)
+	all[0].configure(2, "k1")
+	var seen arrivals
+	all[0].add("limited", "llm", seen.limiting(limit, stream(4, 0)))
+	all[0].add("free-1", "llm", stream(4, 0))
+	all[0].add("free-2", "llm", stream(4, 0))
+	for _, d := range all {
+		d.settle(2, 3)
+	}
+	ctx, stop := context.WithTimeout(t.Context(), limitNotice+limitWindow+time.Second)
+	defer stop()
+	var callers sync.WaitGroup
+	for caller := range 12 {
+		callers.Go(func() {
+			// Half of the callers use the first front.
+			d := all[max(0, caller-fronts)]
+			for n := 0; ctx.Err() == nil; n++ {
+				path := []string{"/long/x", "/short/x"}[n%2]
+				got := d.send(http.MethodPost, path, fmt.Sprintf("id-%d-%d", caller, n), "k1", "body")
+				assert.Equal(t, http.StatusOK, got.status, "%s of caller %d goes to the other engines", path, caller)
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+	callers.Wait()
+	most, after := seen.most()
+	allowed := limitFactor*limit*limitWindow.Seconds() + limitExtra
+	require.LessOrEqual(t, float64(most), allowed, "requests in %v at a server that takes %v a second", limitWindow, limit)
+	require.Positive(t, after, "a limited server is still used")
+}
+
