Keep all fronts together within the limits that backend servers state

What callers saw: nothing yet.

Cause: nothing read Server-Limit.

Change: the placer passes over a replica for which this process has no permit (package quota); first attempts, retries and resumed streams are all placed there. Fronts exchange messages on limits as datagrams beside their reports, only with those that say in a report that they share limits, so that fronts of the build before see nothing of it. A request that cannot be sent in time because all servers of its service are at their limits is refused at once with reason server-limit and the time at which its turn comes; refused ones return spread out over the permits.

Ruled out: a limit for each front (six times the limit; fixed shares would starve callers at the busy front).

Why it works: a request needs a permit wherever it comes from, permits come at the pledged rate, and each process pledges one part of N to one issuer.

--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -37,6 +37,7 @@
 	chicoryrock.ReasonStaleConfig:    "It would have been served once this process could confirm its configuration again.",
 	chicoryrock.ReasonLimit:          "A later request, or a higher limit for the workspace, would have been let in.",
 	chicoryrock.ReasonLate:           "More backend servers, fewer requests at that moment, or a longer target would have let it in.",
+	chicoryrock.ReasonServerLimit:    "More backend servers of the pool would have let it in, or the same ones once they state no limit.",
 	chicoryrock.ReasonQueueFull:      "More backend servers, or fewer requests at that moment, would have let it in.",
 	chicoryrock.ReasonNoServer:       "A backend server that could be reached in the route's pools would have served it.",
 	chicoryrock.ReasonSuspect:        "A different request would have been served; look at what this one does to the backend servers.",
@@ -52,15 +53,16 @@
 // of another kind is not named, however it came into the record: a shutdown, for
 // instance, is nothing that an operator declared.
 var ruleKinds = map[chicoryrock.Reason][]string{
-	chicoryrock.ReasonWithdrawn: {"key"},
-	chicoryrock.ReasonNoRoute:   {"route"},
-	chicoryrock.ReasonLimit:     {"workspace"},
-	chicoryrock.ReasonLate:      {"class"},
-	chicoryrock.ReasonQueueFull: {"class", "pool"},
-	chicoryrock.ReasonNoServer:  {"route", "pool"},
-	chicoryrock.ReasonClaimed:   {"route"},
-	chicoryrock.ReasonNoStore:   {"route"},
-	chicoryrock.ReasonBroken:    {"pool"},
+	chicoryrock.ReasonWithdrawn:   {"key"},
+	chicoryrock.ReasonNoRoute:     {"route"},
+	chicoryrock.ReasonLimit:       {"workspace"},
+	chicoryrock.ReasonLate:        {"class"},
+	chicoryrock.ReasonQueueFull:   {"class", "pool"},
+	chicoryrock.ReasonServerLimit: {"pool"},
+	chicoryrock.ReasonNoServer:    {"route", "pool"},
+	chicoryrock.ReasonClaimed:     {"route"},
+	chicoryrock.ReasonNoStore:     {"route"},
+	chicoryrock.ReasonBroken:      {"pool"},
 }
 
 // Story tells the record in plain sentences, with times of day in zone.
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -9,6 +9,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 )
 
 // Placer implements chicoryrock.Picker. Set the exported fields before use.
@@ -27,6 +29,9 @@
 	// Seed starts the random sequence by which replicas are sampled. It differs between
 	// processes.
 	Seed uint64
+	// Quota keeps to the limits that replicas state; nil for none. Its keys are those of
+	// ServerKey.
+	Quota *quota.Member
 
 	pools       map[string]*poolState
 	newPrefixes []chicoryrock.CachedPrefix // not yet returned by TakeCachedPrefixes
@@ -52,6 +57,7 @@
 	oversize        oversizeBudget
 	longJobs        int // of jobs, those with long prompts
 	hasReplicas     bool
+	limitRefusals   jitter.RefusedWork                  // requests
 	randomState     uint64                              // of randomBelow
 	fetchMsPerToken float64                             // from another engine's prefix cache; zero for never
 	prefixHolders   map[uint32][maxHolders]prefixHolder // by sessionHash
@@ -167,7 +173,7 @@
 		oversizeWaitMs = oversizeWaitShare * milliseconds(request.FirstTokenTarget)
 		ps.oversize.fill(now, oversizeShare*float64(len(ps.partition.order))/float64(max(p.processes, 1)))
 	}
-	anyHealthy, bestHealthy := false, false
+	anyHealthy, bestHealthy, limited := false, false, 0
 	consider := func(i int) {
 		if replicas[i].Leaving {
 			return
@@ -184,6 +190,10 @@
 		onTime := allowed && f.firstTokenMs+confidence*f.interferenceMs <= limitMs
 		oversized := allowed && !onTime && ps.oversize.allows(f.idleFirstTokenMs) && f.firstTokenMs+confidence*f.interferenceMs <= f.idleFirstTokenMs+oversizeWaitMs
 		if (onTime || oversized) && f.firstTokenMs+f.interferenceMs+f.penaltyMs < bestCostMs {
+			if !p.allows(now, request, r) {
+				limited++
+				return
+			}
 			best, bestCostMs, bestFirstMs, oversizeMs = i, f.firstTokenMs+f.interferenceMs+f.penaltyMs, f.firstTokenMs, 0
 			bestHealthy = healthy
 			if oversized {
@@ -208,6 +218,9 @@
 		source = ps.chooseSource(now, request, ps.replica(replicas[best].Name), affinity)
 	}
 	j := ps.assign(now, request, &replicas[best], affinity, hasPrompt)
+	if p.Quota != nil {
+		p.Quota.Take(now, j.replica.nameHash, request.ID)
+	}
 	j.placement = Placement{
 		TimeToFirstToken: duration(bestFirstMs),
 		UnreadTokens:     int(j.unreadTokens),
@@ -217,6 +230,7 @@
 		TakesLongPrompts: j.replica.takesLong,
 		PeerLoadAge:      now.Sub(p.peerLoadsAt),
 		Replicas:         len(replicas),
+		Limited:          limited,
 	}
 	if source != nil {
 		j.placement.FetchFrom = source.name
@@ -224,6 +238,14 @@
 	return best, true
 }
 
+// ServerKey returns the key of a replica's limit.
+func ServerKey(name string) uint64 { return xxhash.Sum64String(name) }
+
+// allows reports whether a replica's limit allows a request now.
+func (p *Placer) allows(now time.Time, request *chicoryrock.Request, r *replica) bool {
+	return p.Quota == nil || p.Quota.Allows(now, r.nameHash, request.ID)
+}
+
 // pool returns the state of a pool, created if needed.
 func (p *Placer) pool(name string) *poolState {
 	if ps, found := p.pools[name]; found {
@@ -266,7 +288,7 @@
 		name:     name,
 		keyHash:  keyHash(name),
 		slowdown: initialSlowdown,
-		nameHash: xxhash.Sum64String(name),
+		nameHash: ServerKey(name),
 	}
 	ps.replicas[name] = r
 	return r
--- a/internal/policy/place/refusal.go
+++ b/internal/policy/place/refusal.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
 )
 
 const (
@@ -33,10 +34,17 @@
 // RecordRefusal records that a request is refused, and returns the time until one like
 // it could be placed: the delay by which the earliest replica is too late now, or, if
 // longer, the time that the overload has lasted, as a caller that is refused twice has
-// waited in vain. The second result is false where there is no estimate: for a request
-// without a prompt, or a pool without engines or replicas.
+// waited in vain. Where the limits of all replicas are used up, it is the time until those
+// refused of late have had their turn, spread over them. The second result is false where
+// there is no estimate: for a request without a prompt, or a pool without engines or
+// replicas.
 func (p *Placer) RecordRefusal(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica) (time.Duration, bool) {
 	ps := p.pool(request.Pool)
+	if rate, limited := p.permitRate(now, ps, replicas); limited {
+		ps.limitRefusals.Add(now, 1)
+		drainTime := ps.limitRefusals.DrainTime(now, rate, 0, maxLimitedWait)
+		return time.Duration(float64(time.Second)/rate) + time.Duration(jitter.Fraction(request.ID)*float64(drainTime)), true
+	}
 	if request.PromptTokens == 0 || ps.slots == 0 {
 		return 0, false
 	}
@@ -66,7 +74,53 @@
 		if excessMs, hard := ps.excessBusyMs(r, f.busyMs); hard {
 			lateMs = max(lateMs, excessMs)
 		}
+		if p.Quota != nil {
+			if interval, known := p.Quota.Interval(now, r.nameHash); known {
+				lateMs = max(lateMs, milliseconds(interval))
+			}
+		}
 		shortestMs = min(shortestMs, lateMs)
 	})
 	return shortestMs
 }
+
+// maxLimitedWait bounds the time over which the retries of requests are spread that were
+// refused because of limits.
+const maxLimitedWait = time.Minute
+
+// NoRoom reports whether the limits of all of a pool's replicas are used up for so long
+// that a request with others ahead of it can't be sent before a deadline. It counts the
+// request as one that wants a permit.
+func (p *Placer) NoRoom(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica, ahead int, deadline time.Time) bool {
+	if p.Quota == nil || p.Quota.Limits() == 0 {
+		return false
+	}
+	ps := p.pool(request.Pool)
+	for i := range replicas {
+		if !replicas[i].Leaving && p.allows(now, request, ps.replica(replicas[i].Name)) {
+			return false
+		}
+	}
+	rate, limited := p.permitRate(now, ps, replicas)
+	return limited && now.Add(time.Duration(float64(ahead+1)/rate*float64(time.Second))).After(deadline)
+}
+
+// permitRate returns at which rate, requests a second, this process can expect permits
+// for a pool; false if one of the replicas takes a request now, or it is unknown.
+func (p *Placer) permitRate(now time.Time, ps *poolState, replicas []chicoryrock.Replica) (float64, bool) {
+	if p.Quota == nil || p.Quota.Limits() == 0 {
+		return 0, false
+	}
+	rate := 0.0
+	for i := range replicas {
+		if replicas[i].Leaving {
+			continue
+		}
+		interval, known := p.Quota.Interval(now, ps.replica(replicas[i].Name).nameHash)
+		if !known || interval <= 0 {
+			return 0, false
+		}
+		rate += 1 / interval.Seconds()
+	}
+	return rate, rate > 0
+}
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gossip"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
@@ -65,6 +66,10 @@
 		Report:  p.report,
 		News:    p.news,
 		Parcels: p.parcels,
+		Limits:  p.limitMessages,
+		HeardLimits: func(now time.Time, message *quota.Message) {
+			p.front.HeardLimits(now, message)
+		},
 		Heard: func(now time.Time, from netip.AddrPort, report *fleet.Report) {
 			p.peers.heard(now, p.clock.True(now), from, report)
 			if len(report.CachedPrefixes) > 0 {
@@ -85,6 +90,8 @@
 		Clock:      p.clock.True(now),
 		Draining:   p.front.Draining(),
 		OmitsLoads: brief,
+
+		SharesLimits: true,
 	}
 	if !brief {
 		report.Loads = p.front.Loads(now)
@@ -120,6 +127,18 @@
 	return addressed
 }
 
+// limitMessages returns what this process has to say on the limits of backend servers.
+func (p *Front) limitMessages(now time.Time) []gossip.LimitMessage {
+	messages := p.front.LimitMessages(now)
+	addressed := make([]gossip.LimitMessage, 0, len(messages))
+	for i := range messages {
+		if address, known := p.peers.addressOf(messages[i].To); known {
+			addressed = append(addressed, gossip.LimitMessage{To: address, Message: messages[i]})
+		}
+	}
+	return addressed
+}
+
 // catchUp asks peers for what they know and this process has missed: its watches
 // may be silent, or the store may turn just this process away.
 func (p *Front) catchUp(ctx context.Context) error {
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -24,6 +24,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
 	"github.com/chicoryrock/chicoryrock/internal/policy/place"
 	"github.com/chicoryrock/chicoryrock/internal/policy/queue"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 	"github.com/chicoryrock/chicoryrock/internal/serve/billing"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
@@ -194,7 +195,7 @@
 		Placer: &place.Placer{
 			Centre: node.Centre, Region: node.Region,
 			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime,
-			Seed: xxhash.Sum64String(p.peers.process),
+			Seed: xxhash.Sum64String(p.peers.process), Quota: &quota.Member{Name: p.peers.process},
 		},
 		Budget:  p.budget,
 		Began:   p.book.Began,
@@ -203,6 +204,8 @@
 		Dropped: p.Dropped,
 		Sound:   p.parts.Sound,
 	}
+	p.front.Placer.Quota.Changed = p.front.LimitChanged
+	p.front.SetLimitMembers(nil, 1)
 	newQueue := func(string) chicoryrock.Queue { return &queue.Queue{Limit: frontQueue} }
 	p.front.Gate = gate.New(&dispatch.Dispatcher{NewQueue: newQueue, Picker: p.front.Picker()})
 }
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -43,6 +43,9 @@
 	// watchedWithin is how fresh what a watcher has heard must be: a watch's wait,
 	// the way of a report, and some more.
 	watchedWithin = 1700 * time.Millisecond
+	// memberTime is how long a process that is not heard is taken to send requests: longer
+	// than most cuts last.
+	memberTime = 5 * time.Minute
 	// learnedKey is the store's key of what was learned of the engines.
 	learnedKey = "learned"
 	// learnInterval is how often it is written.
@@ -92,6 +95,7 @@
 	mutex   sync.Mutex
 	read    bool // the entries have been read from the store
 	byNode  map[string]peerRecord
+	heardAt map[string]time.Time // by node, when its process was last heard, or entered here
 	fleet   fleet.Fleet
 	clients map[netip.AddrPort]*peer.Client
 }
@@ -125,12 +129,13 @@
 }
 
 // change takes in the entry of one process.
-func (p *peers) change(_ time.Time, entry chicoryrock.KeyValue) {
+func (p *peers) change(now time.Time, entry chicoryrock.KeyValue) {
 	node := strings.TrimPrefix(entry.Key, peerPrefix)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if entry.Deleted {
 		delete(p.byNode, node)
+		delete(p.heardAt, node)
 		return
 	}
 	var record peerRecord
@@ -138,19 +143,20 @@
 		p.log.Write(event.PeerFailed, zap.String("key", entry.Key), zap.Error(err))
 		return
 	}
-	p.enter(node, record)
+	p.enter(now, node, record)
 }
 
 // enter notes where a node's process is, unless a later one is known. The lock is
 // held.
-func (p *peers) enter(node string, record peerRecord) {
+func (p *peers) enter(now time.Time, node string, record peerRecord) {
 	if record.Process == p.process || !bornLater(record.Process, p.byNode[node].Process) {
 		return
 	}
 	if p.byNode == nil {
-		p.byNode = make(map[string]peerRecord)
+		p.byNode, p.heardAt = make(map[string]peerRecord), make(map[string]time.Time)
 	}
 	p.byNode[node] = record
+	p.heardAt[node] = now
 }
 
 // early says whether the entries in the store have been read, and this process is among
@@ -193,7 +199,10 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if node, found := nodeOf(report.Process); found {
-		p.enter(node, peerRecord{Process: report.Process, Address: from})
+		p.enter(now, node, peerRecord{Process: report.Process, Address: from})
+		if p.byNode[node].Process == report.Process {
+			p.heardAt[node] = now
+		}
 	}
 	p.fleet.Receive(now, agreed, report)
 }
@@ -216,6 +225,28 @@
 	return len(process) > len(other) || len(process) == len(other) && process > other
 }
 
+// members returns how many processes may send requests to backend servers, this one
+// included: all that are known, as some may be cut off from here and still send. Those
+// not heard for memberTime count no more where most are alive: at most a minority of
+// them can be on the other side of a cut.
+func (p *peers) members(now time.Time) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	known := len(p.byNode) + 1
+	if !p.read {
+		return max(known, firstProcesses)
+	}
+	if 2*len(p.fleet.Alive(now)) <= known {
+		return known
+	}
+	for _, heard := range p.heardAt {
+		if now.Sub(heard) > memberTime {
+			known--
+		}
+	}
+	return known
+}
+
 // ask runs a function on what was heard.
 func (p *peers) ask(look func(*fleet.Fleet)) {
 	p.mutex.Lock()
--- a/internal/serve/assembly/peers_test.go
+++ b/internal/serve/assembly/peers_test.go
@@ -93,3 +93,45 @@
 	}
 	require.Equal(t, watchers, early)
 }
+
+// Limits are divided by all processes that may send requests. One that is cut off still
+// may; VMs that are gone for good count no more after a while, but only where most are
+// heard: the others may be the ones that are cut off.
+func TestMembersOfALimit(t *testing.T) {
+	now := time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+	cases := []struct {
+		name        string
+		read        bool // the entries have been read from the store
+		listed      int  // other processes with an entry
+		heard       int  // of these, those heard in the last seconds
+		silent      time.Duration
+		wantMembers int
+		wantSharing int
+		draining    bool
+	}{
+		{"nothing is known yet", false, 0, 0, 0, firstProcesses, 0, false},
+		{"alone", true, 0, 0, 0, 1, 0, false},
+		{"all are heard", true, 5, 5, 0, 6, 5, false},
+		{"some are silent", true, 5, 3, time.Minute, 6, 3, false},
+		{"some are silent for long", true, 5, 3, 2 * memberTime, 4, 3, false},
+		{"this one is cut off", true, 5, 1, 2 * memberTime, 6, 1, false},
+		{"the others shut down", true, 5, 5, 0, 6, 0, true},
+	}
+	for _, c := range cases {
+		p := &peers{process: "front-a-0-1", log: event.NewNop(), fleet: fleet.Fleet{Self: "front-a-0-1"}}
+		for i := range c.listed {
+			name := processName("front-a-"+string(rune('1'+i)), now)
+			value, err := json.Marshal(peerRecord{Process: name, Address: netip.AddrPortFrom(netip.MustParseAddr("10.1.0.2"), uint16(7200+i))})
+			require.NoError(t, err)
+			p.change(now, chicoryrock.KeyValue{Key: peerPrefix + "front-a-" + string(rune('1'+i)), Value: value})
+		}
+		later := now.Add(c.silent)
+		for i := range c.heard {
+			name := processName("front-a-"+string(rune('1'+i)), now)
+			p.heard(later, later, netip.AddrPortFrom(netip.MustParseAddr("10.1.0.2"), uint16(7200+i)), &fleet.Report{Process: name, Clock: later, SharesLimits: true, Draining: c.draining})
+		}
+		p.read = c.read
+		require.Equal(t, c.wantMembers, p.members(later), c.name)
+		require.Len(t, p.fleet.SharingLimits(later), c.wantSharing, c.name)
+	}
+}
--- a/internal/serve/assembly/relays.go
+++ b/internal/serve/assembly/relays.go
@@ -135,9 +135,12 @@
 func (p *Front) shareOnce(now time.Time) {
 	var loads map[uint32]chicoryrock.OpenLoad
 	var processes int
+	var sharing []string
 	p.peers.ask(func(f *fleet.Fleet) {
 		loads = f.Loads(now)
 		processes = len(f.Alive(now))
+		sharing = f.SharingLimits(now)
 	})
 	p.front.SetOthers(now, loads, processes)
+	p.front.SetLimitMembers(sharing, p.peers.members(now))
 }
--- a/internal/serve/assembly/server_limit_test.go
+++ b/internal/serve/assembly/server_limit_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/platform"
@@ -46,6 +47,13 @@
 	}
 }
 
+// any says whether something has arrived.
+func (a *arrivals) any() bool {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	return len(a.times) > 0
+}
+
 // most returns the most arrivals in a window that begins after the notice, and how
 // many came after it in all.
 func (a *arrivals) most() (most, all int) {
@@ -126,3 +134,50 @@
 	require.Positive(t, after, "a limited server is still used")
 }
 
+// A request that no server takes in time is refused at once and told when to return, and
+// certainly has not run.
+func TestRefusedAtOnceWhereAllServersAreLimited(t *testing.T) {
+	d := deploy(t)
+	d.configure(2, "k1")
+	var seen arrivals
+	only := d.add("limited", "app", seen.limiting(0.5, fine))
+	d.settle(2, 1)
+	require.Equal(t, http.StatusOK, d.send(http.MethodPost, "/read/x", "first", "k1", "").status)
+	refused := 0
+	for n := range 20 {
+		id := fmt.Sprintf("id-%d", n)
+		got := d.send(http.MethodPost, "/read/x", id, "k1", "")
+		if got.status == http.StatusOK {
+			continue
+		}
+		require.Equal(t, http.StatusServiceUnavailable, got.status)
+		require.Zero(t, only.ran(id))
+		wait, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.Positive(t, wait)
+		require.Contains(t, got.body, chicoryrock.ReasonServerLimit.Sentence())
+		refused++
+	}
+	require.GreaterOrEqual(t, refused, 15)
+}
+
+// A stream that breaks off is resumed within the limits too.
+func TestResumedStreamsKeepToTheLimit(t *testing.T) {
+	d := deploy(t)
+	d.configure(2, "k1")
+	var seen arrivals
+	d.add("limited", "llm", seen.limiting(0.5, stream(4, 0)))
+	d.add("breaks", "llm", stream(4, 2))
+	d.settle(2, 2)
+	for n := 0; !seen.any(); n++ {
+		d.send(http.MethodPost, "/short/x", fmt.Sprintf("begin-%d", n), "k1", "body")
+	}
+	const resumable = 14
+	for n := range resumable {
+		d.send(http.MethodPost, "/long/x", fmt.Sprintf("id-%d", n), "k1", "body")
+	}
+	seen.mutex.Lock()
+	defer seen.mutex.Unlock()
+	span := seen.times[len(seen.times)-1].Sub(seen.times[0])
+	require.LessOrEqual(t, float64(len(seen.times)), limitFactor*0.5*span.Seconds()+limitExtra)
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -101,6 +101,10 @@
 	}
 	f.fresh(c.begin, c.request.Pool)
 	f.asked(c.begin, c.request)
+	if f.noRoom(c.begin, c.request, c.request.Deadline) {
+		c.refused(c.begin, chicoryrock.ReasonServerLimit)
+		return
+	}
 	granted := "" // the server whose slot the call has
 	defer func() {
 		// A panic ends the call, and must not keep the slot.
@@ -160,7 +164,7 @@
 	c.fetch = c.front.address(c.request.Pool, choice.FetchFrom)
 	c.trail.Write(event.Placed, now, zap.String("server", replica.Name), zap.String("centre", replica.Centre),
 		zap.Duration("first", choice.TimeToFirstToken), zap.Int("unread", choice.UnreadTokens), zap.Int("ahead", choice.BacklogTokens), zap.Int("open", choice.OpenRequests),
-		zap.Float64("speed", choice.Slowdown), zap.Bool("reader", choice.TakesLongPrompts), zap.Duration("age", choice.PeerLoadAge), zap.Int("of", choice.Replicas),
+		zap.Float64("speed", choice.Slowdown), zap.Bool("reader", choice.TakesLongPrompts), zap.Duration("age", choice.PeerLoadAge), zap.Int("of", choice.Replicas), zap.Int("limited", choice.Limited),
 		zap.String("fetch", choice.FetchFrom))
 }
 
@@ -201,6 +205,9 @@
 		return false
 	}
 	c.request.Deadline = c.until
+	if !c.started && c.front.noRoom(now, c.request, c.until) {
+		return false
+	}
 	verdict := c.front.decide(now, c.request.Pool, retry.Attempt{
 		Request:    c.request,
 		Err:        failure,
@@ -224,11 +231,11 @@
 
 // attempt sends the request to one backend server and relays its answer.
 func (c *call) attempt(replica *chicoryrock.Replica) error {
-	now := time.Now()
+	sent := time.Now()
 	c.got, c.pause = false, 0
 	stamp := platform.Stamp{
 		Server:  replica.Name,
-		Left:    c.until.Sub(now),
+		Left:    c.until.Sub(sent),
 		Urgency: c.request.Tier - 1,
 		Resume:  c.lastID,
 		Fetch:   c.fetch,
@@ -257,7 +264,7 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
-	c.limited(replica.Name, answer)
+	c.limited(sent, replica.Name, answer)
 	return c.relay(answer)
 }
 
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -201,6 +201,7 @@
 		})
 	}
 	f.cold = cold
+	f.limits.setNames(servers)
 	for name, replicas := range pools {
 		f.Placer.SetReplicas(name, replicas)
 	}
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -1,26 +1,28 @@
 package front
 
 import (
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/place"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
-// unlimited is the limit in log lines where a backend server states none.
-const unlimited = -1
-
-// limits are the limits that backend servers state in their answers, with what this
-// process sent to those servers since the last line about them.
+// limits counts for the log what this process sends to servers that state a limit.
 type limits struct {
 	mutex   sync.Mutex
-	servers map[string]*limitedServer
+	names   map[uint64]string         // of all servers, by place.ServerKey
+	servers map[string]*limitedServer // those with a limit
 }
 
 type limitedServer struct {
@@ -29,42 +31,99 @@
 }
 
 // limited takes in the limit that an answer states.
-func (c *call) limited(server string, answer *upstream.Answer) {
+func (c *call) limited(sent time.Time, server string, answer *upstream.Answer) {
 	if answer.Status == http.StatusMisdirectedRequest {
 		return // another server answered
 	}
 	limit, stated := platform.ReadLimit(answer.Header)
-	before, changed := c.front.limits.set(server, limit, stated)
-	if !changed {
-		return
-	}
 	if !stated {
-		limit = unlimited
+		limit = quota.Unlimited
+	}
+	f := c.front
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	f.Placer.Quota.Observe(time.Now(), sent, place.ServerKey(server), limit)
+}
+
+// LimitChanged logs that the limit of a server has changed; see quota.Member.
+func (f *Front) LimitChanged(server uint64, before, limit float64, from string) {
+	name := f.limits.set(server, limit)
+	f.Log.Write(event.LimitChanged, zap.String("server", name), zap.Float64("limit", limit), zap.Float64("before", before), zap.String("from", from))
+}
+
+// SetLimitMembers sets which processes share the limits of backend servers.
+func (f *Front) SetLimitMembers(peers []string, members int) {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	f.Placer.Quota.SetMembers(peers, !f.draining.Load(), members)
+}
+
+// LimitMessages returns what is to be sent to the other processes about limits.
+func (f *Front) LimitMessages(now time.Time) []quota.Message {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	return f.Placer.Quota.Messages(now)
+}
+
+// HeardLimits takes in what another process says of limits.
+func (f *Front) HeardLimits(now time.Time, message *quota.Message) {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	f.Placer.Quota.Receive(now, message)
+}
+
+// Limited returns how many backend servers are known that state a limit, or did so of
+// late.
+func (f *Front) Limited() int {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	return f.Placer.Quota.Limits()
+}
+
+// noRoom says whether the limits of all servers of a request's service are used up for
+// so long that it can't be sent before a deadline.
+func (f *Front) noRoom(now time.Time, request *chicoryrock.Request, deadline time.Time) bool {
+	if f.Limited() == 0 {
+		return false
 	}
-	c.front.Log.Write(event.LimitChanged, zap.String("server", server), zap.Float64("limit", limit), zap.Float64("before", before), zap.String("ref", c.ask.ID))
+	replicas := f.Gate.Replicas(request.Pool)
+	ahead := f.Gate.Ahead(request)
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	return f.Placer.NoRoom(now, request, replicas, ahead, deadline)
 }
 
-// set takes in a server's limit, and returns the one before and whether it differs.
-func (l *limits) set(server string, limit float64, stated bool) (float64, bool) {
+// setNames takes in the names of all servers.
+func (l *limits) setNames(servers []chicoryrock.Server) {
+	names := make(map[uint64]string, len(servers))
+	for i := range servers {
+		names[place.ServerKey(servers[i].ID)] = servers[i].ID
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	known := l.servers[server]
+	l.names = names
+	maps.DeleteFunc(l.servers, func(name string, _ *limitedServer) bool { return names[place.ServerKey(name)] == "" })
+}
+
+// set takes in a server's limit, and returns its name.
+func (l *limits) set(server uint64, limit float64) string {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	name, listed := l.names[server]
 	switch {
-	case !stated && known == nil:
-		return unlimited, false
-	case !stated:
-		delete(l.servers, server)
-		return known.limit, true
-	case known == nil:
+	case !listed:
+		return fmt.Sprintf("%016x", server)
+	case limit == quota.Unlimited:
+		delete(l.servers, name)
+	case l.servers[name] != nil:
+		l.servers[name].limit = limit
+	default:
 		if l.servers == nil {
 			l.servers = make(map[string]*limitedServer)
 		}
-		l.servers[server] = &limitedServer{limit: limit}
-		return unlimited, true
+		l.servers[name] = &limitedServer{limit: limit}
 	}
-	before := known.limit
-	known.limit = limit
-	return before, before != limit
+	return name
 }
 
 // sent counts an attempt, if the server is limited.
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -287,6 +287,13 @@
 	return g.waiting[place{pool, tier}]
 }
 
+// Ahead returns how many requests of a request's tier or a higher one wait for its pool.
+func (g *Gate) Ahead(request *chicoryrock.Request) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.higher(request) + g.waiting[placeOf(request)]
+}
+
 // Open returns how many requests this entry has open on a pool's replicas.
 func (g *Gate) Open(pool string) int {
 	g.mu.Lock()
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
@@ -47,8 +48,12 @@
 	// Parcels returns reports for single processes, by their addresses, that go out
 	// several times a second besides; nil for none.
 	Parcels func(now time.Time) []Parcel
-	News    <-chan struct{} // something has changed that the others should ask for
-	Log     *event.Log
+	// Limits returns messages on the limits of backend servers, that go out as often and
+	// after each one that is heard; nil for none.
+	Limits      func(now time.Time) []LimitMessage
+	HeardLimits func(now time.Time, message *quota.Message)
+	News        <-chan struct{} // something has changed that the others should ask for
+	Log         *event.Log
 
 	mutex  sync.Mutex
 	failed bool
@@ -60,6 +65,12 @@
 	Report fleet.Report
 }
 
+// LimitMessage is a message on limits for one process.
+type LimitMessage struct {
+	To      netip.AddrPort
+	Message quota.Message
+}
+
 // Run exchanges reports until the context ends.
 func (g *Gossip) Run(ctx context.Context) error {
 	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(g.Listen))
@@ -72,7 +83,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() })
 	defer stop()
 	sending := guard.Parts{Log: g.Log}
-	for part, send := range map[string]func(context.Context, *net.UDPConn){"send reports": g.send, "send parcels": g.sendParcels} {
+	for part, send := range map[string]func(context.Context, *net.UDPConn){"send reports": g.send, "send parcels": g.sendParcels, "send limits": g.sendLimits} {
 		go func() {
 			// It ends with the context, and has no errors of its own.
 			_ = sending.Keep(ctx, part, func(ctx context.Context) error {
@@ -92,6 +103,10 @@
 			g.fault(err)
 			continue
 		}
+		if g.HeardLimits != nil && n > 0 && buffer[0] == quota.FormatVersion {
+			g.heardLimits(time.Now(), socket, from, buffer[:n])
+			continue
+		}
 		report, err := fleet.Parse(buffer[:n])
 		if err != nil {
 			g.Log.Write(event.PeerFailed, zap.Stringer("from", from), zap.Error(err))
@@ -143,6 +158,35 @@
 	})
 }
 
+// sendLimits sends the messages on limits that are due.
+func (g *Gossip) sendLimits(ctx context.Context, socket *net.UDPConn) {
+	if g.Limits == nil {
+		return
+	}
+	pause.Every(ctx, parcelInterval, func(now time.Time) { g.tellLimits(now, socket) })
+}
+
+// tellLimits sends what there is to say on limits.
+func (g *Gossip) tellLimits(now time.Time, socket *net.UDPConn) {
+	var data []byte
+	for _, one := range g.Limits(now) {
+		data = one.Message.Append(data[:0])
+		_, err := socket.WriteToUDPAddrPort(data, one.To)
+		g.fault(err)
+	}
+}
+
+// heardLimits takes in a message on limits, and answers it.
+func (g *Gossip) heardLimits(now time.Time, socket *net.UDPConn, from netip.AddrPort, data []byte) {
+	message, err := quota.Parse(data)
+	if err != nil {
+		g.Log.Write(event.PeerFailed, zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	g.HeardLimits(now, &message)
+	g.tellLimits(now, socket)
+}
+
 // wait waits for a time, or shorter when there is news.
 func (g *Gossip) wait(ctx context.Context, longest time.Duration) {
 	timer := time.NewTimer(longest)
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -47,6 +47,7 @@
 	Clock           time.Time     // the sender's time, corrected by its clock offset
 	StoreSilence    time.Duration // time since LastStoreAnswer; only in parsed reports
 	Draining        bool
+	SharesLimits    bool      // takes part in package quota
 	OmitsLoads      bool      // contains no loads; those sent before remain valid
 	Scope           LoadScope // whose loads it contains
 	Loads           []chicoryrock.OpenLoad
@@ -59,6 +60,7 @@
 	flagOmitsLoads
 	flagGroup
 	flagOthers
+	flagSharesLimits
 )
 
 // Append appends the encoded report to data.
@@ -74,6 +76,9 @@
 	if r.Draining {
 		flags |= flagDraining
 	}
+	if r.SharesLimits {
+		flags |= flagSharesLimits
+	}
 	if r.OmitsLoads {
 		return append(data, flags|flagOmitsLoads)
 	}
@@ -124,6 +129,7 @@
 		Clock:          time.Unix(0, int64(binary.BigEndian.Uint64(rest[16:]))),
 		StoreSilence:   time.Duration(binary.BigEndian.Uint16(rest[24:])) * time.Millisecond,
 		Draining:       rest[26]&flagDraining != 0,
+		SharesLimits:   rest[26]&flagSharesLimits != 0,
 		OmitsLoads:     rest[26]&flagOmitsLoads != 0,
 	}
 	switch {
@@ -232,6 +238,19 @@
 	return names
 }
 
+// SharingLimits returns the sorted names of the live peers that share the limits of
+// backend servers and go on doing so.
+func (f *Fleet) SharingLimits(now time.Time) []string {
+	var names []string
+	for name, p := range f.peers {
+		if now.Sub(p.received) <= aliveTimeout && p.report.SharesLimits && !p.report.Draining {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // WithStore returns the sorted names of the peers that the store has answered within
 // a time limit.
 func (f *Fleet) WithStore(now time.Time, limit time.Duration) []string {
--- a/internal/state/fleet/fleet_test.go
+++ b/internal/state/fleet/fleet_test.go
@@ -23,6 +23,7 @@
 			ServersVersion: rapid.Uint64().Draw(t, "servers"),
 			Clock:          start.Add(time.Duration(rapid.Int64Range(-1e12, 1e12).Draw(t, "clock"))),
 			Draining:       rapid.Bool().Draw(t, "draining"),
+			SharesLimits:   rapid.Bool().Draw(t, "shares limits"),
 		}
 		for range rapid.IntRange(0, 60).Draw(t, "loads") {
 			report.Loads = append(report.Loads, chicoryrock.OpenLoad{
@@ -39,7 +40,7 @@
 		require.NoError(t, err)
 		require.Equal(t, report.Process, got.Process)
 		require.True(t, report.Clock.Equal(got.Clock))
-		require.Equal(t, []any{report.ConfigVersion, report.ServersVersion, report.Draining}, []any{got.ConfigVersion, got.ServersVersion, got.Draining})
+		require.Equal(t, []any{report.ConfigVersion, report.ServersVersion, report.Draining, report.SharesLimits}, []any{got.ConfigVersion, got.ServersVersion, got.Draining, got.SharesLimits})
 		require.Equal(t, report.Loads, got.Loads)
 		require.Equal(t, report.CachedPrefixes, got.CachedPrefixes)
 		require.Equal(t, maxSilenceMs*time.Millisecond, got.StoreSilence, "the store has not answered")
--- a/reason.go
+++ b/reason.go
@@ -16,6 +16,7 @@
 	ReasonLimit
 	ReasonLate
 	ReasonQueueFull
+	ReasonServerLimit
 	ReasonNoServer
 	ReasonSuspect
 	ReasonClaimed
@@ -43,6 +44,7 @@
 	ReasonLimit:          {"limit", "The workspace has used up its limit for now.", 429},
 	ReasonLate:           {"late", "The answer could not have begun within the class's target.", 503},
 	ReasonQueueFull:      {"queue-full", "Too many requests of the same or a higher tier were already waiting.", 503},
+	ReasonServerLimit:    {"server-limit", "Each backend server of the pool has stated how many requests it takes, and others use that up for now.", 503},
 	ReasonNoServer:       {"no-server", "No backend server of the route's pools could be reached.", 503},
 	ReasonSuspect:        {"suspect", "This same request was running when backend servers crashed, so it is not run again.", 422},
 	ReasonClaimed:        {"claimed", "A request with the same idempotency key has already been started.", 409},
