Keep agents within the limits that backend servers state

The agent is the only process that sends an engine requests, so its permits come from itself (package quota with one member). What the limit doesn't allow is refused as not run at once, with the time of the next permit, and the load in the answer shows the server as full, so that entries choose another one. What waits for a slot when a limit begins runs when the limit allows.

Weighed: waiting in the agent; entries can choose another engine and the agent can't.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -11,7 +11,8 @@
 //	AddTokens(request)      it has produced tokens
 //	Finish(request)      -> Run for requests that take free slots
 //	Cancel(request)      -> whether it certainly did not run
-//	Tick()               -> Refuse for late requests; Preempt for an urgent one
+//	Tick()               -> Refuse for late requests; Run for those that a limit allows
+//	                        now; Preempt for an urgent one
 //
 // Offer and Finish can return a Preempt too.
 //
@@ -24,6 +25,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/queue"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 )
 
 // Kind is what the caller has to do with a request.
@@ -60,6 +62,9 @@
 	Slots     int          // requests that the backend server runs at once
 	CanResume bool         // its engines can resume a stopped stream
 	Queue     *queue.Queue // with a Limit of at most a quarter of Slots: long queues belong in the entries
+	// Quota keeps to the limit that the backend server states, under LimitKey; nil for
+	// none. The agent is the only process that sends it requests.
+	Quota *quota.Member
 
 	running        map[*chicoryrock.Request]*runState
 	preempting     int // running requests that are being preempted
@@ -76,13 +81,22 @@
 	cancelled    bool
 }
 
+// LimitKey is the key of the backend server in Controller.Quota.
+const LimitKey = 0
+
 // Offer admits, queues or refuses a request. The action for the request itself is
 // the last one, apart from a Preempt: Run, Wait or Refuse (ReasonShutdown,
-// ReasonLate, ReasonQueueFull).
+// ReasonServerLimit, ReasonLate, ReasonQueueFull). A request that the backend server's
+// limit doesn't allow now is refused at once, as another one may take it.
 func (c *Controller) Offer(now time.Time, request *chicoryrock.Request) []Action {
 	if c.draining {
 		return []Action{c.refuse(now, request, chicoryrock.ReasonShutdown)}
 	}
+	if !c.permitted(now, request.ID) {
+		refusal := c.refuse(now, request, chicoryrock.ReasonServerLimit)
+		refusal.RetryAfter, _ = c.Quota.Interval(now, LimitKey)
+		return []Action{refusal}
+	}
 	displaced, reason := c.Queue.Push(now, request)
 	if reason == chicoryrock.ReasonLate && c.chooseVictim(request.Tier) != nil {
 		displaced, reason = c.Queue.PushIgnoringDeadline(now, request)
@@ -146,14 +160,15 @@
 	}
 }
 
-// Tick refuses requests that can no longer start in time, and preempts a running
-// request for one that is about to be too late. It is called every few milliseconds.
+// Tick refuses requests that can no longer start in time, lets in what the backend
+// server's limit allows by now, and preempts a running request for one that is about to
+// be too late. It is called every few milliseconds.
 func (c *Controller) Tick(now time.Time) []Action {
 	var actions []Action
 	for _, late := range c.Queue.Expire(now) {
 		actions = append(actions, c.refuse(now, late, chicoryrock.ReasonLate))
 	}
-	return c.preempt(now, actions)
+	return c.preempt(now, c.fillSlots(now, actions))
 }
 
 // Drain refuses all waiting requests and, from now on, every Offer. Running requests
@@ -176,14 +191,27 @@
 	return c.fillSlots(now, nil)
 }
 
-// Load returns the load that is sent to an entry with every answer.
-func (c *Controller) Load() chicoryrock.Load {
-	return chicoryrock.Load{
+// Load returns the load that is sent to an entry with every answer. A backend server
+// whose limit allows no request now is shown as full.
+func (c *Controller) Load(now time.Time) chicoryrock.Load {
+	load := chicoryrock.Load{
 		Slots:   c.Slots,
 		Running: len(c.running),
 		Waiting: c.Queue.Len(),
 		Leaving: c.draining,
 	}
+	if c.Quota != nil {
+		if interval, known := c.Quota.Interval(now, LimitKey); known && interval > 0 {
+			load.Running = max(load.Running, 1)
+			load.Slots = load.Running
+		}
+	}
+	return load
+}
+
+// permitted reports whether the backend server's limit allows a request now.
+func (c *Controller) permitted(now time.Time, requestID string) bool {
+	return c.Quota == nil || c.Quota.Allows(now, LimitKey, requestID)
 }
 
 // WastedTokens returns the number of tokens computed in vain.
@@ -196,10 +224,14 @@
 // fillSlots appends a Run action for each waiting request that gets a free slot.
 func (c *Controller) fillSlots(now time.Time, actions []Action) []Action {
 	for len(c.running) < c.Slots {
-		request, found := c.Queue.Pop(now)
-		if !found {
+		next, found := c.Queue.Peek(now)
+		if !found || !c.permitted(now, next.ID) {
 			break
 		}
+		request, _ := c.Queue.Pop(now)
+		if c.Quota != nil {
+			c.Quota.Take(now, LimitKey, request.ID)
+		}
 		if c.running == nil {
 			c.running = make(map[*chicoryrock.Request]*runState)
 		}
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -107,7 +107,7 @@
 func (o *oracle) checkSlots(t *rapid.T) {
 	running := len(o.inState(stateAdmitted, stateStarted, statePreempted))
 	waiting := len(o.inState(stateWaiting))
-	load := o.controller.Load()
+	load := o.controller.Load(o.now)
 	refutef(t, load.Running != running || load.Waiting != waiting, "load %+v with %d running and %d waiting", load, running, waiting)
 	refutef(t, running > o.controller.Slots || (waiting > 0 && running < o.controller.Slots), "%d running and %d waiting", running, waiting)
 	refutef(t, o.drained && waiting > 0, "%d waiting after Drain", waiting)
--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -12,6 +12,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/admit"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
@@ -125,6 +126,7 @@
 		a.refuse(v.w, chicoryrock.ReasonMalformed, 0)
 		return
 	}
+	sent := time.Now()
 	response, err := a.engine.DoRequest(request)
 	if err != nil {
 		v.failed(err)
@@ -132,6 +134,11 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	a.crashes.answered()
+	limit, stated := wire.ReadLimit(response.Header)
+	if !stated {
+		limit = quota.Unlimited
+	}
+	a.room.limited(time.Now(), sent, limit)
 	if echoed := response.Header.Get(wire.RequestID); echoed != "" && echoed != v.request.ID {
 		v.crossed(echoed)
 		return
--- a/internal/serve/agent/room.go
+++ b/internal/serve/agent/room.go
@@ -10,6 +10,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/policy/admit"
 	"github.com/chicoryrock/chicoryrock/internal/policy/queue"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 )
@@ -43,10 +44,13 @@
 }
 
 func newRoom(slots int) *room {
+	alone := &quota.Member{Name: "agent"}
+	alone.SetMembers(nil, true, 1)
 	return &room{
 		core: admit.Controller{
 			Slots: slots,
 			Queue: &queue.Queue{Limit: max(1, int(waitingShare*float64(slots)))},
+			Quota: alone,
 		},
 		seats: make(map[*chicoryrock.Request]*seat),
 	}
@@ -118,6 +122,14 @@
 	r.core.MarkStarted(request)
 }
 
+// limited takes in the limit that the backend server stated in an answer to a request
+// that was sent at a time, or quota.Unlimited.
+func (r *room) limited(now, sent time.Time, limit float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.core.Quota.Observe(now, sent, admit.LimitKey, limit)
+}
+
 func (r *room) token(now time.Time, request *chicoryrock.Request, tokens int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -150,7 +162,7 @@
 func (r *room) load() chicoryrock.Load {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.core.Load()
+	return r.core.Load(time.Now())
 }
 
 // apply carries out the core's actions. The lock is held.
--- a/internal/serve/entry/errors.go
+++ b/internal/serve/entry/errors.go
@@ -63,7 +63,7 @@
 // if it had not been sent; its deadline, not a count of attempts, ends its waiting.
 func isBusy(err error) bool {
 	var refused *notRunError
-	return errors.As(err, &refused) && refused.reason == chicoryrock.ReasonQueueFull
+	return errors.As(err, &refused) && (refused.reason == chicoryrock.ReasonQueueFull || refused.reason == chicoryrock.ReasonServerLimit)
 }
 
 // notRun reads the reason code that an agent gave.
--- a/internal/serve/local/promise_test.go
+++ b/internal/serve/local/promise_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -208,3 +210,29 @@
 		require.Equal(t, http.StatusOK, whole.response.StatusCode)
 	}
 }
+
+// TestLimitedEngine sends an engine no more than the limit that it states, whichever entry
+// the requests come through. The others go to the engine without one.
+func TestLimitedEngine(t *testing.T) {
+	const limit, callers = 1.0, 8
+	centre := engines(2)
+	centre.Entries = 3
+	system := startSystem(t, twoWorkspaces(), centre)
+	system.Engines[0].Switch(engine.Switches{Limit: limit})
+	begin := time.Now()
+	var group sync.WaitGroup
+	for caller := range callers {
+		group.Go(func() {
+			for range 20 {
+				response := system.send(t, caller%centre.Entries, hawkerKey, http.MethodPost, "/v1/completions", `{"model":"garland","max_tokens":40,"prompt":"lots"}`)
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+				assert.NotEmpty(t, readAll(t, response))
+			}
+		})
+	}
+	group.Wait()
+	got := len(system.Engines[0].Sightings())
+	require.Positive(t, got)
+	// As many as there are callers may be sent before the first answer states the limit.
+	require.LessOrEqual(t, float64(got), 1.5*limit*time.Since(begin).Seconds()+5+callers, "of %d requests", 20*callers)
+}
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -27,6 +27,7 @@
 	Workspace = "X-Chicory-Workspace"
 	Class     = "X-Chicory-Class"
 	Tier      = "X-Chicory-Tier"
+	Limit     = "X-Chicory-Limit"   // requests a second that the backend server takes, in its answers; missing for any number
 	Load      = "X-Chicory-Load"    // JSON of chicoryrock.Load
 	Resume    = "X-Chicory-Resume"  // output tokens that the caller already has
 	Prompt    = "X-Chicory-Prompt"  // estimated prompt length, tokens
@@ -110,6 +111,12 @@
 	}
 }
 
+// ReadLimit reads the limit that a backend server states in an answer.
+func ReadLimit(header http.Header) (float64, bool) {
+	limit, err := strconv.ParseFloat(header.Get(Limit), 64)
+	return limit, err == nil && limit >= 0 && !math.IsInf(limit, 0)
+}
+
 // SetLoad writes an agent's load into a header.
 func SetLoad(header http.Header, load chicoryrock.Load) {
 	text, err := json.Marshal(load)
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -56,6 +57,9 @@
 		s.switches.Hangup--
 	}
 	_, loaded := s.models[work.model]
+	if s.switches.Limit > 0 {
+		w.Header().Set(wire.Limit, strconv.FormatFloat(s.switches.Limit, 'f', -1, 64))
+	}
 	s.mutex.Unlock()
 	if hangup {
 		host.HangUp()
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -20,6 +20,7 @@
 	Truncate int           `json:"truncate"` // end each answer after this many tokens, without its end marker
 	Cross    int           `json:"cross"`    // let this many next requests swap answers with their successors
 	Deaf     bool          `json:"deaf"`     // go on making tokens after the client has hung up
+	Limit    float64       `json:"limit"`    // state this limit in answers, requests a second; zero for none
 	Fence    bool          `json:"fence"`    // refuse orders with an old fencing number
 }
 
