Have servers state limits in the soak

One server of each service states a limit for the whole run, others begin, change and end theirs while fronts are killed, frozen and restarted and connections suffer. What comes from fronts that got such an answer half a second before, and were not disturbed for 3 s, stays within one and a half times the limit and 5 requests in 4 s.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,7 @@
 	seed, seconds, fronts := uint64(number(t, "SOAK_SEED", 1)), number(t, "SOAK_SECONDS", 6), number(t, "SOAK_FRONTS", 3)
 	w := newWorld(t, seed, fronts)
 	w.untilServing("begin")
+	w.limitSome()
 	results := w.play(time.Duration(seconds) * time.Second)
 	w.untilServing("end")
 	w.check(seed, results)
@@ -109,7 +110,7 @@
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(10) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(12) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
@@ -128,6 +129,8 @@
 		time.AfterFunc(last, func() { w.store.Switch(store.Switches{}) })
 	case 5:
 		w.proxies[w.random.IntN(len(w.proxies))].reset()
+	case 6, 7:
+		w.limitAnother()
 	default:
 		one := w.proxies[w.random.IntN(len(w.proxies))]
 		one.mood.Store(int32(1 + w.random.IntN(int(moods)-1)))
@@ -186,6 +189,7 @@
 	}
 	require.Positive(w.t, served, "nothing was served at all")
 	require.Empty(w.t, w.odd)
+	w.checkLimits(seed)
 	w.t.Logf("seed %d: %d of %d served, %d windows reported", seed, served, len(results), len(w.sheet))
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -47,6 +47,7 @@
 	client  *platform.Store
 	fronts  []*process
 	proxies []*proxy
+	limited map[string]*limited // by backend server
 
 	mutex  sync.Mutex
 	runs   map[string]int
@@ -63,12 +64,20 @@
 	log     string
 	mutex   sync.Mutex
 	command *exec.Cmd
+	// disturbed is when it last got a signal or was started.
+	disturbed time.Time
+}
+
+func (p *process) disturbedAt() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.disturbed
 }
 
 func newWorld(t *testing.T, seed uint64, fronts int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 7)), store: &store.Server{Listen: host.Loopback()},
-		runs: map[string]int{}, sheet: map[int64]string{}, holder: map[string]string{},
+		limited: map[string]*limited{}, runs: map[string]int{}, sheet: map[int64]string{}, holder: map[string]string{},
 	}
 	require.NoError(t, w.store.Start())
 	t.Cleanup(w.store.Close)
@@ -124,6 +133,8 @@
 
 // backend starts a backend server behind a proxy and enters it in the store.
 func (w *world) backend(id, service string) {
+	limit := &limited{told: map[int]time.Time{}}
+	w.limited[id] = limit
 	handler := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		asked := r.Header.Get(sample.ID)
 		rw.Header().Set(sample.ID, asked)
@@ -137,6 +148,9 @@
 		w.mutex.Lock()
 		w.runs[asked]++
 		w.mutex.Unlock()
+		if front, found := w.frontOf(asked); found {
+			limit.arrived(time.Now(), w.fronts[front].disturbedAt(), front, rw.Header())
+		}
 		if service == "app" {
 			time.Sleep(5 * time.Millisecond)
 			_, _ = io.WriteString(rw, asked)
@@ -212,12 +226,14 @@
 	p.command = exec.Command(p.command.Path, p.command.Args[1:]...)
 	p.command.Stdout, p.command.Stderr = log, log
 	require.NoError(t, p.command.Start())
+	p.disturbed = time.Now()
 }
 
 // signal reaches only the process that was started here.
 func (p *process) signal(s syscall.Signal) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	p.disturbed = time.Now()
 	_ = p.command.Process.Signal(s)
 }
 
