Ask for permits only where a request would be sent

The placer asked for a permit whenever a limited replica was the cheapest so far of those that it looked at, also if a cheaper one without a limit came after it. With many such servers, permits would go to fronts that have no use for them.

Replicas without a permit are now tried last and in the order of their cost, as far as they are cheaper than the best one that needs none.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -34,6 +34,7 @@
 	Quota *quota.Member
 
 	pools       map[string]*poolState
+	limited     []candidate                // of the present Pick, those without a permit
 	newPrefixes []chicoryrock.CachedPrefix // not yet returned by TakeCachedPrefixes
 	processes   int                        // as given to SetPeerLoads
 	peerLoadsAt time.Time                  // of the last SetPeerLoads
@@ -166,14 +167,15 @@
 		ps.computeLimits(now, request)
 	}
 	affinity := ps.affinity(now, request)
-	best, bestCostMs, bestFirstMs := -1, math.Inf(1), 0.0
-	limitMs, oversizeWaitMs, confidence, oversizeMs := math.Inf(1), 0.0, ps.pauseConfidence(), 0.0
+	best := candidate{index: -1, costMs: math.Inf(1)}
+	p.limited = p.limited[:0]
+	limitMs, oversizeWaitMs, confidence := math.Inf(1), 0.0, ps.pauseConfidence()
 	if hasPrompt {
 		limitMs = admissionShare * milliseconds(request.FirstTokenTarget)
 		oversizeWaitMs = oversizeWaitShare * milliseconds(request.FirstTokenTarget)
 		ps.oversize.fill(now, oversizeShare*float64(len(ps.partition.order))/float64(max(p.processes, 1)))
 	}
-	anyHealthy, bestHealthy, limited := false, false, 0
+	anyHealthy := false
 	consider := func(i int) {
 		if replicas[i].Leaving {
 			return
@@ -189,40 +191,43 @@
 		}
 		onTime := allowed && f.firstTokenMs+confidence*f.interferenceMs <= limitMs
 		oversized := allowed && !onTime && ps.oversize.allows(f.idleFirstTokenMs) && f.firstTokenMs+confidence*f.interferenceMs <= f.idleFirstTokenMs+oversizeWaitMs
-		if (onTime || oversized) && f.firstTokenMs+f.interferenceMs+f.penaltyMs < bestCostMs {
-			if !p.allows(now, request, r) {
-				limited++
-				return
-			}
-			best, bestCostMs, bestFirstMs, oversizeMs = i, f.firstTokenMs+f.interferenceMs+f.penaltyMs, f.firstTokenMs, 0
-			bestHealthy = healthy
-			if oversized {
-				oversizeMs = f.idleFirstTokenMs
-			}
+		if !onTime && !oversized {
+			return
+		}
+		c := candidate{index: i, costMs: f.firstTokenMs + f.interferenceMs + f.penaltyMs, firstMs: f.firstTokenMs, healthy: healthy}
+		if oversized {
+			c.oversizeMs = f.idleFirstTokenMs
+		}
+		switch {
+		case !p.permits(now, r):
+			p.limited = append(p.limited, c)
+		case c.costMs < best.costMs:
+			best = c
 		}
 	}
 	if hasPrompt {
 		ps.considerLikely(request, replicas, affinity, consider)
 	}
-	if best < 0 || hasPrompt && !bestHealthy {
+	if best.index < 0 || hasPrompt && !best.healthy {
 		ps.considerAll(replicas, affinity, consider)
 	}
+	best, passedOver := p.tryLimited(now, ps, request, replicas, best)
 	// A replica that has just failed is used only where no replica is healthy. Otherwise
 	// the request waits for a healthy one.
-	if best < 0 || hasPrompt && anyHealthy && !bestHealthy {
+	if best.index < 0 || hasPrompt && anyHealthy && !best.healthy {
 		return 0, false
 	}
-	ps.oversize.spend(oversizeMs)
+	ps.oversize.spend(best.oversizeMs)
 	var source *replica
 	if hasPrompt {
-		source = ps.chooseSource(now, request, ps.replica(replicas[best].Name), affinity)
+		source = ps.chooseSource(now, request, ps.replica(replicas[best.index].Name), affinity)
 	}
-	j := ps.assign(now, request, &replicas[best], affinity, hasPrompt)
+	j := ps.assign(now, request, &replicas[best.index], affinity, hasPrompt)
 	if p.Quota != nil {
 		p.Quota.Take(now, j.replica.nameHash, request.ID)
 	}
 	j.placement = Placement{
-		TimeToFirstToken: duration(bestFirstMs),
+		TimeToFirstToken: duration(best.firstMs),
 		UnreadTokens:     int(j.unreadTokens),
 		BacklogTokens:    int(j.backlogTokens),
 		OpenRequests:     j.replica.openRequests(),
@@ -230,18 +235,55 @@
 		TakesLongPrompts: j.replica.takesLong,
 		PeerLoadAge:      now.Sub(p.peerLoadsAt),
 		Replicas:         len(replicas),
-		Limited:          limited,
+		Limited:          passedOver,
 	}
 	if source != nil {
 		j.placement.FetchFrom = source.name
 	}
+	return best.index, true
+}
+
+// candidate is a replica that a request may be sent to.
+type candidate struct {
+	index      int // in the list of replicas; below zero for none
+	costMs     float64
+	firstMs    float64 // predicted time to first token
+	oversizeMs float64 // of the budget for oversize prompts
+	healthy    bool
+}
+
+// tryLimited returns the best candidate among one and those in p.limited, which are sent
+// requests only if their limits allow it. The second result says whether a cheaper one
+// was passed over.
+func (p *Placer) tryLimited(now time.Time, ps *poolState, request *chicoryrock.Request, replicas []chicoryrock.Replica, best candidate) (candidate, bool) {
+	if len(p.limited) == 0 {
+		return best, false
+	}
+	slices.SortFunc(p.limited, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.costMs, b.costMs), cmp.Compare(a.index, b.index))
+	})
+	for i, c := range p.limited {
+		switch {
+		case c.costMs > best.costMs:
+			return best, i > 0
+		case i > 0 && c.index == p.limited[i-1].index:
+			// A replica may be considered twice.
+		case p.allows(now, request, ps.replicaAt(c.index, &replicas[c.index])):
+			return c, i > 0
+		}
+	}
 	return best, true
 }
 
 // ServerKey returns the key of a replica's limit.
 func ServerKey(name string) uint64 { return xxhash.Sum64String(name) }
 
-// allows reports whether a replica's limit allows a request now.
+// permits reports whether a replica has no limit, or this process a permit for it.
+func (p *Placer) permits(now time.Time, r *replica) bool {
+	return p.Quota == nil || p.Quota.Permits(now, r.nameHash)
+}
+
+// allows reports whether a replica's limit allows a request now that would be sent there.
 func (p *Placer) allows(now time.Time, request *chicoryrock.Request, r *replica) bool {
 	return p.Quota == nil || p.Quota.Allows(now, r.nameHash, request.ID)
 }
--- a/internal/policy/place/placement.go
+++ b/internal/policy/place/placement.go
@@ -17,7 +17,7 @@
 	TakesLongPrompts bool          // the replica is one of those for long prompts
 	PeerLoadAge      time.Duration // time since the last SetPeerLoads
 	Replicas         int           // number of replicas to choose from
-	Limited          int           // replicas that were cheaper and whose limits allowed no request
+	Limited          bool          // a cheaper replica was passed over, as its limit allowed no request
 	FetchFrom        string        // replica from which parts may be fetched; empty for none
 }
 
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -205,6 +205,12 @@
 // Limits returns how many servers are known that state a limit, or did so of late.
 func (m *Member) Limits() int { return len(m.servers) }
 
+// Permits reports whether a server has no limit, or this process a permit for it.
+func (m *Member) Permits(now time.Time, key uint64) bool {
+	s := m.limited(now, key)
+	return s == nil || s.held(now) > 0
+}
+
 // Allows reports whether a request that would be sent to a server may be sent there now.
 // If not, it is counted as one that wants a permit, once however often it asks.
 func (m *Member) Allows(now time.Time, key uint64, requestID string) bool {
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -164,7 +164,7 @@
 	c.fetch = c.front.address(c.request.Pool, choice.FetchFrom)
 	c.trail.Write(event.Placed, now, zap.String("server", replica.Name), zap.String("centre", replica.Centre),
 		zap.Duration("first", choice.TimeToFirstToken), zap.Int("unread", choice.UnreadTokens), zap.Int("ahead", choice.BacklogTokens), zap.Int("open", choice.OpenRequests),
-		zap.Float64("speed", choice.Slowdown), zap.Bool("reader", choice.TakesLongPrompts), zap.Duration("age", choice.PeerLoadAge), zap.Int("of", choice.Replicas), zap.Int("limited", choice.Limited),
+		zap.Float64("speed", choice.Slowdown), zap.Bool("reader", choice.TakesLongPrompts), zap.Duration("age", choice.PeerLoadAge), zap.Int("of", choice.Replicas), zap.Bool("limited", choice.Limited),
 		zap.String("fetch", choice.FetchFrom))
 }
 
