Follow the number of processes with the retry budget of each

A process took its part of the retries that a service allows, one of all processes, at its first request and kept it. One that serves before it has heard of the others (after a start of the whole fleet) counts six: a hundred such fronts may together repeat some seventeen times what the service allows, for as long as they run. A change of the settings' bounds never reached it either.

The part is now computed at each use; what was spent beyond it is paid back first. The number of processes is that of package quota's members: VMs that are gone for good no longer shrink the budget of those that are left.

--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -24,6 +24,12 @@
 	lastRefill time.Time
 }
 
+// SetBounds takes over the exported fields of another budget. What has been spent beyond
+// them is paid back first.
+func (b *Budget) SetBounds(bounds Budget) {
+	b.Ratio, b.Burst, b.BaseRate = bounds.Ratio, bounds.Burst, bounds.BaseRate
+}
+
 // Deposit credits the budget for one new call from a caller.
 func (b *Budget) Deposit(now time.Time) {
 	b.refill(now)
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -205,16 +205,17 @@
 		Sound:   p.parts.Sound,
 	}
 	p.front.Placer.Quota.Changed = p.front.LimitChanged
-	p.front.SetLimitMembers(nil, 1)
+	members := 1
+	if p.talks() {
+		members = firstProcesses
+	}
+	p.front.SetLimitMembers(nil, members)
 	newQueue := func(string) chicoryrock.Queue { return &queue.Queue{Limit: frontQueue} }
 	p.front.Gate = gate.New(&dispatch.Dispatcher{NewQueue: newQueue, Picker: p.front.Picker()})
 }
 
-// processes returns how many processes share the budget of repeats: those that
-// were ever heard, as some may be cut off from here and still repeat.
-func (p *Front) processes() int {
-	return max(len(p.peers.addresses())+1, firstProcesses)
-}
+// processes returns how many processes share the budget of repeats.
+func (p *Front) processes() int { return max(p.front.Members(), firstProcesses) }
 
 // slots returns how many requests an engine of a service runs at once.
 func (p *Front) slots(service string) int { return p.engine(service).Slots }
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -80,6 +80,7 @@
 	draining  atomic.Bool
 	open      atomic.Int64
 	processes atomic.Int64 // that share the backend servers, this one included
+	members   atomic.Int64 // processes that send requests to the backend servers; see Members
 	placing   sync.Mutex
 	suspects  suspects
 	cold      map[boot]time.Time // until when servers that have just started are slow
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -51,13 +51,19 @@
 	f.Log.Write(event.LimitChanged, zap.String("server", name), zap.Float64("limit", limit), zap.Float64("before", before), zap.String("from", from))
 }
 
-// SetLimitMembers sets which processes share the limits of backend servers.
+// SetLimitMembers sets which peers share the limits of backend servers with this process,
+// and how many processes send requests to them, this one included.
 func (f *Front) SetLimitMembers(peers []string, members int) {
+	f.members.Store(int64(members))
 	f.placing.Lock()
 	defer f.placing.Unlock()
 	f.Placer.Quota.SetMembers(peers, !f.draining.Load(), members)
 }
 
+// Members returns how many processes send requests to the backend servers, this one
+// included.
+func (f *Front) Members() int { return max(int(f.members.Load()), 1) }
+
 // LimitMessages returns what is to be sent to the other processes about limits.
 func (f *Front) LimitMessages(now time.Time) []quota.Message {
 	f.placing.Lock()
--- a/internal/serve/front/retries.go
+++ b/internal/serve/front/retries.go
@@ -13,7 +13,8 @@
 	byName map[string]*retry.Retrier
 }
 
-// use runs a decision of a service's retrier.
+// use runs a decision of a service's retrier. Its budget follows the bounds and the number
+// of processes that share them, which change.
 func (r *retriers) use(service string, budget func() retry.Budget, decide func(*retry.Retrier)) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -22,9 +23,10 @@
 		if r.byName == nil {
 			r.byName = make(map[string]*retry.Retrier)
 		}
-		one = &retry.Retrier{Budget: budget()}
+		one = &retry.Retrier{}
 		r.byName[service] = one
 	}
+	one.Budget.SetBounds(budget())
 	decide(one)
 }
 
