Share connections with processes that are cut off

Each process may have its part of the connections that a backend server takes from all. The part was one of the processes that can be heard: one that is cut off from the others, but not from the server, took all of them, and the server resets what is beyond its number.

The part is now one of all processes that may send requests, as for stated limits. TestConnectionsAreSharedWithProcessesThatAreCutOff failed before: 600 connections where 100 are its part.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -79,7 +79,6 @@
 	known     atomic.Bool // a list of backend servers has been read
 	draining  atomic.Bool
 	open      atomic.Int64
-	processes atomic.Int64 // that share the backend servers, this one included
 	members   atomic.Int64 // processes that send requests to the backend servers; see Members
 	placing   sync.Mutex
 	suspects  suspects
@@ -132,7 +131,6 @@
 
 // SetOthers takes in what the other processes have open.
 func (f *Front) SetOthers(now time.Time, loads map[uint32]chicoryrock.OpenLoad, processes int) {
-	f.processes.Store(int64(processes))
 	f.placing.Lock()
 	defer f.placing.Unlock()
 	f.Placer.SetPeerLoads(now, loads, processes)
@@ -382,7 +380,7 @@
 	if found == nil || found.MaxConns <= 0 {
 		return 0
 	}
-	return max(found.MaxConns/max(int(f.processes.Load()), 1), leastConnections)
+	return max(found.MaxConns/f.Members(), leastConnections)
 }
 
 // address returns where a backend server is reached; the zero value for one that
--- a/internal/serve/front/shares_test.go
+++ b/internal/serve/front/shares_test.go
@@ -6,7 +6,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock/internal/policy/place"
+	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
+	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 )
 
 // A process that serves its first request before it has heard of the others takes a large
@@ -23,3 +26,17 @@
 	f.fresh(now, "app")
 	require.InDelta(t, 10, f.Left(now, "app"), 0.01, "a call adds no more than fits")
 }
+
+// What others may have open on a server counts also while they can't be heard.
+func TestConnectionsAreSharedWithProcessesThatAreCutOff(t *testing.T) {
+	f := &Front{Placer: &place.Placer{Quota: &quota.Member{Name: "front"}}}
+	table := &routing.Table{Version: 1, Services: []routing.Service{{Name: "app", MaxConns: 600}}}
+	table.Build()
+	f.Configure(table)
+	now := time.Unix(1_000_000, 0)
+	f.SetLimitMembers(nil, 6)
+	f.SetOthers(now, nil, 6)
+	require.Equal(t, 100, f.connections("app"))
+	f.SetOthers(now, nil, 1)
+	require.Equal(t, 100, f.connections("app"))
+}
