Let one request wait for a permit, and not for long

Where all servers of a service are at their limits, a request waited if its turn was expected within its own patience, counted behind those of its tier or higher ones. Under a steady overload those of high tiers, and of classes that can wait for longer, then got all permits: in ten minutes at a limit of 0.5 a second a rare class got less than a quarter of its share.

Now one request of a process waits at a time, for 100 ms, which is enough to ask the issuer for a permit; the others are refused at once. Permits go by the order of arrival. Refusals after that wait carry the reason server-limit too.

--- a/internal/policy/place/refusal.go
+++ b/internal/policy/place/refusal.go
@@ -88,21 +88,30 @@
 // refused because of limits.
 const maxLimitedWait = time.Minute
 
-// NoRoom reports whether the limits of all of a pool's replicas are used up for so long
-// that a request with others ahead of it can't be sent before a deadline. It counts the
-// request as one that wants a permit.
-func (p *Placer) NoRoom(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica, ahead int, deadline time.Time) bool {
-	if p.Quota == nil || p.Quota.Limits() == 0 {
-		return false
+// permitWait is how long a request may wait for a permit: long enough to ask the issuer
+// for one.
+const permitWait = 100 * time.Millisecond
+
+// LimitWait reports until when a request may wait if the limits of all of a pool's replicas
+// are used up, and counts it as one that wants a permit. It is zero if the request is to be
+// refused at once. The second result is false if there is room. Only one request waits, and
+// not for long: otherwise those of high tiers, or of classes that can wait for longer, would
+// get all permits under a steady overload. As it is, permits go by the order of arrival, and
+// no class or workspace starves.
+func (p *Placer) LimitWait(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica, waiting int) (time.Time, bool) {
+	if p.Quota == nil || p.Quota.Limits() == 0 || len(replicas) == 0 {
+		return time.Time{}, false
 	}
 	ps := p.pool(request.Pool)
 	for i := range replicas {
 		if !replicas[i].Leaving && p.allows(now, request, ps.replica(replicas[i].Name)) {
-			return false
+			return time.Time{}, false
 		}
 	}
-	rate, limited := p.permitRate(now, ps, replicas)
-	return limited && now.Add(time.Duration(float64(ahead+1)/rate*float64(time.Second))).After(deadline)
+	if waiting > 0 {
+		return time.Time{}, true
+	}
+	return now.Add(permitWait), true
 }
 
 // permitRate returns at which rate, requests a second, this process can expect permits
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -64,24 +64,25 @@
 	until     time.Time // when the caller or the route gives up
 	ctx       context.Context
 
-	sent    int           // attempts that reached a backend server and were not turned away
-	turned  int           // attempts that were turned away or could not be sent
-	begun   bool          // an attempt may have run
-	counted bool          // the request stands in the workspace's usage
-	started bool          // the answer's header has gone out
-	events  int           // events that the caller has
-	status  int           // of the answer that the caller got
-	first   time.Duration // from its arrival to the first token, or the answer
-	longest time.Duration // between two events, as the caller saw them
-	got     bool          // the attempt under way has had an event
-	last    time.Time     // when its last event came
-	pause   time.Duration // the longest between two of its events
-	lastID  string
-	print   *suspect.Fingerprint // once it has been taken
-	fetch   netip.AddrPort       // where the attempt's backend server may fetch parts of the prompt
-	trail   trail.Trail
-	waited  bool     // it was not given a backend server at once
-	failure *failure // the last failure that a backend server answered with
+	sent      int           // attempts that reached a backend server and were not turned away
+	turned    int           // attempts that were turned away or could not be sent
+	begun     bool          // an attempt may have run
+	counted   bool          // the request stands in the workspace's usage
+	started   bool          // the answer's header has gone out
+	events    int           // events that the caller has
+	status    int           // of the answer that the caller got
+	first     time.Duration // from its arrival to the first token, or the answer
+	longest   time.Duration // between two events, as the caller saw them
+	got       bool          // the attempt under way has had an event
+	last      time.Time     // when its last event came
+	pause     time.Duration // the longest between two of its events
+	lastID    string
+	print     *suspect.Fingerprint // once it has been taken
+	fetch     netip.AddrPort       // where the attempt's backend server may fetch parts of the prompt
+	trail     trail.Trail
+	limitWait bool     // its deadline is that of a wait for a server's limit
+	waited    bool     // it was not given a backend server at once
+	failure   *failure // the last failure that a backend server answered with
 }
 
 // failure is a backend server's own failed answer, held while others are tried.
@@ -101,7 +102,7 @@
 	}
 	f.fresh(c.begin, c.request.Pool)
 	f.asked(c.begin, c.request)
-	if f.noRoom(c.begin, c.request, c.request.Deadline) {
+	if !c.hasRoom(c.begin) {
 		c.refused(c.begin, chicoryrock.ReasonServerLimit)
 		return
 	}
@@ -205,7 +206,7 @@
 		return false
 	}
 	c.request.Deadline = c.until
-	if !c.started && c.front.noRoom(now, c.request, c.until) {
+	if !c.started && !c.hasRoom(now) {
 		return false
 	}
 	verdict := c.front.decide(now, c.request.Pool, retry.Attempt{
@@ -427,6 +428,8 @@
 			status = http.StatusGatewayTimeout
 		}
 		f.answer(c.w, c.ask.ID, status, reason.Sentence(), 0)
+	case errors.As(err, &refused) && refused.Reason == chicoryrock.ReasonLate && c.limitWait:
+		c.refused(now, chicoryrock.ReasonServerLimit)
 	case errors.As(err, &refused):
 		c.refused(now, refused.Reason)
 	case c.ctx.Err() != nil:
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -74,21 +74,21 @@
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
-	bounds    atomic.Pointer[platform.Bounds]
-	table     atomic.Pointer[routing.Table]
-	known     atomic.Bool // a list of backend servers has been read
-	draining  atomic.Bool
-	open      atomic.Int64
-	members   atomic.Int64 // processes that send requests to the backend servers; see Members
-	placing   sync.Mutex
-	suspects  suspects
-	cold      map[boot]time.Time // until when servers that have just started are slow
-	retries   retriers
-	limits    limits
-	served    counts
-	trails    trail.Book
-	conns     conns
-	parts     guard.Parts
+	bounds   atomic.Pointer[platform.Bounds]
+	table    atomic.Pointer[routing.Table]
+	known    atomic.Bool // a list of backend servers has been read
+	draining atomic.Bool
+	open     atomic.Int64
+	members  atomic.Int64 // processes that send requests to the backend servers; see Members
+	placing  sync.Mutex
+	suspects suspects
+	cold     map[boot]time.Time // until when servers that have just started are slow
+	retries  retriers
+	limits   limits
+	served   counts
+	trails   trail.Book
+	conns    conns
+	parts    guard.Parts
 }
 
 // Bounds returns the platform's bounds that are in force.
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -86,17 +86,24 @@
 	return f.Placer.Quota.Limits()
 }
 
-// noRoom says whether the limits of all servers of a request's service are used up for
-// so long that it can't be sent before a deadline.
-func (f *Front) noRoom(now time.Time, request *chicoryrock.Request, deadline time.Time) bool {
+// hasRoom says whether a call may be sent or wait; if not, the limits of all servers of
+// its service are used up. It shortens the wait where they are used up for now.
+func (c *call) hasRoom(now time.Time) bool {
+	f := c.front
+	c.limitWait = false
 	if f.Limited() == 0 {
-		return false
+		return true
 	}
-	replicas := f.Gate.Replicas(request.Pool)
-	ahead := f.Gate.Ahead(request)
+	replicas := f.Gate.Replicas(c.request.Pool)
+	waiting := f.Gate.Waiting(c.request.Pool)
 	f.placing.Lock()
 	defer f.placing.Unlock()
-	return f.Placer.NoRoom(now, request, replicas, ahead, deadline)
+	until, limited := f.Placer.LimitWait(now, c.request, replicas, waiting)
+	if limited && until.Before(c.request.Deadline) {
+		c.request.Deadline = until
+		c.limitWait = true
+	}
+	return !limited || !until.IsZero()
 }
 
 // setNames takes in the names of all servers.
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -287,11 +287,11 @@
 	return g.waiting[place{pool, tier}]
 }
 
-// Ahead returns how many requests of a request's tier or a higher one wait for its pool.
-func (g *Gate) Ahead(request *chicoryrock.Request) int {
+// Waiting returns how many requests wait for a pool.
+func (g *Gate) Waiting(pool string) int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.higher(request) + g.waiting[placeOf(request)]
+	return g.dispatcher.QueueLength(pool)
 }
 
 // Open returns how many requests this entry has open on a pool's replicas.
