--- a/internal/policy/place/limited_test.go
+++ b/internal/policy/place/limited_test.go
@@ -103,6 +103,7 @@
 	require.True(t, placed)
 	require.Equal(t, room, limitWait(limitedPlacer(map[string]float64{"a": 0.5}), now, plain("x"), replicas, 1), "the other one has no limit")
 	require.Equal(t, room, limitWait(p, now, plain("x"), nil, 1), "no replica is known")
+	require.Equal(t, room, limitWait(p, now, plain("x"), replicas[2:], 1), "the only one leaves, which is told otherwise")
 }
 
 // While a limited replica is asked for more than it takes, each class and workspace is
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -243,51 +243,6 @@
 	return best.index, true
 }
 
-// candidate is a replica that a request may be sent to.
-type candidate struct {
-	index      int // in the list of replicas; below zero for none
-	costMs     float64
-	firstMs    float64 // predicted time to first token
-	oversizeMs float64 // of the budget for oversize prompts
-	healthy    bool
-}
-
-// tryLimited returns the best candidate among one and those in p.limited, which are sent
-// requests only if their limits allow it. The second result says whether a cheaper one
-// was passed over.
-func (p *Placer) tryLimited(now time.Time, ps *poolState, request *chicoryrock.Request, replicas []chicoryrock.Replica, best candidate) (candidate, bool) {
-	if len(p.limited) == 0 {
-		return best, false
-	}
-	slices.SortFunc(p.limited, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.costMs, b.costMs), cmp.Compare(a.index, b.index))
-	})
-	for i, c := range p.limited {
-		switch {
-		case c.costMs > best.costMs:
-			return best, i > 0
-		case i > 0 && c.index == p.limited[i-1].index:
-			// A replica may be considered twice.
-		case p.allows(now, request, ps.replicaAt(c.index, &replicas[c.index])):
-			return c, i > 0
-		}
-	}
-	return best, true
-}
-
-// ServerKey returns the key of a replica's limit.
-func ServerKey(name string) uint64 { return xxhash.Sum64String(name) }
-
-// permits reports whether a replica has no limit, or this process a permit for it.
-func (p *Placer) permits(now time.Time, r *replica) bool {
-	return p.Quota == nil || p.Quota.Permits(now, r.nameHash)
-}
-
-// allows reports whether a replica's limit allows a request now that would be sent there.
-func (p *Placer) allows(now time.Time, request *chicoryrock.Request, r *replica) bool {
-	return p.Quota == nil || p.Quota.Allows(now, r.nameHash, request.ID)
-}
-
 // pool returns the state of a pool, created if needed.
 func (p *Placer) pool(name string) *poolState {
 	if ps, found := p.pools[name]; found {
@@ -351,40 +306,6 @@
 // openRequests estimates how many requests all processes have open on a replica.
 func (r *replica) openRequests() int { return r.open + r.peerLoad.Open }
 
-// backlogTokens estimates how many prompt tokens of this process's requests a replica
-// has yet to prefill.
-func (r *replica) backlogTokens(now time.Time, ps *poolState) float64 {
-	if r.backlogAt.Equal(now) {
-		return r.cachedBacklog
-	}
-	r.backlogAt = now
-	r.cachedBacklog = 0
-	for _, j := range r.awaitingFirst {
-		r.cachedBacklog += j.remainingTokens(milliseconds(now.Sub(j.sent)), ps.prefill.msPerToken()*r.slowdown, ps.prefill.baseMs()*r.slowdown)
-	}
-	return r.cachedBacklog
-}
-
-// remainingTokens estimates how many tokens of a prompt are yet to be prefilled at a
-// time after it was sent. A prompt whose first token is overdue has waited behind an
-// unknown backlog: none of it counts as prefilled.
-func (j *job) remainingTokens(elapsedMs, msPerToken, baseMs float64) float64 {
-	if elapsedMs > baseMs+(j.backlogTokens+j.unreadTokens)*msPerToken {
-		return j.unreadTokens
-	}
-	doneTokens := elapsedMs/msPerToken - j.backlogTokens
-	return max(0, j.unreadTokens-max(0, doneTokens))
-}
-
-// slotWaitMs estimates the time until a replica has a free slot, milliseconds.
-func (ps *poolState) slotWaitMs(r *replica) float64 {
-	excess := float64(r.openRequests() + 1 - ps.slots)
-	if ps.slots == 0 || excess <= 0 {
-		return 0
-	}
-	return excess / float64(ps.slots) * ps.serviceTime.meanMs()
-}
-
 // assign counts a request as sent to a replica.
 func (ps *poolState) assign(now time.Time, request *chicoryrock.Request, listed *chicoryrock.Replica, affinity sessionAffinity, hasPrompt bool) *job {
 	ps.release(now, request)
--- a/internal/policy/place/predict.go
+++ b/internal/policy/place/predict.go
@@ -60,3 +60,37 @@
 		return milliseconds(crossRegionPenalty) + float64(request.PromptTokens)*milliseconds(crossRegionPenaltyPerToken)
 	}
 }
+
+// backlogTokens estimates how many prompt tokens of this process's requests a replica
+// has yet to prefill.
+func (r *replica) backlogTokens(now time.Time, ps *poolState) float64 {
+	if r.backlogAt.Equal(now) {
+		return r.cachedBacklog
+	}
+	r.backlogAt = now
+	r.cachedBacklog = 0
+	for _, j := range r.awaitingFirst {
+		r.cachedBacklog += j.remainingTokens(milliseconds(now.Sub(j.sent)), ps.prefill.msPerToken()*r.slowdown, ps.prefill.baseMs()*r.slowdown)
+	}
+	return r.cachedBacklog
+}
+
+// remainingTokens estimates how many tokens of a prompt are yet to be prefilled at a
+// time after it was sent. A prompt whose first token is overdue has waited behind an
+// unknown backlog: none of it counts as prefilled.
+func (j *job) remainingTokens(elapsedMs, msPerToken, baseMs float64) float64 {
+	if elapsedMs > baseMs+(j.backlogTokens+j.unreadTokens)*msPerToken {
+		return j.unreadTokens
+	}
+	doneTokens := elapsedMs/msPerToken - j.backlogTokens
+	return max(0, j.unreadTokens-max(0, doneTokens))
+}
+
+// slotWaitMs estimates the time until a replica has a free slot, milliseconds.
+func (ps *poolState) slotWaitMs(r *replica) float64 {
+	excess := float64(r.openRequests() + 1 - ps.slots)
+	if ps.slots == 0 || excess <= 0 {
+		return 0
+	}
+	return excess / float64(ps.slots) * ps.serviceTime.meanMs()
+}
