Keep a pledge in mind when a limit ends and returns

What callers saw: nothing; found on reading the change again. When a limit ended and returned, a process forgot to whom it had pledged its part. If it chose another issuer by then, it pledged to that one too while the former still counted on it, for up to 1.3 s (more in large fleets), and the two together issued more than the limit.

TestPledgeToAnotherIssuerWaits has the case now and failed on it before. The property tests let limits end and return too, but their bound of one and a half times the limit and five requests leaves room for one such second.

--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -172,7 +172,8 @@
 	s.issued.advance(now, before)
 	switch {
 	case before == Unlimited:
-		*s = server{limit: s.limit, statedAt: statedAt}
+		// The pledge of an earlier period may still count at its issuer.
+		*s = server{limit: s.limit, statedAt: statedAt, pledgedTo: s.pledgedTo, pledgedUntil: s.pledgedUntil}
 		s.issued.begin(now, jitter.Fraction(m.Name+strconv.FormatUint(key, 10)))
 		if m.issuerOf(now, key, s) == m.Name {
 			m.advanceSelf(now, s)
