Know a server's limit and the number of processes in one place

The number of processes stood in the front and in its member. Dropped besides: a time that a user's expiry says already, a second formula for the part of a process, checks that LimitWait and permitRate make anyway, three copies of the sending of a datagram, one of which went on after the end of its context.

--- a/internal/policy/place/limited.go
+++ b/internal/policy/place/limited.go
@@ -25,7 +25,7 @@
 // get all permits under a steady overload. As it is, permits go by the order of arrival, and
 // no class or workspace starves.
 func (p *Placer) LimitWait(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica, waiting int) (time.Time, bool) {
-	if p.Quota == nil || p.Quota.Limits() == 0 || len(replicas) == 0 {
+	if p.Quota == nil {
 		return time.Time{}, false
 	}
 	ps := p.pool(request.Pool)
@@ -48,7 +48,7 @@
 // permitRate returns at which rate, requests a second, this process can expect permits
 // for a pool; false if one of the replicas takes a request now, or it is unknown.
 func (p *Placer) permitRate(now time.Time, ps *poolState, replicas []chicoryrock.Replica) (float64, bool) {
-	if p.Quota == nil || p.Quota.Limits() == 0 {
+	if p.Quota == nil {
 		return 0, false
 	}
 	rate := 0.0
--- a/internal/policy/quota/issue.go
+++ b/internal/policy/quota/issue.go
@@ -22,7 +22,6 @@
 // user is a process that takes its permits from this issuer.
 type user struct {
 	part      float64   // of the limit, that it has pledged
-	heard     time.Time // when it last asked
 	expiry    time.Time // of its pledge and its wants
 	wanted    int       // permits that it can use and has not got
 	rate      float64   // at which it would use the server, requests a second
@@ -155,7 +154,7 @@
 // forget drops the processes that have not been heard of for long.
 func (i *issue) forget(now time.Time) {
 	maps.DeleteFunc(i.users, func(_ string, u *user) bool {
-		return !u.live(now) && now.Sub(u.heard) > forgetTime && now.Sub(u.toldAt) > forgetTime
+		return now.Sub(u.expiry) > forgetTime && now.Sub(u.toldAt) > forgetTime
 	})
 }
 
--- a/internal/policy/quota/message.go
+++ b/internal/policy/quota/message.go
@@ -129,8 +129,8 @@
 	return max(minPledgeLifetime, time.Duration(pledgeIntervals*float64(stretch(askInterval, members))))
 }
 
-// part returns the part of each process in a limit.
-func (m *Member) part() float64 { return 1 / float64(max(m.members, 1)) }
+// partOf returns the part in a limit of a process that has heard of so many.
+func partOf(members int) float64 { return 1 / float64(max(members, 1)) }
 
 // issueToSelf issues permits, of which this process may want some itself.
 func (m *Member) issueToSelf(now time.Time, s *server) {
@@ -144,11 +144,11 @@
 // advanceSelf advances the issuing by this process, which pledges its own part to itself.
 func (m *Member) advanceSelf(now time.Time, s *server) *user {
 	self := s.issued.user(m.Name)
-	self.heard, self.expiry = now, now.Add(pledgeLifetime(m.members))
+	self.expiry = now.Add(pledgeLifetime(m.members))
 	s.issued.advance(now, s.limit)
 	self.part = 0
 	if m.pledges(now, s, m.Name) {
-		self.part = m.part()
+		self.part = partOf(m.members)
 	}
 	return self
 }
@@ -173,7 +173,7 @@
 	for _, to := range slices.Sorted(maps.Keys(entries)) {
 		for part := range slices.Chunk(entries[to], maxEntries) {
 			m.sent++
-			messages = append(messages, Message{From: m.Name, To: to, Number: m.sent, Members: m.members, Entries: part})
+			messages = append(messages, Message{From: m.Name, To: to, Number: m.sent, Members: m.Members(), Entries: part})
 		}
 	}
 	return messages
@@ -314,14 +314,14 @@
 func (m *Member) receiveAsk(now time.Time, s *server, e *Entry, message *Message) {
 	s.issued.advance(now, s.limit)
 	u := s.issued.user(message.From)
-	u.heard, u.expiry, u.answer = now, now.Add(pledgeLifetime(message.Members)), true
+	u.expiry, u.answer = now.Add(pledgeLifetime(message.Members)), true
 	u.part, u.wanted, u.rate = 0, 0, 0
 	if s.limit == chicoryrock.Unlimited {
 		return
 	}
 	u.wanted, u.rate = e.Wanted, e.Rate
 	if e.Pledges {
-		u.part = 1 / float64(max(message.Members, 1))
+		u.part = partOf(message.Members)
 	}
 	s.issued.distribute(now)
 }
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -4,8 +4,8 @@
 // A process sends a request to a limited server only with a permit. The permits of a
 // server come from one process at a time, its issuer. Each process chooses the issuer by
 // itself, by rendezvous hashing over those that it can reach, and pledges to it its part
-// of the limit: one of N, where N counts all processes that it has ever heard of. The
-// issuer issues permits at the rate that is pledged to it, in proportion to how often
+// of the limit: one of N, where N counts all processes that may send requests, also those
+// that it can't reach (see SetMembers). The issuer issues permits at the rate that is pledged to it, in proportion to how often
 // each process would use the server. So the rate follows the callers, wherever they are.
 //
 // # How far a limit can be exceeded
@@ -131,7 +131,7 @@
 func (m *Member) SetMembers(peers []string, issues bool, members int) {
 	m.peers = peers
 	m.issues = issues
-	m.members = max(members, 1)
+	m.members = members
 }
 
 // Observe takes in an answer of a server: the limit that it states, or chicoryrock.Unlimited.
@@ -193,9 +193,12 @@
 	}
 }
 
+// Members returns how many processes may send requests, as was last set.
+func (m *Member) Members() int { return max(m.members, 1) }
+
 // Limit returns the limit of a server, or chicoryrock.Unlimited.
-func (m *Member) Limit(key uint64) float64 {
-	if s := m.servers[key]; s != nil {
+func (m *Member) Limit(now time.Time, key uint64) float64 {
+	if s := m.limited(now, key); s != nil {
 		return s.limit
 	}
 	return chicoryrock.Unlimited
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -12,7 +12,6 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
-	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gossip"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
@@ -60,16 +59,14 @@
 
 func (p *Front) gossip() *gossip.Gossip {
 	return &gossip.Gossip{
-		Listen:  p.peers.address,
-		Peers:   p.peers.addresses,
-		Log:     p.Log,
-		Report:  p.report,
-		News:    p.news,
-		Parcels: p.parcels,
-		Limits:  p.limitMessages,
-		HeardLimits: func(now time.Time, message *quota.Message) {
-			p.front.HeardLimits(now, message)
-		},
+		Listen:      p.peers.address,
+		Peers:       p.peers.addresses,
+		Log:         p.Log,
+		Report:      p.report,
+		News:        p.news,
+		Parcels:     p.parcels,
+		Limits:      p.limitMessages,
+		HeardLimits: p.front.HeardLimits,
 		Heard: func(now time.Time, from netip.AddrPort, report *fleet.Report) {
 			p.peers.heard(now, p.clock.True(now), from, report)
 			if len(report.CachedPrefixes) > 0 {
@@ -85,12 +82,11 @@
 // report is what this process tells the others.
 func (p *Front) report(now time.Time, brief bool) fleet.Report {
 	report := fleet.Report{
-		Process:    p.peers.process,
-		Sent:       now,
-		Clock:      p.clock.True(now),
-		Draining:   p.front.Draining(),
-		OmitsLoads: brief,
-
+		Process:      p.peers.process,
+		Sent:         now,
+		Clock:        p.clock.True(now),
+		Draining:     p.front.Draining(),
+		OmitsLoads:   brief,
 		SharesLimits: true,
 	}
 	if !brief {
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -259,7 +259,7 @@
 	if errors.Is(err, chicoryrock.ErrNotRun) {
 		return errors.Wrap(errUnsent, err.Error())
 	}
-	c.front.limits.sent(replica.Name, c.sent+c.turned > 0)
+	c.front.countSent(sent, replica.Name, c.sent+c.turned > 0)
 	if err != nil {
 		c.begun = true
 		return err
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -79,7 +79,6 @@
 	known    atomic.Bool // a list of backend servers has been read
 	draining atomic.Bool
 	open     atomic.Int64
-	members  atomic.Int64 // processes that send requests to the backend servers; see Members
 	placing  sync.Mutex
 	suspects suspects
 	cold     map[boot]time.Time // until when servers that have just started are slow
@@ -317,7 +316,7 @@
 			f.Upstream.Sweep(now)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
 			f.writeViews(now)
-			f.limits.write(f.Log)
+			f.writeSent(now)
 		}
 	}
 }
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -18,16 +18,17 @@
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
-// limits counts for the log what this process sends to servers that state a limit.
+// limits is what the log lines about limited servers need besides the limits, which
+// Placer.Quota knows.
 type limits struct {
-	mutex   sync.Mutex
-	names   map[uint64]string         // of all servers, by place.ServerKey
-	servers map[string]*limitedServer // those with a limit
+	mutex sync.Mutex
+	names map[uint64]string    // of all servers, by place.ServerKey
+	sent  map[string]*attempts // to limited servers since the last line
 }
 
-type limitedServer struct {
-	limit        float64 // requests a second
-	first, again int     // attempts since the last line: first ones of a request, and others
+// attempts are those that were sent to a server.
+type attempts struct {
+	first, again int // first ones of a request, and others
 }
 
 // limited takes in the limit that an answer states.
@@ -48,14 +49,12 @@
 
 // LimitChanged logs that the limit of a server has changed; see quota.Member.
 func (f *Front) LimitChanged(server uint64, before, limit float64, from string) {
-	name := f.limits.set(server, limit)
-	f.Log.Write(event.LimitChanged, zap.String("server", name), zap.Float64("limit", limit), zap.Float64("before", before), zap.String("from", from))
+	f.Log.Write(event.LimitChanged, zap.String("server", f.limits.name(server)), zap.Float64("limit", limit), zap.Float64("before", before), zap.String("from", from))
 }
 
 // SetLimitMembers sets which peers share the limits of backend servers with this process,
 // and how many processes send requests to them, this one included.
 func (f *Front) SetLimitMembers(peers []string, members int) {
-	f.members.Store(int64(members))
 	f.placing.Lock()
 	defer f.placing.Unlock()
 	f.Placer.Quota.SetMembers(peers, !f.draining.Load(), members)
@@ -63,7 +62,11 @@
 
 // Members returns how many processes send requests to the backend servers, this one
 // included.
-func (f *Front) Members() int { return max(int(f.members.Load()), 1) }
+func (f *Front) Members() int {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	return f.Placer.Quota.Members()
+}
 
 // LimitMessages returns what is to be sent to the other processes about limits.
 func (f *Front) LimitMessages(now time.Time) []quota.Message {
@@ -79,20 +82,12 @@
 	f.Placer.Quota.Receive(now, message)
 }
 
-// Limited returns how many backend servers are known that state a limit, or did so of
-// late.
-func (f *Front) Limited() int {
-	f.placing.Lock()
-	defer f.placing.Unlock()
-	return f.Placer.Quota.Limits()
-}
-
 // hasRoom says whether a call may be sent or wait; if not, the limits of all servers of
 // its service are used up. It shortens the wait where they are used up for now.
 func (c *call) hasRoom(now time.Time) bool {
 	f := c.front
 	c.limitWait = false
-	if f.Limited() == 0 {
+	if !f.knowsLimits() {
 		return true
 	}
 	replicas := f.Gate.Replicas(c.request.Pool)
@@ -107,62 +102,72 @@
 	return !limited || !until.IsZero()
 }
 
-// setNames takes in the names of all servers.
-func (l *limits) setNames(servers []chicoryrock.Server) {
-	names := make(map[uint64]string, len(servers))
-	for i := range servers {
-		names[place.ServerKey(servers[i].ID)] = servers[i].ID
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.names = names
-	maps.DeleteFunc(l.servers, func(name string, _ *limitedServer) bool { return names[place.ServerKey(name)] == "" })
+// knowsLimits says whether any server states a limit, or did so of late.
+func (f *Front) knowsLimits() bool {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	return f.Placer.Quota.Limits() > 0
 }
 
-// set takes in a server's limit, and returns its name.
-func (l *limits) set(server uint64, limit float64) string {
+// limitOf returns the limit of a server, or chicoryrock.Unlimited.
+func (f *Front) limitOf(now time.Time, server string) float64 {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	return f.Placer.Quota.Limit(now, place.ServerKey(server))
+}
+
+// countSent counts an attempt, if its server is limited.
+func (f *Front) countSent(now time.Time, server string, again bool) {
+	if f.limitOf(now, server) == chicoryrock.Unlimited {
+		return
+	}
+	l := &f.limits
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	name, listed := l.names[server]
-	switch {
-	case !listed:
-		return fmt.Sprintf("%016x", server)
-	case limit == chicoryrock.Unlimited:
-		delete(l.servers, name)
-	case l.servers[name] != nil:
-		l.servers[name].limit = limit
-	default:
-		if l.servers == nil {
-			l.servers = make(map[string]*limitedServer)
+	count := l.sent[server]
+	if count == nil {
+		if l.sent == nil {
+			l.sent = make(map[string]*attempts)
 		}
-		l.servers[name] = &limitedServer{limit: limit}
+		count = &attempts{}
+		l.sent[server] = count
+	}
+	if again {
+		count.again++
+	} else {
+		count.first++
+	}
+}
+
+// writeSent logs what was sent to limited servers since the last time.
+func (f *Front) writeSent(now time.Time) {
+	f.limits.mutex.Lock()
+	sent := f.limits.sent
+	f.limits.sent = nil
+	f.limits.mutex.Unlock()
+	for _, server := range slices.Sorted(maps.Keys(sent)) {
+		f.Log.Write(event.LimitedSent, zap.String("server", server), zap.Float64("limit", f.limitOf(now, server)),
+			zap.Int("first", sent[server].first), zap.Int("again", sent[server].again))
 	}
-	return name
 }
 
-// sent counts an attempt, if the server is limited.
-func (l *limits) sent(server string, again bool) {
+// setNames takes in the names of all servers.
+func (l *limits) setNames(servers []chicoryrock.Server) {
+	names := make(map[uint64]string, len(servers))
+	for i := range servers {
+		names[place.ServerKey(servers[i].ID)] = servers[i].ID
+	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	switch known := l.servers[server]; {
-	case known == nil:
-	case again:
-		known.again++
-	default:
-		known.first++
-	}
+	l.names = names
 }
 
-// write logs what was sent since the last time.
-func (l *limits) write(log *event.Log) {
+// name returns the name of a server, or its key for one that is not listed here.
+func (l *limits) name(key uint64) string {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	for _, server := range slices.Sorted(maps.Keys(l.servers)) {
-		known := l.servers[server]
-		if known.first+known.again == 0 {
-			continue
-		}
-		log.Write(event.LimitedSent, zap.String("server", server), zap.Float64("limit", known.limit), zap.Int("first", known.first), zap.Int("again", known.again))
-		known.first, known.again = 0, 0
+	if name, listed := l.names[key]; listed {
+		return name
 	}
+	return fmt.Sprintf("%016x", key)
 }
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		if g.HeardLimits != nil && n > 0 && buffer[0] == quota.FormatVersion {
-			g.heardLimits(time.Now(), socket, from, buffer[:n])
+			g.heardLimits(ctx, time.Now(), socket, from, buffer[:n])
 			continue
 		}
 		report, err := fleet.Parse(buffer[:n])
@@ -130,11 +130,9 @@
 		}
 		data = report.Append(data[:0])
 		for _, peer := range peers {
-			_, err := socket.WriteToUDPAddrPort(data, peer)
-			if ctx.Err() != nil {
+			if !g.post(ctx, socket, data, peer) {
 				return
 			}
-			g.fault(err)
 		}
 		g.wait(ctx, min(time.Until(full), beatInterval))
 	}
@@ -149,11 +147,9 @@
 	pause.Every(ctx, parcelInterval, func(now time.Time) {
 		for _, parcel := range g.Parcels(now) {
 			data = parcel.Report.Append(data[:0])
-			_, err := socket.WriteToUDPAddrPort(data, parcel.To)
-			if ctx.Err() != nil {
+			if !g.post(ctx, socket, data, parcel.To) {
 				return
 			}
-			g.fault(err)
 		}
 	})
 }
@@ -163,28 +159,39 @@
 	if g.Limits == nil {
 		return
 	}
-	pause.Every(ctx, parcelInterval, func(now time.Time) { g.tellLimits(now, socket) })
+	pause.Every(ctx, parcelInterval, func(now time.Time) { g.tellLimits(ctx, now, socket) })
 }
 
 // tellLimits sends what there is to say on limits.
-func (g *Gossip) tellLimits(now time.Time, socket *net.UDPConn) {
+func (g *Gossip) tellLimits(ctx context.Context, now time.Time, socket *net.UDPConn) {
 	var data []byte
 	for _, one := range g.Limits(now) {
 		data = one.Message.Append(data[:0])
-		_, err := socket.WriteToUDPAddrPort(data, one.To)
-		g.fault(err)
+		if !g.post(ctx, socket, data, one.To) {
+			return
+		}
+	}
+}
+
+// post sends a datagram, and says whether the exchange goes on.
+func (g *Gossip) post(ctx context.Context, socket *net.UDPConn, data []byte, to netip.AddrPort) bool {
+	_, err := socket.WriteToUDPAddrPort(data, to)
+	if ctx.Err() != nil {
+		return false
 	}
+	g.fault(err)
+	return true
 }
 
 // heardLimits takes in a message on limits, and answers it.
-func (g *Gossip) heardLimits(now time.Time, socket *net.UDPConn, from netip.AddrPort, data []byte) {
+func (g *Gossip) heardLimits(ctx context.Context, now time.Time, socket *net.UDPConn, from netip.AddrPort, data []byte) {
 	message, err := quota.Parse(data)
 	if err != nil {
 		g.Log.Write(event.PeerFailed, zap.Stringer("from", from), zap.Error(err))
 		return
 	}
 	g.HeardLimits(now, &message)
-	g.tellLimits(now, socket)
+	g.tellLimits(ctx, now, socket)
 }
 
 // wait waits for a time, or shorter when there is news.
