--- a/internal/policy/quota/encode.go
+++ b/internal/policy/quota/encode.go
@@ -18,7 +18,8 @@
 	maxNameLength = 255
 	// maxEntries is how many entries a message holds.
 	maxEntries = 128
-	// maxPermits is how many permits an entry holds.
+	// maxPermits is how many permits an entry holds, wanted or issued. The rest are left
+	// out: they are asked for again.
 	maxPermits = 1<<8 - 1
 	// entrySize is the encoded size of an entry, bytes.
 	entrySize = 8 + 8 + 4 + 1 + 1 + 4 + 1 + 2
--- a/internal/policy/quota/message.go
+++ b/internal/policy/quota/message.go
@@ -193,7 +193,7 @@
 			continue
 		}
 		entry := s.entry(now, key)
-		entry.Permits = min(u.forwarded, maxPermits)
+		entry.Permits = u.forwarded
 		entry.Interval = s.issued.interval(now, s.limit, name)
 		u.answer, u.forwarded, u.toldAt = false, 0, now
 		entries[name] = append(entries[name], entry)
@@ -231,7 +231,7 @@
 			entry.Asks = true
 			if s.limit != chicoryrock.Unlimited {
 				entry.Pledges = m.pledges(now, s, issuer)
-				s.stated = min(s.wanted(now), maxPermits)
+				s.stated = s.wanted(now)
 				entry.Wanted, entry.Rate = s.stated, s.use.current(now)
 			}
 			entries[issuer] = append(entries[issuer], entry)
