--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -201,7 +201,7 @@
 	} else {
 		c.sent++
 	}
-	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.events), event.Cause(failure))
+	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.events), zap.Bool("began", c.got), event.Cause(failure))
 	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.suspected(now) != suspect.Clean {
 		return false
 	}
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -117,7 +118,7 @@
 	c.trail = f.trails.Begin(now, c.ask.ID)
 	c.trail.Write(event.Accepted, now, zap.String("route", c.route.Name), zap.String("service", c.request.Pool),
 		zap.String("workspace", c.request.Workspace), zap.Int("tier", c.request.Tier), zap.Int("prompt", c.request.PromptTokens),
-		zap.Duration("patience", c.ask.Timeout), zap.Uint64("version", table.Version))
+		zap.Duration("patience", c.ask.Timeout), zap.Uint64("version", table.Version), zap.String("parts", sharedParts(c.request.Parts)))
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.until)
 	defer cancel()
 	c.ctx = ctx
@@ -127,6 +128,22 @@
 	c.run()
 }
 
+// loggedParts bounds the parts of a prompt that are logged.
+const loggedParts = 16
+
+// sharedParts lists the IDs of a prompt's parts that other requests may have too: all
+// but the last one.
+func sharedParts(parts []chicoryrock.Part) string {
+	var list strings.Builder
+	for i := 0; i < min(len(parts)-1, loggedParts); i++ {
+		if i > 0 {
+			list.WriteByte(',')
+		}
+		list.WriteString(strconv.FormatUint(parts[i].ID, 16))
+	}
+	return list.String()
+}
+
 // patience is how long a request may take, by its caller and its route.
 func patience(route *routing.Route, ask chicoryrock.RequestHeader) time.Duration {
 	limit := route.Timeout
