--- a/internal/ops/burn/judge.go
+++ b/internal/ops/burn/judge.go
@@ -37,6 +37,7 @@
 	chicoryrock.ReasonNoRoute:    true,
 	chicoryrock.ReasonLimit:      true,
 	chicoryrock.ReasonSuspect:    true,
+	chicoryrock.ReasonCrashPart:  true,
 	chicoryrock.ReasonClaimed:    true,
 }
 
--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -39,6 +39,10 @@
 	Served       = Event{310, zapcore.InfoLevel, "requests served since the last such line"}
 	Queued       = Event{311, zapcore.InfoLevel, "request had to wait"}
 	Suspected    = Event{312, zapcore.WarnLevel, "request broke off on several backend servers and is held back"}
+	BanBegan     = Event{313, zapcore.WarnLevel, "parts of prompts crash backend servers, requests with them are held back"}
+	BanEnded     = Event{314, zapcore.InfoLevel, "parts of prompts are no longer held back"}
+	Trial        = Event{315, zapcore.InfoLevel, "request is sent as a trial of what is held back"}
+	TrialGranted = Event{316, zapcore.InfoLevel, "trial of what is held back granted"}
 	ServersRead  = Event{401, zapcore.DebugLevel, "list of VMs read"}
 	ServersLost  = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
 	EngineFailed = Event{403, zapcore.WarnLevel, "backend server failed"}
@@ -53,6 +57,8 @@
 	LimitChanged = Event{412, zapcore.InfoLevel, "limit of a backend server changed"}
 	LimitedSent  = Event{413, zapcore.InfoLevel, "requests sent to a limited backend server since the last such line"}
 	LimitBad     = Event{414, zapcore.WarnLevel, "limit that a backend server states makes no sense"}
+	ServerDown   = Event{415, zapcore.WarnLevel, "backend server closed its connections and takes no new ones"}
+	BansLost     = Event{416, zapcore.WarnLevel, "what is known of parts that crash backend servers could not be kept or read"}
 	ClaimFailed  = Event{501, zapcore.WarnLevel, "claims could not be written"}
 	DutyTaken    = Event{502, zapcore.InfoLevel, "duty taken"}
 	DutyLost     = Event{503, zapcore.InfoLevel, "duty given up or lost"}
--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -40,6 +40,7 @@
 	chicoryrock.ReasonServerLimit:    "More backend servers of the pool would have let it in, or the same ones once they state no limit.",
 	chicoryrock.ReasonQueueFull:      "More backend servers, or fewer requests at that moment, would have let it in.",
 	chicoryrock.ReasonNoServer:       "A backend server that could be reached in the route's pools would have served it.",
+	chicoryrock.ReasonCrashPart:      "A prompt without that part would have been served; event 313 names it. Look at what it does to the backend servers.",
 	chicoryrock.ReasonSuspect:        "A different request would have been served; look at what this one does to the backend servers.",
 	chicoryrock.ReasonClaimed:        "The first request with this key decides; a new call needs a new idempotency key.",
 	chicoryrock.ReasonNoStore:        "It would have been let in once the platform's key-value service could be reached.",
--- /dev/null
+++ b/internal/policy/suspect/tracker.go
@@ -0,0 +1,406 @@
+package suspect
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/binary"
+	"hash/fnv"
+	"slices"
+	"time"
+)
+
+const (
+	// settleTime is how long a crash waits for the runs that began well meanwhile to be
+	// known before it counts against a part.
+	settleTime = 300 * time.Millisecond
+	// failureTTL is how long a failure counts that no ban rests on.
+	failureTTL = 10 * time.Minute
+	// banTTL is how long one counts that a ban rests on. The last trials of a ban are
+	// this far apart.
+	banTTL = 24 * time.Hour
+	// maxFailures bounds the failures that are kept. The oldest that no ban rests on is
+	// dropped first.
+	maxFailures = 1024
+	// maxSubjects bounds the subjects whose last success is kept, in each of two
+	// generations.
+	maxSubjects = 2048
+	// maxTrialRecords bounds the trials that are kept.
+	maxTrialRecords = 256
+	// exportedFailures is how many of the last failures are told to a process that may
+	// know none, besides those that bans rest on.
+	exportedFailures = 48
+	// maxParts bounds the parts of a request that are looked at.
+	maxParts = 64
+)
+
+// PartFingerprint identifies a part of a prompt towards the servers of a pool. A part may
+// crash the engines of one model only. It is the same for all workspaces: what an engine
+// can't run, it can run for nobody.
+func PartFingerprint(pool string, part uint64) Fingerprint {
+	hash := sha256.Sum256([]byte(pool))
+	var fingerprint Fingerprint
+	copy(fingerprint[:], hash[:])
+	binary.BigEndian.PutUint64(fingerprint[partOffset:], part)
+	return fingerprint
+}
+
+// partOffset is where a part's ID begins in its fingerprint.
+const partOffset = 8
+
+// PartID returns the ID of the part that a fingerprint of PartFingerprint stands for.
+func (f Fingerprint) PartID() uint64 { return binary.BigEndian.Uint64(f[partOffset:]) }
+
+// Candidate is what a Tracker looks at of a request.
+type Candidate struct {
+	Workspace string
+	Request   Fingerprint // zero if it is not looked at as a whole
+	// Parts are those of its prompt that other requests may share, without the last one,
+	// which is the request's own.
+	Parts []Fingerprint
+}
+
+// subjects calls a function with each part and the whole request, and reports whether all
+// calls returned true.
+func (c *Candidate) subjects(visit func(subject Fingerprint) bool) bool {
+	for _, part := range c.Parts[:min(len(c.Parts), maxParts)] {
+		if !visit(part) {
+			return false
+		}
+	}
+	return c.Request == Fingerprint{} || visit(c.Request)
+}
+
+// Failure records that an attempt's answer broke off or was lost before it had run for
+// Probation.
+type Failure struct {
+	ID        string        `json:"id"` // of the attempt
+	Server    string        `json:"server"`
+	Workspace string        `json:"workspace,omitempty"`
+	Request   Fingerprint   `json:"request"`
+	Parts     []Fingerprint `json:"parts,omitempty"`
+	// Crash says that the server was down afterwards. Only crashes count against parts:
+	// connections that are lost for other reasons take many requests with them that have
+	// a part in common.
+	Crash bool      `json:"crash,omitempty"`
+	Age   Age       `json:"age"` // when it was exported
+	at    time.Time // by the receiver's clock
+	held  bool      // a ban rests on it
+	kept  bool      // it is worth keeping if all processes are lost
+}
+
+// Success records that an attempt ran for Probation or to its end.
+type Success struct {
+	Subject Fingerprint `json:"subject"`
+	Age     Age         `json:"age"`
+}
+
+// Trial records that one request with a banned subject may be sent.
+type Trial struct {
+	ID       string        `json:"id"`
+	Subjects []Fingerprint `json:"subjects"` // members of the ban that the request has
+	Age      Age           `json:"age"`
+	at       time.Time
+}
+
+// Evidence is what processes tell each other. Taking it in twice or in another order gives
+// the same result.
+type Evidence struct {
+	Failures  []Failure `json:"failures,omitempty"`
+	Successes []Success `json:"successes,omitempty"`
+	Trials    []Trial   `json:"trials,omitempty"`
+}
+
+// Empty reports whether there is none.
+func (e *Evidence) Empty() bool {
+	return len(e.Failures) == 0 && len(e.Successes) == 0 && len(e.Trials) == 0
+}
+
+// Tracker infers from the failures and successes of all processes which requests, and
+// which parts of prompts, crash the servers that run them, and refuses these. It is for
+// processes that see broken connections; Registry is for those that get the reports of an
+// agent on whole requests. Both doors share the evidence on parts by a Tracker. The zero
+// value is ready for use. It is not safe for concurrent use.
+type Tracker struct {
+	failures  map[string]*Failure
+	successes generations
+	trials    map[string]Trial
+
+	bans      []Ban
+	evaluated time.Time // when bans was computed; zero if evidence has come since
+}
+
+// generations keeps the last success of subjects, bounded: the older generation is dropped
+// when the newer is full.
+type generations struct {
+	newer, older map[Fingerprint]time.Time
+}
+
+func (g *generations) last(subject Fingerprint) time.Time {
+	if at, found := g.newer[subject]; found {
+		return at
+	}
+	return g.older[subject]
+}
+
+// set stores a success, and reports whether it is later than the one known.
+func (g *generations) set(subject Fingerprint, at time.Time) bool {
+	if !at.After(g.last(subject)) {
+		return false
+	}
+	if len(g.newer) >= maxSubjects {
+		g.older, g.newer = g.newer, nil
+	}
+	if g.newer == nil {
+		g.newer = make(map[Fingerprint]time.Time)
+	}
+	g.newer[subject] = at
+	return true
+}
+
+// Empty reports whether no failures are known.
+func (t *Tracker) Empty() bool { return len(t.failures) == 0 }
+
+// RecordFailure takes in a failure of this process. The result is to be sent to the
+// other processes. A second record with the same ID can only add that it was a crash.
+func (t *Tracker) RecordFailure(now time.Time, failure Failure) Evidence {
+	failure.Age = 0
+	failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
+	evidence := Evidence{Failures: []Failure{failure}}
+	if known := t.failures[failure.ID]; known != nil {
+		evidence.Failures[0].Age = Age(now.Sub(known.at))
+	}
+	t.Merge(now, evidence)
+	return evidence
+}
+
+// RecordSuccess takes in that an attempt of this process ran well. The result, if there
+// is any, is to be sent to the other processes.
+func (t *Tracker) RecordSuccess(now time.Time, c *Candidate) Evidence {
+	suspected := t.suspected()
+	var evidence Evidence
+	c.subjects(func(subject Fingerprint) bool {
+		if last, found := suspected[subject]; found && last.After(t.successes.last(subject)) {
+			evidence.Successes = append(evidence.Successes, Success{Subject: subject})
+		}
+		if t.successes.set(subject, now) && len(t.failures) > 0 {
+			t.evaluated = time.Time{}
+		}
+		return true
+	})
+	return evidence
+}
+
+// suspected returns the last failure of each subject.
+func (t *Tracker) suspected() map[Fingerprint]time.Time {
+	if len(t.failures) == 0 {
+		return nil
+	}
+	last := make(map[Fingerprint]time.Time)
+	for _, failure := range t.failures {
+		failure.subjects(func(subject Fingerprint) {
+			if failure.at.After(last[subject]) {
+				last[subject] = failure.at
+			}
+		})
+	}
+	return last
+}
+
+// subjects calls a function with each subject that the failure counts against.
+func (f *Failure) subjects(visit func(subject Fingerprint)) {
+	if f.Crash {
+		for _, part := range f.Parts {
+			visit(part)
+		}
+	}
+	if f.Request != (Fingerprint{}) {
+		visit(f.Request)
+	}
+}
+
+// Merge takes in what another process tells. It returns what that process doesn't know
+// and should: successes that came after failures it has told of.
+func (t *Tracker) Merge(now time.Time, evidence Evidence) Evidence {
+	for i := range evidence.Successes {
+		success := &evidence.Successes[i]
+		t.successes.set(success.Subject, now.Add(-success.Age.duration()))
+	}
+	var reply Evidence
+	for i := range evidence.Failures {
+		failure := evidence.Failures[i]
+		if failure.ID == "" || failure.Age.duration() >= banTTL {
+			continue
+		}
+		failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
+		failure.at = now.Add(-failure.Age.duration())
+		if known := t.failures[failure.ID]; known != nil {
+			failure.at = known.at
+			failure.Crash = failure.Crash || known.Crash
+			failure.held, failure.kept = known.held, known.kept
+		}
+		if t.failures == nil {
+			t.failures = make(map[string]*Failure)
+		}
+		t.failures[failure.ID] = &failure
+		failure.subjects(func(subject Fingerprint) {
+			if last := t.successes.last(subject); last.After(failure.at) {
+				reply.Successes = append(reply.Successes, Success{Subject: subject, Age: Age(now.Sub(last))})
+			}
+		})
+	}
+	for _, trial := range evidence.Trials {
+		t.addTrial(now, trial)
+	}
+	t.evaluated = time.Time{}
+	t.expire(now)
+	return reply
+}
+
+func (t *Tracker) addTrial(now time.Time, trial Trial) {
+	if _, known := t.trials[trial.ID]; known || trial.ID == "" || trial.Age.duration() >= banTTL {
+		return
+	}
+	if t.trials == nil {
+		t.trials = make(map[string]Trial)
+	}
+	trial.at = now.Add(-trial.Age.duration())
+	t.trials[trial.ID] = trial
+}
+
+// expire drops what is too old or too much.
+func (t *Tracker) expire(now time.Time) {
+	for id, failure := range t.failures {
+		ttl := failureTTL
+		if failure.held {
+			ttl = banTTL
+		}
+		if now.Sub(failure.at) >= ttl {
+			delete(t.failures, id)
+		}
+	}
+	for id, trial := range t.trials {
+		if now.Sub(trial.at) >= banTTL {
+			delete(t.trials, id)
+		}
+	}
+	if excess := len(t.failures) - maxFailures; excess > 0 {
+		all := t.sorted()
+		slices.SortStableFunc(all, func(a, b *Failure) int { return cmp.Compare(flag(a.held), flag(b.held)) })
+		for _, failure := range all[:excess] {
+			delete(t.failures, failure.ID)
+		}
+	}
+	for len(t.trials) > maxTrialRecords {
+		oldest := ""
+		for id, trial := range t.trials {
+			if oldest == "" || trial.at.Before(t.trials[oldest].at) {
+				oldest = id
+			}
+		}
+		delete(t.trials, oldest)
+	}
+}
+
+func flag(set bool) int {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+// sorted returns the failures, oldest first.
+func (t *Tracker) sorted() []*Failure {
+	all := make([]*Failure, 0, len(t.failures))
+	for _, failure := range t.failures {
+		all = append(all, failure)
+	}
+	slices.SortFunc(all, func(a, b *Failure) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ID, b.ID)) })
+	return all
+}
+
+// Export returns the evidence for a process that may know none of it: what bans rest on,
+// and the last failures.
+func (t *Tracker) Export(now time.Time) Evidence {
+	t.evaluate(now)
+	all := t.sorted()
+	from := len(all) - exportedFailures
+	return t.export(now, all, func(i int) bool { return all[i].held || i >= from })
+}
+
+// export returns a choice of all failures, with the successes and trials.
+func (t *Tracker) export(now time.Time, all []*Failure, chosen func(i int) bool) Evidence {
+	var evidence Evidence
+	for i, failure := range all {
+		if !chosen(i) {
+			continue
+		}
+		told := *failure
+		told.Age = Age(now.Sub(failure.at))
+		evidence.Failures = append(evidence.Failures, told)
+	}
+	for subject := range t.suspected() {
+		if last := t.successes.last(subject); !last.IsZero() {
+			evidence.Successes = append(evidence.Successes, Success{Subject: subject, Age: Age(now.Sub(last))})
+		}
+	}
+	slices.SortFunc(evidence.Successes, func(a, b Success) int { return bytes.Compare(a.Subject[:], b.Subject[:]) })
+	for _, trial := range t.trials {
+		trial.Age = Age(now.Sub(trial.at))
+		evidence.Trials = append(evidence.Trials, trial)
+	}
+	slices.SortFunc(evidence.Trials, func(a, b Trial) int { return cmp.Compare(a.ID, b.ID) })
+	return evidence
+}
+
+// digestTime is how long a failure counts for the digest that no ban rests on.
+const digestTime = 10 * time.Second
+
+// Digest returns a number that is the same at processes with the same recent evidence, but
+// for successes; zero if there is none.
+func (t *Tracker) Digest(now time.Time) uint64 {
+	t.evaluate(now)
+	var sum uint64
+	add := func(id string, crash bool) {
+		hash := fnv.New64a()
+		// Writing to a hash never fails.
+		_, _ = hash.Write([]byte(id))
+		_, _ = hash.Write([]byte{byte(flag(crash))})
+		sum ^= hash.Sum64()
+	}
+	for id, failure := range t.failures {
+		if failure.held || now.Sub(failure.at) < digestTime {
+			add(id, failure.Crash)
+		}
+	}
+	for id := range t.trials {
+		add(id, false)
+	}
+	return sum
+}
+
+// Keep returns the evidence that is worth keeping if all processes are lost: what bans
+// rest on, and what speaks against parts that may be banned soon.
+func (t *Tracker) Keep(now time.Time) Evidence {
+	t.evaluate(now)
+	all := t.sorted()
+	if !slices.ContainsFunc(all, func(f *Failure) bool { return f.kept }) {
+		return Evidence{}
+	}
+	return t.export(now, all, func(i int) bool { return all[i].kept })
+}
+
+// Aged returns the evidence as it is after some time.
+func (e Evidence) Aged(by time.Duration) Evidence {
+	aged := Evidence{Failures: slices.Clone(e.Failures), Successes: slices.Clone(e.Successes), Trials: slices.Clone(e.Trials)}
+	for i := range aged.Failures {
+		aged.Failures[i].Age += Age(by)
+	}
+	for i := range aged.Successes {
+		aged.Successes[i].Age += Age(by)
+	}
+	for i := range aged.Trials {
+		aged.Trials[i].Age += Age(by)
+	}
+	return aged
+}
--- /dev/null
+++ b/internal/serve/assembly/crashes.go
@@ -0,0 +1,278 @@
+package assembly
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
+	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
+)
+
+const (
+	// crashPause is kept between two messages on crashes.
+	crashPause = 100 * time.Millisecond
+	// compareInterval is how often a process that knows of crashes, or has just started,
+	// compares what it knows with another one.
+	compareInterval = 500 * time.Millisecond
+	// compareTime is how long after its start a process does so in any case.
+	compareTime = 5 * time.Second
+	// bansKey is the store's key of the evidence that bans rest on.
+	bansKey = "bans"
+	// bansInterval is how often it is written while there are bans.
+	bansInterval = 8 * time.Second
+	// bansPause is how often a change of the bans is looked for.
+	bansPause = 250 * time.Millisecond
+	// bansWriters is how many processes write it.
+	bansWriters = 2
+)
+
+// crashParams is what a process tells another one on crashes. With Compare set, the answer
+// holds all that the other one knows, unless the digests are the same.
+type crashParams struct {
+	Evidence suspect.Evidence `json:"evidence"`
+	Compare  bool             `json:"compare,omitempty"`
+	Digest   uint64           `json:"digest,omitempty"`
+}
+
+// crashResult is what a process answers.
+type crashResult struct {
+	Evidence suspect.Evidence `json:"evidence"`
+	Digest   uint64           `json:"digest,omitempty"` // if the digests were to be compared
+}
+
+// trialParams is a request that may be sent as the trial of a ban.
+type trialParams struct {
+	ID        string                `json:"id"`
+	Workspace string                `json:"workspace,omitempty"`
+	Request   suspect.Fingerprint   `json:"request"`
+	Parts     []suspect.Fingerprint `json:"parts,omitempty"`
+}
+
+// trialResult says whether it may.
+type trialResult struct {
+	Granted  bool             `json:"granted"`
+	Evidence suspect.Evidence `json:"evidence"`
+}
+
+// keptBans is the entry of the store.
+type keptBans struct {
+	At       time.Time        `json:"at"` // by the processes' agreed clock
+	Evidence suspect.Evidence `json:"evidence"`
+}
+
+// formerOutcome is what processes of former builds tell of a request: the server that it
+// broke off on, or none if it was answered.
+type formerOutcome struct {
+	Request suspect.Fingerprint `json:"mark"`
+	Server  string              `json:"server,omitempty"`
+	At      time.Time           `json:"at"`
+}
+
+func evidenceOf(now time.Time, outcomes []formerOutcome) suspect.Evidence {
+	var evidence suspect.Evidence
+	for _, one := range outcomes {
+		age := suspect.Age(now.Sub(one.At))
+		if one.Server == "" {
+			evidence.Successes = append(evidence.Successes, suspect.Success{Subject: one.Request, Age: age})
+			continue
+		}
+		id, _ := one.Request.MarshalText() // never fails
+		evidence.Failures = append(evidence.Failures, suspect.Failure{
+			ID: string(id) + "/" + one.Server + "/" + one.At.UTC().Format(time.RFC3339Nano), Server: one.Server, Request: one.Request, Age: age,
+		})
+	}
+	return evidence
+}
+
+// heardCrashes takes in what another process tells.
+func (p *Front) heardCrashes(_ context.Context, told crashParams) (any, error) {
+	now := time.Now()
+	result := crashResult{Evidence: p.front.Told(now, told.Evidence)}
+	if told.Compare {
+		var known suspect.Evidence
+		if known, result.Digest = p.front.Evidence(now); result.Digest != told.Digest {
+			result.Evidence = known
+		}
+	}
+	return result, nil
+}
+
+// tellCrashes tells all others what this process has seen of crashes.
+func (p *Front) tellCrashes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause.For(ctx, crashPause)
+		evidence := p.front.Untold()
+		if evidence.Empty() {
+			continue
+		}
+		p.eachPeer(time.Now(), func(process string) error {
+			var reply crashResult
+			if err := p.peers.call(ctx, process, callCrashes, crashParams{Evidence: evidence}, &reply); err != nil {
+				return err
+			}
+			p.front.Told(time.Now(), reply.Evidence)
+			return nil
+		})
+	}
+	return nil
+}
+
+// compareCrashes compares with one process after another, at random, what each knows: what
+// one was told while it could not be reached comes to it from any that knows it.
+func (p *Front) compareCrashes(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause.For(ctx, compareInterval)
+		now := time.Now()
+		digest := p.front.EvidenceDigest(now)
+		if digest == 0 && now.Sub(p.Started) > compareTime {
+			continue
+		}
+		alive := p.peers.alive(now)
+		other := alive[rand.IntN(len(alive))]
+		if other == p.peers.process {
+			continue
+		}
+		if err := p.compareWith(ctx, other, digest); err != nil {
+			p.Log.Write(event.PeerFailed, zap.String("peer", other), zap.Error(err))
+		}
+	}
+	return nil
+}
+
+func (p *Front) compareWith(ctx context.Context, other string, digest uint64) error {
+	var known crashResult
+	err := p.peers.call(ctx, other, callCrashes, crashParams{Compare: true, Digest: digest}, &known)
+	if err != nil || known.Digest == digest {
+		return err
+	}
+	now := time.Now()
+	p.front.Told(now, known.Evidence)
+	own, _ := p.front.Evidence(now)
+	if digest == 0 {
+		return nil // nothing that the other one might lack
+	}
+	return p.peers.call(ctx, other, callCrashes, crashParams{Evidence: own}, &known)
+}
+
+// trialOwner returns the process that grants the trials of a ban.
+func (p *Front) trialOwner(now time.Time, ban suspect.Fingerprint) string {
+	owner, most := p.peers.process, uint64(0)
+	for _, process := range p.peers.alive(now) {
+		weight := xxhash.Sum64String(string(ban[:]) + process)
+		if weight > most {
+			owner, most = process, weight
+		}
+	}
+	return owner
+}
+
+// askTrial asks for a trial of a ban.
+func (p *Front) askTrial(ctx context.Context, ban suspect.Fingerprint, id string, candidate *suspect.Candidate) bool {
+	owner := p.trialOwner(time.Now(), ban)
+	if owner == p.peers.process {
+		_, granted := p.grantTrial(ctx, id, candidate)
+		return granted
+	}
+	var result trialResult
+	params := trialParams{ID: id, Workspace: candidate.Workspace, Request: candidate.Request, Parts: candidate.Parts}
+	if err := p.peers.call(ctx, owner, callTrial, params, &result); err != nil {
+		p.Log.Write(event.PeerFailed, zap.String("peer", owner), zap.Error(err))
+		return false
+	}
+	p.front.Told(time.Now(), result.Evidence)
+	return result.Granted
+}
+
+// decideTrial answers askTrial.
+func (p *Front) decideTrial(ctx context.Context, asked trialParams) (any, error) {
+	candidate := suspect.Candidate{Workspace: asked.Workspace, Request: asked.Request, Parts: asked.Parts}
+	evidence, granted := p.grantTrial(ctx, asked.ID, &candidate)
+	return trialResult{Granted: granted, Evidence: evidence}, nil
+}
+
+// grantTrial grants a trial if one is due. The store has it first, so that it counts also
+// if all processes are lost.
+func (p *Front) grantTrial(ctx context.Context, id string, candidate *suspect.Candidate) (suspect.Evidence, bool) {
+	now := time.Now()
+	evidence, granted := p.front.GrantTrial(now, id, candidate)
+	if !evidence.Empty() {
+		p.keepBans(ctx, now)
+	}
+	return evidence, granted
+}
+
+// rememberBans keeps the evidence that bans rest on in the store, and takes it over at the
+// start: it outlives the loss of all processes.
+func (p *Front) rememberBans(ctx context.Context) error {
+	p.recallBans(ctx)
+	var written time.Time
+	var digest uint64
+	for ctx.Err() == nil {
+		pause.For(ctx, bansPause)
+		now := time.Now()
+		present := p.front.EvidenceDigest(now)
+		if present == digest && now.Sub(written) < bansInterval || !p.writesBans(now) {
+			continue
+		}
+		if p.keepBans(ctx, now) {
+			written, digest = now, present
+		}
+	}
+	return nil
+}
+
+// keepBans writes the evidence that is worth it to the store.
+func (p *Front) keepBans(ctx context.Context, now time.Time) bool {
+	evidence := p.front.KeptEvidence(now)
+	if evidence.Empty() {
+		return false
+	}
+	value, err := json.Marshal(keptBans{p.clock.True(now), evidence})
+	if err == nil {
+		_, err = p.store.Commit(ctx, []chicoryrock.Change{{Key: bansKey, Value: value, Unconditional: true}})
+	}
+	if err != nil && ctx.Err() == nil {
+		p.Log.Write(event.BansLost, zap.Error(err))
+	}
+	return err == nil
+}
+
+// writesBans says whether this process is one of those that keep the bans in the store.
+func (p *Front) writesBans(now time.Time) bool {
+	for i, process := range p.peers.alive(now) {
+		if i < bansWriters && process == p.peers.process {
+			return true
+		}
+	}
+	return false
+}
+
+// recallBans reads what the store keeps, however long that takes.
+func (p *Front) recallBans(ctx context.Context) {
+	entry, err := p.store.Get(ctx, bansKey)
+	for err != nil && !errors.Is(err, chicoryrock.ErrNotFound) {
+		if ctx.Err() != nil {
+			return
+		}
+		pause.For(ctx, joinPause)
+		entry, err = p.store.Get(ctx, bansKey)
+	}
+	if err != nil {
+		return // nothing is kept
+	}
+	var kept keptBans
+	if err := json.Unmarshal(entry.Value, &kept); err != nil {
+		p.Log.Write(event.BansLost, zap.Error(err))
+		return
+	}
+	now := time.Now()
+	p.front.Told(now, kept.Evidence.Aged(max(p.clock.True(now).Sub(kept.At), 0)))
+}
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -12,7 +12,6 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
-	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gossip"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
@@ -44,11 +43,14 @@
 			callCollect: peer.Typed(func(ctx context.Context, changes []chicoryrock.Change) (any, error) {
 				return true, p.collector.Write(ctx, changes)
 			}),
-			callBreaks: peer.Typed(func(_ context.Context, happened []suspect.Outcome) (any, error) {
-				p.front.Told(time.Now(), happened)
+			callBreaks: peer.Typed(func(_ context.Context, outcomes []formerOutcome) (any, error) {
+				now := time.Now()
+				p.front.Told(now, evidenceOf(now, outcomes))
 				return true, nil
 			}),
-			callNeeds: func(context.Context, json.RawMessage) (any, error) { return p.needs.Report(), nil },
+			callCrashes: peer.Typed(p.heardCrashes),
+			callTrial:   peer.Typed(p.decideTrial),
+			callNeeds:   func(context.Context, json.RawMessage) (any, error) { return p.needs.Report(), nil },
 			callKeep: peer.Typed(func(_ context.Context, kept keepParams) (any, error) {
 				p.book.Hold(kept.Process, kept.Changes)
 				return true, nil
@@ -160,23 +162,6 @@
 	return nil
 }
 
-// tellBreaks tells all others from time to time which requests broke off, or were
-// answered after they had.
-func (p *Front) tellBreaks(ctx context.Context) error {
-	for ctx.Err() == nil {
-		pause.For(ctx, tellPause)
-		happened := p.front.Untold()
-		if len(happened) == 0 {
-			continue
-		}
-		p.eachPeer(time.Now(), func(process string) error {
-			var taken bool
-			return p.peers.call(ctx, process, callBreaks, happened, &taken)
-		})
-	}
-	return nil
-}
-
 // eachPeer runs a call to every other living process at once.
 func (p *Front) eachPeer(now time.Time, call func(process string) error) {
 	var group sync.WaitGroup
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -134,6 +134,7 @@
 	keep(background, "lapse", p.expire)
 	keep(background, "settings", p.reload)
 	keep(background, "learned", p.remember)
+	keep(background, "bans", p.rememberBans)
 	if p.Scrapes.IsValid() {
 		// Callers are served without metrics too: their failures leave the front ready.
 		aside := &guard.Parts{Log: p.Log}
@@ -144,7 +145,8 @@
 		keep(background, "reports", func(ctx context.Context) error { return p.gossip().Run(ctx) })
 		keep(background, "share", p.share)
 		keep(background, "catch up", p.catchUp)
-		keep(background, "breaks", p.tellBreaks)
+		keep(background, "crashes", p.tellCrashes)
+		keep(background, "compare crashes", p.compareCrashes)
 	}
 	if node.Bill {
 		keep(background, "counts", p.book.Run)
@@ -202,8 +204,12 @@
 		Needs:   p.needs,
 		Metrics: p.metrics,
 		Dropped: p.Dropped,
+		Process: p.peers.process,
 		Sound:   p.parts.Sound,
 	}
+	if p.talks() {
+		p.front.Trial = p.askTrial
+	}
 	p.front.Placer.Quota.Changed = p.front.LimitChanged
 	members := 1
 	if p.talks() {
--- a/internal/serve/assembly/front_limits_test.go
+++ b/internal/serve/assembly/front_limits_test.go
@@ -108,13 +108,13 @@
 	d.settle(1, 1)
 	now := time.Now()
 	mark := suspect.FingerprintOf("w1", []byte("GET\n"+sample.Host+"\n/read/told\n"))
-	var happened []suspect.Outcome
+	var told suspect.Evidence
 	for i := range 3 {
-		happened = append(happened, suspect.Outcome{Fingerprint: mark, Server: fmt.Sprint(i), At: now})
+		told.Failures = append(told.Failures, suspect.Failure{ID: fmt.Sprint(i), Request: mark, Server: fmt.Sprint(i)})
 	}
-	d.front.front.Told(now, happened)
+	d.front.front.Told(now, told)
 	require.Equal(t, chicoryrock.ReasonSuspect.Status(), d.send("GET", "/read/told", "t1", "k1", "").status)
-	d.front.front.Told(now, []suspect.Outcome{{Fingerprint: mark, At: now}})
+	d.front.front.Told(now.Add(time.Millisecond), suspect.Evidence{Successes: []suspect.Success{{Subject: mark}}})
 	require.Equal(t, http.StatusOK, d.send("GET", "/read/told", "t2", "k1", "").status)
 	require.Zero(t, b.ran("t1"))
 }
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -55,8 +55,6 @@
 	// shareInterval is how often the placer is told what was heard of the others: well
 	// below the time between two reports of one of them.
 	shareInterval = 40 * time.Millisecond
-	// tellPause is kept between two messages on requests that broke off.
-	tellPause = 300 * time.Millisecond
 	// newsPause is kept between two of these, so that a series of changes is taken
 	// in at once.
 	newsPause = 20 * time.Millisecond
@@ -70,7 +68,10 @@
 	callCollect = "collect"
 	callKeep    = "keep"
 	callNeeds   = "needs"
-	callBreaks  = "breaks"
+	callCrashes = "crashes"
+	callTrial   = "trial"
+	// callBreaks is used by processes of former builds.
+	callBreaks = "breaks"
 )
 
 // peerRecord is a process's entry in the store.
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -63,6 +63,7 @@
 	begin     time.Time
 	until     time.Time // when the caller or the route gives up
 	ctx       context.Context
+	stop      context.CancelCauseFunc // of ctx
 
 	sent      int           // attempts that reached a backend server and were not turned away
 	turned    int           // attempts that were turned away or could not be sent
@@ -77,6 +78,11 @@
 	last      time.Time     // when its last event came
 	pause     time.Duration // the longest between two of its events
 	lastID    string
+	gotAt     time.Time            // when its first event came
+	endKnown  bool                 // its answer stated where it ends
+	settled   bool                 // it has run for suspect.Probation
+	trial     bool                 // it is the trial of a ban
+	attempts  int                  // that were begun, for their names
 	print     *suspect.Fingerprint // once it has been taken
 	fetch     netip.AddrPort       // where the attempt's backend server may fetch parts of the prompt
 	trail     trail.Trail
@@ -96,10 +102,12 @@
 // may not be tried again.
 func (c *call) run() {
 	f := c.front
-	if c.suspected(c.begin) == suspect.Refused {
-		c.refused(c.begin, chicoryrock.ReasonSuspect)
+	if err := c.judge(c.begin); err != nil {
+		c.end(err)
 		return
 	}
+	f.suspects.open(c)
+	defer f.suspects.close(c)
 	f.fresh(c.begin, c.request.Pool)
 	f.asked(c.begin, c.request)
 	if !c.hasRoom(c.begin) {
@@ -139,7 +147,7 @@
 		err = c.attempt(&replica)
 		now := time.Now()
 		f.Needs.RecordSlotTime(c.request, now.Sub(sent))
-		c.broke(now, replica.Name, err)
+		c.ended(now, &replica, err)
 		f.done(now, c.request, c.pause, blames(err) && c.ctx.Err() == nil)
 		if err == nil || !c.again(now, &replica, err) {
 			granted = ""
@@ -182,7 +190,7 @@
 	if !route.HasService(c.request.Pool) {
 		return errMoved
 	}
-	return nil
+	return c.tried()
 }
 
 // blames says whether a failed attempt speaks against its backend server.
@@ -202,7 +210,7 @@
 		c.sent++
 	}
 	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.events), zap.Bool("began", c.got), event.Cause(failure))
-	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.suspected(now) != suspect.Clean {
+	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.verdict(now).State != suspect.Clean {
 		return false
 	}
 	c.request.Deadline = c.until
@@ -234,6 +242,8 @@
 func (c *call) attempt(replica *chicoryrock.Replica) error {
 	sent := time.Now()
 	c.got, c.pause = false, 0
+	c.endKnown, c.settled = false, false
+	c.attempts++
 	stamp := platform.Stamp{
 		Server:  replica.Name,
 		Left:    c.until.Sub(sent),
@@ -285,8 +295,9 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
 	if err != nil {
-		return errors.Wrapf(chicoryrock.ErrTruncated, "%v", err)
+		return truncated(err)
 	}
+	c.endKnown = answer.Framed
 	failed := answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status)
 	if failed && len(body) > maxHeld {
 		return errors.Wrapf(upstream.ErrBadAnswer, "a failure of more than %d bytes", maxHeld)
@@ -327,7 +338,7 @@
 			return nil
 		}
 		if err != nil {
-			return errors.Wrapf(chicoryrock.ErrTruncated, "%v", err)
+			return truncated(err)
 		}
 	}
 	return errors.Wrapf(upstream.ErrBadAnswer, "an answer of more than %d bytes", maxAnswer)
@@ -422,16 +433,21 @@
 		_ = c.write(c.failure.status, c.failure.header, c.failure.body)
 	case c.begun:
 		reason := chicoryrock.ReasonUnknownOutcome
-		c.failed(now, reason, err)
 		status := http.StatusBadGateway
-		if c.ctx.Err() != nil {
+		switch {
+		case c.heldBack():
+			reason = chicoryrock.ReasonCrashPart
+		case c.ctx.Err() != nil:
 			status = http.StatusGatewayTimeout
 		}
+		c.failed(now, reason, err)
 		f.answer(c.w, c.ask.ID, status, reason.Sentence(), 0)
 	case errors.As(err, &refused) && refused.Reason == chicoryrock.ReasonLate && c.limitWait:
 		c.refused(now, chicoryrock.ReasonServerLimit)
 	case errors.As(err, &refused):
 		c.refused(now, refused.Reason)
+	case c.heldBack():
+		c.refused(now, chicoryrock.ReasonCrashPart)
 	case c.ctx.Err() != nil:
 		c.refused(now, chicoryrock.ReasonLate)
 	default:
@@ -468,6 +484,9 @@
 		return 0
 	}
 	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
+	if reason == chicoryrock.ReasonCrashPart {
+		return longest
+	}
 	room, known := c.front.returns(now, c.request)
 	if !known {
 		return min(c.front.Gate.After(now, c.request), longest)
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -24,6 +24,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/demand"
 	"github.com/chicoryrock/chicoryrock/internal/policy/place"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
@@ -71,6 +72,11 @@
 	Needs    *demand.Counter
 	Metrics  *metrics.Metrics
 	Dropped  func() int64 // lines of the log that were dropped; may be nil
+	// Process names this process in what it tells the others.
+	Process string
+	// Trial asks the process that grants the trials of a ban whether a request may be sent
+	// as one; nil to decide here.
+	Trial func(ctx context.Context, ban suspect.Fingerprint, id string, candidate *suspect.Candidate) bool
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -312,6 +318,7 @@
 			return nil
 		case now := <-expire.C:
 			f.Gate.Expire(now)
+			f.enforceBans(now)
 		case now := <-sweep.C:
 			f.Upstream.Sweep(now)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -121,7 +121,9 @@
 		zap.Duration("patience", c.ask.Timeout), zap.Uint64("version", table.Version), zap.String("parts", sharedParts(c.request.Parts)))
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.until)
 	defer cancel()
-	c.ctx = ctx
+	ctx, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	c.ctx, c.stop = ctx, stop
 	if err := http.NewResponseController(c.w).SetWriteDeadline(c.until.Add(time.Second)); err != nil {
 		c.trail.Write(event.Failed, now, event.Cause(err))
 	}
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -38,7 +38,7 @@
 			return c.endStream(answer, pending)
 		}
 		if err != nil {
-			return errors.Wrapf(chicoryrock.ErrTruncated, "%v", err)
+			return truncated(err)
 		}
 		if !blank(line) {
 			continue
@@ -50,6 +50,11 @@
 	}
 }
 
+// truncated returns the error of an answer that broke off.
+func truncated(cause error) error {
+	return upstream.MarkClosed(errors.Wrapf(chicoryrock.ErrTruncated, "%v", cause), cause)
+}
+
 func blank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
 // event passes one event on.
@@ -57,6 +62,7 @@
 	now := time.Now()
 	if !c.got {
 		c.got = true
+		c.gotAt = now
 		c.front.first(now, c.request)
 	} else {
 		c.pause = max(c.pause, now.Sub(c.last))
@@ -66,6 +72,7 @@
 		c.front.Metrics.Gap(c.route.Name, now.Sub(c.last))
 	}
 	c.last = now
+	c.ranOn(now)
 	if !c.started {
 		c.started = true
 		c.status = answer.Status
@@ -100,8 +107,12 @@
 // part of one that the backend server did not finish.
 func (c *call) endStream(answer *upstream.Answer, rest []byte) error {
 	if len(bytes.TrimSpace(rest)) > 0 {
-		return errors.Wrap(chicoryrock.ErrTruncated, "the stream ends within an event")
+		return upstream.MarkClosed(errors.Wrap(chicoryrock.ErrTruncated, "the stream ends within an event"), io.ErrUnexpectedEOF)
+	}
+	if !answer.Framed && !c.got {
+		return upstream.MarkClosed(errors.Wrap(chicoryrock.ErrTruncated, "the connection ends before the first event"), io.ErrUnexpectedEOF)
 	}
+	c.endKnown = answer.Framed
 	if !c.started {
 		c.front.first(time.Now(), c.request)
 		return c.write(answer.Status, answer.Header, nil)
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -1,6 +1,10 @@
 package front
 
 import (
+	"context"
+	"net/netip"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -11,56 +15,147 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
+	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 )
 
-// maxUntold bounds what waits to be told to the other processes.
-const maxUntold = 256
+const (
+	// maxUntold bounds what waits to be told to the other processes.
+	maxUntold = 256
+	// lookDelay is how long after a lost connection its server is looked at: a process
+	// that ends may close its connections before its port.
+	lookDelay = 20 * time.Millisecond
+	// lookLifetime is how long the result of such a look is used.
+	lookLifetime = time.Second
+)
+
+// errHeldBack ends a call whose prompt has a part that was banned while it waited, or
+// before its answer began.
+var errHeldBack = errors.New("a part of the prompt has been banned")
 
-// suspects knows which requests broke off on one backend server after another,
-// here or at other processes.
+// suspects knows which requests, and which parts of prompts, crash backend servers.
 type suspects struct {
-	mutex  sync.Mutex
-	breaks suspect.FailureTracker
-	untold []suspect.Outcome
+	mutex   sync.Mutex
+	tracker suspect.Tracker
+	untold  suspect.Evidence
+	calls   map[*call]*openCall
+	bans    []suspect.Ban // as last logged
+	looks   map[string]*look
 }
 
-// empty says whether nothing is known of any request.
-func (s *suspects) empty() bool {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.breaks.Empty()
+// openCall is a call under way. Its fields are used under the lock of suspects.
+type openCall struct {
+	candidate suspect.Candidate
+	safe      bool // an attempt has run for a while, or is a trial
 }
 
-// Untold returns what happened to requests since it was last asked, for the other
-// processes.
-func (f *Front) Untold() []suspect.Outcome {
+// look is one look at whether a server still takes connections.
+type look struct {
+	done chan struct{}
+	at   time.Time
+	down bool
+}
+
+// Untold returns the evidence on crashes since it was last asked, for the other processes.
+func (f *Front) Untold() suspect.Evidence {
 	f.suspects.mutex.Lock()
 	defer f.suspects.mutex.Unlock()
 	untold := f.suspects.untold
-	f.suspects.untold = nil
+	f.suspects.untold = suspect.Evidence{}
 	return untold
 }
 
-// Told takes in what happened to requests at another process.
-func (f *Front) Told(now time.Time, happened []suspect.Outcome) {
+// Told takes in evidence of another process. It returns what that one doesn't know.
+func (f *Front) Told(now time.Time, evidence suspect.Evidence) suspect.Evidence {
+	f.suspects.mutex.Lock()
+	defer f.suspects.mutex.Unlock()
+	return f.suspects.tracker.Merge(now, evidence)
+}
+
+// Evidence returns what this process knows of crashes, for one that may know nothing, and
+// its digest.
+func (f *Front) Evidence(now time.Time) (suspect.Evidence, uint64) {
+	f.suspects.mutex.Lock()
+	defer f.suspects.mutex.Unlock()
+	return f.suspects.tracker.Export(now), f.suspects.tracker.Digest(now)
+}
+
+// EvidenceDigest returns a number that is the same at processes with the same recent
+// evidence; zero if there is none.
+func (f *Front) EvidenceDigest(now time.Time) uint64 {
 	f.suspects.mutex.Lock()
 	defer f.suspects.mutex.Unlock()
-	for _, one := range happened {
-		f.suspects.breaks.Record(now, one)
+	return f.suspects.tracker.Digest(now)
+}
+
+// KeptEvidence returns the evidence that is worth keeping if all processes are lost.
+func (f *Front) KeptEvidence(now time.Time) suspect.Evidence {
+	f.suspects.mutex.Lock()
+	defer f.suspects.mutex.Unlock()
+	return f.suspects.tracker.Keep(now)
+}
+
+// GrantTrial decides for all processes whether a request may be sent as the trial of a ban.
+func (f *Front) GrantTrial(now time.Time, id string, candidate *suspect.Candidate) (suspect.Evidence, bool) {
+	s := &f.suspects
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	evidence, granted := s.tracker.Grant(now, id, candidate)
+	s.tell(evidence)
+	if granted && !evidence.Empty() {
+		f.Log.Write(event.TrialGranted, zap.String("trial", id), zap.String("workspace", candidate.Workspace), zap.String("parts", partIDs(evidence.Trials[0].Subjects)))
 	}
+	return evidence, granted
 }
 
-// suspected says what may be done with a call. Its fingerprint is taken only while
-// anything is known of any request, as that takes time for a long body.
-func (c *call) suspected(now time.Time) suspect.State {
-	s := &c.front.suspects
-	if s.empty() {
-		return suspect.Clean
+// tell adds evidence to what the other processes are told. The lock is held.
+func (s *suspects) tell(evidence suspect.Evidence) {
+	if len(s.untold.Failures)+len(s.untold.Successes)+len(s.untold.Trials) >= maxUntold {
+		return // the processes compare what they know
 	}
-	mark := c.fingerprint()
+	s.untold.Failures = append(s.untold.Failures, evidence.Failures...)
+	s.untold.Successes = append(s.untold.Successes, evidence.Successes...)
+	s.untold.Trials = append(s.untold.Trials, evidence.Trials...)
+}
+
+// open notes a call that waits or runs, so that a ban can end it.
+func (s *suspects) open(c *call) {
+	candidate := c.candidate(true)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.breaks.State(now, mark)
+	if s.calls == nil {
+		s.calls = make(map[*call]*openCall)
+	}
+	s.calls[c] = &openCall{candidate: candidate}
+}
+
+func (s *suspects) close(c *call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.calls, c)
+}
+
+// setSafe notes that a ban no longer ends a call.
+func (s *suspects) setSafe(c *call) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if open := s.calls[c]; open != nil {
+		open.safe = true
+	}
+}
+
+// candidate describes the call for decisions on crashes, as a whole or by its prompt's
+// parts only. The fingerprint of the whole is taken only while anything is known of any
+// request, as that takes time for a long body.
+func (c *call) candidate(partsOnly bool) suspect.Candidate {
+	candidate := suspect.Candidate{Workspace: c.request.Workspace}
+	for i := 0; i < len(c.request.Parts)-1; i++ {
+		candidate.Parts = append(candidate.Parts, suspect.PartFingerprint(c.request.Pool, c.request.Parts[i].ID))
+	}
+	if !partsOnly {
+		candidate.Request = c.fingerprint()
+	}
+	return candidate
 }
 
 // fingerprint identifies a request that comes again.
@@ -77,34 +172,218 @@
 	return *c.print
 }
 
-// broke takes in how an attempt ended: a break speaks against the request, an
-// answer for it.
-func (c *call) broke(now time.Time, server string, err error) {
+// verdict says what may be done with a call.
+func (c *call) verdict(now time.Time) suspect.Verdict {
+	s := &c.front.suspects
+	s.mutex.Lock()
+	empty := s.tracker.Empty()
+	s.mutex.Unlock()
+	if empty {
+		return suspect.Verdict{State: suspect.Clean}
+	}
+	candidate := c.candidate(false)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tracker.Decide(now, &candidate)
+}
+
+// judge refuses a call that may not be sent now. Error: *gate.RefusedError.
+func (c *call) judge(now time.Time) error {
+	verdict := c.verdict(now)
+	if verdict.State != suspect.Refused {
+		return nil
+	}
+	return refusedBy(&verdict)
+}
+
+func refusedBy(verdict *suspect.Verdict) error {
+	if verdict.Ban.Part {
+		return &gate.RefusedError{Reason: chicoryrock.ReasonCrashPart}
+	}
+	return &gate.RefusedError{Reason: chicoryrock.ReasonSuspect}
+}
+
+// tried is judge for a call that is about to be sent: one that may only be sent as a trial
+// asks for it. Error: *gate.RefusedError.
+func (c *call) tried() error {
+	verdict := c.verdict(time.Now())
+	if verdict.State == suspect.Clean || c.trial {
+		return nil
+	}
+	if verdict.State == suspect.Refused {
+		return refusedBy(&verdict)
+	}
+	candidate := c.candidate(false)
+	id := c.attemptID()
+	if c.front.Trial == nil {
+		_, c.trial = c.front.GrantTrial(time.Now(), id, &candidate)
+	} else {
+		c.trial = c.front.Trial(c.ctx, verdict.Ban.Key(), id, &candidate)
+	}
+	if !c.trial {
+		return refusedBy(&verdict)
+	}
+	c.front.suspects.setSafe(c)
+	c.trail.Write(event.Trial, time.Now(), zap.String("trial", id))
+	return nil
+}
+
+// attemptID names the next attempt of the call among those of all processes.
+func (c *call) attemptID() string {
+	return c.front.Process + "/" + c.ask.ID + "/" + strconv.FormatInt(c.begin.UnixNano(), 36) + "/" + strconv.Itoa(c.attempts)
+}
+
+// heldBack says whether a call was ended by a ban.
+func (c *call) heldBack() bool { return errors.Is(context.Cause(c.ctx), errHeldBack) }
+
+// ranOn notes that an attempt still runs some time after its first event: its parts don't
+// crash the server.
+func (c *call) ranOn(now time.Time) {
+	if c.settled || now.Sub(c.gotAt) < suspect.Probation {
+		return
+	}
+	c.settled = true
+	c.front.suspects.setSafe(c)
+	c.succeeded(now, true)
+}
+
+// succeeded takes in that the attempt has run well, as far as its parts or to its end.
+func (c *call) succeeded(now time.Time, partsOnly bool) {
 	s := &c.front.suspects
-	happened := suspect.Outcome{At: now}
+	s.mutex.Lock()
+	empty := s.tracker.Empty()
+	s.mutex.Unlock()
+	candidate := c.candidate(partsOnly || empty)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tell(s.tracker.RecordSuccess(now, &candidate))
+}
+
+// ended takes in how an attempt ended: a break speaks against the request, an answer for
+// it.
+func (c *call) ended(now time.Time, replica *chicoryrock.Replica, err error) {
 	switch {
 	case err == nil:
-		if s.empty() {
-			return
+		// The end of an answer that only its connection marks may be a crash.
+		if c.endKnown || c.settled {
+			c.succeeded(now, false)
 		}
+		return
 	case c.ctx.Err() != nil:
 		return
 	case errors.Is(err, chicoryrock.ErrTruncated) || errors.Is(err, chicoryrock.ErrUnknownOutcome):
-		happened.Server = server
 	default:
 		return
 	}
-	happened.Fingerprint = c.fingerprint()
+	candidate := c.candidate(false)
+	failure := suspect.Failure{ID: c.attemptID(), Server: replica.Name, Workspace: candidate.Workspace, Request: candidate.Request}
+	if !c.settled {
+		failure.Parts = candidate.Parts
+	}
+	f := c.front
+	f.failed(now, failure)
+	if c.verdict(now).State == suspect.Refused {
+		c.trail.Write(event.Suspected, now, zap.String("server", replica.Name))
+	}
+	if len(failure.Parts) == 0 || !errors.Is(err, upstream.ErrClosed) {
+		return
+	}
+	go func() {
+		if f.isDown(replica.Name, replica.Address) {
+			failure.Crash = true
+			f.failed(time.Now(), failure)
+		}
+	}()
+}
+
+// failed records a failure and has it told.
+func (f *Front) failed(now time.Time, failure suspect.Failure) {
+	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if err == nil && !s.breaks.HasFailures(happened.Fingerprint) {
+	s.tell(s.tracker.RecordFailure(now, failure))
+}
+
+// isDown says whether a backend server that has closed a connection takes no new ones. All
+// that lost their connections to it together share one look.
+func (f *Front) isDown(server string, address netip.AddrPort) bool {
+	s := &f.suspects
+	now := time.Now()
+	s.mutex.Lock()
+	known := s.looks[server]
+	if known == nil || now.Sub(known.at) > lookLifetime {
+		known = &look{done: make(chan struct{}), at: now}
+		if s.looks == nil {
+			s.looks = make(map[string]*look)
+		}
+		for name, other := range s.looks {
+			if now.Sub(other.at) > lookLifetime {
+				delete(s.looks, name)
+			}
+		}
+		s.looks[server] = known
+		go func() {
+			defer close(known.done)
+			time.Sleep(lookDelay)
+			known.down = !f.Upstream.Listens(context.Background(), address)
+			if known.down {
+				f.Log.Write(event.ServerDown, zap.String("server", server))
+			}
+		}()
+	}
+	s.mutex.Unlock()
+	<-known.done
+	return known.down
+}
+
+// enforceBans logs which bans have begun and ended, and ends the calls that a new one
+// concerns: those that wait, and those whose answers have not begun.
+func (f *Front) enforceBans(now time.Time) {
+	s := &f.suspects
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.tracker.Empty() && len(s.bans) == 0 {
 		return
 	}
-	s.breaks.Record(now, happened)
-	if len(s.untold) < maxUntold {
-		s.untold = append(s.untold, happened)
+	before := s.bans
+	s.bans = slices.Clone(s.tracker.Bans(now))
+	begun := false
+	for i := range s.bans {
+		if !containsBan(before, &s.bans[i]) {
+			begun = true
+			f.logBan(event.BanBegan, &s.bans[i])
+		}
 	}
-	if state := s.breaks.State(now, happened.Fingerprint); state == suspect.Refused {
-		c.trail.Write(event.Suspected, now, zap.String("server", server))
+	for i := range before {
+		if !containsBan(s.bans, &before[i]) {
+			f.logBan(event.BanEnded, &before[i])
+		}
+	}
+	if !begun {
+		return
+	}
+	for c, open := range s.calls {
+		if !open.safe && s.tracker.Decide(now, &open.candidate).State == suspect.Refused {
+			c.stop(errHeldBack)
+		}
+	}
+}
+
+func containsBan(bans []suspect.Ban, ban *suspect.Ban) bool {
+	return slices.ContainsFunc(bans, func(other suspect.Ban) bool { return slices.Equal(other.Subjects, ban.Subjects) })
+}
+
+func (f *Front) logBan(what event.Event, ban *suspect.Ban) {
+	if ban.Part {
+		f.Log.Write(what, zap.String("parts", partIDs(ban.Subjects)), zap.Int("crashes", ban.Crashes))
+	}
+}
+
+// partIDs lists the IDs of parts.
+func partIDs(subjects []suspect.Fingerprint) string {
+	ids := make([]string, len(subjects))
+	for i := range subjects {
+		ids[i] = strconv.FormatUint(subjects[i].PartID(), 16)
 	}
+	return strings.Join(ids, ",")
 }
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -52,6 +52,28 @@
 // errLongHead says that the head of an answer does not end within its bound.
 var errLongHead = errors.Errorf("the head is longer than %d bytes", maxHead)
 
+// ErrClosed says that the backend server's side has closed the connection before the end of
+// an answer. It comes with ErrUnknownOutcome, or by the error of an answer's body.
+var ErrClosed = errors.New("connection closed by the backend server")
+
+// closedError is an error that also matches ErrClosed.
+type closedError struct{ error }
+
+// Is implements the interface of errors.Is.
+func (closedError) Is(target error) bool { return errors.Is(target, ErrClosed) }
+
+// Unwrap returns the error itself.
+func (e closedError) Unwrap() error { return e.error }
+
+// MarkClosed makes an error match ErrClosed if its cause is that the connection was closed
+// by the other side.
+func MarkClosed(err, cause error) error {
+	if errors.Is(cause, ErrClosed) || errors.Is(cause, io.EOF) || errors.Is(cause, io.ErrUnexpectedEOF) || errors.Is(cause, syscall.ECONNRESET) || errors.Is(cause, syscall.EPIPE) {
+		return closedError{err}
+	}
+	return err
+}
+
 // ErrBadAnswer says that what came back is no answer to the request.
 var ErrBadAnswer = errors.New("bad answer")
 
@@ -105,6 +127,24 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Framed says that the answer states where it ends, by a length or in chunks. Else it
+	// ends with its connection, and nothing tells its end from a break.
+	Framed bool
+}
+
+// Listens reports whether a backend server takes new connections.
+func (c *Client) Listens(ctx context.Context, address netip.AddrPort) bool {
+	timeout := c.Dial
+	if timeout == 0 {
+		timeout = defaultDial
+	}
+	dialer := net.Dialer{Timeout: timeout, Control: c.Control}
+	conn, err := dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
 }
 
 // Do sends a request and reads the beginning of its answer. The context bounds the
@@ -119,7 +159,7 @@
 	if err := conn.send(call); err != nil {
 		stop()
 		_ = conn.Close()
-		return nil, errors.Wrapf(chicoryrock.ErrUnknownOutcome, "send: %v", err)
+		return nil, MarkClosed(errors.Wrapf(chicoryrock.ErrUnknownOutcome, "send: %v", err), err)
 	}
 	response, clean, err := conn.receive(call) //nolint:bodyclose // the answer's body closes it
 	if err != nil {
@@ -128,7 +168,7 @@
 		return nil, err
 	}
 	body := &body{client: c, conn: conn, response: response, stop: stop, clean: clean}
-	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body}, nil
+	return &Answer{Status: response.StatusCode, Header: response.Header, Body: body, Framed: framed(response)}, nil
 }
 
 // connection returns an idle connection that still looks sound, or a new one.
@@ -358,7 +398,7 @@
 		case errors.Is(err, errLongHead):
 			return nil, false, errors.Wrap(ErrBadAnswer, err.Error())
 		case err != nil:
-			return nil, false, errors.Wrapf(chicoryrock.ErrUnknownOutcome, "read the answer: %v", err)
+			return nil, false, MarkClosed(errors.Wrapf(chicoryrock.ErrUnknownOutcome, "read the answer: %v", err), err)
 		case response.StatusCode < http.StatusOK:
 			if interim++; interim > maxInterim {
 				return nil, false, errors.Wrapf(ErrBadAnswer, "more than %d heads without an answer", maxInterim)
@@ -406,8 +446,11 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
-	if errors.Is(err, io.EOF) {
+	switch {
+	case errors.Is(err, io.EOF):
 		b.whole = true
+	case err != nil:
+		return n, MarkClosed(err, err)
 	}
 	return n, err
 }
@@ -431,8 +474,7 @@
 
 // reusable says whether nothing of this exchange is left on the connection.
 func (b *body) reusable() bool {
-	framed := b.response.ContentLength >= 0 || len(b.response.TransferEncoding) > 0
-	if !b.clean || !framed || b.response.Close || b.conn.reader.Buffered() > 0 {
+	if !b.clean || !framed(b.response) || b.response.Close || b.conn.reader.Buffered() > 0 {
 		return false
 	}
 	if b.conn.wrote == nil {
@@ -447,6 +489,11 @@
 	}
 }
 
+// framed says whether an answer states where it ends.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // idleTime returns how long a connection may stay idle, by the server's word.
 func idleTime(header http.Header) time.Duration {
 	const field = "timeout="
--- a/reason.go
+++ b/reason.go
@@ -19,6 +19,7 @@
 	ReasonServerLimit
 	ReasonNoServer
 	ReasonSuspect
+	ReasonCrashPart
 	ReasonClaimed
 	ReasonNoStore
 	ReasonShutdown
@@ -47,6 +48,7 @@
 	ReasonServerLimit:    {"server-limit", "Each backend server of the pool has stated how many requests it takes, and others use that up for now.", 503},
 	ReasonNoServer:       {"no-server", "No backend server of the route's pools could be reached.", 503},
 	ReasonSuspect:        {"suspect", "This same request was running when backend servers crashed, so it is not run again.", 422},
+	ReasonCrashPart:      {"crash-part", "Backend servers crashed under a part of this request's prompt, so no request with that part is run for now.", 503},
 	ReasonClaimed:        {"claimed", "A request with the same idempotency key has already been started.", 409},
 	ReasonNoStore:        {"no-store", "The call must run at most once, and the store that guards this cannot be reached.", 503},
 	ReasonShutdown:       {"shutdown", "This process is shutting down and takes no new requests.", 503},
