--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -15,6 +15,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/standin/fault"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/platform"
+	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
 
 const (
@@ -34,6 +35,8 @@
 	fault.Gate
 	mutex   sync.Mutex
 	core    Core
+	copied  Core
+	era     uint64        // how often it has come back from a copy
 	changed chan struct{} // closed and replaced at each write
 }
 
@@ -41,16 +44,48 @@
 func (s *Server) Start() error {
 	s.changed = make(chan struct{})
 	return s.Open(s.Listen,
-		rest.Route{Method: http.MethodGet, Path: platform.PathKey, Handler: s.get},
-		rest.Route{Method: http.MethodGet, Path: platform.PathRange, Handler: s.list},
+		rest.Route{Method: http.MethodGet, Path: platform.PathKey, Handler: s.inEra(s.get)},
+		rest.Route{Method: http.MethodGet, Path: platform.PathRange, Handler: s.inEra(s.list)},
 		rest.Route{Method: http.MethodGet, Path: platform.PathWatch, Handler: s.watch},
-		rest.Route{Method: http.MethodPost, Path: platform.PathTxn, Handler: s.commit},
-		rest.Route{Method: http.MethodPost, Path: platform.PathLease, Handler: s.grant},
-		rest.Route{Method: http.MethodPost, Path: platform.PathKeep + ":id", Handler: s.keep},
-		rest.Route{Method: http.MethodDelete, Path: platform.PathLeaseEnd + ":id", Handler: s.end},
+		rest.Route{Method: http.MethodPost, Path: platform.PathTxn, Handler: s.inEra(s.commit)},
+		rest.Route{Method: http.MethodPost, Path: platform.PathLease, Handler: s.inEra(s.grant)},
+		rest.Route{Method: http.MethodPost, Path: platform.PathKeep + ":id", Handler: s.inEra(s.keep)},
+		rest.Route{Method: http.MethodDelete, Path: platform.PathLeaseEnd + ":id", Handler: s.inEra(s.end)},
 	)
 }
 
+// Copy keeps a copy of what the store holds.
+func (s *Server) Copy() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.copied = s.core.clone()
+}
+
+// Restore brings the store back as it was at the last Copy. What was written since is gone,
+// and its revisions are given out again.
+func (s *Server) Restore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.core = s.copied.clone()
+	s.era++
+	s.wake(nil)
+}
+
+// inEra states the era in the answers of a call that does not wait.
+func (s *Server) inEra(handle http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mutex.Lock()
+		s.stateEra(w)
+		s.mutex.Unlock()
+		handle(w, r)
+	}
+}
+
+// stateEra states the era. The lock is held.
+func (s *Server) stateEra(w http.ResponseWriter) {
+	w.Header().Set(sample.Era, strconv.FormatUint(s.era+1, 10))
+}
+
 func (s *Server) get(w http.ResponseWriter, r *http.Request) {
 	if !s.Enter(w, r, nil) {
 		return
@@ -192,6 +227,7 @@
 	now := time.Now()
 	answer := platform.WatchAnswer{Events: []platform.Item{}}
 	s.mutex.Lock()
+	s.stateEra(w)
 	changes, err := s.core.Changes(now, asked.prefix, asked.after)
 	for _, change := range changes {
 		answer.Events = append(answer.Events, s.item(change))
--- a/internal/standin/store/store.go
+++ b/internal/standin/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -44,6 +45,13 @@
 	expiry time.Time
 }
 
+// clone returns a copy.
+func (c *Core) clone() Core {
+	copied := *c
+	copied.items, copied.leases, copied.changes = maps.Clone(c.items), maps.Clone(c.leases), slices.Clone(c.changes)
+	return copied
+}
+
 func (i item) entry(key string) chicoryrock.KeyValue {
 	return chicoryrock.KeyValue{Key: key, Value: i.value, Revision: i.revision}
 }
@@ -127,7 +135,7 @@
 // ErrCompacted.
 func (c *Core) Changes(now time.Time, prefix string, after uint64) ([]chicoryrock.KeyValue, error) {
 	c.expire(now)
-	if after < c.dropped {
+	if after < c.dropped || after > c.revision {
 		return nil, errors.WithStack(chicoryrock.ErrCompacted)
 	}
 	var found []chicoryrock.KeyValue
