--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -27,6 +27,7 @@
 	StoreLost    = Event{206, zapcore.WarnLevel, "store not reached"}
 	StoreBack    = Event{207, zapcore.InfoLevel, "store reached again"}
 	HistoryGone  = Event{208, zapcore.InfoLevel, "store dropped its history, everything is read again"}
+	Restored     = Event{210, zapcore.WarnLevel, "store has come back from a copy"}
 	Refused      = Event{301, zapcore.InfoLevel, "request refused"}
 	Failed       = Event{302, zapcore.WarnLevel, "request failed"}
 	Panicked     = Event{303, zapcore.ErrorLevel, "handler panicked"}
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -95,6 +95,7 @@
 	read      []byte        // the settings as last read
 	watched   time.Time     // when the store last answered a watch of this process
 	news      chan struct{} // the store has told something that the peers should know
+	restored  chan struct{} // the store has come back from a copy
 	told      chan struct{} // a peer knows something that it was told of just now
 }
 
@@ -105,6 +106,11 @@
 	p.store = &platform.Store{Address: node.Store, Timeout: storeTimeout}
 	p.metrics = metrics.New(time.Now)
 	p.store.Called = func(kind string, err error) { p.metrics.Call(kind, err != nil) }
+	p.restored = make(chan struct{}, 1)
+	p.store.Restored = func(era uint64) {
+		p.Log.Write(event.Restored, zap.Uint64("era", era))
+		signalTo(p.restored)
+	}
 	p.parts.Log = p.Log
 	p.news, p.told = make(chan struct{}, 1), make(chan struct{}, 1)
 	p.book = &billing.Book{Process: process, Length: node.Bounds.UsageWindow, Store: p.store, Log: p.Log, Clock: &p.clock}
@@ -131,6 +137,7 @@
 		keep(background, "follow "+follower.Prefix, follower.Run)
 	}
 	keep(background, "follow "+peerPrefix, p.followPeers)
+	keep(background, "join again", p.joinAgain)
 	keep(background, "lapse", p.expire)
 	keep(background, "settings", p.reload)
 	keep(background, "learned", p.remember)
@@ -334,6 +341,22 @@
 	return follower.Run(ctx)
 }
 
+// joinAgain enters this process in the store anew after that has come back from a copy.
+func (p *Front) joinAgain(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-p.restored:
+		}
+		if p.talks() {
+			if err := p.peers.join(ctx, p.Node.Name); err != nil {
+				return err
+			}
+		}
+	}
+}
+
 // talks says whether this process exchanges reports with others.
 func (p *Front) talks() bool { return p.Node.Ports[0] != 0 }
 
