Let later knowledge of a backend server win over older entries

Cause: front-jamalpur-2 was cut off, took that for an outage of the store, kept the entry that was missing as lapsed, and passed its list on whole. Its list was read at a higher revision than those of fronts whose lists had not changed since, so they took the server back that they had seen go. The same comes about when the store itself comes back from a copy in which a server stands that has left since.

Change: a list remembers the servers that have left it, and for each entry the revision that wrote it; the whole list that one process sends another bears these too. An entry is not taken, and a server that leaves stays leaving, where the entry is older than what is known of the same start of that server and bears no later heartbeat. One that is written again is taken.

--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -40,10 +40,10 @@
 }
 
 func (p *Front) resetServers(now time.Time, entries []chicoryrock.KeyValue, revision uint64) {
-	found := make([]chicoryrock.Server, 0, len(entries))
+	found := make([]servers.Written, 0, len(entries))
 	for _, entry := range entries {
 		if server, ok := p.readServer(entry); ok {
-			found = append(found, server)
+			found = append(found, servers.Written{Server: server, Version: servers.VersionOf(entry.Revision)})
 		}
 	}
 	p.mutex.Lock()
--- a/internal/state/servers/restored_test.go
+++ b/internal/state/servers/restored_test.go
@@ -19,7 +19,7 @@
 	var cutOff, watching VersionedList
 	for _, list := range []*VersionedList{&cutOff, &watching} {
 		list.StoreAnswered(now)
-		list.ApplyFullRead(now, 10, []chicoryrock.Server{server, stays})
+		list.ApplyFullRead(now, 10, []Written{{server, VersionOf(9)}, {stays, VersionOf(9)}})
 	}
 	cutOff.StoreFailed()
 	now = now.Add(5 * time.Second)
@@ -28,7 +28,7 @@
 	watching.AdvanceTo(12)
 	now = now.Add(time.Second)
 	cutOff.StoreAnswered(now)
-	cutOff.ApplyFullRead(now, 15, []chicoryrock.Server{stays})
+	cutOff.ApplyFullRead(now, 15, []Written{{stays, VersionOf(9)}})
 	delta := cutOff.DeltaSince(watching.Version())
 	changes, newer := watching.ApplyDelta(now, &delta)
 	require.True(t, newer)
@@ -60,10 +60,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			var list VersionedList
 			list.StoreAnswered(now)
-			list.ApplyFullRead(now, 10, []chicoryrock.Server{server})
+			list.ApplyFullRead(now, 10, []Written{{server, VersionOf(9)}})
 			c.left(&list)
 			list.AdvanceTo(14)
-			list.ApplyFullRead(now.Add(time.Second), chicoryrock.RevisionIn(1, 11), []chicoryrock.Server{server})
+			list.ApplyFullRead(now.Add(time.Second), chicoryrock.RevisionIn(1, 11), []Written{{server, VersionOf(chicoryrock.RevisionIn(1, 9))}})
 			require.Len(t, list.Servers(), c.want)
 			for _, found := range list.Servers() {
 				require.True(t, found.Leaving)
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -48,14 +48,22 @@
 // List is a list of servers. The zero value is empty and ready for use.
 type List struct {
 	servers    map[string]*entry
-	lastAnswer time.Time // when the store last answered
-	restoredAt time.Time // end of the store's last outage
+	gone       map[string]departure // servers that have left the list, the last ones
+	lastAnswer time.Time            // when the store last answered
+	restoredAt time.Time            // end of the store's last outage
 	loaded     bool
 	failing    bool // the store has not answered since a read failed
 }
 
+// departure is the end of a server's time on the list.
+type departure struct {
+	server  chicoryrock.Server // as last known
+	version Version            // of the change, zero if not known
+}
+
 type entry struct {
 	server    chicoryrock.Server
+	version   Version   // of the store's revision that wrote it; zero if not known
 	lapsed    bool      // missing in the store since the last outage
 	expiresAt time.Time // when to remove it, if a peer reported that it lapsed; zero otherwise
 }
@@ -81,13 +89,23 @@
 	return !l.restoredAt.IsZero() && now.Sub(l.restoredAt) < lapseGrace
 }
 
-// Put adds or updates a server.
-func (l *List) Put(server chicoryrock.Server) Change {
+// Put adds or updates a server. Version is that of the revision that wrote its entry, or
+// zero if it isn't known. What is known to have been true later is kept.
+func (l *List) Put(version Version, server chicoryrock.Server) Change {
 	if l.servers == nil {
 		l.servers = make(map[string]*entry)
 	}
 	before := l.servers[server.ID]
-	l.servers[server.ID] = &entry{server: server}
+	if left, found := l.gone[server.ID]; found && before == nil {
+		if outdated(version, &server, left.version, &left.server) {
+			return Change{server, Unchanged}
+		}
+		delete(l.gone, server.ID)
+	}
+	if before != nil && before.server.Leaving && !server.Leaving && outdated(version, &server, before.version, &before.server) {
+		return Change{before.server, Unchanged}
+	}
+	l.servers[server.ID] = &entry{server: server, version: version}
 	switch {
 	case before == nil:
 		return Change{server, Added}
@@ -99,9 +117,37 @@
 	return Change{server, Unchanged}
 }
 
+// outdated reports whether an entry is older than what is known of the same start of its
+// server. An entry in the copy that a store has come back from bears an earlier number than
+// what is known from the time before.
+func outdated(version Version, server *chicoryrock.Server, knownVersion Version, known *chicoryrock.Server) bool {
+	if server.StartedMs != known.StartedMs || version == 0 || knownVersion == 0 || server.Heartbeat > known.Heartbeat {
+		return false
+	}
+	if version.era() <= knownVersion.era() {
+		return version < knownVersion
+	}
+	return version.number() < knownVersion.number()
+}
+
+// maxGone bounds the servers of which it is known that they have left.
+const maxGone = 1024
+
+// drop removes a server that a change of a version has removed.
+func (l *List) drop(version Version, id string) {
+	e := l.servers[id]
+	delete(l.servers, id)
+	if l.gone == nil || len(l.gone) >= maxGone {
+		// Those forgotten here could only be given back by a process that was cut off
+		// while hundreds of servers left.
+		l.gone = make(map[string]departure)
+	}
+	l.gone[id] = departure{e.server, max(version, e.version)}
+}
+
 // Remove handles the disappearance of a server's entry: the server is removed, or
 // marked as lapsed during the grace period.
-func (l *List) Remove(now time.Time, id string) Change {
+func (l *List) Remove(now time.Time, version Version, id string) Change {
 	e := l.servers[id]
 	switch {
 	case e == nil:
@@ -110,43 +156,50 @@
 		e.lapsed = true
 		return Change{e.server, Lapsed}
 	}
-	delete(l.servers, id)
+	l.drop(version, id)
 	return Change{e.server, Removed}
 }
 
-// ReplaceFromStore replaces the list by a complete read of the store. Missing
+// ReplaceFromStore replaces the list by a complete read of the store at a version. Missing
 // servers are treated as by Remove.
-func (l *List) ReplaceFromStore(now time.Time, servers []chicoryrock.Server) []Change {
+func (l *List) ReplaceFromStore(now time.Time, version Version, servers []Written) []Change {
 	changes, present := l.putAll(servers)
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 		if present[id] || l.servers[id].lapsed {
 			continue
 		}
-		changes = append(changes, l.Remove(now, id))
+		changes = append(changes, l.Remove(now, version, id))
 	}
 	return changes
 }
 
 // ReplaceFromPeer replaces the list by that of another process, which has already
 // decided which servers have lapsed and which are removed.
-func (l *List) ReplaceFromPeer(servers []chicoryrock.Server) []Change {
+func (l *List) ReplaceFromPeer(version Version, servers []Written) []Change {
 	changes, present := l.putAll(servers)
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 		if !present[id] {
 			changes = append(changes, Change{l.servers[id].server, Removed})
-			delete(l.servers, id)
+			l.drop(version, id)
 		}
 	}
 	return changes
 }
 
+// Written is a server with the version of the revision that wrote its entry; zero if it is
+// not known.
+type Written struct {
+	Server  chicoryrock.Server
+	Version Version
+}
+
 // putAll puts all servers of a complete list, and returns the changes and the set
 // of their IDs.
-func (l *List) putAll(servers []chicoryrock.Server) (changes []Change, present map[string]bool) {
+func (l *List) putAll(servers []Written) (changes []Change, present map[string]bool) {
 	present = make(map[string]bool, len(servers))
-	for _, server := range servers {
-		present[server.ID] = true
-		if change := l.Put(server); change.Kind != Unchanged {
+	for _, written := range servers {
+		present[written.Server.ID] = true
+		if change := l.Put(written.Version, written.Server); change.Kind != Unchanged {
 			changes = append(changes, change)
 		}
 	}
@@ -159,7 +212,8 @@
 	var changes []Change
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 		if e := l.servers[id]; e.lapsed && !l.mayReturn(now, e) {
-			delete(l.servers, id)
+			// It is over for what the store had at that time.
+			l.drop(e.version+1, id)
 			changes = append(changes, Change{e.server, Removed})
 		}
 	}
--- a/internal/state/servers/servers_test.go
+++ b/internal/state/servers/servers_test.go
@@ -35,20 +35,20 @@
 			list.StoreFailed()
 		}
 		if s.put != "" {
-			list.Put(chicoryrock.Server{ID: s.put})
+			list.Put(0, chicoryrock.Server{ID: s.put})
 		}
 		if s.leave != "" {
-			list.Put(chicoryrock.Server{ID: s.leave, Leaving: true})
+			list.Put(0, chicoryrock.Server{ID: s.leave, Leaving: true})
 		}
 		if s.remove != "" {
-			list.Remove(now, s.remove)
+			list.Remove(now, 0, s.remove)
 		}
 		if s.replace != nil {
 			var all []chicoryrock.Server
 			for _, id := range s.replace {
 				all = append(all, chicoryrock.Server{ID: id})
 			}
-			list.ReplaceFromStore(now, all)
+			list.ReplaceFromStore(now, 0, unversioned(all))
 		}
 		list.Expire(now)
 		names := []string{}
@@ -100,8 +100,8 @@
 
 func TestPutReturnsChangeKind(t *testing.T) {
 	var list List
-	require.Equal(t, Added, list.Put(chicoryrock.Server{ID: "a", StartedMs: 1}).Kind)
-	require.Equal(t, Unchanged, list.Put(chicoryrock.Server{ID: "a", StartedMs: 1, Heartbeat: 2}).Kind)
-	require.Equal(t, Restarted, list.Put(chicoryrock.Server{ID: "a", StartedMs: 2}).Kind)
-	require.Equal(t, Leaving, list.Put(chicoryrock.Server{ID: "a", StartedMs: 2, Leaving: true}).Kind)
+	require.Equal(t, Added, list.Put(0, chicoryrock.Server{ID: "a", StartedMs: 1}).Kind)
+	require.Equal(t, Unchanged, list.Put(0, chicoryrock.Server{ID: "a", StartedMs: 1, Heartbeat: 2}).Kind)
+	require.Equal(t, Restarted, list.Put(0, chicoryrock.Server{ID: "a", StartedMs: 2}).Kind)
+	require.Equal(t, Leaving, list.Put(0, chicoryrock.Server{ID: "a", StartedMs: 2, Leaving: true}).Kind)
 }
--- a/internal/state/servers/versioned.go
+++ b/internal/state/servers/versioned.go
@@ -23,6 +23,12 @@
 // VersionOf returns the version of a revision of the store without local changes.
 func VersionOf(revision uint64) Version { return Version(revision << localChangeBits) }
 
+// era returns how often the store had come back from a copy at the version.
+func (v Version) era() uint64 { return chicoryrock.RevisionEra(uint64(v) >> localChangeBits) }
+
+// number returns the store's own number of the version's revision.
+func (v Version) number() uint64 { return chicoryrock.RevisionNumber(uint64(v) >> localChangeBits) }
+
 // Update is one change of a list.
 type Update struct {
 	Version Version            `json:"at"`
@@ -38,6 +44,7 @@
 	LastChange Version              `json:"changed"` // version of the newest change
 	Full       bool                 `json:"whole,omitempty"`
 	Servers    []chicoryrock.Server `json:"servers,omitempty"` // the full list
+	Written    []Version            `json:"written,omitempty"` // of Servers, in the same order; processes of former builds leave it out
 	Lapsed     []string             `json:"lapsed,omitempty"`  // IDs of lapsed servers among Servers
 	Updates    []Update             `json:"updates,omitempty"`
 }
@@ -74,13 +81,14 @@
 
 // ApplyPut applies a server's entry that the store has at a revision.
 func (l *VersionedList) ApplyPut(revision uint64, server chicoryrock.Server) Change {
+	change := l.Put(VersionOf(revision), server)
 	l.record(Update{Version: VersionOf(revision), Server: server})
-	return l.Put(server)
+	return change
 }
 
 // ApplyRemoval applies the disappearance of a server's entry at a revision.
 func (l *VersionedList) ApplyRemoval(now time.Time, revision uint64, id string) Change {
-	change := l.Remove(now, id)
+	change := l.Remove(now, VersionOf(revision), id)
 	if change.Kind == Removed || change.Kind == Lapsed {
 		l.record(Update{Version: VersionOf(revision), Server: change.Server, Removed: change.Kind == Removed, Lapsed: change.Kind == Lapsed})
 	}
@@ -92,9 +100,9 @@
 // requested from peers again. If a watch has silently skipped changes, the read
 // differs from the list at the same revision; the version then grows by a local
 // change.
-func (l *VersionedList) ApplyFullRead(now time.Time, revision uint64, servers []chicoryrock.Server) []Change {
+func (l *VersionedList) ApplyFullRead(now time.Time, revision uint64, servers []Written) []Change {
 	before := l.Servers()
-	changes := l.ReplaceFromStore(now, servers)
+	changes := l.ReplaceFromStore(now, VersionOf(revision), servers)
 	lapsed := slices.ContainsFunc(changes, func(c Change) bool { return c.Kind == Lapsed })
 	unchanged := !lapsed && slices.Equal(before, l.Servers())
 	previous, version := l.version, VersionOf(revision)
@@ -135,6 +143,9 @@
 	if !l.covers(since) {
 		delta.Full = true
 		delta.Servers, delta.Lapsed = l.Servers(), l.LapsedIDs()
+		for i := range delta.Servers {
+			delta.Written = append(delta.Written, l.servers[delta.Servers[i].ID].version)
+		}
 		return delta
 	}
 	for _, update := range l.updates {
@@ -158,7 +169,7 @@
 	}
 	var changes []Change
 	if delta.Full {
-		changes = l.ReplaceFromPeer(delta.Servers)
+		changes = l.ReplaceFromPeer(delta.Version, delta.written())
 		for _, id := range delta.Lapsed {
 			l.markLapsed(now, id)
 		}
@@ -175,6 +186,18 @@
 	return changes, true
 }
 
+// written returns the servers of a full list with the versions of their entries.
+func (d *Delta) written() []Written {
+	list := make([]Written, len(d.Servers))
+	for i, server := range d.Servers {
+		list[i].Server = server
+		if i < len(d.Written) {
+			list[i].Version = d.Written[i]
+		}
+	}
+	return list
+}
+
 // applyUpdate applies an update from a peer, which has already decided between
 // lapsed and removed.
 func (l *VersionedList) applyUpdate(now time.Time, update Update) Change {
@@ -183,13 +206,13 @@
 		return Change{}
 	}
 	if !update.Removed {
-		return l.Put(update.Server)
+		return l.Put(update.Version, update.Server)
 	}
 	e := l.servers[update.Server.ID]
 	if e == nil {
 		return Change{}
 	}
-	delete(l.servers, update.Server.ID)
+	l.drop(update.Version, update.Server.ID)
 	return Change{e.server, Removed}
 }
 
--- a/internal/state/servers/versioned_test.go
+++ b/internal/state/servers/versioned_test.go
@@ -50,6 +50,28 @@
 	return list
 }
 
+// written returns the present servers with the versions of their entries.
+func (h *history) written() []Written {
+	list := unversioned(h.servers(h.revision()))
+	for i := range list {
+		for _, update := range h.changes {
+			if update.Server.ID == list[i].Server.ID {
+				list[i].Version = update.Version
+			}
+		}
+	}
+	return list
+}
+
+// unversioned returns servers of whose entries no versions are known.
+func unversioned(servers []chicoryrock.Server) []Written {
+	list := make([]Written, len(servers))
+	for i := range servers {
+		list[i].Server = servers[i]
+	}
+	return list
+}
+
 // watcher is a list that follows the store.
 type watcher struct {
 	VersionedList
@@ -59,7 +81,7 @@
 
 // read applies a complete read of the store.
 func (w *watcher) read(now time.Time, h *history) {
-	w.ApplyFullRead(now, h.revision(), h.servers(h.revision()))
+	w.ApplyFullRead(now, h.revision(), h.written())
 	w.revision = h.revision()
 }
 
@@ -188,8 +210,8 @@
 func TestVersionCoversOnlyAppliedChanges(t *testing.T) {
 	var from, to VersionedList
 	servers := []chicoryrock.Server{{ID: "a"}, {ID: "b"}}
-	from.ApplyFullRead(start, 10, servers)
-	to.ApplyFullRead(start, 10, servers)
+	from.ApplyFullRead(start, 10, unversioned(servers))
+	to.ApplyFullRead(start, 10, unversioned(servers))
 	early := from.DeltaSince(to.Version())
 	from.ApplyRemoval(start, 11, "b")
 	from.AdvanceTo(11)
@@ -208,7 +230,7 @@
 func TestRemovalAfterGraceReachesPeers(t *testing.T) {
 	var from, to, watching VersionedList
 	for _, ledger := range []*VersionedList{&from, &to, &watching} {
-		ledger.ApplyFullRead(start, 10, []chicoryrock.Server{{ID: "a"}, {ID: "b"}})
+		ledger.ApplyFullRead(start, 10, unversioned([]chicoryrock.Server{{ID: "a"}, {ID: "b"}}))
 	}
 	from.StoreAnswered(start)
 	from.StoreFailed()
@@ -248,14 +270,16 @@
 			from.ApplyRemoval(restored, 11, "b")
 			from.AdvanceTo(11)
 		}, 0},
-		{"by a full read", func(from *VersionedList) { from.ApplyFullRead(restored, 11, []chicoryrock.Server{{ID: "a"}}) }, VersionOf(10)},
+		{"by a full read", func(from *VersionedList) {
+			from.ApplyFullRead(restored, 11, unversioned([]chicoryrock.Server{{ID: "a"}}))
+		}, VersionOf(10)},
 	}
 	for _, c := range cases {
 		for _, returns := range []bool{false, true} {
 			var from, to VersionedList
-			from.ApplyFullRead(start, 10, []chicoryrock.Server{{ID: "a"}, {ID: "b"}})
+			from.ApplyFullRead(start, 10, unversioned([]chicoryrock.Server{{ID: "a"}, {ID: "b"}}))
 			if c.version > 0 {
-				to.ApplyFullRead(start, 10, from.Servers())
+				to.ApplyFullRead(start, 10, unversioned(from.Servers()))
 			}
 			from.StoreAnswered(start)
 			from.StoreFailed()
@@ -299,11 +323,11 @@
 // A later full read shows the change, and peers at that version must get it too.
 func TestFullReadRepairsSilentWatch(t *testing.T) {
 	var from, to VersionedList
-	from.ApplyFullRead(start, 10, []chicoryrock.Server{{ID: "a"}})
+	from.ApplyFullRead(start, 10, unversioned([]chicoryrock.Server{{ID: "a"}}))
 	from.AdvanceTo(12)
 	delta := from.DeltaSince(to.Version())
 	to.ApplyDelta(start, &delta)
-	from.ApplyFullRead(start, 12, []chicoryrock.Server{{ID: "b"}})
+	from.ApplyFullRead(start, 12, unversioned([]chicoryrock.Server{{ID: "b"}}))
 	require.Greater(t, from.LastChange(), to.Version())
 	delta = from.DeltaSince(to.Version())
 	to.ApplyDelta(start, &delta)
