Write counts and seals again when the store has come back from a copy

Cause, of the same class: what the store had acknowledged was taken to be there for good. A process wrote the counts of a window once; after a return from an older copy the window had none, was not sealed until most of its time was over, and was reported without them. A seal that was lost could be made anew with another sum by the next holder of the duty.

Change: a process that hears of the return writes its counts again, the seals that it made too, and a process with the duty seals nothing for two seconds, so that the others can. A process that has sealed a window sends the same sum whatever the store says.

Test: TestCountsThatARestoredStoreHasLostAreReported failed before (the counts were never reported) and passes.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -91,6 +91,7 @@
 	peers   *peers
 	// collector writes the counts of other processes with this one's.
 	collector billing.Collector
+	usage     *billing.Reporter // nil without that duty
 	duties    []*duty.Holder
 	read      []byte        // the settings as last read
 	watched   time.Time     // when the store last answered a watch of this process
@@ -137,7 +138,7 @@
 		keep(background, "follow "+follower.Prefix, follower.Run)
 	}
 	keep(background, "follow "+peerPrefix, p.followPeers)
-	keep(background, "join again", p.joinAgain)
+	keep(background, "write again", p.writeAgain)
 	keep(background, "lapse", p.expire)
 	keep(background, "settings", p.reload)
 	keep(background, "learned", p.remember)
@@ -263,7 +264,7 @@
 
 func (p *Front) reporter(process string) *duty.Holder {
 	bounds := &p.Node.Bounds
-	reporter := &billing.Reporter{
+	p.usage = &billing.Reporter{
 		Length: bounds.UsageWindow,
 		Late:   bounds.UsageLate,
 		Store:  p.store,
@@ -279,7 +280,7 @@
 		Store:     p.store,
 		Log:       p.Log,
 		Candidate: p.candidate,
-		Work:      reporter.Work,
+		Work:      p.usage.Work,
 		TTL:       bounds.Lease,
 		Renew:     bounds.Lease / renewPart,
 	}
@@ -341,14 +342,19 @@
 	return follower.Run(ctx)
 }
 
-// joinAgain enters this process in the store anew after that has come back from a copy.
-func (p *Front) joinAgain(ctx context.Context) error {
+// writeAgain writes this process's entries, counts and seals again after the store has come
+// back from a copy.
+func (p *Front) writeAgain(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-p.restored:
 		}
+		p.book.Restored()
+		if p.usage != nil {
+			p.usage.Restored(ctx, time.Now())
+		}
 		if p.talks() {
 			if err := p.peers.join(ctx, p.Node.Name); err != nil {
 				return err
--- a/internal/serve/assembly/restored_test.go
+++ b/internal/serve/assembly/restored_test.go
@@ -1,8 +1,10 @@
 package assembly
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/tally"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -42,3 +45,37 @@
 	d.settle(3, 2)
 	require.Equal(t, http.StatusOK, d.send(http.MethodPost, "/read/x", "after", "k3", "").status)
 }
+
+// Counts that the store had and has lost are written again, and reported once.
+func TestCountsThatARestoredStoreHasLostAreReported(t *testing.T) {
+	taken := &intake{sheet: map[int64]map[string]int64{}}
+	server := httptest.NewServer(taken)
+	t.Cleanup(server.Close)
+	d := deploy(t, func(node *platform.Node) {
+		node.Bill = true
+		node.API = netip.MustParseAddrPort(server.Listener.Addr().String())
+	})
+	d.configure(1, "k1")
+	d.add("i-1", "app", fine)
+	d.settle(1, 1)
+	for round := range 3 {
+		d.server.Copy()
+		for i := range 5 {
+			require.Equal(t, http.StatusOK, d.send("GET", "/read/", fmt.Sprintf("o%d-%d", round, i), "k1", "").status)
+		}
+		require.Eventually(t, func() bool {
+			entries, err := d.store.List(t.Context(), tally.CountPrefix)
+			sum := 0
+			for _, entry := range entries {
+				var counts tally.Counts
+				if json.Unmarshal(entry.Value, &counts) == nil {
+					sum += int(counts["w1"])
+				}
+			}
+			return err == nil && sum == 5*(round+1)
+		}, waitTime, time.Millisecond, "the counts are written")
+		d.server.Restore()
+		require.Eventually(t, func() bool { return taken.sum("w1") == int64(5*(round+1)) }, waitTime, 10*time.Millisecond, "round %d", round)
+	}
+	require.Zero(t, taken.odd)
+}
--- a/internal/serve/billing/billing.go
+++ b/internal/serve/billing/billing.go
@@ -50,6 +50,11 @@
 	callTimeout = 1500 * time.Millisecond
 	// backlog is how many windows back a new holder looks for unsent ones.
 	backlog = 6
+	// keptSeals is how many windows back a process remembers what it has sealed.
+	keptSeals = 2 * backlog
+	// rewriteTime is how long after the store's return from a copy nothing is sealed: the
+	// processes write their counts again meanwhile.
+	rewriteTime = 2 * time.Second
 )
 
 // Book counts this process's requests. A window's counts go to the store when it
@@ -85,6 +90,15 @@
 	b.tally.Add(b.Clock.True(now), workspace)
 }
 
+// Restored has all counts written again: the store has come back from a copy in which the
+// last ones may be missing.
+func (b *Book) Restored() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.tally.MarkAllUnwritten()
+	b.again = time.Time{}
+}
+
 // Run writes counts until the context ends.
 func (b *Book) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -256,11 +270,58 @@
 	Alive  func(now time.Time) []string // the processes that count
 	Sent   func(late bool)              // told of each window that was reported; nil for nobody
 
+	mutex    sync.Mutex
+	sealed   map[int64]tally.Counts // the last windows that this process has sealed
+	restored time.Time              // when the store last came back from a copy
+
 	alive []string
 	came  time.Time            // when a process last came
 	gone  map[string]time.Time // when each of those went that are not heard any more
 }
 
+// Restored writes the seals again that the store may have lost when it came back from a
+// copy, so that whoever has the duty sends the same figures.
+func (r *Reporter) Restored(ctx context.Context, now time.Time) {
+	r.mutex.Lock()
+	r.restored = now
+	sealed := maps.Clone(r.sealed)
+	r.mutex.Unlock()
+	for number, counts := range sealed {
+		if _, err := tally.SealWith(ctx, r.Store, number, counts); err != nil {
+			r.Log.Write(event.UsageFailed, zap.Int64("window", number), zap.Error(err))
+		}
+	}
+}
+
+// rewritten says whether the processes have had time to write again what the store has lost.
+func (r *Reporter) rewritten(now time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime
+}
+
+// seal seals a window, with the same sum as before if this process has sealed it.
+func (r *Reporter) seal(ctx context.Context, number int64, required tally.RequiredCounts) (tally.Counts, error) {
+	r.mutex.Lock()
+	known, found := r.sealed[number]
+	r.mutex.Unlock()
+	if found {
+		return tally.SealWith(ctx, r.Store, number, known)
+	}
+	counts, err := tally.Seal(ctx, r.Store, number, required)
+	if err != nil {
+		return nil, err
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.sealed == nil {
+		r.sealed = make(map[int64]tally.Counts)
+	}
+	r.sealed[number] = counts
+	maps.DeleteFunc(r.sealed, func(old int64, _ tally.Counts) bool { return old < number-keptSeals })
+	return counts, nil
+}
+
 // Work is the duty's work.
 func (r *Reporter) Work(ctx context.Context, grant duty.Grant) {
 	sent, err := tally.Reported(ctx, r.Store)
@@ -272,6 +333,10 @@
 	for ctx.Err() == nil {
 		now := time.Now()
 		r.look(now)
+		if !r.rewritten(now) {
+			pause.For(ctx, workInterval)
+			continue
+		}
 		newest := tally.WindowAt(r.Clock.True(now).Add(-r.settle(now)), r.Length) - 1
 		for number := newest - backlog; number <= newest; number++ {
 			if sent[number] {
@@ -338,7 +403,7 @@
 // report seals a window and sends it. A window in which nothing began is no news.
 func (r *Reporter) report(ctx context.Context, grant duty.Grant, number int64) error {
 	age := r.Clock.True(time.Now()).Sub(tally.WindowEnd(number, r.Length))
-	counts, err := tally.Seal(ctx, r.Store, number, r.wanted(age))
+	counts, err := r.seal(ctx, number, r.wanted(age))
 	if err != nil {
 		return err
 	}
--- a/internal/state/tally/tally.go
+++ b/internal/state/tally/tally.go
@@ -167,6 +167,13 @@
 	}
 }
 
+// MarkAllUnwritten records that the store may have lost all counts that it had.
+func (c *Counter) MarkAllUnwritten() {
+	for _, w := range c.windows {
+		w.unwritten = true
+	}
+}
+
 func countKey(number int64, process string) string {
 	return fmt.Sprintf("%s%d/%s", CountPrefix, number, process)
 }
@@ -222,6 +229,12 @@
 			sum[workspace] += n
 		}
 	}
+	return SealWith(ctx, store, number, sum)
+}
+
+// SealWith seals a window with a sum that it was sealed with before, and that the store may
+// have lost, or returns the sum that it has.
+func SealWith(ctx context.Context, store chicoryrock.TransactionalStore, number int64, sum Counts) (Counts, error) {
 	value, err := json.Marshal(sum)
 	if err != nil {
 		return nil, errors.WithStack(err)
