Keep messages that crash engines from them at the model interface too

The same fault at the other door: entries knew crashes by whole request only, so calls that are all different but for one message crashed engine after engine.

Change: the messages of a chat call but the last are its parts. Entries give a Tracker of parts what agents report of crashes, and tell each other its evidence beside that on whole requests.

Test: TestCrashingMessage.

--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -101,6 +101,8 @@
 type Update struct {
 	Crashes   []CrashReport `json:"seen,omitempty"`
 	CleanRuns []CleanRun    `json:"cleared,omitempty"`
+	// Parts is the evidence of a Tracker on parts of prompts; nil if there is none.
+	Parts *Evidence `json:"parts,omitempty"`
 }
 
 // State is how a request is to be treated.
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -122,7 +122,7 @@
 		TLS:      p.secrets.dialPeers,
 		Log:      p.Log,
 	}
-	p.suspects.Share = p.exchange.Share
+	p.suspects.Share, p.suspects.Owns = p.exchange.Share, p.exchange.Owns
 	p.roster = p.newRoster()
 	p.feed = p.newFeed()
 	p.claims = &duty.Claims{Store: p.feed.Store, Log: p.Log}
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -39,13 +39,15 @@
 	begun   bool            // an attempt may have run
 	done    bool            // the answer has gone out whole
 	tries   tries
-	print   *suspect.Fingerprint // once it has been taken
-	sent    int                  // output tokens that the caller has
-	timing  timing               // of the attempt under way
-	started bool                 // the answer's header has gone out
-	status  int                  // of the answer
-	claimed *claimed             // nil for a call that needs no claim
-	used    used                 // by the attempt under way
+	print   *suspect.Fingerprint  // once it has been taken
+	parts   []suspect.Fingerprint // messages that other calls may share
+	trial   bool                  // it is the trial of a ban
+	sent    int                   // output tokens that the caller has
+	timing  timing                // of the attempt under way
+	started bool                  // the answer's header has gone out
+	status  int                   // of the answer
+	claimed *claimed              // nil for a call that needs no claim
+	used    used                  // by the attempt under way
 }
 
 // run serves the call under its key's watch: it ends when the key is withdrawn,
@@ -74,6 +76,9 @@
 		return
 	}
 	c.settle("")
+	if len(c.parts) > 0 {
+		c.entry.Suspects.ranWell(time.Now(), c)
+	}
 	if c.request.Suspect {
 		c.entry.Suspects.cleared(time.Now(), c)
 	}
@@ -130,6 +135,10 @@
 	begin := time.Now()
 	replica, seen, err := c.entry.gate.Acquire(c.ctx, begin, c.request)
 	c.progress.waited(begin, seen)
+	if now := time.Now(); err == nil && !c.entry.Suspects.allows(now, c) {
+		c.entry.gate.Finish(now, c.request, replica.Name)
+		return chicoryrock.Replica{}, &refusedError{reason: chicoryrock.ReasonCrashPart}
+	}
 	return replica, fromGate(err)
 }
 
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -180,6 +180,7 @@
 		body.Set("stream_options", json.RawMessage(`{"include_usage":true}`))
 	}
 	c.body = body.Bytes()
+	c.parts = partsOf(c.request.Pool, body)
 	c.request.PromptTokens = len(c.body) / bytesPerToken
 	c.request.PrefixHash = xxhash.Sum64(c.body[:min(len(c.body), prefixBytes)])
 }
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -47,6 +47,9 @@
 		c.sent += tokens
 		c.used.counts.OutputTokens += int64(tokens)
 		c.progress.tokens(now, tokens)
+		if c.timing.justSettled(now) && len(c.parts) > 0 {
+			c.entry.Suspects.ranWell(now, c)
+		}
 		if seen, due := c.timing.token(now); due {
 			c.entry.gate.Observe(now, replica, seen)
 			moves = c.moves(now, replica, &chunk)
--- a/internal/serve/entry/timing.go
+++ b/internal/serve/entry/timing.go
@@ -42,6 +42,12 @@
 	return !t.began.IsZero() && now.Sub(t.began) >= suspect.Probation
 }
 
+// justSettled says whether the token that comes now is the first one for which settled is
+// true.
+func (t *timing) justSettled(now time.Time) bool {
+	return t.settled(now) && t.last.Sub(t.began) < suspect.Probation
+}
+
 // between observes the tokens since the last observation.
 func (t *timing) between() chicoryrock.Observation {
 	seen := chicoryrock.Observation{TokenInterval: t.last.Sub(t.seen) / time.Duration(t.tokens)}
--- a/internal/serve/exchange/exchange.go
+++ b/internal/serve/exchange/exchange.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -88,6 +89,19 @@
 	return &peer.Client{Address: address, TLS: e.TLS}
 }
 
+// Owns says whether this entry grants the trials of a ban for all that are listed.
+func (e *Exchange) Owns(ban suspect.Fingerprint) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	own := xxhash.Sum64String(string(ban[:]) + e.Self.Name)
+	for name := range e.peers {
+		if xxhash.Sum64String(string(ban[:])+name) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // Run tells the peers again and again until the context ends.
 func (e *Exchange) Run(ctx context.Context) error {
 	defer e.closeAll()
@@ -98,14 +112,14 @@
 func (e *Exchange) tellAll(ctx context.Context, now time.Time) {
 	needs := e.Needs.Report()
 	e.Hear(now, needs)
-	e.tell(ctx, Message{Uses: e.Limits.State(now), Suspects: e.Suspects.Export(), Needs: needs})
+	e.tell(ctx, Message{Uses: e.Limits.State(now), Suspects: e.Suspects.Export(now), Needs: needs})
 }
 
 // Share tells the peers at once of the requests that crash engines.
 func (e *Exchange) Share(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, shareTimeout)
 	defer cancel()
-	e.tell(ctx, Message{Suspects: e.Suspects.Export()})
+	e.tell(ctx, Message{Suspects: e.Suspects.Export(time.Now())})
 }
 
 // tell delivers a message to every peer. A peer that cannot be reached misses it;
@@ -157,5 +171,5 @@
 		e.Hear(now, message.Needs)
 	}
 	e.Suspects.Merge(now, message.Suspects)
-	return e.Suspects.Export(), nil
+	return e.Suspects.Export(now), nil
 }
--- a/internal/serve/local/suspect_test.go
+++ b/internal/serve/local/suspect_test.go
@@ -1,7 +1,9 @@
 package local
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +57,45 @@
 	require.Equal(t, http.StatusOK, same.StatusCode, "others are served")
 }
 
+// TestCrashingMessage sends calls that are all different, but for one message that crashes
+// each engine. The first few of them show which message it is, at both entries together, and
+// calls with the other messages are served.
+func TestCrashingMessage(t *testing.T) {
+	centre := engines(12)
+	centre.Entries = 2
+	system := startSystem(t, twoWorkspaces(), centre)
+	for _, server := range system.Engines {
+		server.Switch(engine.Switches{Poison: "oleander", Down: time.Second})
+	}
+	chat := func(entry int, key string, messages ...string) string {
+		for i, text := range messages {
+			messages[i] = fmt.Sprintf(`{"role":"user","content":%q}`, text)
+		}
+		body := `{"model":"garland","max_tokens":2,"messages":[` + strings.Join(messages, ",") + `]}`
+		return system.send(t, entry, key, http.MethodPost, "/v1/chat/completions", body).Header.Get(wire.Reason)
+	}
+	// Later than notice after the fifth crash, three more calls with the message may reach
+	// engines.
+	const known, notice, allowed, rounds = 5, 3 * time.Second, 3, 40
+	reasons := map[string]int{}
+	var fifth time.Time
+	atNotice := -1
+	for n := range rounds {
+		reasons[chat(n%2, hawkerKey, "lots", "oleander", fmt.Sprint("question ", n))]++
+		require.Empty(t, chat(n%2, hawkerKey, "lots", fmt.Sprint("other question ", n)), "a sound call with the same first message, round %d", n)
+		if fifth.IsZero() && system.crashesOf() >= known {
+			fifth = time.Now()
+		}
+		if atNotice < 0 && !fifth.IsZero() && time.Since(fifth) >= notice {
+			atNotice = system.crashesOf()
+		}
+		time.Sleep(150 * time.Millisecond)
+	}
+	require.GreaterOrEqual(t, atNotice, known, "%v", reasons)
+	require.LessOrEqual(t, system.crashesOf()-atNotice, allowed, "%v", reasons)
+	require.GreaterOrEqual(t, reasons[chicoryrock.ReasonCrashPart.String()], rounds/2, "%v", reasons)
+}
+
 // TestLimitOverEntries refuses a workspace above its rate, at whichever entry, with
 // the time to come back, and leaves others alone.
 func TestLimitOverEntries(t *testing.T) {
