Have engines crash under a part, and the store come back from copies, in the soak

A caller sends requests with one part under which each engine ends, at all fronts; of what comes to engines later than 3 s after the fifth crash, from fronts that were not disturbed for 3 s, three are allowed. The store comes back from a copy up to two seconds old at random moments. Where a client's connection is closed by a crash, its server takes no connections for a while.

--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -99,8 +99,8 @@
 	return caller % len(w.fronts), err == nil
 }
 
-// limits says whether servers state limits in this run: fronts of former builds don't
-// heed them.
+// limits says whether servers state limits, prompts crash them and the store comes back from
+// copies in this run: fronts of former builds heed none of that.
 func limits() bool { return os.Getenv("TEST_BUILDS") == "" }
 
 // limitSome has a server of each service state a limit for the whole run.
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -33,6 +33,7 @@
 
 	mutex sync.Mutex
 	conns map[net.Conn]struct{}
+	ended bool
 }
 
 func newProxy(t *testing.T, target netip.AddrPort) *proxy {
@@ -41,18 +42,25 @@
 	require.NoError(t, err)
 	p := &proxy{target: target, listener: listener, conns: make(map[net.Conn]struct{})}
 	t.Cleanup(func() {
-		_ = listener.Close()
+		p.mutex.Lock()
+		p.ended = true
+		_ = p.listener.Close()
+		p.mutex.Unlock()
 		p.reset()
 	})
-	go p.serve()
+	go p.serve(listener)
 	return p
 }
 
-func (p *proxy) address() netip.AddrPort { return netip.MustParseAddrPort(p.listener.Addr().String()) }
+func (p *proxy) address() netip.AddrPort {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return netip.MustParseAddrPort(p.listener.Addr().String())
+}
 
-func (p *proxy) serve() {
+func (p *proxy) serve(listener net.Listener) {
 	for {
-		in, err := p.listener.Accept()
+		in, err := listener.Accept()
 		if err != nil {
 			return
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"os"
 	"strconv"
@@ -72,6 +73,15 @@
 			}
 		}()
 	}
+	if limits() {
+		group.Go(func() {
+			w.sendBad(ctx, func(one got) {
+				mutex.Lock()
+				defer mutex.Unlock()
+				results = append(results, one)
+			})
+		})
+	}
 	for ctx.Err() == nil {
 		w.disturb()
 		time.Sleep(time.Duration(100+w.random.IntN(500)) * time.Millisecond)
@@ -84,7 +94,11 @@
 // ask sends one request on whatever connection its caller has.
 func (w *world) ask(client *http.Client, front int, kind, id string) got {
 	one := got{id: id, kind: kind}
-	request, err := http.NewRequest(http.MethodPost, "http://"+w.fronts[front].callers.String()+"/"+kind+"/", bytes.NewReader([]byte("body")))
+	path, parts := kind, "a1:200,b2:400"
+	if kind == "bad" {
+		path, parts = "short", fmt.Sprintf("a1:200,%s:50,%x:400", badPart, len(id)<<32+rand.IntN(1<<30))
+	}
+	request, err := http.NewRequest(http.MethodPost, "http://"+w.fronts[front].callers.String()+"/"+path+"/", bytes.NewReader([]byte("body")))
 	if err != nil {
 		return one
 	}
@@ -92,7 +106,7 @@
 	request.GetBody = nil
 	request.Host = sample.Host
 	for name, value := range map[string]string{
-		sample.ID: id, "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40", sample.Parts: "a1:200,b2:400",
+		sample.ID: id, "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40", sample.Parts: parts,
 	} {
 		request.Header.Set(name, value)
 	}
@@ -110,7 +124,7 @@
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(12) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(13) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
@@ -131,6 +145,11 @@
 		w.proxies[w.random.IntN(len(w.proxies))].reset()
 	case 6, 7:
 		w.limitAnother()
+	case 8:
+		if limits() {
+			w.store.Copy()
+			time.AfterFunc(last, w.store.Restore)
+		}
 	default:
 		one := w.proxies[w.random.IntN(len(w.proxies))]
 		one.mood.Store(int32(1 + w.random.IntN(int(moods)-1)))
@@ -190,6 +209,7 @@
 	require.Positive(w.t, served, "nothing was served at all")
 	require.Empty(w.t, w.odd)
 	w.checkLimits(seed)
+	w.checkCrashes(seed)
 	w.t.Logf("seed %d: %d of %d served, %d windows reported", seed, served, len(results), len(w.sheet))
 }
 
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -48,6 +48,7 @@
 	fronts  []*process
 	proxies []*proxy
 	limited map[string]*limited // by backend server
+	crashed crashed
 
 	mutex  sync.Mutex
 	runs   map[string]int
@@ -135,6 +136,7 @@
 func (w *world) backend(id, service string) {
 	limit := &limited{told: map[int]time.Time{}}
 	w.limited[id] = limit
+	var p *proxy
 	handler := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		asked := r.Header.Get(sample.ID)
 		rw.Header().Set(sample.ID, asked)
@@ -156,6 +158,10 @@
 			_, _ = io.WriteString(rw, asked)
 			return
 		}
+		if isBad(r) {
+			w.crash(p, asked)
+			return
+		}
 		from := 0
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 		rw.Header().Set("Content-Type", "text/event-stream")
@@ -167,7 +173,7 @@
 			time.Sleep(15 * time.Millisecond)
 		}
 	})
-	p := w.through(w.serve(handler))
+	p = w.through(w.serve(handler))
 	w.put(platform.ServerPrefix+id, sample.Entry(service, p.address(), "ready"))
 }
 
