--- a/internal/policy/suspect/ban.go
+++ b/internal/policy/suspect/ban.go
@@ -31,6 +31,8 @@
 	heldIncidents = 16
 	// evaluateInterval is how often bans are computed anew while no evidence comes.
 	evaluateInterval = 50 * time.Millisecond
+	// settledInterval is that interval while only the age of evidence can change a ban.
+	settledInterval = 5 * time.Second
 )
 
 // trialPauses are the times between the last failure and the next trial, by the number of
@@ -68,11 +70,16 @@
 // evaluate computes the bans. Each crash has one cause: the subject with the most crashes
 // is banned first, and what it explains does not count against the others.
 func (t *Tracker) evaluate(now time.Time) {
-	if !t.evaluated.IsZero() && now.Sub(t.evaluated) < evaluateInterval && !now.Before(t.evaluated) {
+	interval := evaluateInterval
+	if t.settled {
+		interval = settledInterval
+	}
+	if !t.evaluated.IsZero() && now.Sub(t.evaluated) < interval && !now.Before(t.evaluated) {
 		return
 	}
-	t.evaluated = now
+	t.evaluated, t.settled = now, true
 	t.bans = nil
+	t.expire(now)
 	if len(t.failures) == 0 {
 		return
 	}
@@ -80,6 +87,7 @@
 	for _, failure := range all {
 		failure.held, failure.kept = false, false
 	}
+	t.settled = len(all) == 0 || now.Sub(all[len(all)-1].at) >= settleTime
 	incidents := incidentsOf(all)
 	suspicions := t.suspicions(now, all)
 	explained := make(map[int]bool)
--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -128,6 +128,9 @@
 
 	bans      []Ban
 	evaluated time.Time // when bans was computed; zero if evidence has come since
+	settled   bool      // no failure was too young to count then
+
+	lastFailures map[Fingerprint]time.Time // see suspected; nil if it is to be computed
 }
 
 // generations keeps the last success of subjects, bounded: the older generation is dropped
@@ -183,20 +186,22 @@
 		if last, found := suspected[subject]; found && last.After(t.successes.last(subject)) {
 			evidence.Successes = append(evidence.Successes, Success{Subject: subject})
 		}
-		if t.successes.set(subject, now) && len(t.failures) > 0 {
-			t.evaluated = time.Time{}
-		}
+		t.successes.set(subject, now)
 		return true
 	})
+	if len(evidence.Successes) > 0 {
+		t.evaluated = time.Time{}
+	}
 	return evidence
 }
 
 // suspected returns the last failure of each subject.
 func (t *Tracker) suspected() map[Fingerprint]time.Time {
-	if len(t.failures) == 0 {
-		return nil
+	if len(t.failures) == 0 || t.lastFailures != nil {
+		return t.lastFailures
 	}
 	last := make(map[Fingerprint]time.Time)
+	t.lastFailures = last
 	for _, failure := range t.failures {
 		failure.subjects(func(subject Fingerprint) {
 			if failure.at.After(last[subject]) {
@@ -252,7 +257,7 @@
 	for _, trial := range evidence.Trials {
 		t.addTrial(now, trial)
 	}
-	t.evaluated = time.Time{}
+	t.evaluated, t.lastFailures = time.Time{}, nil
 	t.expire(now)
 	return reply
 }
@@ -277,6 +282,7 @@
 		}
 		if now.Sub(failure.at) >= ttl {
 			delete(t.failures, id)
+			t.lastFailures = nil
 		}
 	}
 	for id, trial := range t.trials {
@@ -290,6 +296,7 @@
 		for _, failure := range all[:excess] {
 			delete(t.failures, failure.ID)
 		}
+		t.lastFailures = nil
 	}
 	for len(t.trials) > maxTrialRecords {
 		oldest := ""
--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -29,7 +29,7 @@
 	// bansInterval is how often it is written while there are bans.
 	bansInterval = 8 * time.Second
 	// bansPause is how often a change of the bans is looked for.
-	bansPause = 250 * time.Millisecond
+	bansPause = 500 * time.Millisecond
 	// bansWriters is how many processes write it.
 	bansWriters = 2
 )
@@ -214,21 +214,33 @@
 func (p *Front) rememberBans(ctx context.Context) error {
 	p.recallBans(ctx)
 	var written time.Time
-	var digest uint64
+	var known uint64
 	for ctx.Err() == nil {
 		pause.For(ctx, bansPause)
 		now := time.Now()
-		present := p.front.EvidenceDigest(now)
-		if present == digest && now.Sub(written) < bansInterval || !p.writesBans(now) {
+		present := contentOf(p.front.KeptEvidence(now))
+		if present == known && now.Sub(written) < bansInterval || !p.writesBans(now) {
 			continue
 		}
 		if p.keepBans(ctx, now) {
-			written, digest = now, present
+			written, known = now, present
 		}
 	}
 	return nil
 }
 
+// contentOf returns a number that changes with what evidence is of, but not with its age.
+func contentOf(evidence suspect.Evidence) uint64 {
+	content := uint64(0)
+	for i := range evidence.Failures {
+		content ^= xxhash.Sum64String(evidence.Failures[i].ID)
+	}
+	for i := range evidence.Trials {
+		content ^= xxhash.Sum64String(evidence.Trials[i].ID)
+	}
+	return content
+}
+
 // keepBans writes the evidence that is worth it to the store.
 func (p *Front) keepBans(ctx context.Context, now time.Time) bool {
 	evidence := p.front.KeptEvidence(now)
