Tell other processes what a usage window was sealed with

Cause, as far as known: the store loses the seal of a window that has been reported; the process that made it is cut off or frozen, and the next holder of the duty seals the window anew, with the counts that have been written again so far.

Change: what a window is sealed with is told to up to eight other processes before it is reported; whoever has heard of a seal writes it again after a return, and reports no other sum.

Test: TestLostSealIsMadeAgainWithTheSameSum; without the change the second holder has nobody to hear from, and its sum is that of the counts that are left (5 instead of 7).

--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -50,7 +50,13 @@
 			}),
 			callCrashes: peer.Typed(p.heardCrashes),
 			callTrial:   peer.Typed(p.decideTrial),
-			callNeeds:   func(context.Context, json.RawMessage) (any, error) { return p.needs.Report(), nil },
+			callSeal: peer.Typed(func(_ context.Context, sealed sealParams) (any, error) {
+				if p.usage != nil {
+					p.usage.Hear(sealed.Window, sealed.Counts)
+				}
+				return true, nil
+			}),
+			callNeeds: func(context.Context, json.RawMessage) (any, error) { return p.needs.Report(), nil },
 			callKeep: peer.Typed(func(_ context.Context, kept keepParams) (any, error) {
 				p.book.Hold(kept.Process, kept.Changes)
 				return true, nil
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -218,6 +218,9 @@
 	if p.talks() {
 		p.front.Trial = p.askTrial
 	}
+	if node.Bill {
+		p.usage = p.newUsage()
+	}
 	p.front.Placer.Quota.Changed = p.front.LimitChanged
 	members := 1
 	if p.talks() {
@@ -262,9 +265,10 @@
 	}
 }
 
-func (p *Front) reporter(process string) *duty.Holder {
+// newUsage returns what seals and reports usage windows.
+func (p *Front) newUsage() *billing.Reporter {
 	bounds := &p.Node.Bounds
-	p.usage = &billing.Reporter{
+	return &billing.Reporter{
 		Length: bounds.UsageWindow,
 		Late:   bounds.UsageLate,
 		Store:  p.store,
@@ -273,7 +277,12 @@
 		Clock:  &p.clock,
 		Alive:  p.peers.alive,
 		Sent:   p.metrics.Window,
+		Share:  p.shareSeal,
 	}
+}
+
+func (p *Front) reporter(process string) *duty.Holder {
+	bounds := &p.Node.Bounds
 	return &duty.Holder{
 		Duty:      dutyUsage,
 		Process:   process,
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -17,6 +17,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
+	"github.com/chicoryrock/chicoryrock/internal/state/tally"
 )
 
 const (
@@ -38,6 +39,8 @@
 	// settleTime is how long after its start a process may wait to hear what the others
 	// do: in large fleets each tells about once a second.
 	settleTime = 2500 * time.Millisecond
+	// sealKeepers is how many peers are told what a usage window was sealed with.
+	sealKeepers = 8
 	// relays is how many peers are asked to write what the store would not take.
 	relays = 2
 	// watchedWithin is how fresh what a watcher has heard must be: a watch's wait,
@@ -70,6 +73,7 @@
 	callNeeds   = "needs"
 	callCrashes = "crashes"
 	callTrial   = "trial"
+	callSeal    = "seal"
 	// callBreaks is used by processes of former builds.
 	callBreaks = "breaks"
 )
@@ -86,6 +90,12 @@
 	Changes []chicoryrock.Change `json:"changes"`
 }
 
+// sealParams is what a usage window was sealed with.
+type sealParams struct {
+	Window int64        `json:"window"`
+	Counts tally.Counts `json:"counts"`
+}
+
 // peers is what a front knows of the other processes.
 type peers struct {
 	process string
--- a/internal/serve/assembly/relays.go
+++ b/internal/serve/assembly/relays.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/billing"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
+	"github.com/chicoryrock/chicoryrock/internal/state/tally"
 )
 
 // rests says whether this process may leave the watching of the store to others:
@@ -79,6 +81,21 @@
 	return p.peers.call(ctx, next, callKeep, keepParams{process, changes}, &kept)
 }
 
+// shareSeal tells some processes what a usage window was sealed with.
+func (p *Front) shareSeal(ctx context.Context, number int64, counts tally.Counts) {
+	var group sync.WaitGroup
+	others := slices.DeleteFunc(p.peers.alive(time.Now()), func(process string) bool { return process == p.peers.process })
+	for _, process := range others[:min(len(others), sealKeepers)] {
+		group.Go(func() {
+			var heard bool
+			if err := p.peers.call(ctx, process, callSeal, sealParams{number, counts}, &heard); err != nil {
+				p.Log.Write(event.PeerFailed, zap.String("peer", process), zap.Error(err))
+			}
+		})
+	}
+	group.Wait()
+}
+
 // lives says whether another process was heard of late.
 func (p *Front) lives(now time.Time, process string) bool {
 	return slices.Contains(p.peers.alive(now), process)
--- a/internal/serve/billing/billing.go
+++ b/internal/serve/billing/billing.go
@@ -269,9 +269,12 @@
 	Clock  *Clock
 	Alive  func(now time.Time) []string // the processes that count
 	Sent   func(late bool)              // told of each window that was reported; nil for nobody
+	// Share tells other processes what a window was sealed with, before it is reported; nil
+	// for none. The store may lose the seal when it comes back from a copy.
+	Share func(ctx context.Context, number int64, counts tally.Counts)
 
 	mutex    sync.Mutex
-	sealed   map[int64]tally.Counts // the last windows that this process has sealed
+	sealed   map[int64]tally.Counts // what the last windows were sealed with, as far as known
 	restored time.Time              // when the store last came back from a copy
 
 	alive []string
@@ -300,7 +303,7 @@
 	return r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime
 }
 
-// seal seals a window, with the same sum as before if this process has sealed it.
+// seal seals a window, with the same sum as before if it is known to have been sealed.
 func (r *Reporter) seal(ctx context.Context, number int64, required tally.RequiredCounts) (tally.Counts, error) {
 	r.mutex.Lock()
 	known, found := r.sealed[number]
@@ -312,14 +315,24 @@
 	if err != nil {
 		return nil, err
 	}
+	r.Hear(number, counts)
+	if r.Share != nil {
+		r.Share(ctx, number, counts)
+	}
+	return counts, nil
+}
+
+// Hear takes in what a window was sealed with, here or by another process.
+func (r *Reporter) Hear(number int64, counts tally.Counts) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.sealed == nil {
 		r.sealed = make(map[int64]tally.Counts)
 	}
-	r.sealed[number] = counts
+	if _, known := r.sealed[number]; !known {
+		r.sealed[number] = counts
+	}
 	maps.DeleteFunc(r.sealed, func(old int64, _ tally.Counts) bool { return old < number-keptSeals })
-	return counts, nil
 }
 
 // Work is the duty's work.
