Look at the server that a connection was lost to

A run of the whole script found a data race (TestFrontTriesAReadElsewhere under the race detector): the look at whether a server still takes connections was begun with a pointer to the call's replica, which names the next one once the call is tried elsewhere. So another server could be looked at, and a crash be missed. Name and address are copied now.

--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -288,8 +288,9 @@
 	if len(failure.Parts) == 0 || !errors.Is(err, upstream.ErrClosed) {
 		return
 	}
+	server, address := replica.Name, replica.Address // the call goes on with another replica
 	go func() {
-		if f.isDown(replica.Name, replica.Address) {
+		if f.isDown(server, address) {
 			failure.Crash = true
 			f.failed(time.Now(), failure)
 		}
