--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -106,8 +106,8 @@
 		c.end(err)
 		return
 	}
-	f.suspects.open(c)
-	defer f.suspects.close(c)
+	f.suspects.addCall(c)
+	defer f.suspects.removeCall(c)
 	f.fresh(c.begin, c.request.Pool)
 	f.asked(c.begin, c.request)
 	if !c.hasRoom(c.begin) {
@@ -190,7 +190,7 @@
 	if !route.HasService(c.request.Pool) {
 		return errMoved
 	}
-	return c.tried()
+	return c.maySend()
 }
 
 // blames says whether a failed attempt speaks against its backend server.
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -118,8 +118,8 @@
 	s.untold.Trials = append(s.untold.Trials, evidence.Trials...)
 }
 
-// open notes a call that waits or runs, so that a ban can end it.
-func (s *suspects) open(c *call) {
+// addCall notes a call that waits or runs, so that a ban can end it.
+func (s *suspects) addCall(c *call) {
 	candidate := c.candidate(true)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -129,7 +129,7 @@
 	s.calls[c] = &openCall{candidate: candidate}
 }
 
-func (s *suspects) close(c *call) {
+func (s *suspects) removeCall(c *call) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.calls, c)
@@ -203,9 +203,9 @@
 	return &gate.RefusedError{Reason: chicoryrock.ReasonSuspect}
 }
 
-// tried is judge for a call that is about to be sent: one that may only be sent as a trial
+// maySend is judge for a call that is about to be sent: one that may only be sent as a trial
 // asks for it. Error: *gate.RefusedError.
-func (c *call) tried() error {
+func (c *call) maySend() error {
 	verdict := c.verdict(time.Now())
 	if verdict.State == suspect.Clean || c.trial {
 		return nil
@@ -281,7 +281,7 @@
 		failure.Parts = candidate.Parts
 	}
 	f := c.front
-	f.failed(now, failure)
+	f.recordFailure(now, failure)
 	if c.verdict(now).State == suspect.Refused {
 		c.trail.Write(event.Suspected, now, zap.String("server", replica.Name))
 	}
@@ -292,13 +292,13 @@
 	go func() {
 		if f.isDown(server, address) {
 			failure.Crash = true
-			f.failed(time.Now(), failure)
+			f.recordFailure(time.Now(), failure)
 		}
 	}()
 }
 
-// failed records a failure and has it told.
-func (f *Front) failed(now time.Time, failure suspect.Failure) {
+// recordFailure records a failure and has it told.
+func (f *Front) recordFailure(now time.Time, failure suspect.Failure) {
 	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
