--- a/internal/serve/assembly/front_streams_test.go
+++ b/internal/serve/assembly/front_streams_test.go
@@ -105,3 +105,41 @@
 		})
 	}
 }
+
+// An answer with neither a length nor chunks ends with its connection. Before the first
+// event and within one it has broken off; after one nothing tells a break from the end.
+func TestStreamsThatEndWithTheirConnection(t *testing.T) {
+	cases := []struct {
+		name, body string
+		status     int
+		whole      bool
+	}{
+		{"before the first event", "", http.StatusBadGateway, true},
+		{"after an event", "id: 1\ndata: a\n\n", http.StatusOK, true},
+		{"within the first event", "id: 1\nda", http.StatusBadGateway, true},
+		{"within a later event", "id: 1\ndata: a\n\nid: 2\nda", http.StatusOK, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t)
+			d.configure(1, "k1")
+			d.add("i-1", "llm", func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\n%s: s\r\nConnection: close\r\n\r\n%s",
+					sample.ID, r.Header.Get(sample.ID), sample.Seal, c.body)
+			})
+			d.settle(1, 1)
+			got := d.send("POST", "/short/", "u1", "k1", "x")
+			require.Equal(t, c.status, got.status)
+			require.Equal(t, c.whole, got.err == nil)
+			if c.status == http.StatusOK {
+				require.Contains(t, got.body, "data: a\n\n")
+				require.NotContains(t, got.body, "id: 2")
+			}
+		})
+	}
+}
