Leave answers alone that have begun when a part is banned

Found in reading: a ban ended calls whose answer had run for less than half a second, though it is meant for those that have not begun. A part that is banned by mistake for a moment, until the runs under way clear it, would have cut such streams. An answer is left alone from its first event on.

--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -63,6 +63,7 @@
 	if !c.got {
 		c.got = true
 		c.gotAt = now
+		c.front.suspects.setSafe(c)
 		c.front.first(now, c.request)
 	} else {
 		c.pause = max(c.pause, now.Sub(c.last))
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -46,7 +46,7 @@
 // openCall is a call under way. Its fields are used under the lock of suspects.
 type openCall struct {
 	candidate suspect.Candidate
-	safe      bool // an attempt has run for a while, or is a trial
+	safe      bool // its answer has begun, or it is a trial
 }
 
 // look is one look at whether a server still takes connections.
@@ -243,7 +243,6 @@
 		return
 	}
 	c.settled = true
-	c.front.suspects.setSafe(c)
 	c.succeeded(now, true)
 }
 
