Compute bans only from failures that repeat

Cause: each message of another process made the next decision compute all bans anew, from all failures of the last ten minutes. After a crash each of 78 fronts hears from the others some hundred times.

Change: failures are found by subject, only subjects with two failures or more are looked at, and news of others counts within 50 ms (own failures and what may end a ban at once). What is too old is dropped once a second.

--- a/internal/policy/suspect/ban.go
+++ b/internal/policy/suspect/ban.go
@@ -4,7 +4,11 @@
 	"bytes"
 	"cmp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -52,8 +56,26 @@
 	last       time.Time // last failure
 }
 
-// Key identifies the ban for the choice of the process that grants its trials.
-func (b *Ban) Key() Fingerprint { return b.Subjects[0] }
+// Grantor returns which of several processes grants the trials of the ban, for all. It is
+// the same at processes that know the same others.
+func (b *Ban) Grantor(processes []string) string {
+	grantor, most := "", uint64(0)
+	for _, process := range processes {
+		if weight := xxhash.Sum64String(string(b.Subjects[0][:]) + process); grantor == "" || weight > most {
+			grantor, most = process, weight
+		}
+	}
+	return grantor
+}
+
+// PartIDs returns the IDs of the banned parts in hexadecimal.
+func (b *Ban) PartIDs() string {
+	ids := make([]string, len(b.Subjects))
+	for i := range b.Subjects {
+		ids[i] = strconv.FormatUint(b.Subjects[i].PartID(), 16)
+	}
+	return strings.Join(ids, ",")
+}
 
 // suspicion is what counts against one subject.
 type suspicion struct {
@@ -69,50 +91,65 @@
 	return t.bans
 }
 
-// evaluate computes the bans. Each crash has one cause: the subject with the most crashes
-// is banned first, and what it explains does not count against the others.
-func (t *Tracker) evaluate(now time.Time) {
+// Changes returns which bans have begun and ended since it was last called.
+func (t *Tracker) Changes(now time.Time) (begun, ended []Ban) {
+	t.evaluate(now)
+	begun, ended = without(t.bans, t.told), without(t.told, t.bans)
+	t.told = t.bans
+	return begun, ended
+}
+
+// without returns the bans that others don't contain.
+func without(bans, others []Ban) []Ban {
+	var rest []Ban
+	for _, ban := range bans {
+		if !slices.ContainsFunc(others, func(other Ban) bool { return slices.Equal(other.Subjects, ban.Subjects) }) {
+			rest = append(rest, ban)
+		}
+	}
+	return rest
+}
+
+// due reports whether the bans are to be computed anew.
+func (t *Tracker) due(now time.Time) bool {
 	interval := evaluateInterval
-	if t.settled {
+	if t.settled && !t.changed {
 		interval = settledInterval
 	}
-	if !t.evaluated.IsZero() && now.Sub(t.evaluated) < interval && !now.Before(t.evaluated) {
+	return t.evaluated.IsZero() || now.Before(t.evaluated) || now.Sub(t.evaluated) >= interval
+}
+
+// evaluate computes the bans. Each crash has one cause: the subject with the most crashes
+// is banned first, and what it explains does not count against the others.
+func (t *Tracker) evaluate(now time.Time) {
+	if !t.due(now) {
 		return
 	}
-	t.evaluated, t.settled = now, true
-	t.bans = nil
 	t.expire(now)
-	if len(t.failures) == 0 {
-		return
-	}
-	all := t.sorted()
-	for _, failure := range all {
+	t.evaluated, t.changed, t.settled = now, false, true
+	t.bans = nil
+	for _, failure := range t.failures {
 		failure.held, failure.kept = false, false
+		t.settled = t.settled && now.Sub(failure.at) >= settleTime
+	}
+	suspicions := t.suspicions(now)
+	if len(suspicions) == 0 {
+		return
 	}
-	t.settled = len(all) == 0 || now.Sub(all[len(all)-1].at) >= settleTime
-	incidents := incidentsOf(all)
-	suspicions := t.suspicions(now, all)
+	incidents := incidentsOf(suspicions)
 	explained := make(map[int]bool)
 	for {
 		worst := worstOf(suspicions, incidents, explained)
 		if worst == nil {
 			break
 		}
-		ban := Ban{Part: worst.part, Crashes: worst.count, workspaces: make(map[string]bool), last: worst.failures[len(worst.failures)-1].at}
-		for _, other := range suspicions {
-			if other == worst || worst.part && other.part && slices.Equal(other.failures, worst.failures) {
-				ban.Subjects = append(ban.Subjects, other.subject)
-			}
-		}
-		slices.SortFunc(ban.Subjects, func(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) })
+		t.bans = append(t.bans, worst.ban(suspicions))
 		for _, failure := range worst.failures {
-			ban.workspaces[failure.Workspace] = true
 			explained[incidents[failure]] = true
 		}
 		for _, failure := range lastOfIncidents(worst.failures, incidents) {
 			failure.held, failure.kept = true, true
 		}
-		t.bans = append(t.bans, ban)
 	}
 	for _, s := range suspicions {
 		if s.part && s.count >= keptThreshold {
@@ -123,6 +160,24 @@
 	}
 }
 
+// ban returns the ban of a subject, together with the parts that were seen in just the same
+// failures.
+func (s *suspicion) ban(suspicions []*suspicion) Ban {
+	ban := Ban{Part: s.part, Crashes: s.count, workspaces: make(map[string]bool), last: s.failures[len(s.failures)-1].at}
+	for _, other := range suspicions {
+		if other == s || s.part && other.part && slices.Equal(other.failures, s.failures) {
+			ban.Subjects = append(ban.Subjects, other.subject)
+		}
+	}
+	slices.SortFunc(ban.Subjects, compareFingerprints)
+	for _, failure := range s.failures {
+		ban.workspaces[failure.Workspace] = true
+	}
+	return ban
+}
+
+func compareFingerprints(a, b Fingerprint) int { return bytes.Compare(a[:], b[:]) }
+
 // lastOfIncidents returns the last failure of each of the last heldIncidents incidents.
 func lastOfIncidents(failures []*Failure, incidents map[*Failure]int) []*Failure {
 	var last []*Failure
@@ -138,17 +193,27 @@
 
 // incidentsOf assigns each failure the number of its incident: the reports on one server
 // within incidentTime.
-func incidentsOf(failures []*Failure) map[*Failure]int {
+func incidentsOf(suspicions []*suspicion) map[*Failure]int {
+	incidents := make(map[*Failure]int)
+	var all []*Failure
+	for _, s := range suspicions {
+		for _, failure := range s.failures {
+			if _, found := incidents[failure]; !found {
+				incidents[failure] = 0
+				all = append(all, failure)
+			}
+		}
+	}
+	slices.SortFunc(all, compareFailures)
 	type begun struct {
 		at     time.Time
 		number int
 	}
-	incidents := make(map[*Failure]int, len(failures))
 	last := make(map[string]begun)
-	for _, failure := range failures {
+	for number, failure := range all {
 		known, found := last[failure.Server]
 		if !found || failure.at.Sub(known.at) >= incidentTime {
-			known = begun{failure.at, len(incidents)}
+			known = begun{failure.at, number}
 			last[failure.Server] = known
 		}
 		incidents[failure] = known.number
@@ -156,28 +221,29 @@
 	return incidents
 }
 
-// suspicions returns the subjects with failures that no success followed.
-func (t *Tracker) suspicions(now time.Time, failures []*Failure) []*suspicion {
-	bySubject := make(map[Fingerprint]*suspicion)
+// suspicions returns the subjects with several failures that no success followed, in a
+// fixed order.
+func (t *Tracker) suspicions(now time.Time) []*suspicion {
 	var all []*suspicion
-	for _, failure := range failures {
-		failure.subjects(func(subject Fingerprint) {
-			part := subject != failure.Request
-			if !failure.at.After(t.successes.last(subject)) || part && now.Sub(failure.at) < settleTime {
-				return
-			}
-			known := bySubject[subject]
-			if known == nil {
-				known = &suspicion{subject: subject, part: part}
-				bySubject[subject] = known
-				all = append(all, known)
-			}
-			if n := len(known.failures); n == 0 || known.failures[n-1] != failure {
-				known.failures = append(known.failures, failure)
+	for subject, failures := range t.bySubject {
+		if len(failures) < keptThreshold {
+			continue
+		}
+		success := t.successes.last(subject)
+		s := &suspicion{subject: subject}
+		for _, failure := range failures {
+			s.part = subject != failure.Request
+			if failure.at.After(success) && (!s.part || now.Sub(failure.at) >= settleTime) {
+				s.failures = append(s.failures, failure)
 			}
-		})
+		}
+		if len(s.failures) >= keptThreshold {
+			slices.SortFunc(s.failures, compareFailures)
+			all = append(all, s)
+		}
 	}
-	return slices.DeleteFunc(all, func(s *suspicion) bool { return len(s.failures) < min(s.threshold(), keptThreshold) })
+	slices.SortFunc(all, func(a, b *suspicion) int { return compareFingerprints(a.subject, b.subject) })
+	return all
 }
 
 func (s *suspicion) threshold() int {
@@ -201,7 +267,7 @@
 			cmp.Compare(s.count, worst.count),
 			cmp.Compare(flag(s.part), flag(worst.part)),
 			cmp.Compare(len(s.failures), len(worst.failures)),
-			bytes.Compare(worst.subject[:], s.subject[:])) > 0 {
+			compareFingerprints(worst.subject, s.subject)) > 0 {
 			worst = s
 		}
 	}
@@ -263,11 +329,10 @@
 // decide returns what one ban says of a request.
 func (t *Tracker) decide(now time.Time, c *Candidate, ban *Ban) State {
 	matching := 0
-	c.subjects(func(subject Fingerprint) bool {
+	c.subjects(func(subject Fingerprint) {
 		if slices.Contains(ban.Subjects, subject) {
 			matching++
 		}
-		return true
 	})
 	if matching == 0 {
 		return Clean
@@ -320,11 +385,10 @@
 	}
 	trial := Trial{ID: id, at: now}
 	for i := range t.bans {
-		c.subjects(func(subject Fingerprint) bool {
+		c.subjects(func(subject Fingerprint) {
 			if slices.Contains(t.bans[i].Subjects, subject) {
 				trial.Subjects = append(trial.Subjects, subject)
 			}
-			return true
 		})
 	}
 	evidence := Evidence{Trials: []Trial{trial}}
--- a/internal/policy/suspect/fleet_test.go
+++ b/internal/policy/suspect/fleet_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -104,13 +105,14 @@
 	if f.cut(asking) {
 		return asking
 	}
-	key := ban.Key()
+	var reached []string
 	for i := range f.members {
-		if owner := (int(key[15]) + i) % len(f.members); !f.cut(owner) {
-			return owner
+		if !f.cut(i) {
+			reached = append(reached, strconv.Itoa(i))
 		}
 	}
-	return asking
+	owner, _ := strconv.Atoi(ban.Grantor(reached))
+	return owner
 }
 
 // send sends a request from a member unless that refuses it.
--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -1,13 +1,13 @@
 package suspect
 
 import (
-	"bytes"
 	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
-	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -60,15 +60,14 @@
 	Parts []Fingerprint
 }
 
-// subjects calls a function with each part and the whole request, and reports whether all
-// calls returned true.
-func (c *Candidate) subjects(visit func(subject Fingerprint) bool) bool {
+// subjects calls a function with each part and the whole request.
+func (c *Candidate) subjects(visit func(subject Fingerprint)) {
 	for _, part := range c.Parts[:min(len(c.Parts), maxParts)] {
-		if !visit(part) {
-			return false
-		}
+		visit(part)
+	}
+	if c.Request != (Fingerprint{}) {
+		visit(c.Request)
 	}
-	return c.Request == Fingerprint{} || visit(c.Request)
 }
 
 // Failure records that an attempt's answer broke off or was lost before it had run for
@@ -123,14 +122,16 @@
 // value is ready for use. It is not safe for concurrent use.
 type Tracker struct {
 	failures  map[string]*Failure
+	bySubject map[Fingerprint][]*Failure // the same
 	successes generations
 	trials    map[string]Trial
+	expired   time.Time // when what is too old was last dropped
 
 	bans      []Ban
-	evaluated time.Time // when bans was computed; zero if evidence has come since
+	told      []Ban     // as Changes last returned them
+	evaluated time.Time // when bans was computed; zero to do so at once
+	changed   bool      // evidence has come since
 	settled   bool      // no failure was too young to count then
-
-	lastFailures map[Fingerprint]time.Time // see suspected; nil if it is to be computed
 }
 
 // generations keeps the last success of subjects, bounded: the older generation is dropped
@@ -146,10 +147,10 @@
 	return g.older[subject]
 }
 
-// set stores a success, and reports whether it is later than the one known.
-func (g *generations) set(subject Fingerprint, at time.Time) bool {
+// set stores a success, unless a later one is known.
+func (g *generations) set(subject Fingerprint, at time.Time) {
 	if !at.After(g.last(subject)) {
-		return false
+		return
 	}
 	if len(g.newer) >= maxSubjects {
 		g.older, g.newer = g.newer, nil
@@ -158,7 +159,6 @@
 		g.newer = make(map[Fingerprint]time.Time)
 	}
 	g.newer[subject] = at
-	return true
 }
 
 // Empty reports whether no failures are known.
@@ -168,46 +168,45 @@
 // other processes. A second record with the same ID can only add that it was a crash.
 func (t *Tracker) RecordFailure(now time.Time, failure Failure) Evidence {
 	failure.Age = 0
-	failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
-	evidence := Evidence{Failures: []Failure{failure}}
 	if known := t.failures[failure.ID]; known != nil {
-		evidence.Failures[0].Age = Age(now.Sub(known.at))
+		failure.Age = Age(now.Sub(known.at))
 	}
+	failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
+	evidence := Evidence{Failures: []Failure{failure}}
 	t.Merge(now, evidence)
+	t.evaluated = time.Time{}
 	return evidence
 }
 
 // RecordSuccess takes in that an attempt of this process ran well. The result, if there
 // is any, is to be sent to the other processes.
 func (t *Tracker) RecordSuccess(now time.Time, c *Candidate) Evidence {
-	suspected := t.suspected()
 	var evidence Evidence
-	c.subjects(func(subject Fingerprint) bool {
-		if last, found := suspected[subject]; found && last.After(t.successes.last(subject)) {
+	c.subjects(func(subject Fingerprint) {
+		if t.lastFailure(subject).After(t.successes.last(subject)) {
 			evidence.Successes = append(evidence.Successes, Success{Subject: subject})
 		}
-		t.successes.set(subject, now)
-		return true
+		t.recordSuccess(subject, now)
 	})
-	if len(evidence.Successes) > 0 {
-		t.evaluated = time.Time{}
-	}
 	return evidence
 }
 
-// suspected returns the last failure of each subject.
-func (t *Tracker) suspected() map[Fingerprint]time.Time {
-	if len(t.failures) == 0 || t.lastFailures != nil {
-		return t.lastFailures
+// recordSuccess stores a success. One that may end a ban counts at once.
+func (t *Tracker) recordSuccess(subject Fingerprint, at time.Time) {
+	t.successes.set(subject, at)
+	t.changed = t.changed || len(t.bySubject[subject]) > 0
+	if slices.ContainsFunc(t.bans, func(b Ban) bool { return slices.Contains(b.Subjects, subject) }) {
+		t.evaluated = time.Time{}
 	}
-	last := make(map[Fingerprint]time.Time)
-	t.lastFailures = last
-	for _, failure := range t.failures {
-		failure.subjects(func(subject Fingerprint) {
-			if failure.at.After(last[subject]) {
-				last[subject] = failure.at
-			}
-		})
+}
+
+// lastFailure returns the time of a subject's last failure; zero if none is known.
+func (t *Tracker) lastFailure(subject Fingerprint) time.Time {
+	var last time.Time
+	for _, failure := range t.bySubject[subject] {
+		if failure.at.After(last) {
+			last = failure.at
+		}
 	}
 	return last
 }
@@ -229,25 +228,14 @@
 func (t *Tracker) Merge(now time.Time, evidence Evidence) Evidence {
 	for i := range evidence.Successes {
 		success := &evidence.Successes[i]
-		t.successes.set(success.Subject, now.Add(-success.Age.duration()))
+		t.recordSuccess(success.Subject, now.Add(-success.Age.duration()))
 	}
 	var reply Evidence
 	for i := range evidence.Failures {
-		failure := evidence.Failures[i]
-		if failure.ID == "" || failure.Age.duration() >= banTTL {
+		failure := t.add(now, evidence.Failures[i])
+		if failure == nil {
 			continue
 		}
-		failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
-		failure.at = now.Add(-failure.Age.duration())
-		if known := t.failures[failure.ID]; known != nil {
-			failure.at = known.at
-			failure.Crash = failure.Crash || known.Crash
-			failure.held, failure.kept = known.held, known.kept
-		}
-		if t.failures == nil {
-			t.failures = make(map[string]*Failure)
-		}
-		t.failures[failure.ID] = &failure
 		failure.subjects(func(subject Fingerprint) {
 			if last := t.successes.last(subject); last.After(failure.at) {
 				reply.Successes = append(reply.Successes, Success{Subject: subject, Age: Age(now.Sub(last))})
@@ -257,11 +245,49 @@
 	for _, trial := range evidence.Trials {
 		t.addTrial(now, trial)
 	}
-	t.evaluated, t.lastFailures = time.Time{}, nil
 	t.expire(now)
 	return reply
 }
 
+// add stores a failure, or that a known one was a crash. It returns nil for one that is too
+// old.
+func (t *Tracker) add(now time.Time, failure Failure) *Failure {
+	if failure.ID == "" || failure.Age.duration() >= banTTL {
+		return nil
+	}
+	known := t.failures[failure.ID]
+	if known != nil && (known.Crash || !failure.Crash) {
+		return known
+	}
+	failure.at = now.Add(-failure.Age.duration())
+	failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
+	if known != nil {
+		failure.at = known.at
+		failure.held, failure.kept = known.held, known.kept
+		t.remove(known)
+	}
+	if t.failures == nil {
+		t.failures = make(map[string]*Failure)
+		t.bySubject = make(map[Fingerprint][]*Failure)
+	}
+	t.failures[failure.ID] = &failure
+	failure.subjects(func(subject Fingerprint) { t.bySubject[subject] = append(t.bySubject[subject], &failure) })
+	t.changed = true
+	return &failure
+}
+
+// remove drops a failure.
+func (t *Tracker) remove(failure *Failure) {
+	delete(t.failures, failure.ID)
+	failure.subjects(func(subject Fingerprint) {
+		rest := slices.DeleteFunc(t.bySubject[subject], func(f *Failure) bool { return f == failure })
+		if t.bySubject[subject] = rest; len(rest) == 0 {
+			delete(t.bySubject, subject)
+		}
+	})
+	t.changed = true
+}
+
 func (t *Tracker) addTrial(now time.Time, trial Trial) {
 	if _, known := t.trials[trial.ID]; known || trial.ID == "" || trial.Age.duration() >= banTTL {
 		return
@@ -273,30 +299,17 @@
 	t.trials[trial.ID] = trial
 }
 
-// expire drops what is too old or too much.
+// expireInterval is how often what is too old is dropped.
+const expireInterval = time.Second
+
+// expire drops what is too old, now and then, and what is too much.
 func (t *Tracker) expire(now time.Time) {
-	for id, failure := range t.failures {
-		ttl := failureTTL
-		if failure.held {
-			ttl = banTTL
-		}
-		if now.Sub(failure.at) >= ttl {
-			delete(t.failures, id)
-			t.lastFailures = nil
-		}
-	}
-	for id, trial := range t.trials {
-		if now.Sub(trial.at) >= banTTL {
-			delete(t.trials, id)
-		}
-	}
-	if excess := len(t.failures) - maxFailures; excess > 0 {
+	if len(t.failures) > maxFailures {
 		all := t.sorted()
 		slices.SortStableFunc(all, func(a, b *Failure) int { return cmp.Compare(flag(a.held), flag(b.held)) })
-		for _, failure := range all[:excess] {
-			delete(t.failures, failure.ID)
+		for _, failure := range all[:len(all)-maxFailures] {
+			t.remove(failure)
 		}
-		t.lastFailures = nil
 	}
 	for len(t.trials) > maxTrialRecords {
 		oldest := ""
@@ -307,6 +320,24 @@
 		}
 		delete(t.trials, oldest)
 	}
+	if since := now.Sub(t.expired); since >= 0 && since < expireInterval {
+		return
+	}
+	t.expired = now
+	for _, failure := range t.failures {
+		ttl := failureTTL
+		if failure.held {
+			ttl = banTTL
+		}
+		if now.Sub(failure.at) >= ttl {
+			t.remove(failure)
+		}
+	}
+	for id, trial := range t.trials {
+		if now.Sub(trial.at) >= banTTL {
+			delete(t.trials, id)
+		}
+	}
 }
 
 func flag(set bool) int {
@@ -322,10 +353,12 @@
 	for _, failure := range t.failures {
 		all = append(all, failure)
 	}
-	slices.SortFunc(all, func(a, b *Failure) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ID, b.ID)) })
+	slices.SortFunc(all, compareFailures)
 	return all
 }
 
+func compareFailures(a, b *Failure) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.ID, b.ID)) }
+
 // Export returns the evidence for a process that may know none of it: what bans rest on,
 // and the last failures.
 func (t *Tracker) Export(now time.Time) Evidence {
@@ -346,12 +379,12 @@
 		told.Age = Age(now.Sub(failure.at))
 		evidence.Failures = append(evidence.Failures, told)
 	}
-	for subject := range t.suspected() {
+	for subject := range t.bySubject {
 		if last := t.successes.last(subject); !last.IsZero() {
 			evidence.Successes = append(evidence.Successes, Success{Subject: subject, Age: Age(now.Sub(last))})
 		}
 	}
-	slices.SortFunc(evidence.Successes, func(a, b Success) int { return bytes.Compare(a.Subject[:], b.Subject[:]) })
+	slices.SortFunc(evidence.Successes, func(a, b Success) int { return compareFingerprints(a.Subject, b.Subject) })
 	for _, trial := range t.trials {
 		trial.Age = Age(now.Sub(trial.at))
 		evidence.Trials = append(evidence.Trials, trial)
@@ -367,21 +400,26 @@
 // for successes; zero if there is none.
 func (t *Tracker) Digest(now time.Time) uint64 {
 	t.evaluate(now)
-	var sum uint64
-	add := func(id string, crash bool) {
-		hash := fnv.New64a()
-		// Writing to a hash never fails.
-		_, _ = hash.Write([]byte(id))
-		_, _ = hash.Write([]byte{byte(flag(crash))})
-		sum ^= hash.Sum64()
-	}
-	for id, failure := range t.failures {
+	var recent Evidence
+	for _, failure := range t.failures {
 		if failure.held || now.Sub(failure.at) < digestTime {
-			add(id, failure.Crash)
+			recent.Failures = append(recent.Failures, Failure{ID: failure.ID, Crash: failure.Crash})
 		}
 	}
 	for id := range t.trials {
-		add(id, false)
+		recent.Trials = append(recent.Trials, Trial{ID: id})
+	}
+	return recent.Digest()
+}
+
+// Digest returns a number that changes with the failures and trials, but not with their age.
+func (e *Evidence) Digest() uint64 {
+	var sum uint64
+	for i := range e.Failures {
+		sum ^= xxhash.Sum64String(e.Failures[i].ID) + uint64(flag(e.Failures[i].Crash))
+	}
+	for i := range e.Trials {
+		sum ^= xxhash.Sum64String(e.Trials[i].ID)
 	}
 	return sum
 }
--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -155,28 +154,16 @@
 	}
 	now := time.Now()
 	p.front.Told(now, known.Evidence)
-	own, _ := p.front.Evidence(now)
 	if digest == 0 {
 		return nil // nothing that the other one might lack
 	}
+	own, _ := p.front.Evidence(now)
 	return p.peers.call(ctx, other, callCrashes, crashParams{Evidence: own}, &known)
 }
 
-// trialOwner returns the process that grants the trials of a ban.
-func (p *Front) trialOwner(now time.Time, ban suspect.Fingerprint) string {
-	owner, most := p.peers.process, uint64(0)
-	for _, process := range p.peers.alive(now) {
-		weight := xxhash.Sum64String(string(ban[:]) + process)
-		if weight > most {
-			owner, most = process, weight
-		}
-	}
-	return owner
-}
-
 // askTrial asks for a trial of a ban.
-func (p *Front) askTrial(ctx context.Context, ban suspect.Fingerprint, id string, candidate *suspect.Candidate) bool {
-	owner := p.trialOwner(time.Now(), ban)
+func (p *Front) askTrial(ctx context.Context, ban *suspect.Ban, id string, candidate *suspect.Candidate) bool {
+	owner := ban.Grantor(p.peers.alive(time.Now()))
 	if owner == p.peers.process {
 		_, granted := p.grantTrial(ctx, id, candidate)
 		return granted
@@ -218,7 +205,8 @@
 	for ctx.Err() == nil {
 		pause.For(ctx, bansPause)
 		now := time.Now()
-		present := contentOf(p.front.KeptEvidence(now))
+		kept := p.front.KeptEvidence(now)
+		present := kept.Digest()
 		if present == known && now.Sub(written) < bansInterval || !p.writesBans(now) {
 			continue
 		}
@@ -229,18 +217,6 @@
 	return nil
 }
 
-// contentOf returns a number that changes with what evidence is of, but not with its age.
-func contentOf(evidence suspect.Evidence) uint64 {
-	content := uint64(0)
-	for i := range evidence.Failures {
-		content ^= xxhash.Sum64String(evidence.Failures[i].ID)
-	}
-	for i := range evidence.Trials {
-		content ^= xxhash.Sum64String(evidence.Trials[i].ID)
-	}
-	return content
-}
-
 // keepBans writes the evidence that is worth it to the store.
 func (p *Front) keepBans(ctx context.Context, now time.Time) bool {
 	evidence := p.front.KeptEvidence(now)
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -213,11 +213,9 @@
 		Metrics: p.metrics,
 		Dropped: p.Dropped,
 		Process: p.peers.process,
+		Trial:   p.askTrial,
 		Sound:   p.parts.Sound,
 	}
-	if p.talks() {
-		p.front.Trial = p.askTrial
-	}
 	if node.Bill {
 		p.usage = p.newUsage()
 	}
--- a/internal/serve/entry/suspects.go
+++ b/internal/serve/entry/suspects.go
@@ -28,7 +28,7 @@
 
 	// Owns says whether this entry grants the trials of a ban for all entries; nil if it
 	// is the only one.
-	Owns func(ban suspect.Fingerprint) bool
+	Owns func(ban *suspect.Ban) bool
 
 	mu       sync.Mutex
 	registry suspect.Registry
@@ -71,7 +71,7 @@
 	if verdict.State != suspect.Suspect {
 		return verdict.State == suspect.Clean
 	}
-	if s.Owns != nil && !s.Owns(verdict.Ban.Key()) {
+	if s.Owns != nil && !s.Owns(&verdict.Ban) {
 		return false
 	}
 	_, c.trial = s.parts.Grant(now, c.request.ID, &candidate)
--- a/internal/serve/exchange/exchange.go
+++ b/internal/serve/exchange/exchange.go
@@ -6,11 +6,12 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
@@ -90,16 +91,10 @@
 }
 
 // Owns says whether this entry grants the trials of a ban for all that are listed.
-func (e *Exchange) Owns(ban suspect.Fingerprint) bool {
+func (e *Exchange) Owns(ban *suspect.Ban) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	own := xxhash.Sum64String(string(ban[:]) + e.Self.Name)
-	for name := range e.peers {
-		if xxhash.Sum64String(string(ban[:])+name) > own {
-			return false
-		}
-	}
-	return true
+	return ban.Grantor(append(slices.Collect(maps.Keys(e.peers)), e.Self.Name)) == e.Self.Name
 }
 
 // Run tells the peers again and again until the context ends.
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -75,8 +75,8 @@
 	// Process names this process in what it tells the others.
 	Process string
 	// Trial asks the process that grants the trials of a ban whether a request may be sent
-	// as one; nil to decide here.
-	Trial func(ctx context.Context, ban suspect.Fingerprint, id string, candidate *suspect.Candidate) bool
+	// as one.
+	Trial func(ctx context.Context, ban *suspect.Ban, id string, candidate *suspect.Candidate) bool
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -39,7 +38,6 @@
 	tracker suspect.Tracker
 	untold  suspect.Evidence
 	calls   map[*call]*openCall
-	bans    []suspect.Ban // as last logged
 	looks   map[string]*look
 }
 
@@ -103,7 +101,7 @@
 	evidence, granted := s.tracker.Grant(now, id, candidate)
 	s.tell(evidence)
 	if granted && !evidence.Empty() {
-		f.Log.Write(event.TrialGranted, zap.String("trial", id), zap.String("workspace", candidate.Workspace), zap.String("parts", partIDs(evidence.Trials[0].Subjects)))
+		f.Log.Write(event.TrialGranted, zap.String("trial", id), zap.String("workspace", candidate.Workspace), zap.String("parts", (&suspect.Ban{Subjects: evidence.Trials[0].Subjects}).PartIDs()))
 	}
 	return evidence, granted
 }
@@ -215,12 +213,7 @@
 	}
 	candidate := c.candidate(false)
 	id := c.attemptID()
-	if c.front.Trial == nil {
-		_, c.trial = c.front.GrantTrial(time.Now(), id, &candidate)
-	} else {
-		c.trial = c.front.Trial(c.ctx, verdict.Ban.Key(), id, &candidate)
-	}
-	if !c.trial {
+	if c.trial = c.front.Trial(c.ctx, &verdict.Ban, id, &candidate); !c.trial {
 		return refusedBy(&verdict)
 	}
 	c.front.suspects.setSafe(c)
@@ -281,7 +274,7 @@
 	}
 	f := c.front
 	f.recordFailure(now, failure)
-	if c.verdict(now).State == suspect.Refused {
+	if verdict := c.verdict(now); verdict.State == suspect.Refused && !verdict.Ban.Part {
 		c.trail.Write(event.Suspected, now, zap.String("server", replica.Name))
 	}
 	if len(failure.Parts) == 0 || !errors.Is(err, upstream.ErrClosed) {
@@ -342,24 +335,14 @@
 	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.tracker.Empty() && len(s.bans) == 0 {
-		return
+	begun, ended := s.tracker.Changes(now)
+	for i := range begun {
+		f.logBan(event.BanBegan, &begun[i])
 	}
-	before := s.bans
-	s.bans = slices.Clone(s.tracker.Bans(now))
-	begun := false
-	for i := range s.bans {
-		if !containsBan(before, &s.bans[i]) {
-			begun = true
-			f.logBan(event.BanBegan, &s.bans[i])
-		}
-	}
-	for i := range before {
-		if !containsBan(s.bans, &before[i]) {
-			f.logBan(event.BanEnded, &before[i])
-		}
+	for i := range ended {
+		f.logBan(event.BanEnded, &ended[i])
 	}
-	if !begun {
+	if len(begun) == 0 {
 		return
 	}
 	for c, open := range s.calls {
@@ -369,21 +352,8 @@
 	}
 }
 
-func containsBan(bans []suspect.Ban, ban *suspect.Ban) bool {
-	return slices.ContainsFunc(bans, func(other suspect.Ban) bool { return slices.Equal(other.Subjects, ban.Subjects) })
-}
-
 func (f *Front) logBan(what event.Event, ban *suspect.Ban) {
 	if ban.Part {
-		f.Log.Write(what, zap.String("parts", partIDs(ban.Subjects)), zap.Int("crashes", ban.Crashes))
-	}
-}
-
-// partIDs lists the IDs of parts.
-func partIDs(subjects []suspect.Fingerprint) string {
-	ids := make([]string, len(subjects))
-	for i := range subjects {
-		ids[i] = strconv.FormatUint(subjects[i].PartID(), 16)
+		f.Log.Write(what, zap.String("parts", ban.PartIDs()), zap.Int("crashes", ban.Crashes))
 	}
-	return strings.Join(ids, ",")
 }
