Grant trials over fronts that don't reach each other too

Found in reading: a front that reaches no other one takes itself for the one that grants trials. So fronts that are cut into groups each made the trials that all together owe.

Change: what has been granted is read from the store before a trial is granted and written there by a condition, under which all groups see each other's trials. Without the store only a process that reaches most of the others grants any. What bans rest on is written by the same condition, so that no process writes over what it has not read.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -43,7 +43,7 @@
 	BanBegan     = Event{313, zapcore.WarnLevel, "parts of prompts crash backend servers, requests with them are held back"}
 	BanEnded     = Event{314, zapcore.InfoLevel, "parts of prompts are no longer held back"}
 	Trial        = Event{315, zapcore.InfoLevel, "request is sent as a trial of what is held back"}
-	TrialGranted = Event{316, zapcore.InfoLevel, "trial of what is held back granted"}
+	TrialGranted = Event{316, zapcore.InfoLevel, "trial of what is held back decided"}
 	ServersRead  = Event{401, zapcore.DebugLevel, "list of VMs read"}
 	ServersLost  = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
 	EngineFailed = Event{403, zapcore.WarnLevel, "backend server failed"}
--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -23,6 +23,8 @@
 	compareInterval = 500 * time.Millisecond
 	// compareTime is how long after its start a process does so in any case.
 	compareTime = 5 * time.Second
+	// trialTimeout bounds the wait for a trial: two calls to the store, and the way.
+	trialTimeout = 1200 * time.Millisecond
 	// bansKey is the store's key of the evidence that bans rest on.
 	bansKey = "bans"
 	// bansInterval is how often it is written while there are bans.
@@ -163,15 +165,15 @@
 
 // askTrial asks for a trial of a ban.
 func (p *Front) askTrial(ctx context.Context, ban *suspect.Ban, id string, candidate *suspect.Candidate) bool {
-	owner := ban.Grantor(p.peers.alive(time.Now()))
-	if owner == p.peers.process {
+	grantor := ban.Grantor(p.peers.alive(time.Now()))
+	if grantor == p.peers.process {
 		_, granted := p.grantTrial(ctx, id, candidate)
 		return granted
 	}
 	var result trialResult
 	params := trialParams{ID: id, Workspace: candidate.Workspace, Request: candidate.Request, Parts: candidate.Parts}
-	if err := p.peers.call(ctx, owner, callTrial, params, &result); err != nil {
-		p.Log.Write(event.PeerFailed, zap.String("peer", owner), zap.Error(err))
+	if err := p.peers.callWithin(ctx, trialTimeout, grantor, callTrial, params, &result); err != nil {
+		p.Log.Write(event.PeerFailed, zap.String("peer", grantor), zap.Error(err))
 		return false
 	}
 	p.front.Told(time.Now(), result.Evidence)
@@ -185,21 +187,36 @@
 	return trialResult{Granted: granted, Evidence: evidence}, nil
 }
 
-// grantTrial grants a trial if one is due. The store has it first, so that it counts also
-// if all processes are lost.
+// grantTrial grants a trial if one is due. Processes that can't reach each other may each be
+// the one that grants; the store has what all of them have granted, and is read before and
+// written by a condition. Without the store, only those with most of the others decide.
 func (p *Front) grantTrial(ctx context.Context, id string, candidate *suspect.Candidate) (suspect.Evidence, bool) {
-	now := time.Now()
-	evidence, granted := p.front.GrantTrial(now, id, candidate)
-	if !evidence.Empty() {
-		p.keepBans(ctx, now)
+	p.granting.Lock()
+	defer p.granting.Unlock()
+	revision, err := p.readBans(ctx)
+	evidence, granted := p.front.GrantTrial(time.Now(), id, candidate)
+	if evidence.Empty() {
+		return evidence, granted
+	}
+	if err == nil {
+		err = p.writeBans(ctx, time.Now(), revision)
+	}
+	if err != nil {
+		granted = errors.Is(err, chicoryrock.ErrUnavailable) && 2*len(p.peers.alive(time.Now())) > p.peers.members(time.Now())
 	}
+	p.Log.Write(event.TrialGranted, zap.String("trial", id), zap.String("workspace", candidate.Workspace), zap.Bool("granted", granted))
 	return evidence, granted
 }
 
 // rememberBans keeps the evidence that bans rest on in the store, and takes it over at the
 // start: it outlives the loss of all processes.
 func (p *Front) rememberBans(ctx context.Context) error {
-	p.recallBans(ctx)
+	for ctx.Err() == nil {
+		if _, err := p.readBans(ctx); err == nil {
+			break
+		}
+		pause.For(ctx, joinPause)
+	}
 	var written time.Time
 	var known uint64
 	for ctx.Err() == nil {
@@ -207,30 +224,51 @@
 		now := time.Now()
 		kept := p.front.KeptEvidence(now)
 		present := kept.Digest()
-		if present == known && now.Sub(written) < bansInterval || !p.writesBans(now) {
+		if kept.Empty() || present == known && now.Sub(written) < bansInterval || !p.writesBans(now) {
 			continue
 		}
-		if p.keepBans(ctx, now) {
+		revision, err := p.readBans(ctx)
+		if err == nil {
+			err = p.writeBans(ctx, now, revision)
+		}
+		if err == nil {
 			written, known = now, present
 		}
 	}
 	return nil
 }
 
-// keepBans writes the evidence that is worth it to the store.
-func (p *Front) keepBans(ctx context.Context, now time.Time) bool {
-	evidence := p.front.KeptEvidence(now)
-	if evidence.Empty() {
-		return false
+// readBans takes over what the store keeps, and returns its revision; zero if it keeps
+// nothing.
+func (p *Front) readBans(ctx context.Context) (uint64, error) {
+	entry, err := p.store.Get(ctx, bansKey)
+	if errors.Is(err, chicoryrock.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var kept keptBans
+	if err := json.Unmarshal(entry.Value, &kept); err != nil {
+		p.Log.Write(event.BansLost, zap.Error(err))
+		return entry.Revision, nil // it is written over
 	}
-	value, err := json.Marshal(keptBans{p.clock.True(now), evidence})
+	now := time.Now()
+	p.front.Told(now, kept.Evidence.Aged(max(p.clock.True(now).Sub(kept.At), 0)))
+	return entry.Revision, nil
+}
+
+// writeBans writes what is worth keeping to the store, unless another process has done so
+// since a revision.
+func (p *Front) writeBans(ctx context.Context, now time.Time, revision uint64) error {
+	value, err := json.Marshal(keptBans{p.clock.True(now), p.front.KeptEvidence(now)})
 	if err == nil {
-		_, err = p.store.Commit(ctx, []chicoryrock.Change{{Key: bansKey, Value: value, Unconditional: true}})
+		_, err = p.store.Commit(ctx, []chicoryrock.Change{{Key: bansKey, Value: value, PriorRevision: revision}})
 	}
-	if err != nil && ctx.Err() == nil {
+	if err != nil && ctx.Err() == nil && !errors.Is(err, chicoryrock.ErrConflict) {
 		p.Log.Write(event.BansLost, zap.Error(err))
 	}
-	return err == nil
+	return err
 }
 
 // writesBans says whether this process is one of those that keep the bans in the store.
@@ -242,25 +280,3 @@
 	}
 	return false
 }
-
-// recallBans reads what the store keeps, however long that takes.
-func (p *Front) recallBans(ctx context.Context) {
-	entry, err := p.store.Get(ctx, bansKey)
-	for err != nil && !errors.Is(err, chicoryrock.ErrNotFound) {
-		if ctx.Err() != nil {
-			return
-		}
-		pause.For(ctx, joinPause)
-		entry, err = p.store.Get(ctx, bansKey)
-	}
-	if err != nil {
-		return // nothing is kept
-	}
-	var kept keptBans
-	if err := json.Unmarshal(entry.Value, &kept); err != nil {
-		p.Log.Write(event.BansLost, zap.Error(err))
-		return
-	}
-	now := time.Now()
-	p.front.Told(now, kept.Evidence.Aged(max(p.clock.True(now).Sub(kept.At), 0)))
-}
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -92,6 +92,7 @@
 	// collector writes the counts of other processes with this one's.
 	collector billing.Collector
 	usage     *billing.Reporter // nil without that duty
+	granting  sync.Mutex        // held while a trial of a ban is decided
 	duties    []*duty.Holder
 	read      []byte        // the settings as last read
 	watched   time.Time     // when the store last answered a watch of this process
--- a/internal/serve/assembly/server_limit_test.go
+++ b/internal/serve/assembly/server_limit_test.go
@@ -86,20 +86,26 @@
 		node := *all[0].node
 		node.Name, node.Callers, node.Ready = fmt.Sprintf("front-a-%d", i+1), host.Own(), host.Own()
 		talks(&node)
-		d := &deployment{t: t, store: all[0].store, server: all[0].server, node: &node, ended: make(chan error, 1)}
-		d.front = &Front{Node: &node, Log: event.NewNop(), Started: time.Now()}
-		ctx, stop := context.WithCancel(context.Background())
-		d.stop = stop
-		go func() { d.ended <- d.front.Run(ctx) }()
-		t.Cleanup(func() {
-			stop()
-			assert.NoError(t, <-d.ended)
-		})
-		all = append(all, d)
+		all = append(all, all[0].startAnother(&node))
 	}
 	return all
 }
 
+// startAnother starts a front of another node on the same platform.
+func (d *deployment) startAnother(node *platform.Node) *deployment {
+	other := &deployment{t: d.t, store: d.store, server: d.server, node: node, ended: make(chan error, 1)}
+	other.front = &Front{Node: node, Log: event.NewNop(), Started: time.Now()}
+	ctx, stop := context.WithCancel(context.Background())
+	other.stop = stop
+	go func() { other.ended <- other.front.Run(ctx) }()
+	d.t.Cleanup(func() {
+		stop()
+		assert.NoError(d.t, <-other.ended)
+	})
+	require.Eventually(d.t, func() bool { return other.ready() != 0 }, waitTime, time.Millisecond)
+	return other
+}
+
 // Six fronts with unequal shares of the traffic place requests among three engines, one
 // of which states how many it takes from all of them. Each front that heeds the limit by
 // itself, or not at all, exceeds it.
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -100,9 +100,6 @@
 	defer s.mutex.Unlock()
 	evidence, granted := s.tracker.Grant(now, id, candidate)
 	s.tell(evidence)
-	if granted && !evidence.Empty() {
-		f.Log.Write(event.TrialGranted, zap.String("trial", id), zap.String("workspace", candidate.Workspace), zap.String("parts", (&suspect.Ban{Subjects: evidence.Trials[0].Subjects}).PartIDs()))
-	}
 	return evidence, granted
 }
 
