Tell of crashes in fewer and smaller messages

A crash waits 0.5 instead of 0.3 s for such news before it counts.

Tests: TestSuccessIsToldWhereItMatters; the fleets of 1 to 103 processes tell by this.

--- a/internal/policy/suspect/ban.go
+++ b/internal/policy/suspect/ban.go
@@ -377,7 +377,7 @@
 }
 
 // Grant lets a request be sent as the trial of a ban, if one is due. One process at a time
-// grants the trials of a ban, for all. The result is to be sent to the other processes.
+// grants the trials of a ban, for all. The evidence is for the process that asked for it.
 func (t *Tracker) Grant(now time.Time, id string, c *Candidate) (Evidence, bool) {
 	verdict := t.Decide(now, c)
 	if verdict.State != Suspect {
@@ -393,5 +393,6 @@
 	}
 	evidence := Evidence{Trials: []Trial{trial}}
 	t.Merge(now, evidence)
+	note(&t.news.trials, id)
 	return evidence, true
 }
--- a/internal/policy/suspect/fleet_test.go
+++ b/internal/policy/suspect/fleet_test.go
@@ -22,6 +22,7 @@
 	contactTime = 3 * time.Second
 	knownAfter  = 5 // crashes
 	allowedRuns = 3 // after the notice
+	tellTick    = 6
 	compareTick = 10
 	keepTick    = 5
 )
@@ -128,7 +129,6 @@
 		owner := f.owner(&verdict.Ban, member)
 		evidence, granted := f.members[owner].tracker.Grant(f.now(), id, &candidate)
 		f.keep(owner)
-		f.tell(owner, evidence)
 		m.tracker.Merge(f.now(), evidence)
 		if !granted {
 			return false
@@ -167,10 +167,10 @@
 	if !run.settled {
 		failure.Parts = run.candidate.Parts
 	}
-	f.tell(run.member, m.tracker.RecordFailure(f.now(), failure))
+	m.tracker.RecordFailure(f.now(), failure)
 	if crash {
 		failure.Crash = true
-		f.tell(run.member, m.tracker.RecordFailure(f.now(), failure))
+		m.tracker.RecordFailure(f.now(), failure)
 	}
 }
 
@@ -194,7 +194,7 @@
 			done := f.tick >= run.ends
 			if done || !run.settled && f.tick-run.begins >= ticks(Probation) {
 				run.settled = true
-				f.tell(run.member, m.tracker.RecordSuccess(f.now(), &run.candidate))
+				m.tracker.RecordSuccess(f.now(), &run.candidate)
 			}
 			return done
 		})
@@ -222,6 +222,9 @@
 		return true
 	})
 	for i, m := range f.members {
+		if (f.tick+i)%tellTick == 0 {
+			f.tell(i, m.tracker.News(f.now()))
+		}
 		if (f.tick+i)%compareTick != 0 || f.cut(i) {
 			continue
 		}
--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -13,7 +13,7 @@
 const (
 	// settleTime is how long a crash waits for the runs that began well meanwhile to be
 	// known before it counts against a part.
-	settleTime = 300 * time.Millisecond
+	settleTime = 500 * time.Millisecond
 	// failureTTL is how long a failure counts that no ban rests on.
 	failureTTL = 10 * time.Minute
 	// banTTL is how long one counts that a ban rests on. The last trials of a ban are
@@ -30,6 +30,9 @@
 	// exportedFailures is how many of the last failures are told to a process that may
 	// know none, besides those that bans rest on.
 	exportedFailures = 48
+	// maxNews bounds what waits to be told to the other processes, of each kind. They learn
+	// of the rest when they compare what they know.
+	maxNews = 256
 	// maxParts bounds the parts of a request that are looked at.
 	maxParts = 64
 )
@@ -126,6 +129,7 @@
 	successes generations
 	trials    map[string]Trial
 	expired   time.Time // when what is too old was last dropped
+	news      news
 
 	bans      []Ban
 	told      []Ban     // as Changes last returned them
@@ -134,6 +138,24 @@
 	settled   bool      // no failure was too young to count then
 }
 
+// news is what the other processes are to be told.
+type news struct {
+	failures  map[string]struct{} // IDs
+	successes map[Fingerprint]struct{}
+	trials    map[string]struct{} // IDs
+	told      generations         // when a success was last told, by any process
+}
+
+// note adds a key to a set of news.
+func note[K comparable](set *map[K]struct{}, key K) {
+	if *set == nil {
+		*set = make(map[K]struct{})
+	}
+	if len(*set) < maxNews {
+		(*set)[key] = struct{}{}
+	}
+}
+
 // generations keeps the last success of subjects, bounded: the older generation is dropped
 // when the newer is full.
 type generations struct {
@@ -164,30 +186,65 @@
 // Empty reports whether no failures are known.
 func (t *Tracker) Empty() bool { return len(t.failures) == 0 }
 
-// RecordFailure takes in a failure of this process. The result is to be sent to the
-// other processes. A second record with the same ID can only add that it was a crash.
-func (t *Tracker) RecordFailure(now time.Time, failure Failure) Evidence {
+// RecordFailure takes in a failure of this process. A second record with the same ID can
+// only add that it was a crash.
+func (t *Tracker) RecordFailure(now time.Time, failure Failure) {
 	failure.Age = 0
-	if known := t.failures[failure.ID]; known != nil {
-		failure.Age = Age(now.Sub(known.at))
-	}
-	failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
-	evidence := Evidence{Failures: []Failure{failure}}
-	t.Merge(now, evidence)
+	t.Merge(now, Evidence{Failures: []Failure{failure}})
 	t.evaluated = time.Time{}
-	return evidence
+	note(&t.news.failures, failure.ID)
 }
 
-// RecordSuccess takes in that an attempt of this process ran well. The result, if there
-// is any, is to be sent to the other processes.
-func (t *Tracker) RecordSuccess(now time.Time, c *Candidate) Evidence {
-	var evidence Evidence
+// RecordSuccess takes in that an attempt of this process ran well.
+func (t *Tracker) RecordSuccess(now time.Time, c *Candidate) {
 	c.subjects(func(subject Fingerprint) {
-		if t.lastFailure(subject).After(t.successes.last(subject)) {
-			evidence.Successes = append(evidence.Successes, Success{Subject: subject})
+		if t.matters(subject) {
+			note(&t.news.successes, subject)
 		}
 		t.recordSuccess(subject, now)
 	})
+}
+
+// matters reports whether the other processes are to be told of a subject's success: for
+// all that they know, it may be banned soon.
+func (t *Tracker) matters(subject Fingerprint) bool {
+	told := t.news.told.last(subject)
+	crashes := 0
+	last := make(map[string]time.Time) // by server
+	for _, failure := range t.bySubject[subject] {
+		before, found := last[failure.Server]
+		if !failure.at.After(told) || found && failure.at.Sub(before).Abs() < incidentTime {
+			continue
+		}
+		last[failure.Server] = failure.at
+		if crashes++; subject == failure.Request || crashes >= partThreshold-1 {
+			return true
+		}
+	}
+	return false
+}
+
+// News returns what the other processes are to be told since it was last called.
+func (t *Tracker) News(now time.Time) Evidence {
+	var evidence Evidence
+	for id := range t.news.failures {
+		if failure := t.failures[id]; failure != nil {
+			told := *failure
+			told.Age = Age(now.Sub(failure.at))
+			evidence.Failures = append(evidence.Failures, told)
+		}
+	}
+	for subject := range t.news.successes {
+		evidence.Successes = append(evidence.Successes, Success{Subject: subject, Age: Age(now.Sub(t.successes.last(subject)))})
+		t.news.told.set(subject, now)
+	}
+	for id := range t.news.trials {
+		if trial, found := t.trials[id]; found {
+			trial.Age = Age(now.Sub(trial.at))
+			evidence.Trials = append(evidence.Trials, trial)
+		}
+	}
+	t.news.failures, t.news.successes, t.news.trials = nil, nil, nil
 	return evidence
 }
 
@@ -200,17 +257,6 @@
 	}
 }
 
-// lastFailure returns the time of a subject's last failure; zero if none is known.
-func (t *Tracker) lastFailure(subject Fingerprint) time.Time {
-	var last time.Time
-	for _, failure := range t.bySubject[subject] {
-		if failure.at.After(last) {
-			last = failure.at
-		}
-	}
-	return last
-}
-
 // subjects calls a function with each subject that the failure counts against.
 func (f *Failure) subjects(visit func(subject Fingerprint)) {
 	if f.Crash {
@@ -228,7 +274,10 @@
 func (t *Tracker) Merge(now time.Time, evidence Evidence) Evidence {
 	for i := range evidence.Successes {
 		success := &evidence.Successes[i]
-		t.recordSuccess(success.Subject, now.Add(-success.Age.duration()))
+		at := now.Add(-success.Age.duration())
+		t.recordSuccess(success.Subject, at)
+		t.news.told.set(success.Subject, at)
+		delete(t.news.successes, success.Subject)
 	}
 	var reply Evidence
 	for i := range evidence.Failures {
--- a/internal/policy/suspect/tracker_test.go
+++ b/internal/policy/suspect/tracker_test.go
@@ -278,8 +278,9 @@
 	require.Len(t, tracker.failures, maxFailures)
 	require.LessOrEqual(t, len(tracker.successes.newer)+len(tracker.successes.older), 2*maxSubjects)
 	many := make([]Fingerprint, 2*maxParts)
-	evidence := tracker.RecordFailure(noon, Failure{ID: "many", Parts: many})
-	require.Len(t, evidence.Failures[0].Parts, maxParts)
+	tracker.RecordFailure(noon.Add(time.Second), Failure{ID: "many", Parts: many})
+	require.Len(t, tracker.failures["many"].Parts, maxParts)
+	require.LessOrEqual(t, len(tracker.News(noon).Failures), maxNews)
 }
 
 // Processes that exchange all evidence decide alike, in whatever order and however often it
@@ -321,3 +322,31 @@
 		require.Equal(t, one.Bans(now), late.Bans(now), "a process that is told what another one knows")
 	})
 }
+
+// After a crash, only a success that others may lack is told: that of a part that crashes
+// have come close to a ban, once by one process, and that of a request that had failed.
+func TestSuccessIsToldWhereItMatters(t *testing.T) {
+	var one, other Tracker
+	course := crashes(1, 7)
+	well := Candidate{Workspace: "w1", Parts: parts(1)}
+	for i := range partThreshold - 2 {
+		course[i].take(&one, i)
+	}
+	one.RecordSuccess(after(1.5), &well)
+	require.Empty(t, one.News(after(1.5)).Successes)
+	course[partThreshold-2].take(&one, partThreshold-2)
+	one.RecordSuccess(after(3), &well)
+	other.Merge(after(3), one.Export(after(3)))
+	other.RecordSuccess(after(3.1), &well)
+	told := one.News(after(3.1))
+	require.Equal(t, part(1), told.Successes[0].Subject)
+	require.Len(t, told.Successes, 1)
+	other.Merge(after(3.2), told)
+	require.Empty(t, other.News(after(3.3)).Successes, "another process has told it")
+	one.RecordSuccess(after(4), &well)
+	require.Empty(t, one.News(after(4)).Successes, "nothing has happened since")
+
+	one.RecordFailure(after(5), Failure{ID: "x", Server: "x", Request: crashing})
+	one.RecordSuccess(after(6), &Candidate{Request: crashing})
+	require.Equal(t, crashing, one.News(after(6)).Successes[0].Subject)
+}
--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -17,7 +17,7 @@
 
 const (
 	// crashPause is kept between two messages on crashes.
-	crashPause = 100 * time.Millisecond
+	crashPause = 300 * time.Millisecond
 	// compareInterval is how often a process that knows of crashes, or has just started,
 	// compares what it knows with another one.
 	compareInterval = 500 * time.Millisecond
@@ -110,13 +110,18 @@
 func (p *Front) tellCrashes(ctx context.Context) error {
 	for ctx.Err() == nil {
 		pause.For(ctx, crashPause)
-		evidence := p.front.Untold()
+		evidence := p.front.Untold(time.Now())
 		if evidence.Empty() {
 			continue
 		}
+		// Encoded once for all.
+		params, err := json.Marshal(crashParams{Evidence: evidence})
+		if err != nil {
+			return errors.WithStack(err)
+		}
 		p.eachPeer(time.Now(), func(process string) error {
 			var reply crashResult
-			if err := p.peers.call(ctx, process, callCrashes, crashParams{Evidence: evidence}, &reply); err != nil {
+			if err := p.peers.call(ctx, process, callCrashes, json.RawMessage(params), &reply); err != nil {
 				return err
 			}
 			p.front.Told(time.Now(), reply.Evidence)
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -19,8 +19,6 @@
 )
 
 const (
-	// maxUntold bounds what waits to be told to the other processes.
-	maxUntold = 256
 	// lookDelay is how long after a lost connection its server is looked at: a process
 	// that ends may close its connections before its port.
 	lookDelay = 20 * time.Millisecond
@@ -36,7 +34,6 @@
 type suspects struct {
 	mutex   sync.Mutex
 	tracker suspect.Tracker
-	untold  suspect.Evidence
 	calls   map[*call]*openCall
 	looks   map[string]*look
 }
@@ -55,12 +52,10 @@
 }
 
 // Untold returns the evidence on crashes since it was last asked, for the other processes.
-func (f *Front) Untold() suspect.Evidence {
+func (f *Front) Untold(now time.Time) suspect.Evidence {
 	f.suspects.mutex.Lock()
 	defer f.suspects.mutex.Unlock()
-	untold := f.suspects.untold
-	f.suspects.untold = suspect.Evidence{}
-	return untold
+	return f.suspects.tracker.News(now)
 }
 
 // Told takes in evidence of another process. It returns what that one doesn't know.
@@ -98,19 +93,7 @@
 	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	evidence, granted := s.tracker.Grant(now, id, candidate)
-	s.tell(evidence)
-	return evidence, granted
-}
-
-// tell adds evidence to what the other processes are told. The lock is held.
-func (s *suspects) tell(evidence suspect.Evidence) {
-	if len(s.untold.Failures)+len(s.untold.Successes)+len(s.untold.Trials) >= maxUntold {
-		return // the processes compare what they know
-	}
-	s.untold.Failures = append(s.untold.Failures, evidence.Failures...)
-	s.untold.Successes = append(s.untold.Successes, evidence.Successes...)
-	s.untold.Trials = append(s.untold.Trials, evidence.Trials...)
+	return s.tracker.Grant(now, id, candidate)
 }
 
 // addCall notes a call that waits or runs, so that a ban can end it.
@@ -245,7 +228,7 @@
 	candidate := c.candidate(partsOnly || empty)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.tell(s.tracker.RecordSuccess(now, &candidate))
+	s.tracker.RecordSuccess(now, &candidate)
 }
 
 // ended takes in how an attempt ended: a break speaks against the request, an answer for
@@ -286,12 +269,12 @@
 	}()
 }
 
-// recordFailure records a failure and has it told.
+// recordFailure records a failure.
 func (f *Front) recordFailure(now time.Time, failure suspect.Failure) {
 	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.tell(s.tracker.RecordFailure(now, failure))
+	s.tracker.RecordFailure(now, failure)
 }
 
 // isDown says whether a backend server that has closed a connection takes no new ones. All
