Look for suspects without a lock while none are known

A process that knew nothing counts evidence at once (TestBanOutlivesAllFronts failed once in three: a request came within the 50 ms for which bans are not computed anew). Successes are answered once a part and message; fingerprints of parts are taken once a call; while nothing is known, a call takes no lock to ask.

--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -280,13 +280,15 @@
 		delete(t.news.successes, success.Subject)
 	}
 	var reply Evidence
+	replied := make(map[Fingerprint]bool)
 	for i := range evidence.Failures {
 		failure := t.add(now, evidence.Failures[i])
 		if failure == nil {
 			continue
 		}
 		failure.subjects(func(subject Fingerprint) {
-			if last := t.successes.last(subject); last.After(failure.at) {
+			if last := t.successes.last(subject); last.After(failure.at) && !replied[subject] {
+				replied[subject] = true
 				reply.Successes = append(reply.Successes, Success{Subject: subject, Age: Age(now.Sub(last))})
 			}
 		})
@@ -315,9 +317,10 @@
 		failure.held, failure.kept = known.held, known.kept
 		t.remove(known)
 	}
-	if t.failures == nil {
+	if len(t.failures) == 0 {
 		t.failures = make(map[string]*Failure)
 		t.bySubject = make(map[Fingerprint][]*Failure)
+		t.evaluated = time.Time{} // a process that knew nothing waits for nothing
 	}
 	t.failures[failure.ID] = &failure
 	failure.subjects(func(subject Fingerprint) { t.bySubject[subject] = append(t.bySubject[subject], &failure) })
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -84,7 +84,9 @@
 	trial     bool                 // it is the trial of a ban
 	attempts  int                  // that were begun, for their names
 	print     *suspect.Fingerprint // once it has been taken
-	fetch     netip.AddrPort       // where the attempt's backend server may fetch parts of the prompt
+	parts     []suspect.Fingerprint
+	partsOf   string         // the pool that parts are of
+	fetch     netip.AddrPort // where the attempt's backend server may fetch parts of the prompt
 	trail     trail.Trail
 	limitWait bool     // its deadline is that of a wait for a server's limit
 	waited    bool     // it was not given a backend server at once
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,6 +33,9 @@
 
 // suspects knows which requests, and which parts of prompts, crash backend servers.
 type suspects struct {
+	// known says whether the tracker knows of any failure.
+	known atomic.Bool
+
 	mutex   sync.Mutex
 	tracker suspect.Tracker
 	calls   map[*call]*openCall
@@ -62,6 +66,7 @@
 func (f *Front) Told(now time.Time, evidence suspect.Evidence) suspect.Evidence {
 	f.suspects.mutex.Lock()
 	defer f.suspects.mutex.Unlock()
+	defer f.suspects.setKnown()
 	return f.suspects.tracker.Merge(now, evidence)
 }
 
@@ -96,6 +101,9 @@
 	return s.tracker.Grant(now, id, candidate)
 }
 
+// setKnown sets known. The lock is held.
+func (s *suspects) setKnown() { s.known.Store(!s.tracker.Empty()) }
+
 // addCall notes a call that waits or runs, so that a ban can end it.
 func (s *suspects) addCall(c *call) {
 	candidate := c.candidate(true)
@@ -126,10 +134,13 @@
 // parts only. The fingerprint of the whole is taken only while anything is known of any
 // request, as that takes time for a long body.
 func (c *call) candidate(partsOnly bool) suspect.Candidate {
-	candidate := suspect.Candidate{Workspace: c.request.Workspace}
-	for i := 0; i < len(c.request.Parts)-1; i++ {
-		candidate.Parts = append(candidate.Parts, suspect.PartFingerprint(c.request.Pool, c.request.Parts[i].ID))
+	if c.partsOf != c.request.Pool {
+		c.parts, c.partsOf = nil, c.request.Pool
+		for i := 0; i < len(c.request.Parts)-1; i++ {
+			c.parts = append(c.parts, suspect.PartFingerprint(c.request.Pool, c.request.Parts[i].ID))
+		}
 	}
+	candidate := suspect.Candidate{Workspace: c.request.Workspace, Parts: c.parts}
 	if !partsOnly {
 		candidate.Request = c.fingerprint()
 	}
@@ -153,10 +164,7 @@
 // verdict says what may be done with a call.
 func (c *call) verdict(now time.Time) suspect.Verdict {
 	s := &c.front.suspects
-	s.mutex.Lock()
-	empty := s.tracker.Empty()
-	s.mutex.Unlock()
-	if empty {
+	if !s.known.Load() {
 		return suspect.Verdict{State: suspect.Clean}
 	}
 	candidate := c.candidate(false)
@@ -222,10 +230,7 @@
 // succeeded takes in that the attempt has run well, as far as its parts or to its end.
 func (c *call) succeeded(now time.Time, partsOnly bool) {
 	s := &c.front.suspects
-	s.mutex.Lock()
-	empty := s.tracker.Empty()
-	s.mutex.Unlock()
-	candidate := c.candidate(partsOnly || empty)
+	candidate := c.candidate(partsOnly || !s.known.Load())
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.tracker.RecordSuccess(now, &candidate)
@@ -275,6 +280,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.tracker.RecordFailure(now, failure)
+	s.setKnown()
 }
 
 // isDown says whether a backend server that has closed a connection takes no new ones. All
@@ -315,7 +321,11 @@
 	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !s.known.Load() {
+		return
+	}
 	begun, ended := s.tracker.Changes(now)
+	defer s.setKnown()
 	for i := range begun {
 		f.logBan(event.BanBegan, &begun[i])
 	}
