Log software versions, and which stream a request takes up

Callers saw streams joined from two software versions, and the logs could not tell whether a caller's take-up went to another version or a server's version had changed unnoticed.

Line 304 now has `resumes` and `after`, what a caller that takes a stream up states; 305 and 405 to 408 have `software`, the version that the server's entry names. Decisions of a request that takes a stream up are always written.

--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -93,7 +93,7 @@
 	for _, notice := range notices {
 		if told, found := serverEvents[notice.Kind]; found {
 			p.Log.Write(told, zap.String("server", notice.Server.ID), zap.String("service", notice.Server.Service),
-				zap.Stringer("address", notice.Server.Address), zap.String("centre", notice.Server.Centre))
+				zap.Stringer("address", notice.Server.Address), zap.String("centre", notice.Server.Centre), zap.String("software", notice.Server.Version))
 		}
 		if notice.Kind == servers.Removed || notice.Kind == servers.Restarted {
 			p.front.Upstream.Forget(notice.Server.Address)
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -173,7 +173,7 @@
 		c.front.Metrics.Prompt(c.request.Pool, choice.UnreadTokens, c.request.PromptTokens-choice.UnreadTokens)
 	}
 	c.fetch = c.front.address(c.request.Pool, choice.FetchFrom)
-	c.trail.Write(event.Placed, now, zap.String("server", replica.Name), zap.String("centre", replica.Centre),
+	c.trail.Write(event.Placed, now, zap.String("server", replica.Name), zap.String("software", replica.Version), zap.String("centre", replica.Centre),
 		zap.Duration("first", choice.TimeToFirstToken), zap.Int("unread", choice.UnreadTokens), zap.Int("ahead", choice.BacklogTokens), zap.Int("open", choice.OpenRequests),
 		zap.Float64("speed", choice.Slowdown), zap.Bool("reader", choice.TakesLongPrompts), zap.Duration("age", choice.PeerLoadAge), zap.Int("of", choice.Replicas), zap.Bool("limited", choice.Limited),
 		zap.String("fetch", choice.FetchFrom))
@@ -385,7 +385,7 @@
 		late := c.late()
 		c.trail.Write(event.Answered, now, zap.Int("status", c.status), zap.Duration("first", c.first), zap.Duration("pause", c.longest),
 			zap.Int("events", c.events), zap.Int("sent", c.sent+1), zap.Bool("late", late))
-		c.close(now, chicoryrock.OutcomeServed, chicoryrock.ReasonNone, late || c.sent > 0 || c.waited)
+		c.close(now, chicoryrock.OutcomeServed, chicoryrock.ReasonNone, late || c.sent > 0 || c.waited || c.ask.LastEvent != "")
 	case c.r.Context().Err() != nil || errors.Is(err, errCallerGone):
 		c.front.served.left.Add(1)
 		c.trail.Write(event.Cancelled, now, zap.Int("sent", c.sent), zap.Int("events", c.events), event.Cause(err))
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -202,6 +202,7 @@
 			Slots:     s.Slots,
 			Leaving:   s.Leaving,
 			ColdUntil: cold[this],
+			Version:   s.Version,
 		})
 	}
 	f.cold = cold
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -118,7 +118,8 @@
 	c.trail = f.trails.Begin(now, c.ask.ID)
 	c.trail.Write(event.Accepted, now, zap.String("route", c.route.Name), zap.String("service", c.request.Pool),
 		zap.String("workspace", c.request.Workspace), zap.Int("tier", c.request.Tier), zap.Int("prompt", c.request.PromptTokens),
-		zap.Duration("patience", c.ask.Timeout), zap.Uint64("version", table.Version), zap.String("parts", sharedParts(c.request.Parts)))
+		zap.Duration("patience", c.ask.Timeout), zap.Uint64("version", table.Version), zap.String("parts", sharedParts(c.request.Parts)),
+		zap.String("resumes", c.ask.Resumes), zap.String("after", c.ask.LastEvent))
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.until)
 	defer cancel()
 	ctx, stop := context.WithCancelCause(ctx)
--- a/platform.go
+++ b/platform.go
@@ -150,4 +150,5 @@
 	ColdFor   time.Duration  `json:"Cold"`    // how long it will still be slow; nanoseconds in JSON
 	StartedMs int64          `json:"Born"`    // start time, milliseconds since 1970; zero if not stated
 	Heartbeat uint64         `json:"Beat"`    // grows while the server is alive
+	Version   string         `json:"Version"` // of its software; empty if not stated
 }
--- a/request.go
+++ b/request.go
@@ -53,6 +53,7 @@
 	RunsSuspect bool      // gets no other suspect until this entry's suspect there has ended or its probation is over
 	SlowStart   bool      // joined while this entry was running; its share of the work ramps up
 	ColdUntil   time.Time // slow until then, by its own report; zero if not cold
+	Version     string    // of its software; empty if not known
 }
 
 // Load is the load that an agent reports with every answer.
@@ -141,6 +142,8 @@
 	MaxOutputTokens  int           // longest possible answer
 	OutputTokensHint int           // the caller's estimate of the answer's length; zero if not stated
 	Parts            []Part
+	LastEvent        string // ID of the last event that the caller has of a stream that it takes up; empty for a new request
+	Resumes          string // ID of the request that brought the stream's first event; empty if not stated
 }
 
 // CachedPrefix states that a backend server has prefilled the parts that a
