--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -40,6 +40,8 @@
 	chicoryrock.ReasonServerLimit:    "More backend servers of the pool would have let it in, or the same ones once they state no limit.",
 	chicoryrock.ReasonQueueFull:      "More backend servers, or fewer requests at that moment, would have let it in.",
 	chicoryrock.ReasonNoServer:       "A backend server that could be reached in the route's pools would have served it.",
+	chicoryrock.ReasonVersionUnknown: "It would have gone on where the store could be read, or where the front that began it had lived for a moment longer; the whole request can be sent again.",
+	chicoryrock.ReasonVersionGone:    "A backend server with the software version of event 318 would have gone on with it; the whole request can be sent again.",
 	chicoryrock.ReasonCrashPart:      "A prompt without that part would have been served; event 313 names it. Look at what it does to the backend servers.",
 	chicoryrock.ReasonSuspect:        "A different request would have been served; look at what this one does to the backend servers.",
 	chicoryrock.ReasonClaimed:        "The first request with this key decides; a new call needs a new idempotency key.",
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -69,6 +69,12 @@
 	return slices.Clone(d.pool(poolName).replicas)
 }
 
+// ReplicasFor returns a copy of this entry's view of the replicas that may take a request.
+func (d *Dispatcher) ReplicasFor(request *chicoryrock.Request) []chicoryrock.Replica {
+	replicas := d.Replicas(request.Pool)
+	return slices.DeleteFunc(replicas, func(r chicoryrock.Replica) bool { return !mayTake(&r, request) })
+}
+
 // Address returns the address of a replica, or the zero value for one that is
 // unknown or leaving.
 func (d *Dispatcher) Address(poolName, replica string) netip.AddrPort {
@@ -86,12 +92,34 @@
 	})
 }
 
+// Unservable returns the reason for refusing a request that no replica of its pool will
+// take, or ReasonNone.
+func (d *Dispatcher) Unservable(request *chicoryrock.Request) chicoryrock.Reason {
+	if !d.Available(request.Pool) {
+		return chicoryrock.ReasonNoServer
+	}
+	if request.Version != "" && !slices.ContainsFunc(d.pool(request.Pool).replicas, func(r chicoryrock.Replica) bool {
+		return !r.Leaving && mayTake(&r, request)
+	}) {
+		return chicoryrock.ReasonVersionGone
+	}
+	return chicoryrock.ReasonNone
+}
+
+// mayTake reports whether a replica's software may run a request.
+func mayTake(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
+	if request.Version != "" {
+		return replica.Version == request.Version
+	}
+	return !request.Resumable || !replica.Unlisted
+}
+
 // Enqueue adds a request to its pool's queue, or returns the reason for refusing
 // it. A full queue may drop a waiting request instead, which is returned and must be
 // refused with ReasonQueueFull at once.
 func (d *Dispatcher) Enqueue(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
-	if !d.Available(request.Pool) {
-		return nil, chicoryrock.ReasonNoServer
+	if reason := d.Unservable(request); reason != chicoryrock.ReasonNone {
+		return nil, reason
 	}
 	p := d.pool(request.Pool)
 	if request.Suspect {
@@ -240,45 +268,78 @@
 }
 
 // grant pops requests as long as the picker finds a replica for them. The first
-// request for which it finds none stays at the head of the queue until the next call.
+// request for which it finds none stays at the head of the queue until the next call,
+// but one that only some replicas may take doesn't block those behind it.
 func (p *pool) grant(now time.Time, picker chicoryrock.Picker, grants []Grant) []Grant {
 	p.expireFullReports(now)
 	grants = p.grantSuspects(now, picker, grants)
+	var passed []*chicoryrock.Request
 	for p.queue.Len() > 0 {
 		request, found := p.queue.Peek(now)
 		if !found {
 			break
 		}
 		index, free := p.pick(now, picker, request)
-		if !free {
+		if !free && !p.excludesAny(request) {
 			break
 		}
 		request, _ = p.queue.Pop(now)
+		if !free {
+			passed = append(passed, request)
+			continue
+		}
 		p.replicas[index].Open++
 		grants = append(grants, Grant{Request: request, Replica: p.replicas[index]})
 	}
+	for _, request := range passed {
+		p.queue.Requeue(now, request)
+	}
 	return grants
 }
 
+// excludesAny reports whether some replica of the pool may not take a request.
+func (p *pool) excludesAny(request *chicoryrock.Request) bool {
+	for i := range p.replicas {
+		if !mayTake(&p.replicas[i], request) {
+			return true
+		}
+	}
+	return false
+}
+
 // pick returns the index of the replica that the picker chooses. Replicas that have
 // not failed this request yet are preferred.
 func (p *pool) pick(now time.Time, picker chicoryrock.Picker, request *chicoryrock.Request) (int, bool) {
 	failed := p.failedReplicas[request.ID]
-	if len(failed) == 0 {
-		return picker.Pick(now, request, p.replicas)
+	if len(failed) > 0 {
+		index, free := p.pickAmong(now, picker, request, func(r *chicoryrock.Replica) bool {
+			return mayTake(r, request) && !slices.Contains(failed, r.Name)
+		})
+		if free {
+			return index, true
+		}
+	}
+	if p.excludesAny(request) {
+		return p.pickAmong(now, picker, request, func(r *chicoryrock.Replica) bool { return mayTake(r, request) })
 	}
-	untried := make([]chicoryrock.Replica, 0, len(p.replicas))
+	return picker.Pick(now, request, p.replicas)
+}
+
+// pickAmong is pick among the replicas that a function chooses.
+func (p *pool) pickAmong(now time.Time, picker chicoryrock.Picker, request *chicoryrock.Request, among func(*chicoryrock.Replica) bool) (int, bool) {
+	chosen := make([]chicoryrock.Replica, 0, len(p.replicas))
 	indices := make([]int, 0, len(p.replicas))
 	for i := range p.replicas {
-		if !slices.Contains(failed, p.replicas[i].Name) {
-			untried = append(untried, p.replicas[i])
+		if among(&p.replicas[i]) {
+			chosen = append(chosen, p.replicas[i])
 			indices = append(indices, i)
 		}
 	}
-	if index, free := picker.Pick(now, request, untried); free {
-		return indices[index], true
+	index, free := picker.Pick(now, request, chosen)
+	if !free {
+		return 0, false
 	}
-	return picker.Pick(now, request, p.replicas)
+	return indices[index], true
 }
 
 // expireFullReports frees one slot, in this entry's view, of each replica whose last
--- a/internal/policy/dispatch/suspects.go
+++ b/internal/policy/dispatch/suspects.go
@@ -106,6 +106,9 @@
 			continue
 		}
 		index, free := p.pick(now, picker, request)
+		if !free && p.excludesAny(request) {
+			continue
+		}
 		if !free {
 			break
 		}
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +18,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
 	"github.com/chicoryrock/chicoryrock/internal/serve/peer"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
+	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/servers"
 )
 
@@ -48,8 +51,9 @@
 				p.front.Told(now, evidenceOf(now, outcomes))
 				return true, nil
 			}),
-			callCrashes: peer.Typed(p.heardCrashes),
-			callTrial:   peer.Typed(p.decideTrial),
+			callSoftware: func(context.Context, json.RawMessage) (any, error) { return p.origins.Begins(), nil },
+			callCrashes:  peer.Typed(p.heardCrashes),
+			callTrial:    peer.Typed(p.decideTrial),
 			callSeal: peer.Typed(func(_ context.Context, sealed sealParams) (any, error) {
 				if p.usage != nil {
 					p.usage.Hear(sealed.Window, sealed.Counts)
@@ -227,6 +231,21 @@
 	return nil
 }
 
+// askSoftware asks peers at which software versions streams may begin.
+func (p *Front) askSoftware(ctx context.Context) {
+	now := time.Now()
+	others := slices.DeleteFunc(p.peers.alive(now), func(process string) bool { return process == p.peers.process })
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	p.firstOf(ctx, others, asked, func(ctx context.Context, from string) error {
+		var begins origin.Register
+		if err := p.peers.call(ctx, from, callSoftware, nil, &begins); err != nil {
+			return err
+		}
+		p.origins.Hear(begins)
+		return nil
+	})
+}
+
 func (p *Front) fetchServers(ctx context.Context, from string) error {
 	p.mutex.Lock()
 	known := p.servers.Version()
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -32,6 +32,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/front"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
+	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
@@ -92,7 +93,8 @@
 	// collector writes the counts of other processes with this one's.
 	collector billing.Collector
 	usage     *billing.Reporter // nil without that duty
-	granting  sync.Mutex        // held while a trial of a ban is decided
+	origins   *origins.Origins
+	granting  sync.Mutex // held while a trial of a ban is decided
 	duties    []*duty.Holder
 	read      []byte        // the settings as last read
 	watched   time.Time     // when the store last answered a watch of this process
@@ -144,6 +146,7 @@
 	keep(background, "settings", p.reload)
 	keep(background, "learned", p.remember)
 	keep(background, "bans", p.rememberBans)
+	keep(background, "software versions", p.origins.Run)
 	if p.Scrapes.IsValid() {
 		// Callers are served without metrics too: their failures leave the front ready.
 		aside := &guard.Parts{Log: p.Log}
@@ -174,6 +177,11 @@
 		p.book.Close(closing)
 		stop()
 	}
+	closing, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTime)
+	defer stop()
+	if unsaved := p.origins.Write(closing); unsaved != nil {
+		p.Log.Write(event.OriginUnsaved, zap.Error(unsaved))
+	}
 	p.Log.Write(event.Stopped, zap.String("process", process))
 	return err
 }
@@ -197,6 +205,10 @@
 
 func (p *Front) build() {
 	node := p.Node
+	p.origins = origins.New()
+	p.origins.Store, p.origins.Log = p.store, p.Log
+	p.origins.Members = func() int { return p.front.Members() }
+	p.origins.Changed, p.origins.Ask = p.republish, p.askSoftware
 	p.front = &front.Front{
 		Node: node,
 		Log:  p.Log,
@@ -216,6 +228,7 @@
 		Process: p.peers.process,
 		Trial:   p.askTrial,
 		Sound:   p.parts.Sound,
+		Origins: p.origins,
 	}
 	if node.Bill {
 		p.usage = p.newUsage()
@@ -360,6 +373,7 @@
 		case <-p.restored:
 		}
 		p.book.Restored()
+		p.origins.Restored(time.Now())
 		if p.usage != nil {
 			p.usage.Restored(ctx, time.Now())
 		}
@@ -406,6 +420,12 @@
 	p.metrics.Configuration(table.Version, now)
 	p.Log.Write(event.ConfigTaken, zap.Uint64("version", table.Version), zap.Int("routes", len(table.Routes)),
 		zap.Int("keys", len(table.Keys)), zap.String("from", from))
+	p.republish()
+}
+
+// republish passes the list of backend servers on again after a change of what else is known
+// of them.
+func (p *Front) republish() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.servers.Loaded() {
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -65,15 +65,16 @@
 
 // The calls between processes.
 const (
-	callConfig  = "config"
-	callServers = "servers"
-	callCounts  = "counts"
-	callCollect = "collect"
-	callKeep    = "keep"
-	callNeeds   = "needs"
-	callCrashes = "crashes"
-	callTrial   = "trial"
-	callSeal    = "seal"
+	callConfig   = "config"
+	callServers  = "servers"
+	callCounts   = "counts"
+	callCollect  = "collect"
+	callKeep     = "keep"
+	callNeeds    = "needs"
+	callCrashes  = "crashes"
+	callTrial    = "trial"
+	callSeal     = "seal"
+	callSoftware = "software"
 	// callBreaks is used by processes of former builds.
 	callBreaks = "breaks"
 )
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -18,13 +18,15 @@
 const lapseInterval = 250 * time.Millisecond
 
 func (p *Front) heardServers(now time.Time) {
+	p.origins.ListHeard(now)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.servers.StoreAnswered(now)
 	p.watched = now
 }
 
-func (p *Front) lostServers(time.Time) {
+func (p *Front) lostServers(now time.Time) {
+	p.origins.ListLost(now)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.servers.StoreFailed()
--- a/internal/serve/assembly/software_test.go
+++ b/internal/serve/assembly/software_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/standin/store"
 	"github.com/chicoryrock/chicoryrock/platform"
 	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
@@ -228,3 +229,80 @@
 	}
 	require.GreaterOrEqual(t, 2*whole, streams)
 }
+
+// Where it can't be found out which version began a stream, the stream doesn't go on, and
+// its caller learns at once that nothing has run. With one version there is nothing to find
+// out.
+func TestStreamsOfUnknownOriginAreRefused(t *testing.T) {
+	cases := []struct {
+		name     string
+		versions []string
+		change   func(d *deployment)
+		began    string // as the caller names it
+		reason   chicoryrock.Reason
+	}{
+		{"one version", []string{"v1", "v1"}, nil, "nobody-knows", chicoryrock.ReasonNone},
+		{"one version, began by none", []string{"v1", "v1"}, nil, "", chicoryrock.ReasonNone},
+		{"two versions", []string{"v1", "v2"}, nil, "nobody-knows", chicoryrock.ReasonVersionUnknown},
+		{"two versions, began by none", []string{"v1", "v2"}, nil, "", chicoryrock.ReasonVersionUnknown},
+		{"no version named", []string{"", ""}, nil, "nobody-knows", chicoryrock.ReasonVersionUnknown},
+		{"one version, store lost", []string{"v1", "v1"}, func(d *deployment) { d.server.Switch(store.Switches{Outage: true}) }, "nobody-knows", chicoryrock.ReasonVersionUnknown},
+		{"store back from a copy", []string{"v1", "v1"}, func(d *deployment) {
+			d.server.Copy()
+			d.server.Restore()
+		}, "nobody-knows", chicoryrock.ReasonVersionUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t)
+			d.configure(2, "k1")
+			var servers []*backend
+			for i, version := range c.versions {
+				servers = append(servers, d.addVersion(fmt.Sprintf("i-%d", i), version, versioned(version, 6, never)))
+			}
+			d.settle(2, len(servers))
+			d.begin("known", 2)
+			require.Eventually(t, func() bool {
+				return !slices.ContainsFunc(c.versions, func(version string) bool { return !d.front.origins.MayBegin("llm", version) })
+			}, waitTime, time.Millisecond)
+			if c.change != nil {
+				c.change(d)
+			}
+			got := d.takeUp("taken", c.began, 2)
+			if c.reason == chicoryrock.ReasonNone {
+				require.Equal(t, http.StatusOK, got.status)
+				_, events := versionsOf(got.body)
+				require.Equal(t, 4, events)
+				return
+			}
+			require.Equal(t, http.StatusServiceUnavailable, got.status)
+			require.Contains(t, got.body, c.reason.Sentence())
+			for _, b := range servers {
+				require.Zero(t, b.ran("taken"))
+			}
+			if c.versions[0] != "" && c.change != nil {
+				require.Equal(t, http.StatusOK, d.takeUp("own", "known", 2).status, "the front that began it knows")
+			}
+		})
+	}
+}
+
+// A stream's callers may come back after the route leads to another service, and while both
+// services name a version alike.
+func TestStreamsStayWithTheirService(t *testing.T) {
+	d := deploy(t)
+	d.configure(2, "k1")
+	d.addVersion("i-1", "v1", versioned("llm", 6, never))
+	d.settle(2, 1)
+	d.begin("b", 2)
+	d.configureWith(3, func(config string) string {
+		return strings.Replace(config, `"service":"llm","maxAttempts":2`, `"service":"app","maxAttempts":2`, 1)
+	})
+	moved := d.add("i-2", "app", versioned("app", 6, never))
+	d.settle(3, 2)
+	got := d.takeUp("t", "b", 2)
+	require.Equal(t, http.StatusServiceUnavailable, got.status)
+	require.Contains(t, got.body, chicoryrock.ReasonVersionGone.Sentence())
+	require.Empty(t, got.header.Get("Retry-After"), "coming back is in vain")
+	require.Zero(t, moved.ran("t"))
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -15,11 +15,11 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/ops/trail"
-	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
+	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
@@ -81,6 +81,8 @@
 	gotAt     time.Time            // when its first event came
 	endKnown  bool                 // its answer stated where it ends
 	settled   bool                 // it has run for suspect.Probation
+	software  origin.Software      // of the attempt's backend server
+	origin    origin.Software      // that began the stream; zero before its first event
 	trial     bool                 // it is the trial of a ban
 	attempts  int                  // that were begun, for their names
 	print     *suspect.Fingerprint // once it has been taken
@@ -110,6 +112,10 @@
 	}
 	f.suspects.addCall(c)
 	defer f.suspects.removeCall(c)
+	if err := c.findOrigin(); err != nil {
+		c.end(err)
+		return
+	}
 	f.fresh(c.begin, c.request.Pool)
 	f.asked(c.begin, c.request)
 	if !c.hasRoom(c.begin) {
@@ -189,7 +195,11 @@
 		return &gate.RefusedError{Reason: reason}
 	}
 	c.route, c.workspace = route, workspace
-	if !route.HasService(c.request.Pool) {
+	switch {
+	case route.HasService(c.request.Pool):
+	case c.request.Version != "":
+		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
+	default:
 		return errMoved
 	}
 	return c.maySend()
@@ -215,6 +225,9 @@
 	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.verdict(now).State != suspect.Clean {
 		return false
 	}
+	if c.started && !c.mayGoOn() {
+		return false
+	}
 	c.request.Deadline = c.until
 	if !c.started && !c.hasRoom(now) {
 		return false
@@ -245,6 +258,7 @@
 	sent := time.Now()
 	c.got, c.pause = false, 0
 	c.endKnown, c.settled = false, false
+	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
 	c.attempts++
 	stamp := platform.Stamp{
 		Server:  replica.Name,
@@ -381,6 +395,7 @@
 	now := time.Now()
 	switch {
 	case err == nil:
+		c.streamEnded(now)
 		c.front.served.answered.Add(1)
 		late := c.late()
 		c.trail.Write(event.Answered, now, zap.Int("status", c.status), zap.Duration("first", c.first), zap.Duration("pause", c.longest),
@@ -465,34 +480,3 @@
 	c.close(now, chicoryrock.OutcomeRefused, reason, true)
 	c.front.refuse(c.w, c.ask.ID, reason, wait)
 }
-
-const (
-	// soonest is the least time that a refused caller is sent away: some chunks of
-	// prompts later the engines' state has changed.
-	soonest = 100 * time.Millisecond
-	// spreadShare is by how much of that time callers who are refused together are
-	// spread out.
-	spreadShare = 0.5
-	// returnPart is the part of the time that is left in which callers return; one that
-	// is sent away for longer has given up.
-	returnPart = 3
-)
-
-// wait returns when a refused caller should come back: when there will be room, as
-// far as the placer knows, and spread out by its ID, so that those who were refused
-// together don't return together.
-func (c *call) wait(now time.Time, reason chicoryrock.Reason) time.Duration {
-	if reason.Status() != http.StatusServiceUnavailable && reason.Status() != http.StatusTooManyRequests {
-		return 0
-	}
-	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
-	if reason == chicoryrock.ReasonCrashPart {
-		return longest
-	}
-	room, known := c.front.returns(now, c.request)
-	if !known {
-		return min(c.front.Gate.After(now, c.request), longest)
-	}
-	room = max(room, soonest)
-	return min(room+time.Duration(spreadShare*jitter.Fraction(c.request.ID)*float64(room)), longest)
-}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
+	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/platform"
@@ -77,6 +78,8 @@
 	// Trial asks the process that grants the trials of a ban whether a request may be sent
 	// as one.
 	Trial func(ctx context.Context, ban *suspect.Ban, id string, candidate *suspect.Candidate) bool
+	// Origins knows which software version began each stream.
+	Origins *origins.Origins
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -182,6 +185,7 @@
 			pools[table.Services[i].Name] = nil
 		}
 	}
+	f.Origins.SetServers(now, servers)
 	f.placing.Lock()
 	cold := make(map[boot]time.Time)
 	for i := range servers {
@@ -203,6 +207,7 @@
 			Leaving:   s.Leaving,
 			ColdUntil: cold[this],
 			Version:   s.Version,
+			Unlisted:  !f.Origins.MayBegin(s.Service, s.Version),
 		})
 	}
 	f.cold = cold
@@ -401,7 +406,7 @@
 
 // returns says how long a refused request's caller should wait.
 func (f *Front) returns(now time.Time, request *chicoryrock.Request) (time.Duration, bool) {
-	replicas := f.Gate.Replicas(request.Pool)
+	replicas := f.Gate.ReplicasFor(request)
 	f.placing.Lock()
 	defer f.placing.Unlock()
 	return f.Placer.RecordRefusal(now, request, replicas)
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -255,7 +255,14 @@
 
 // describe says of a call what the decisions need.
 func (c *call) describe(now time.Time, table *routing.Table) *chicoryrock.Request {
-	service := c.route.PickService(jitter.Fraction(c.ask.ID))
+	id := c.ask.ID
+	if c.takesUp() && c.ask.Resumes != "" {
+		id = c.ask.Resumes // so that it goes where the stream began
+	}
+	service := c.route.PickService(jitter.Fraction(id))
+	if c.origin.Service != "" {
+		service = c.origin.Service
+	}
 	target := c.route.TargetLatency
 	if target <= 0 {
 		target = defaultTarget
@@ -270,6 +277,8 @@
 		Deadline:         now.Add(min(time.Duration(holdShare*float64(target)), c.until.Sub(now))),
 		PromptTokens:     c.ask.PromptTokens,
 		Idempotent:       c.route.Retryable(),
+		Version:          c.origin.Version,
+		Resumable:        c.route.Kind == routing.Stream && c.route.Resumable,
 		Parts:            c.ask.Parts,
 		MaxOutputTokens:  c.ask.MaxOutputTokens,
 		FirstTokenTarget: target,
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -90,7 +90,7 @@
 	if !f.knowsLimits() {
 		return true
 	}
-	replicas := f.Gate.Replicas(c.request.Pool)
+	replicas := f.Gate.ReplicasFor(c.request)
 	waiting := f.Gate.Waiting(c.request.Pool)
 	f.placing.Lock()
 	defer f.placing.Unlock()
--- /dev/null
+++ b/internal/serve/front/origin.go
@@ -0,0 +1,59 @@
+package front
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/state/routing"
+)
+
+// takesUp reports whether the caller has a part of the stream that it asks for.
+func (c *call) takesUp() bool { return c.route.Kind == routing.Stream && c.ask.LastEvent != "" }
+
+// findOrigin finds out which software began a stream that its caller takes up, and has the
+// call go on there only. Error: *gate.RefusedError.
+func (c *call) findOrigin() error {
+	if !c.takesUp() {
+		return nil
+	}
+	f := c.front
+	software, err := f.Origins.Find(c.ctx, c.request.Workspace, c.ask.Resumes, c.request.Pool)
+	if err != nil {
+		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
+	}
+	now := time.Now()
+	c.trail.Write(event.OriginFound, now, zap.String("service", software.Service), zap.String("software", software.Version))
+	if !c.route.HasService(software.Service) {
+		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
+	}
+	c.origin = software
+	c.request = c.describe(now, f.Table())
+	return nil
+}
+
+// streamBegan records which software wrote the first event that the caller gets. From here
+// on the stream goes on only there.
+func (c *call) streamBegan(now time.Time) {
+	if !c.request.Resumable && !c.takesUp() {
+		return
+	}
+	c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
+	c.origin = c.software
+	c.request.Version = c.origin.Version
+}
+
+// streamEnded records that the caller has got the whole stream.
+func (c *call) streamEnded(now time.Time) {
+	if c.origin.Version != "" {
+		c.front.Origins.End(now, c.request.Workspace, c.ask.ID)
+	}
+}
+
+// mayGoOn reports whether a stream that broke off may go on at a backend server.
+func (c *call) mayGoOn() bool {
+	return c.origin.Version != "" && c.front.Gate.Servable(c.request)
+}
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -75,6 +75,7 @@
 	c.last = now
 	c.ranOn(now)
 	if !c.started {
+		c.streamBegan(now)
 		c.started = true
 		c.status = answer.Status
 		c.first = now.Sub(c.begin)
--- /dev/null
+++ b/internal/serve/front/wait.go
@@ -0,0 +1,47 @@
+package front
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
+)
+
+const (
+	// soonest is the least time that a refused caller is sent away: some chunks of
+	// prompts later the engines' state has changed.
+	soonest = 100 * time.Millisecond
+	// spreadShare is by how much of that time callers who are refused together are
+	// spread out.
+	spreadShare = 0.5
+	// returnPart is the part of the time that is left in which callers return; one that
+	// is sent away for longer has given up.
+	returnPart = 3
+	// lookAgain is when to come back where the records of streams couldn't be read.
+	lookAgain = 500 * time.Millisecond
+)
+
+// wait returns when a refused caller should come back: when there will be room, as
+// far as the placer knows, and spread out by its ID, so that those who were refused
+// together don't return together.
+func (c *call) wait(now time.Time, reason chicoryrock.Reason) time.Duration {
+	if reason.Status() != http.StatusServiceUnavailable && reason.Status() != http.StatusTooManyRequests {
+		return 0
+	}
+	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
+	switch reason {
+	case chicoryrock.ReasonCrashPart:
+		return longest
+	case chicoryrock.ReasonVersionGone:
+		return 0 // coming back is in vain
+	case chicoryrock.ReasonVersionUnknown:
+		return min(lookAgain, longest)
+	}
+	room, known := c.front.returns(now, c.request)
+	if !known {
+		return min(c.front.Gate.After(now, c.request), longest)
+	}
+	room = max(room, soonest)
+	return min(room+time.Duration(spreadShare*jitter.Fraction(c.request.ID)*float64(room)), longest)
+}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -96,11 +96,32 @@
 	g.mu.Lock()
 	g.dispatcher.Requeue(now, request, failed)
 	wait := g.await(request)
+	g.refuseUnservable(now)
 	g.pump(now)
 	g.mu.Unlock()
 	return g.wait(ctx, request, wait)
 }
 
+// refuseUnservable refuses the waiting requests whose software version has no replica any
+// more. The lock is held.
+func (g *Gate) refuseUnservable(now time.Time) {
+	for request := range g.waiters {
+		if request.Version == "" {
+			continue
+		}
+		if reason := g.dispatcher.Unservable(request); reason != chicoryrock.ReasonNone && g.dispatcher.Cancel(now, request) {
+			g.tell(request, verdict{reason: reason})
+		}
+	}
+}
+
+// Servable reports whether a replica may take a request, now or later.
+func (g *Gate) Servable(request *chicoryrock.Request) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.Unservable(request) == chicoryrock.ReasonNone
+}
+
 func (g *Gate) await(request *chicoryrock.Request) chan verdict {
 	wait := make(chan verdict, 1)
 	g.waiters[request] = wait
@@ -153,6 +174,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.dispatcher.UpdateLoad(now, pool, replica, load)
+	if load.Leaving {
+		g.refuseUnservable(now)
+	}
 	g.pump(now)
 }
 
@@ -193,6 +217,7 @@
 	for name, replicas := range pools {
 		g.dispatcher.SetReplicas(name, replicas)
 	}
+	g.refuseUnservable(now)
 	g.pump(now)
 }
 
@@ -217,6 +242,13 @@
 	return g.dispatcher.Replicas(pool)
 }
 
+// ReplicasFor returns a copy of what is known of the replicas that may take a request.
+func (g *Gate) ReplicasFor(request *chicoryrock.Request) []chicoryrock.Replica {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.ReplicasFor(request)
+}
+
 // Address returns where a replica is reached; the zero value for one that is not
 // known or leaves.
 func (g *Gate) Address(pool, replica string) netip.AddrPort {
--- /dev/null
+++ b/internal/serve/origins/origins.go
@@ -0,0 +1,361 @@
+// Package origins shares among processes, through the store, which software version began
+// each stream; see package origin.
+package origins
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
+	"github.com/chicoryrock/chicoryrock/internal/state/origin"
+)
+
+const (
+	// registerKey is the store's key of the register.
+	registerKey = "software"
+	// recordPrefix begins the keys of the streams' records.
+	recordPrefix = "stream/"
+	// saveInterval is how often records are written.
+	saveInterval = 250 * time.Millisecond
+	// savePerProcess stretches that with the number of processes, so that the calls of all
+	// of them are a small part of what the store takes.
+	savePerProcess = 5 * time.Millisecond
+	// batch is how many records one call writes.
+	batch = 32
+	// findTimeout bounds the time for one lookup, without the wait for records.
+	findTimeout = 600 * time.Millisecond
+	// findPause is kept between two tries of a read.
+	findPause = 50 * time.Millisecond
+	// saveSlack is how long the write of a record takes besides the wait for it.
+	saveSlack = 100 * time.Millisecond
+	// longestPause bounds the wait after failures in a row.
+	longestPause = time.Second
+)
+
+// ErrUnknown says that it isn't known which software version began a stream.
+var ErrUnknown = errors.New("it is not known which software version began the stream")
+
+// Store is the platform's store.
+type Store interface {
+	chicoryrock.TransactionalStore
+	// Era returns how often the store has come back from a copy, as far as is known.
+	Era() uint64
+}
+
+// Origins is what one process knows and shares. Set the exported fields, then call Run.
+type Origins struct {
+	Store Store
+	Log   *event.Log
+	// Members returns how many processes write records.
+	Members func() int
+	// Changed is told that streams may begin at other versions than before.
+	Changed func()
+	// Ask asks other processes for the register, and calls Hear.
+	Ask func(ctx context.Context)
+
+	mutex sync.Mutex
+	wake  chan struct{}
+	book  origin.Book
+}
+
+// New returns what a process knows at its start.
+func New() *Origins { return &Origins{wake: make(chan struct{}, 1)} }
+
+// SetServers takes in the backend servers that are known.
+func (o *Origins) SetServers(now time.Time, servers []chicoryrock.Server) {
+	listed := make([]origin.Software, len(servers))
+	for i := range servers {
+		listed[i] = origin.Software{Service: servers[i].Service, Version: servers[i].Version}
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.SetListed(now, listed)
+	if o.book.Incomplete(now, o.Store.Era()) {
+		o.signal()
+	}
+}
+
+func (o *Origins) signal() {
+	select {
+	case o.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ListLost records that the list of backend servers may not be followed for now.
+func (o *Origins) ListLost(now time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.ListLost(now)
+}
+
+// ListHeard records that the list of backend servers is followed.
+func (o *Origins) ListHeard(now time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.ListHeard(now)
+}
+
+// MayBegin reports whether streams may begin at a version of a service.
+func (o *Origins) MayBegin(service, version string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.book.MayBegin(origin.Software{Service: service, Version: version})
+}
+
+// Begin records that a stream has its first event.
+func (o *Origins) Begin(now time.Time, workspace, id string, software origin.Software) {
+	if id == "" {
+		return
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.Begin(now, origin.KeyOf(workspace, id), software)
+}
+
+// End records that a stream was passed on whole.
+func (o *Origins) End(now time.Time, workspace, id string) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.End(now, origin.KeyOf(workspace, id))
+}
+
+// Begins returns the versions at which this process may begin streams, for other processes.
+func (o *Origins) Begins() origin.Register {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.book.Begins()
+}
+
+// Hear takes in at which versions another process may begin streams.
+func (o *Origins) Hear(told origin.Register) {
+	o.mutex.Lock()
+	news := o.book.Hear(told)
+	o.mutex.Unlock()
+	if news {
+		o.Changed()
+	}
+}
+
+// Restored records that the store has come back from a copy.
+func (o *Origins) Restored(now time.Time) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.Restored(now)
+	o.signal()
+}
+
+// Find returns the software that began a stream of a service. Error: ErrUnknown.
+func (o *Origins) Find(ctx context.Context, workspace, id, service string) (origin.Software, error) {
+	lookup := origin.Lookup{Book: &o.book, Key: origin.KeyOf(workspace, id), Service: service}
+	for {
+		step := o.next(&lookup)
+		switch step {
+		case origin.GoOn:
+			return lookup.Software(), nil
+		case origin.Refuse:
+			return origin.Software{}, errors.WithStack(ErrUnknown)
+		case origin.AwaitRecords:
+			pause.For(ctx, o.interval()+saveSlack)
+			continue
+		}
+		if err := o.read(ctx, step, &lookup); err != nil {
+			o.Log.Write(event.OriginUnread, zap.String("ref", id), zap.Error(err))
+			lookup.Failed()
+		}
+	}
+}
+
+func (o *Origins) next(lookup *origin.Lookup) origin.Step {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return lookup.Next(time.Now())
+}
+
+// read takes a step of a lookup that reads the store. It tries again while the store can't
+// be read.
+func (o *Origins) read(ctx context.Context, step origin.Step, lookup *origin.Lookup) error {
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for {
+		var err error
+		if step == origin.ReadRegister {
+			if _, _, err = o.readRegister(ctx); err == nil {
+				lookup.Read()
+			}
+		} else {
+			err = o.readRecord(ctx, lookup)
+		}
+		if err == nil {
+			return nil
+		}
+		pause.For(ctx, findPause)
+		if ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+func (o *Origins) readRecord(ctx context.Context, lookup *origin.Lookup) error {
+	entry, err := o.Store.Get(ctx, recordPrefix+lookup.Key.String())
+	if errors.Is(err, chicoryrock.ErrNotFound) {
+		lookup.Missed()
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	software, err := origin.ParseValue(entry.Value)
+	if err != nil {
+		o.Log.Write(event.OriginUnread, zap.String("key", entry.Key), zap.Error(err))
+		lookup.Missed()
+		return nil
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	lookup.Found(time.Now(), software)
+	return nil
+}
+
+// readRegister takes in the register, and returns it with its revision as the store has it.
+func (o *Origins) readRegister(ctx context.Context) (origin.Register, uint64, error) {
+	var register origin.Register
+	entry, err := o.Store.Get(ctx, registerKey)
+	era := chicoryrock.RevisionEra(entry.Revision)
+	switch {
+	case errors.Is(err, chicoryrock.ErrNotFound):
+		era = o.Store.Era()
+	case err != nil:
+		return register, 0, err
+	default:
+		if register, err = origin.ParseRegister(entry.Value); err != nil {
+			// What nobody can read is written over, as if versions were missing in it.
+			o.Log.Write(event.OriginUnread, zap.String("key", entry.Key), zap.Error(err))
+			register = origin.Unreadable()
+		}
+	}
+	o.take(register, era)
+	return register, entry.Revision, nil
+}
+
+// take takes in the register as the store has it in an era.
+func (o *Origins) take(register origin.Register, era uint64) {
+	o.mutex.Lock()
+	news := o.book.SetRegister(time.Now(), register, era)
+	o.mutex.Unlock()
+	if news {
+		o.Changed()
+	}
+}
+
+// interval returns how often records are written.
+func (o *Origins) interval() time.Duration {
+	return max(saveInterval, time.Duration(o.Members())*savePerProcess)
+}
+
+// Run keeps the register complete and writes records until the context ends.
+func (o *Origins) Run(ctx context.Context) error {
+	failures := 0
+	for ctx.Err() == nil {
+		o.await(ctx, min(o.interval()<<min(failures, 2), longestPause))
+		if err := o.Write(ctx); err != nil {
+			failures++
+			if ctx.Err() == nil {
+				o.Log.Write(event.OriginUnsaved, zap.Int("failures", failures), zap.Error(err))
+			}
+			if o.incomplete() {
+				o.Ask(ctx)
+			}
+			// A change of the servers alone is no reason to try at once again.
+			pause.For(ctx, findPause)
+			continue
+		}
+		failures = 0
+	}
+	return nil
+}
+
+// await waits until records are to be written, or the register is to be completed.
+func (o *Origins) await(ctx context.Context, longest time.Duration) {
+	timer := time.NewTimer(longest)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-o.wake:
+	}
+}
+
+// Write completes the register and writes the records that the store lacks.
+func (o *Origins) Write(ctx context.Context) error {
+	if err := o.complete(ctx); err != nil {
+		return err
+	}
+	for {
+		now := time.Now()
+		o.mutex.Lock()
+		records := o.book.Unsaved(now, batch)
+		o.mutex.Unlock()
+		if len(records) == 0 {
+			return nil
+		}
+		changes := make([]chicoryrock.Change, len(records))
+		for i := range records {
+			value, err := records[i].Value()
+			if err != nil {
+				return err
+			}
+			changes[i] = chicoryrock.Change{Key: recordPrefix + records[i].Key.String(), Value: value, Unconditional: true, MinTTL: origin.Retention}
+		}
+		if _, err := o.Store.Commit(ctx, changes); err != nil {
+			return err
+		}
+		o.mutex.Lock()
+		o.book.Saved(records)
+		o.mutex.Unlock()
+	}
+}
+
+// complete reads and writes the register until it is as it should be.
+func (o *Origins) complete(ctx context.Context) error {
+	for o.incomplete() {
+		stored, revision, err := o.readRegister(ctx)
+		if err != nil {
+			return err
+		}
+		era := o.Store.Era()
+		o.mutex.Lock()
+		next, changed := o.book.Amend(time.Now(), stored, era)
+		o.mutex.Unlock()
+		if !changed {
+			continue
+		}
+		value, err := json.Marshal(next)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		_, err = o.Store.Commit(ctx, []chicoryrock.Change{{Key: registerKey, Value: value, PriorRevision: revision}})
+		if errors.Is(err, chicoryrock.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		o.Log.Write(event.SoftwareListed, zap.Any("services", next.Services), zap.Uint64("era", next.Era))
+		o.take(next, era)
+	}
+	return nil
+}
+
+func (o *Origins) incomplete() bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.book.Incomplete(time.Now(), o.Store.Era())
+}
--- /dev/null
+++ b/internal/state/origin/lookup.go
@@ -0,0 +1,84 @@
+package origin
+
+import "time"
+
+// Lookup finds out at which version a stream goes on that a caller takes up. Step says what
+// to do; the shell does it and says what came of it.
+type Lookup struct {
+	Book    *Book
+	Key     Key
+	Service string // that serves the stream's route
+
+	read       bool // the register was read since the lookup began
+	missed     bool // the store had no record
+	waited     bool // for records that were under way then
+	software   Software
+	unreadable bool
+}
+
+// Step is what a lookup needs next.
+type Step int
+
+// Steps of a lookup.
+const (
+	// ReadRegister asks for SetRegister of the book and then Read.
+	ReadRegister Step = iota
+	// ReadRecord asks for Found or Missed.
+	ReadRecord
+	// AwaitRecords asks to wait for as long as processes take to save records.
+	AwaitRecords
+	// GoOn is the end: the stream goes on at Software.
+	GoOn
+	// Refuse is the end: it isn't known which version began the stream.
+	Refuse
+)
+
+// Next returns the next step.
+func (l *Lookup) Next(now time.Time) Step {
+	if l.software.Version != "" {
+		return GoOn
+	}
+	if software, known := l.Book.Find(now, l.Key); known {
+		l.software = software
+		return GoOn
+	}
+	if l.unreadable {
+		return Refuse
+	}
+	only, single := l.Book.registrar.known.Only(l.Service)
+	switch {
+	case single && !l.read:
+		// Another process may have begun streams at a version that is not known here.
+		return ReadRegister
+	case single:
+		l.software = Software{l.Service, only}
+		return GoOn
+	case !l.missed:
+		return ReadRecord
+	case !l.read:
+		// It may be the only one again, or be in use since.
+		return ReadRegister
+	case !l.waited:
+		l.waited, l.missed = true, false
+		return AwaitRecords
+	}
+	return Refuse
+}
+
+// Read says that the register has been read.
+func (l *Lookup) Read() { l.read = true }
+
+// Found says that the store has a record of the stream.
+func (l *Lookup) Found(now time.Time, software Software) {
+	l.Book.Learn(now, l.Key, software)
+	l.software = software
+}
+
+// Missed says that the store has no record of the stream.
+func (l *Lookup) Missed() { l.missed = true }
+
+// Failed says that the store could not be read.
+func (l *Lookup) Failed() { l.unreadable = true }
+
+// Software returns what began the stream, after GoOn.
+func (l *Lookup) Software() Software { return l.software }
--- /dev/null
+++ b/internal/state/origin/origin.go
@@ -0,0 +1,183 @@
+// Package origin knows which software version began each stream. What two versions write
+// doesn't fit together, so a stream that broke off goes on only at the version that began
+// it, and not at all where that isn't known.
+//
+// While a service has one version, that one began every stream, and a register in the
+// store, which outlives all processes, says so. While it has several, each stream has a
+// record in the store.
+//
+// The package does no I/O and takes the present time as an argument. It is not safe for
+// concurrent use.
+package origin
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	// Retention is how long after its first event a stream may be taken up, and for how
+	// long a version without servers stays in the register.
+	Retention = 4 * time.Minute
+	// unfinished is how long after its end a stream that was passed on whole still counts
+	// as one that its caller may lack the end of.
+	unfinished = 10 * time.Second
+	// maxStreams bounds the streams that a process knows.
+	maxStreams = 1 << 16
+)
+
+// Key identifies a stream by its workspace and the ID of the request that brought its first
+// event.
+type Key [16]byte
+
+// KeyOf returns the key of a stream.
+func KeyOf(workspace, id string) Key {
+	sum := sha256.Sum256([]byte(workspace + "\n" + id))
+	return Key(sum[:16])
+}
+
+// String returns the key as the store spells it.
+func (k Key) String() string { return hex.EncodeToString(k[:]) }
+
+// stream is what is known of one stream.
+type stream struct {
+	software Software
+	began    time.Time
+	ended    time.Time // when it was passed on whole; zero before
+	saved    bool      // the store has it
+}
+
+// Book is what one process knows. The zero value is empty and ready for use.
+type Book struct {
+	registrar registrar
+	streams   map[Key]*stream
+	order     []Key // of streams, by their age
+	unsaved   []Key // those that the store lacks, by their age
+}
+
+// Begin records that a stream of this process has its first event.
+func (b *Book) Begin(now time.Time, key Key, software Software) {
+	if software.Version == "" || b.streams[key] != nil {
+		return
+	}
+	b.add(now, key, &stream{software: software, began: now})
+	b.unsaved = append(b.unsaved, key)
+}
+
+// End records that a stream was passed on whole.
+func (b *Book) End(now time.Time, key Key) {
+	if known := b.streams[key]; known != nil && known.ended.IsZero() {
+		known.ended = now
+	}
+}
+
+// Learn records what the store says of a stream.
+func (b *Book) Learn(now time.Time, key Key, software Software) {
+	if b.streams[key] == nil {
+		b.add(now, key, &stream{software: software, began: now, saved: true})
+	}
+}
+
+func (b *Book) add(now time.Time, key Key, added *stream) {
+	if b.streams == nil {
+		b.streams = make(map[Key]*stream)
+	}
+	b.expire(now)
+	b.streams[key] = added
+	b.order = append(b.order, key)
+}
+
+// expire forgets the streams that are not taken up any more, and the oldest ones of too
+// many.
+func (b *Book) expire(now time.Time) {
+	for len(b.order) > 0 {
+		oldest := b.order[0]
+		if known := b.streams[oldest]; now.Sub(known.began) < Retention && len(b.order) < maxStreams {
+			return
+		}
+		delete(b.streams, oldest)
+		b.order = b.order[1:]
+	}
+}
+
+// Find returns the software that began a stream, if this process knows it.
+func (b *Book) Find(now time.Time, key Key) (Software, bool) {
+	known := b.streams[key]
+	if known == nil || now.Sub(known.began) >= Retention {
+		return Software{}, false
+	}
+	return known.software, true
+}
+
+// Record is a stream as the store keeps it.
+type Record struct {
+	Key      Key
+	Software Software
+}
+
+// Unsaved returns up to a number of streams that the store should have and lacks: those of
+// services with several versions. It returns the same ones until they are Saved.
+func (b *Book) Unsaved(now time.Time, most int) []Record {
+	b.expire(now)
+	kept := b.unsaved[:0]
+	var records []Record
+	for _, key := range b.unsaved {
+		known := b.streams[key]
+		if known == nil || known.saved {
+			continue
+		}
+		kept = append(kept, key)
+		if _, only := b.registrar.known.Only(known.software.Service); only || len(records) == most {
+			continue
+		}
+		if !known.ended.IsZero() && now.Sub(known.ended) >= unfinished {
+			continue
+		}
+		records = append(records, Record{key, known.software})
+	}
+	b.unsaved = kept
+	return records
+}
+
+// Saved records that the store has streams.
+func (b *Book) Saved(records []Record) {
+	for i := range records {
+		if known := b.streams[records[i].Key]; known != nil {
+			known.saved = true
+		}
+	}
+}
+
+// Restored records that the store has come back from a copy, and may lack what it had.
+func (b *Book) Restored(now time.Time) {
+	b.expire(now)
+	b.unsaved = b.unsaved[:0]
+	for _, key := range b.order {
+		b.streams[key].saved = false
+		b.unsaved = append(b.unsaved, key)
+	}
+}
+
+// Value returns what the store keeps under a record's key.
+func (r *Record) Value() ([]byte, error) {
+	value, err := json.Marshal(r.Software)
+	return value, errors.WithStack(err)
+}
+
+// ParseValue reads what Value has written. Error: chicoryrock.ErrInvalid.
+func ParseValue(data []byte) (Software, error) {
+	var software Software
+	if err := json.Unmarshal(data, &software); err != nil {
+		return software, errors.Wrapf(chicoryrock.ErrInvalid, "record of a stream: %v", err)
+	}
+	if software.Service == "" || software.Version == "" {
+		return software, errors.Wrap(chicoryrock.ErrInvalid, "record of a stream without a version")
+	}
+	return software, nil
+}
--- /dev/null
+++ b/internal/state/origin/origin_test.go
@@ -0,0 +1,421 @@
+package origin_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/standin/property"
+	"github.com/chicoryrock/chicoryrock/internal/state/origin"
+)
+
+func TestMain(m *testing.M) { property.Run(m, property.Size{Checks: 8000, Steps: 60}) }
+
+var start = time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+
+// world is a store, processes and, as the oracle, what really began each stream. The oracle
+// knows nothing of registers and records.
+type world struct {
+	now       time.Time
+	era       uint64
+	register  *origin.Register
+	wrote     uint64 // writes of the register, for conditions
+	records   map[origin.Key]origin.Software
+	copied    *world // of the store alone
+	serving   map[origin.Software]bool
+	processes []*process
+	streams   []stream
+}
+
+// process is one front with what it has read of the list of servers.
+type process struct {
+	book   origin.Book
+	listed []origin.Software
+	cut    bool // from the store
+}
+
+type stream struct {
+	key      origin.Key
+	software origin.Software
+	at       time.Time
+	by       *process
+}
+
+func newWorld(processes int) *world {
+	w := &world{now: start, records: map[origin.Key]origin.Software{}, serving: map[origin.Software]bool{{Service: "s", Version: "v1"}: true}}
+	for range processes {
+		w.processes = append(w.processes, &process{})
+	}
+	return w
+}
+
+func (w *world) list(p *process) {
+	p.listed = slices.Collect(maps.Keys(w.serving))
+	p.book.SetListed(w.now, p.listed)
+}
+
+// stored returns the register as the store has it.
+func (w *world) stored() origin.Register {
+	if w.register == nil {
+		return origin.Register{}
+	}
+	return *w.register
+}
+
+// complete is a process's turn to read and write the register. Between both, others may
+// write it; an answer may be lost.
+func (w *world) complete(p *process, between func(), lost bool) {
+	if p.cut || !p.book.Incomplete(w.now, w.era) {
+		return
+	}
+	stored, wrote, era := w.stored(), w.wrote, w.era
+	p.book.SetRegister(w.now, stored, era)
+	next, changed := p.book.Amend(w.now, stored, era)
+	between()
+	if !changed || wrote != w.wrote || era != w.era {
+		return
+	}
+	w.register, w.wrote = &next, w.wrote+1
+	if !lost {
+		p.book.SetRegister(w.now, next, era)
+	}
+}
+
+func (w *world) save(p *process, lost bool) {
+	if p.cut {
+		return
+	}
+	records := p.book.Unsaved(w.now, 8)
+	for i := range records {
+		value, err := records[i].Value()
+		if err != nil {
+			panic(err)
+		}
+		if w.records[records[i].Key], err = origin.ParseValue(value); err != nil {
+			panic(err)
+		}
+	}
+	if !lost {
+		p.book.Saved(records)
+	}
+}
+
+// lookup plays a lookup of a process for a service; during the wait others save.
+func (w *world) lookup(p *process, key origin.Key, service string, during func()) (origin.Software, bool) {
+	l := origin.Lookup{Book: &p.book, Key: key, Service: service}
+	for range 20 {
+		switch step := l.Next(w.now); {
+		case step == origin.GoOn:
+			return l.Software(), true
+		case step == origin.Refuse:
+			return origin.Software{}, false
+		case step == origin.AwaitRecords:
+			w.now = w.now.Add(400 * time.Millisecond)
+			during()
+		case p.cut:
+			l.Failed()
+		case step == origin.ReadRegister:
+			p.book.SetRegister(w.now, w.stored(), w.era)
+			l.Read()
+		default:
+			if software, found := w.records[key]; found {
+				l.Found(w.now, software)
+			} else {
+				l.Missed()
+			}
+		}
+	}
+	panic("a lookup without end")
+}
+
+// taken checks one take-up. It must not join two versions, and succeeds where everybody is
+// in touch.
+func (w *world) taken(t require.TestingT, p *process, s stream, during func(), calm bool) {
+	software, goes := w.lookup(p, s.key, s.software.Service, during)
+	if goes {
+		require.Equal(t, s.software, software, "the stream began at another version")
+	}
+	if calm {
+		require.True(t, goes, "the stream could go on")
+	}
+}
+
+// Streams never go on at a version other than the one that began them, whatever the
+// processes, the store and the servers do in between.
+func TestStreamsKeepToTheVersionThatBeganThem(t *testing.T) {
+	software := rapid.Custom(func(t *rapid.T) origin.Software {
+		return origin.Software{
+			Service: rapid.SampledFrom([]string{"s", "s", "s", "other"}).Draw(t, "service"),
+			Version: rapid.SampledFrom([]string{"v1", "v2", "v3", ""}).Draw(t, "version"),
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(1, 4).Draw(t, "processes"))
+		one := func(label string) *process { return rapid.SampledFrom(w.processes).Draw(t, label) }
+		tick := func() { w.now = w.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond) }
+		turn := func() {
+			p := one("turn of")
+			w.complete(p, func() {}, rapid.Bool().Draw(t, "lost"))
+			w.save(p, rapid.Bool().Draw(t, "lost"))
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"a version starts": func(t *rapid.T) { w.serving[software.Draw(t, "software")] = true },
+			"a version leaves": func(t *rapid.T) { delete(w.serving, software.Draw(t, "software")) },
+			"a list is read": func(t *rapid.T) {
+				p := one("reader")
+				if p.cut {
+					t.Skip("cut off")
+				}
+				w.list(p)
+			},
+			"a register is completed": func(t *rapid.T) {
+				between := func() {}
+				if rapid.Bool().Draw(t, "another between") {
+					between = turn
+				}
+				w.complete(one("writer"), between, rapid.Bool().Draw(t, "lost"))
+			},
+			"records are saved": func(t *rapid.T) { w.save(one("writer"), rapid.Bool().Draw(t, "lost")) },
+			"a process is cut": func(*rapid.T) {
+				p := one("process")
+				if p.cut = !p.cut; p.cut {
+					p.book.ListLost(w.now)
+					return
+				}
+				w.list(p)
+				p.book.ListHeard(w.now)
+			},
+			"one hears": func(*rapid.T) {
+				one("hearer").book.Hear(one("teller").book.Begins())
+			},
+			"one is killed": func(*rapid.T) {
+				*one("killed") = process{}
+			},
+			"all are killed": func(*rapid.T) {
+				for i := range w.processes {
+					w.processes[i] = &process{}
+				}
+			},
+			"the store is copied": func(*rapid.T) {
+				w.copied = &world{records: maps.Clone(w.records), register: w.register}
+			},
+			"the store is restored": func(t *rapid.T) {
+				if w.copied == nil {
+					t.Skip("no copy")
+				}
+				w.era, w.records, w.register, w.wrote = w.era+1, maps.Clone(w.copied.records), w.copied.register, w.wrote+1
+				for _, p := range w.processes {
+					if !p.cut {
+						p.book.Restored(w.now)
+					}
+				}
+			},
+			"a stream begins": func(t *rapid.T) {
+				tick()
+				p := one("at")
+				var open []origin.Software
+				for _, listed := range p.listed {
+					if p.book.MayBegin(listed) {
+						open = append(open, listed)
+					}
+				}
+				if len(open) == 0 {
+					t.Skip("no server")
+				}
+				slices.SortFunc(open, compareSoftware)
+				at := rapid.SampledFrom(open).Draw(t, "server")
+				key := origin.KeyOf("w", fmt.Sprint(len(w.streams)))
+				p.book.Begin(w.now, key, at)
+				if rapid.Bool().Draw(t, "whole") {
+					p.book.End(w.now, key)
+				}
+				w.streams = append(w.streams, stream{key, at, w.now, p})
+			},
+			"a stream is taken up": func(t *rapid.T) {
+				tick()
+				if len(w.streams) == 0 {
+					t.Skip("no stream")
+				}
+				s := rapid.SampledFrom(w.streams).Draw(t, "stream")
+				if w.now.Sub(s.at) < origin.Retention-time.Second {
+					w.taken(t, one("at"), s, turn, false)
+				}
+			},
+			"minutes pass": func(t *rapid.T) {
+				if rapid.IntRange(0, 3).Draw(t, "long") > 0 {
+					return
+				}
+				for _, p := range w.processes {
+					// Servers end within seconds of leaving the list.
+					p.listed = slices.DeleteFunc(p.listed, func(s origin.Software) bool { return !w.serving[s] })
+					if !p.cut {
+						w.list(p)
+					}
+				}
+				w.now = w.now.Add(origin.Retention)
+			},
+		})
+	})
+}
+
+func compareSoftware(a, b origin.Software) int {
+	if a.Service+"\n"+a.Version < b.Service+"\n"+b.Version {
+		return -1
+	}
+	return 1
+}
+
+// In touch, streams go on: at any process, while one version or several serve, and after all
+// processes were killed once records are saved.
+func TestStreamsGoOnWhereProcessesAreInTouch(t *testing.T) {
+	cases := []struct {
+		name     string
+		versions int
+		kill     bool
+		wait     bool // records are written only while the lookup waits
+	}{
+		{"one version", 1, false, false},
+		{"one version, all killed", 1, true, false},
+		{"two versions", 2, false, false},
+		{"two versions, written during the lookup", 2, false, true},
+		{"three versions, all killed", 3, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(3)
+			for i := range c.versions {
+				w.serving[origin.Software{Service: "s", Version: fmt.Sprintf("v%d", i+1)}] = true
+			}
+			ready := func() {
+				for _, p := range w.processes {
+					w.list(p)
+					w.complete(p, func() {}, false)
+				}
+			}
+			ready()
+			save := func() {
+				for _, p := range w.processes {
+					for range 10 {
+						w.save(p, false)
+					}
+				}
+			}
+			for n := range 30 {
+				p := w.processes[n%3]
+				at := origin.Software{Service: "s", Version: fmt.Sprintf("v%d", n%c.versions+1)}
+				require.True(t, p.book.MayBegin(at))
+				key := origin.KeyOf("w", fmt.Sprint(n))
+				p.book.Begin(w.now, key, at)
+				w.streams = append(w.streams, stream{key, at, w.now, p})
+			}
+			if !c.wait {
+				save()
+			}
+			if c.kill {
+				for i := range w.processes {
+					w.processes[i] = &process{}
+				}
+				ready()
+			}
+			for n, s := range w.streams {
+				w.taken(t, w.processes[(n+1)%3], s, save, true)
+			}
+		})
+	}
+}
+
+// Streams that began before a second version came are known too: those under way, and those
+// that broke off.
+func TestSecondVersionHasEarlierStreamsSaved(t *testing.T) {
+	w := newWorld(2)
+	first, second := w.processes[0], w.processes[1]
+	v1 := origin.Software{Service: "s", Version: "v1"}
+	for _, p := range w.processes {
+		w.list(p)
+		w.complete(p, func() {}, false)
+	}
+	open, ended := origin.KeyOf("w", "open"), origin.KeyOf("w", "ended")
+	first.book.Begin(w.now, open, v1)
+	first.book.Begin(w.now, ended, v1)
+	first.book.End(w.now, ended)
+	w.save(first, false)
+	require.Empty(t, w.records, "one version needs no records")
+	w.now = w.now.Add(time.Minute)
+	w.serving[origin.Software{Service: "s", Version: "v2"}] = true
+	for _, p := range w.processes {
+		w.list(p)
+		require.False(t, p.book.MayBegin(origin.Software{Service: "s", Version: "v2"}), "not before others know of it")
+		w.complete(p, func() {}, false)
+	}
+	w.save(first, false)
+	require.Len(t, w.records, 1, "not those that ended long ago")
+	got, goes := w.lookup(second, open, "s", func() {})
+	require.True(t, goes)
+	require.Equal(t, v1, got)
+}
+
+// A version that has had no server for minutes is dropped, so that records need no longer
+// be written.
+func TestVersionWithoutServersIsDropped(t *testing.T) {
+	w := newWorld(2)
+	v2 := origin.Software{Service: "s", Version: "v2"}
+	w.serving[v2] = true
+	for _, p := range w.processes {
+		w.list(p)
+		w.complete(p, func() {}, false)
+	}
+	delete(w.serving, origin.Software{Service: "s", Version: "v1"})
+	for _, p := range w.processes {
+		w.list(p)
+	}
+	w.now = w.now.Add(origin.Retention - time.Second)
+	require.False(t, w.processes[0].book.Incomplete(w.now, 0))
+	w.now = w.now.Add(time.Second)
+	for _, p := range w.processes {
+		require.True(t, p.book.Incomplete(w.now, 0))
+		w.complete(p, func() {}, false)
+		require.False(t, p.book.Incomplete(w.now, 0))
+		only, single := w.register.Only("s")
+		require.True(t, single)
+		require.Equal(t, "v2", only)
+	}
+}
+
+// A register of an earlier era of the store, or one that can't be read, may lack versions.
+func TestRegisterThatMayLackVersionsNamesNoOnlyOne(t *testing.T) {
+	cases := []struct {
+		name   string
+		stored origin.Register
+		era    uint64
+	}{
+		{"written before the store came back from a copy", origin.Register{Services: map[string][]string{"s": {"v1"}}}, 1},
+		{"unreadable", origin.Unreadable(), 0},
+		{"lost with the copy", origin.Register{}, 2},
+	}
+	for _, c := range cases {
+		var book origin.Book
+		book.SetListed(start, []origin.Software{{Service: "s", Version: "v1"}})
+		book.SetRegister(start, c.stored, c.era)
+		next, changed := book.Amend(start, c.stored, c.era)
+		require.True(t, changed, c.name)
+		book.SetRegister(start, next, c.era)
+		_, single := next.Only("s")
+		require.False(t, single, c.name)
+		require.True(t, book.MayBegin(origin.Software{Service: "s", Version: "v1"}), c.name)
+		require.False(t, book.Incomplete(start, c.era), c.name)
+	}
+	for _, text := range []string{"", "[]", `{"services":[]}`, `{"services":{"s":[1]}}`} {
+		_, err := origin.ParseRegister([]byte(text))
+		require.ErrorIs(t, err, chicoryrock.ErrInvalid, text)
+	}
+	for _, text := range []string{"", "{}", `{"service":"s"}`, `{"service":"s","version":2}`} {
+		_, err := origin.ParseValue([]byte(text))
+		require.ErrorIs(t, err, chicoryrock.ErrInvalid, text)
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -26,6 +26,9 @@
 	TTL           time.Duration `json:"ttl,omitempty"`
 	// Unconditional writes the key whatever its revision is.
 	Unconditional bool `json:"any,omitempty"`
+	// MinTTL above zero attaches a lease that other keys share: the key stays for at least
+	// that long, and is removed at some time within twice as long.
+	MinTTL time.Duration `json:"least,omitempty"`
 	// Delete removes the key instead of writing it.
 	Delete bool `json:"delete,omitempty"`
 }
--- a/reason.go
+++ b/reason.go
@@ -18,6 +18,8 @@
 	ReasonQueueFull
 	ReasonServerLimit
 	ReasonNoServer
+	ReasonVersionUnknown
+	ReasonVersionGone
 	ReasonSuspect
 	ReasonCrashPart
 	ReasonClaimed
@@ -47,6 +49,8 @@
 	ReasonQueueFull:      {"queue-full", "Too many requests of the same or a higher tier were already waiting.", 503},
 	ReasonServerLimit:    {"server-limit", "Each backend server of the pool has stated how many requests it takes, and others use that up for now.", 503},
 	ReasonNoServer:       {"no-server", "No backend server of the route's pools could be reached.", 503},
+	ReasonVersionUnknown: {"version-unknown", "It could not be found out which software version began this stream, and it goes on at no other one.", 503},
+	ReasonVersionGone:    {"version-gone", "No backend server has the software version that began this stream any more, and it goes on at no other one.", 503},
 	ReasonSuspect:        {"suspect", "This same request was running when backend servers crashed, so it is not run again.", 422},
 	ReasonCrashPart:      {"crash-part", "Backend servers crashed under a part of this request's prompt, so no request with that part is run for now.", 503},
 	ReasonClaimed:        {"claimed", "A request with the same idempotency key has already been started.", 409},
--- a/request.go
+++ b/request.go
@@ -27,6 +27,8 @@
 	PrefixHash   uint64    // hash of the prompt's beginning; zero if unknown
 	Idempotent   bool      // the call may run more than once
 	Suspect      bool      // the call may crash an engine and never runs beside another suspect
+	Version      string    // the software version that began the stream, the only one that may go on with it; empty for any
+	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
 
 	Parts            []Part        // the prompt's parts, in order; nil if unknown
 	MaxOutputTokens  int           // longest possible answer; zero if unknown
@@ -54,6 +56,7 @@
 	SlowStart   bool      // joined while this entry was running; its share of the work ramps up
 	ColdUntil   time.Time // slow until then, by its own report; zero if not cold
 	Version     string    // of its software; empty if not known
+	Unlisted    bool      // no resumable stream may begin there: other processes don't know of its version yet
 }
 
 // Load is the load that an agent reports with every answer.
