Have engines of several versions, take-ups and kills of all fronts in the soak

Engines of the soak have two versions at least, some start again at their address under another ID and version, a third of the streams are left by their callers after two to six events, broken ones are taken up at any front up to four times, and all fronts are killed at once now and then. No stream may hold events of two versions.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -67,6 +66,9 @@
 			for n := 0; ctx.Err() == nil; n++ {
 				kind := []string{"book", "read", "long", "short"}[(caller+n)%4]
 				one := w.ask(client, caller%len(w.fronts), kind, fmt.Sprintf("%s-%d-%d", kind, caller, n))
+				if kind == "long" && versions() {
+					w.takeUp(client, &one)
+				}
 				mutex.Lock()
 				results = append(results, one)
 				mutex.Unlock()
@@ -116,15 +118,15 @@
 		return one
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(response.Body)
-	one.status, one.body, one.whole = response.StatusCode, string(body), err == nil
+	body, err := readSome(response, kind, id)
+	one.status, one.body, one.whole = response.StatusCode, body, err == nil
 	return one
 }
 
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(13) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(16) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
@@ -150,6 +152,15 @@
 			w.store.Copy()
 			time.AfterFunc(last, w.store.Restore)
 		}
+	case 9, 10:
+		w.renew()
+	case 11:
+		for _, p := range w.fronts {
+			p.kill()
+		}
+		for _, p := range w.fronts {
+			p.start(w.t)
+		}
 	default:
 		one := w.proxies[w.random.IntN(len(w.proxies))]
 		one.mood.Store(int32(1 + w.random.IntN(int(moods)-1)))
@@ -210,6 +221,7 @@
 	require.Empty(w.t, w.odd)
 	w.checkLimits(seed)
 	w.checkCrashes(seed)
+	w.t.Logf("seed %d: %d of %d streams that callers took up went on", seed, w.taken.on.Load(), w.taken.all.Load())
 	w.t.Logf("seed %d: %d of %d served, %d windows reported", seed, served, len(results), len(w.sheet))
 }
 
@@ -222,11 +234,15 @@
 	}
 	want := ""
 	for i := 1; i <= events; i++ {
-		want += fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, one.id, i)
+		want += fmt.Sprintf("id: %d\ndata: %d\n\n", i, i)
 	}
+	body, written := splitVersions(wholeEvents(one.body))
 	if one.whole {
-		require.Equal(w.t, want, one.body, where)
+		require.Equal(w.t, want, body, where)
 	} else {
-		require.True(w.t, strings.HasPrefix(want, one.body), "%s: a broken stream has a gap: %q", where, one.body)
+		require.True(w.t, strings.HasPrefix(want, body), "%s: a broken stream has a gap: %q", where, one.body)
+	}
+	if versions() {
+		require.LessOrEqual(w.t, len(written), 1, "%s: events of several software versions: %q", where, one.body)
 	}
 }
--- /dev/null
+++ b/soak/version_test.go
@@ -0,0 +1,180 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/platform"
+	"github.com/chicoryrock/chicoryrock/platform/sample"
+)
+
+const (
+	// versionField begins the line of an event that names the software that wrote it.
+	versionField = "event: "
+	// takeUps is how often a caller takes a stream up again.
+	takeUps = 4
+)
+
+// taken counts the streams that callers took up.
+type taken struct {
+	all, on atomic.Int64
+}
+
+// software is a backend server whose next start has another ID and may have another version.
+type software struct {
+	mutex       sync.Mutex
+	id, version string
+	service     string
+	starts      int
+	proxy       *proxy
+}
+
+func (s *software) get() (id, version string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.id, s.version
+}
+
+func (w *world) newSoftware(id, service string) *software {
+	s := &software{id: id, version: "v1", service: service}
+	if service == "llm" {
+		s.version = fmt.Sprintf("v%d", 1+len(w.engines)%2)
+		w.engines = append(w.engines, s)
+	}
+	return s
+}
+
+func (w *world) enter(s *software) {
+	id, version := s.get()
+	w.put(platform.ServerPrefix+id, sample.EntryOf(s.service, s.proxy.address(), "ready", version))
+}
+
+// versions says whether this run's fronts heed software versions: those of former builds
+// don't.
+func versions() bool { return limits() }
+
+// renew starts an engine again at its address, under another ID and version. The first two
+// are of both versions all the time.
+func (w *world) renew() {
+	if !versions() {
+		return
+	}
+	s := w.engines[2+w.random.IntN(len(w.engines)-2)]
+	s.proxy.reset()
+	s.mutex.Lock()
+	before := s.id
+	s.starts++
+	s.id = fmt.Sprintf("%s+%d", strings.Split(before, "+")[0], s.starts)
+	s.version = fmt.Sprintf("v%d", 1+w.random.IntN(3))
+	s.mutex.Unlock()
+	go func() {
+		// The store may be out for a while.
+		for range 100 {
+			_, err := w.client.Commit(context.Background(), []chicoryrock.Change{{Key: platform.ServerPrefix + before, Delete: true, Unconditional: true}})
+			if err == nil {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		id, version := s.get()
+		value := []byte(sample.EntryOf(s.service, s.proxy.address(), "ready", version))
+		for range 100 {
+			if _, err := w.client.Commit(context.Background(), []chicoryrock.Change{{Key: platform.ServerPrefix + id, Value: value, Unconditional: true}}); err == nil {
+				return
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+}
+
+// readSome reads an answer; every third stream that may be taken up only in part.
+func readSome(response *http.Response, kind, id string) (string, error) {
+	sum := fnv.New32()
+	_, _ = io.WriteString(sum, id)
+	if kind != "long" || sum.Sum32()%3 > 0 || response.StatusCode != http.StatusOK || !versions() {
+		body, err := io.ReadAll(response.Body)
+		return string(body), err
+	}
+	var body bytes.Buffer
+	piece := make([]byte, 1)
+	for left := 2 + sum.Sum32()/3%5; left > 0; {
+		if _, err := response.Body.Read(piece); err != nil {
+			return body.String(), err
+		}
+		body.Write(piece)
+		if bytes.HasSuffix(body.Bytes(), []byte("\n\n")) {
+			left--
+		}
+	}
+	return body.String(), io.ErrUnexpectedEOF
+}
+
+// takeUp goes on with a stream that broke off, at any front, until it is whole.
+func (w *world) takeUp(client *http.Client, one *got) {
+	for try := 0; try < takeUps && one.status == http.StatusOK && !one.whole; try++ {
+		if one.body = wholeEvents(one.body); one.body == "" {
+			return
+		}
+		request, err := http.NewRequest(http.MethodPost, "http://"+w.fronts[rand.IntN(len(w.fronts))].callers.String()+"/long/", strings.NewReader("body"))
+		if err != nil {
+			return
+		}
+		request.GetBody = nil
+		request.Host = sample.Host
+		for name, value := range map[string]string{
+			sample.ID: fmt.Sprintf("%s/%d", one.id, try), "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40",
+			sample.Parts: "a1:200,b2:400", "Last-Event-Id": fmt.Sprint(strings.Count(one.body, "\n\n")), sample.Resumes: one.id,
+		} {
+			request.Header.Set(name, value)
+		}
+		time.Sleep(rand.N(300 * time.Millisecond))
+		w.taken.all.Add(1)
+		response, err := client.Do(request)
+		if err != nil {
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			require.Equal(w.t, 5, response.StatusCode/100, "a take-up of %s", one.id)
+			continue
+		}
+		w.taken.on.Add(1)
+		one.body += string(body)
+		one.whole = err == nil
+	}
+}
+
+// wholeEvents returns a body up to the end of its last whole event.
+func wholeEvents(body string) string {
+	if at := strings.LastIndex(body, "\n\n"); at >= 0 {
+		return body[:at+2]
+	}
+	return ""
+}
+
+// splitVersions returns a body without the lines that name software, and what they name.
+func splitVersions(body string) (string, map[string]bool) {
+	written := map[string]bool{}
+	var rest strings.Builder
+	for line := range strings.Lines(body) {
+		if version, found := strings.CutPrefix(line, versionField); found {
+			written[version] = true
+			continue
+		}
+		rest.WriteString(line)
+	}
+	return rest.String(), written
+}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -34,7 +34,7 @@
 
 const (
 	apps    = 2
-	engines = 3
+	engines = 4
 	events  = 12 // of a stream
 	key     = "key-of-w1"
 )
@@ -49,6 +49,8 @@
 	proxies []*proxy
 	limited map[string]*limited // by backend server
 	crashed crashed
+	taken   taken
+	engines []*software
 
 	mutex  sync.Mutex
 	runs   map[string]int
@@ -136,6 +138,7 @@
 func (w *world) backend(id, service string) {
 	limit := &limited{told: map[int]time.Time{}}
 	w.limited[id] = limit
+	self := w.newSoftware(id, service)
 	var p *proxy
 	handler := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
 		asked := r.Header.Get(sample.ID)
@@ -143,7 +146,8 @@
 		if _, err := io.ReadAll(r.Body); err != nil {
 			return
 		}
-		if r.Header.Get(sample.Server) != id {
+		named, version := self.get()
+		if r.Header.Get(sample.Server) != named {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -166,7 +170,7 @@
 		_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 		rw.Header().Set("Content-Type", "text/event-stream")
 		for i := from + 1; i <= events; i++ {
-			_, _ = fmt.Fprintf(rw, "id: %d\ndata: %s-%d\n\n", i, asked, i)
+			_, _ = fmt.Fprintf(rw, "id: %d\ndata: %d\n%s%s\n\n", i, i, versionField, version)
 			if http.NewResponseController(rw).Flush() != nil || r.Context().Err() != nil {
 				return
 			}
@@ -174,7 +178,8 @@
 		}
 	})
 	p = w.through(w.serve(handler))
-	w.put(platform.ServerPrefix+id, sample.Entry(service, p.address(), "ready"))
+	self.proxy = p
+	w.enter(self)
 }
 
 // usage takes reports as the platform does, and notes what must not be.
