Heed what backend servers say in their answers: that they leave

Cause: what a server says of itself was read nowhere but in the store. state/servers now keeps it with the list, by server and start: Observe takes in a statement, Servers returns entry and statements together, so that neither the store's last word, an entry written again, a read nor a peer's list takes it back, and the next start is free of it. It reaches placing, waiting requests, repeats, resumed streams and fetches of cached parts by the one list that they all go by. Peers are sent the entries alone.

Another member of the class: the dispatcher kept "leaving" by name, so that a server which had left and started again under its ID was not used any more; it goes by the start now.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -55,7 +55,9 @@
 			replicas[i].SlowStart = old.SlowStart
 			replicas[i].RunsSuspect = old.RunsSuspect
 			replicas[i].LastSeen = old.LastSeen
-			replicas[i].Leaving = replicas[i].Leaving || old.Leaving
+			if old.Address == replicas[i].Address && old.StartedMs == replicas[i].StartedMs {
+				replicas[i].Leaving = replicas[i].Leaving || old.Leaving
+			}
 			if replicas[i].Unheard {
 				replicas[i].Version, replicas[i].Unheard = old.Version, old.Unheard
 			}
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -229,6 +229,7 @@
 		Trial:   p.askTrial,
 		Sound:   p.parts.Sound,
 		Origins: p.origins,
+		Observe: p.observeServer,
 	}
 	if node.Bill {
 		p.usage = p.newUsage()
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -104,6 +104,18 @@
 	p.front.SetServers(time.Now(), p.servers.Servers())
 }
 
+// observeServer takes in what a start of a backend server says of itself in an answer.
+func (p *Front) observeServer(now time.Time, start servers.Start, said servers.Statement) {
+	if said == (servers.Statement{}) {
+		return
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if change, news := p.servers.Observe(now, start, said); news {
+		p.publish([]servers.Change{change})
+	}
+}
+
 // expire drops the servers whose entries have not come back.
 func (p *Front) expire(ctx context.Context) error {
 	pause.Every(ctx, lapseInterval, func(now time.Time) {
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -21,6 +21,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
+	"github.com/chicoryrock/chicoryrock/internal/state/servers"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -291,10 +292,20 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	c.observe(replica, answer)
 	c.limited(sent, replica.Name, answer)
 	return c.relay(answer)
 }
 
+// observe takes in what a backend server says of itself in an answer.
+func (c *call) observe(replica *chicoryrock.Replica, answer *upstream.Answer) {
+	if answer.Status == http.StatusMisdirectedRequest {
+		return // another server answered
+	}
+	start := servers.Start{ID: replica.Name, Address: replica.Address, StartedMs: replica.StartedMs}
+	c.front.Observe(time.Now(), start, servers.Statement{Leaving: platform.Leaves(answer.Header)})
+}
+
 // relay passes an answer on to the caller.
 func (c *call) relay(answer *upstream.Answer) error {
 	if platform.NotRun(answer.Status, answer.Header) {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -30,6 +30,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
+	"github.com/chicoryrock/chicoryrock/internal/state/servers"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -78,6 +79,8 @@
 	// Trial asks the process that grants the trials of a ban whether a request may be sent
 	// as one.
 	Trial func(ctx context.Context, ban *suspect.Ban, id string, candidate *suspect.Candidate) bool
+	// Observe takes in what a start of a backend server says of itself in an answer.
+	Observe func(now time.Time, start servers.Start, said servers.Statement)
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
 	// Sound says whether the other parts of the process run; nil for always.
@@ -178,18 +181,18 @@
 }
 
 // SetServers takes in the backend servers that may be used.
-func (f *Front) SetServers(now time.Time, servers []chicoryrock.Server) {
+func (f *Front) SetServers(now time.Time, list []chicoryrock.Server) {
 	pools := make(map[string][]chicoryrock.Replica)
 	if table := f.Table(); table != nil {
 		for i := range table.Services {
 			pools[table.Services[i].Name] = nil
 		}
 	}
-	f.Origins.SetServers(now, servers)
+	f.Origins.SetServers(now, list)
 	f.placing.Lock()
 	cold := make(map[boot]time.Time)
-	for i := range servers {
-		s := &servers[i]
+	for i := range list {
+		s := &list[i]
 		this := boot{s.ID, s.StartedMs}
 		if known, found := f.cold[this]; found {
 			cold[this] = known
@@ -203,6 +206,7 @@
 			Centre:    s.Centre,
 			Region:    f.Node.Regions[s.Centre],
 			Address:   s.Address,
+			StartedMs: s.StartedMs,
 			Slots:     s.Slots,
 			Leaving:   s.Leaving,
 			ColdUntil: cold[this],
@@ -211,7 +215,7 @@
 		})
 	}
 	f.cold = cold
-	f.limits.setNames(servers)
+	f.limits.setNames(list)
 	for name, replicas := range pools {
 		f.Placer.SetReplicas(name, replicas)
 	}
--- a/internal/serve/local/version_test.go
+++ b/internal/serve/local/version_test.go
@@ -14,7 +14,6 @@
 // A stream whose engine crashes goes on at an engine of the same software version, or ends
 // as broken where there is none.
 func TestStreamsOfTheModelInterfaceKeepToTheirSoftwareVersion(t *testing.T) {
-	const tokens = 1000
 	cases := []struct {
 		name   string
 		others []string // versions of the engines that don't run the stream
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -1,7 +1,8 @@
 // Package servers keeps the list of backend servers according to their entries in
 // the platform's store. A server whose entry disappears is removed, unless the
 // entry may have expired during an outage of the store: the server may then be
-// alive, and has a grace period after the outage to write its entry again.
+// alive, and has a grace period after the outage to write its entry again. What a server
+// says of itself in its answers holds for that start of it, whatever its entry says.
 //
 // The package does no I/O and takes the present time as an argument. It is not
 // safe for concurrent use.
@@ -49,6 +50,7 @@
 type List struct {
 	servers    map[string]*entry
 	gone       map[string]departure // servers that have left the list, the last ones
+	stated     map[Start]*stated    // what servers have said of themselves
 	lastAnswer time.Time            // when the store last answered
 	restoredAt time.Time            // end of the store's last outage
 	loaded     bool
@@ -248,8 +250,18 @@
 	}
 }
 
-// Servers returns all servers, sorted by ID.
+// Servers returns all servers, sorted by ID, as their entries and their own answers have
+// them.
 func (l *List) Servers() []chicoryrock.Server {
+	list := make([]chicoryrock.Server, 0, len(l.servers))
+	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
+		list = append(list, l.view(l.servers[id]))
+	}
+	return list
+}
+
+// Entries returns the entries of all servers, sorted by ID.
+func (l *List) Entries() []chicoryrock.Server {
 	list := make([]chicoryrock.Server, 0, len(l.servers))
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
 		list = append(list, l.servers[id].server)
--- /dev/null
+++ b/internal/state/servers/stated_test.go
@@ -0,0 +1,79 @@
+package servers_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/state/servers"
+)
+
+// What a server says of itself holds for that start of it: neither the store nor a peer that
+// knows less takes it back, and the next start is free of it.
+func TestStatementsHoldForOneStart(t *testing.T) {
+	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	address := netip.MustParseAddrPort("10.0.0.1:80")
+	server := chicoryrock.Server{ID: "a", Service: "s", Address: address, StartedMs: 5, Heartbeat: 1}
+	later := server
+	later.Heartbeat = 7
+	next := server
+	next.StartedMs = 6
+	moved := server
+	moved.Address = netip.MustParseAddrPort("10.0.0.2:80")
+	cases := []struct {
+		name    string
+		change  func(l *servers.VersionedList)
+		leaving bool
+	}{
+		{"nothing", func(*servers.VersionedList) {}, true},
+		{"its entry is written again", func(l *servers.VersionedList) { l.ApplyPut(9, later) }, true},
+		{"the store is read anew", func(l *servers.VersionedList) {
+			l.ApplyFullRead(now, 9, []servers.Written{{Server: later, Version: servers.VersionOf(8)}})
+		}, true},
+		{"its entry goes and comes back", func(l *servers.VersionedList) {
+			l.ApplyRemoval(now, 8, "a")
+			l.ApplyPut(9, later)
+		}, true},
+		{"a peer's list", func(l *servers.VersionedList) {
+			l.ApplyDelta(now, &servers.Delta{Version: servers.VersionOf(9), Full: true, Servers: []chicoryrock.Server{later}})
+		}, true},
+		{"its next start", func(l *servers.VersionedList) { l.ApplyPut(9, next) }, false},
+		{"another address", func(l *servers.VersionedList) { l.ApplyPut(9, moved) }, false},
+	}
+	for _, c := range cases {
+		var l servers.VersionedList
+		l.ApplyPut(3, server)
+		change, news := l.Observe(now, servers.StartOf(&server), servers.Statement{Leaving: true})
+		require.True(t, news)
+		require.Equal(t, servers.Leaving, change.Kind)
+		_, news = l.Observe(now, servers.StartOf(&server), servers.Statement{Leaving: true})
+		require.False(t, news, "told once")
+		_, news = l.Observe(now, servers.StartOf(&server), servers.Statement{})
+		require.False(t, news, "an answer without it takes nothing back")
+		c.change(&l)
+		list := l.Servers()
+		require.Len(t, list, 1, c.name)
+		require.Equal(t, c.leaving, list[0].Leaving, c.name)
+	}
+}
+
+// What a process has heard itself goes no further: a peer's list has the entries.
+func TestStatementsAreNotPassedOn(t *testing.T) {
+	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	var l servers.VersionedList
+	server := chicoryrock.Server{ID: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80")}
+	l.ApplyFullRead(now, 3, []servers.Written{{Server: server, Version: servers.VersionOf(3)}})
+	l.Observe(now, servers.StartOf(&server), servers.Statement{Leaving: true})
+	delta := l.DeltaSince(0)
+	require.True(t, delta.Full)
+	require.False(t, delta.Servers[0].Leaving)
+	// Statements of thousands of starts that are gone are forgotten, not those of listed ones.
+	for i := range 3000 {
+		l.Observe(now, servers.Start{ID: fmt.Sprint("gone-", i)}, servers.Statement{Leaving: true})
+	}
+	require.True(t, l.Servers()[0].Leaving)
+}
--- a/internal/state/servers/versioned.go
+++ b/internal/state/servers/versioned.go
@@ -101,10 +101,10 @@
 // differs from the list at the same revision; the version then grows by a local
 // change.
 func (l *VersionedList) ApplyFullRead(now time.Time, revision uint64, servers []Written) []Change {
-	before := l.Servers()
+	before := l.Entries()
 	changes := l.ReplaceFromStore(now, VersionOf(revision), servers)
 	lapsed := slices.ContainsFunc(changes, func(c Change) bool { return c.Kind == Lapsed })
-	unchanged := !lapsed && slices.Equal(before, l.Servers())
+	unchanged := !lapsed && slices.Equal(before, l.Entries())
 	previous, version := l.version, VersionOf(revision)
 	if version == previous && unchanged {
 		return changes
@@ -142,7 +142,7 @@
 	delta := Delta{Version: l.version, LastChange: l.lastChange}
 	if !l.covers(since) {
 		delta.Full = true
-		delta.Servers, delta.Lapsed = l.Servers(), l.LapsedIDs()
+		delta.Servers, delta.Lapsed = l.Entries(), l.LapsedIDs()
 		for i := range delta.Servers {
 			delta.Written = append(delta.Written, l.servers[delta.Servers[i].ID].version)
 		}
--- a/request.go
+++ b/request.go
@@ -44,6 +44,7 @@
 	Centre      string
 	Region      string
 	Address     netip.AddrPort
+	StartedMs   int64     // its start, milliseconds since 1970; zero if not known
 	Slots       int       // streams that the engine runs at once
 	Running     int       // requests of all entries, as last reported by the agent
 	Waiting     int       // requests of all entries, as last reported by the agent
