Keep the pauses that backend servers ask for

Cause: a server's Retry-After was read nowhere; only the back-off from failing servers kept requests from it, which is shorter at first. Ruled out: repeats alone; first attempts and streams came too.

A rest is one more statement of a server and its start, in the list that already knows who leaves: the latest end of all rests counts, five minutes at most, and what is no number of seconds is logged and not kept. dispatch sends a resting server nothing; requests wait for the end of the rest, or are refused at once where it comes too late for them, with the shortest rest as Retry-After (reason resting). The same check stands between choice and sending. A rest is asked of one process and told to no other.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -64,6 +64,8 @@
 	BansLost       = Event{416, zapcore.WarnLevel, "what is known of parts that crash backend servers could not be kept or read"}
 	OriginUnsaved  = Event{417, zapcore.WarnLevel, "software versions of streams could not be written"}
 	SoftwareListed = Event{418, zapcore.InfoLevel, "software versions at which streams may begin"}
+	ServerRests    = Event{419, zapcore.InfoLevel, "backend server wants no requests for a while"}
+	RestBad        = Event{420, zapcore.WarnLevel, "pause that a backend server asks for makes no sense"}
 	ClaimFailed    = Event{501, zapcore.WarnLevel, "claims could not be written"}
 	DutyTaken      = Event{502, zapcore.InfoLevel, "duty taken"}
 	DutyLost       = Event{503, zapcore.InfoLevel, "duty given up or lost"}
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -75,9 +75,9 @@
 }
 
 // ReplicasFor returns a copy of this entry's view of the replicas that may take a request.
-func (d *Dispatcher) ReplicasFor(request *chicoryrock.Request) []chicoryrock.Replica {
+func (d *Dispatcher) ReplicasFor(now time.Time, request *chicoryrock.Request) []chicoryrock.Replica {
 	replicas := d.Replicas(request.Pool)
-	return slices.DeleteFunc(replicas, func(r chicoryrock.Replica) bool { return !mayTake(&r, request) })
+	return slices.DeleteFunc(replicas, func(r chicoryrock.Replica) bool { return !mayTake(now, &r, request) })
 }
 
 // Address returns the address of a replica, or the zero value for one that is
@@ -98,21 +98,54 @@
 }
 
 // Unservable returns the reason for refusing a request that no replica of its pool will
-// take, or ReasonNone.
-func (d *Dispatcher) Unservable(request *chicoryrock.Request) chicoryrock.Reason {
+// take in time, or ReasonNone.
+func (d *Dispatcher) Unservable(now time.Time, request *chicoryrock.Request) chicoryrock.Reason {
 	if !d.Available(request.Pool) {
 		return chicoryrock.ReasonNoServer
 	}
-	if request.Version != "" && !slices.ContainsFunc(d.pool(request.Pool).replicas, func(r chicoryrock.Replica) bool {
-		return !r.Leaving && mayTake(&r, request)
-	}) {
+	rest, found := d.RestEnd(now, request)
+	switch {
+	case !found && request.Version != "":
 		return chicoryrock.ReasonVersionGone
+	case found && rest.After(now) && !rest.Before(request.Deadline):
+		return chicoryrock.ReasonResting
 	}
 	return chicoryrock.ReasonNone
 }
 
-// mayTake reports whether a replica's software may run a request.
-func mayTake(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
+// RestEnd returns when the first of the replicas that may take a request wants requests
+// again, which is now if one does not rest; false if no replica may take it.
+func (d *Dispatcher) RestEnd(now time.Time, request *chicoryrock.Request) (end time.Time, found bool) {
+	p := d.pool(request.Pool)
+	for i := range p.replicas {
+		r := &p.replicas[i]
+		if r.Leaving || !fits(r, request) {
+			continue
+		}
+		until := r.RestUntil
+		if until.Before(now) {
+			until = now
+		}
+		if !found || until.Before(end) {
+			end, found = until, true
+		}
+	}
+	return end, found
+}
+
+// Takes reports whether a replica takes a request now that it was chosen for.
+func (d *Dispatcher) Takes(now time.Time, request *chicoryrock.Request, replica string) bool {
+	r := d.pool(request.Pool).find(replica)
+	return r != nil && !r.Leaving && mayTake(now, r, request)
+}
+
+// mayTake reports whether a replica may be sent a request now.
+func mayTake(now time.Time, replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
+	return fits(replica, request) && !now.Before(replica.RestUntil)
+}
+
+// fits reports whether a replica's software may run a request.
+func fits(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
 	if request.Version != "" {
 		return replica.Version == request.Version || replica.Unheard
 	}
@@ -123,7 +156,7 @@
 // it. A full queue may drop a waiting request instead, which is returned and must be
 // refused with ReasonQueueFull at once.
 func (d *Dispatcher) Enqueue(now time.Time, request *chicoryrock.Request) (*chicoryrock.Request, chicoryrock.Reason) {
-	if reason := d.Unservable(request); reason != chicoryrock.ReasonNone {
+	if reason := d.Unservable(now, request); reason != chicoryrock.ReasonNone {
 		return nil, reason
 	}
 	p := d.pool(request.Pool)
@@ -286,7 +319,7 @@
 			break
 		}
 		index, free := p.pick(now, picker, request)
-		if !free && !p.excludesAny(request) {
+		if !free && !p.excludesAny(now, request) {
 			break
 		}
 		request, _ = p.queue.Pop(now)
@@ -304,9 +337,9 @@
 }
 
 // excludesAny reports whether some replica of the pool may not take a request.
-func (p *pool) excludesAny(request *chicoryrock.Request) bool {
+func (p *pool) excludesAny(now time.Time, request *chicoryrock.Request) bool {
 	for i := range p.replicas {
-		if !mayTake(&p.replicas[i], request) {
+		if !mayTake(now, &p.replicas[i], request) {
 			return true
 		}
 	}
@@ -319,14 +352,14 @@
 	failed := p.failedReplicas[request.ID]
 	if len(failed) > 0 {
 		index, free := p.pickAmong(now, picker, request, func(r *chicoryrock.Replica) bool {
-			return mayTake(r, request) && !slices.Contains(failed, r.Name)
+			return mayTake(now, r, request) && !slices.Contains(failed, r.Name)
 		})
 		if free {
 			return index, true
 		}
 	}
-	if p.excludesAny(request) {
-		return p.pickAmong(now, picker, request, func(r *chicoryrock.Replica) bool { return mayTake(r, request) })
+	if p.excludesAny(now, request) {
+		return p.pickAmong(now, picker, request, func(r *chicoryrock.Replica) bool { return mayTake(now, r, request) })
 	}
 	return picker.Pick(now, request, p.replicas)
 }
--- a/internal/policy/dispatch/suspects.go
+++ b/internal/policy/dispatch/suspects.go
@@ -106,7 +106,7 @@
 			continue
 		}
 		index, free := p.pick(now, picker, request)
-		if !free && p.excludesAny(request) {
+		if !free && p.excludesAny(now, request) {
 			continue
 		}
 		if !free {
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -111,9 +111,14 @@
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if change, news := p.servers.Observe(now, start, said); news {
-		p.publish([]servers.Change{change})
+	change, news := p.servers.Observe(now, start, said)
+	if !news {
+		return
+	}
+	if change.Kind == servers.Resting {
+		p.Log.Write(event.ServerRests, zap.String("server", start.ID), zap.Time("until", change.Server.RestUntil))
 	}
+	p.publish([]servers.Change{change})
 }
 
 // expire drops the servers whose entries have not come back.
--- a/internal/serve/entry/retries.go
+++ b/internal/serve/entry/retries.go
@@ -66,7 +66,7 @@
 		Started:             c.started,
 		FirstTokenAt:        c.progress.first,
 		TokenIntervalTarget: c.progress.class.Token,
-		Resumable:           c.pool.Save && c.version != "" && c.entry.gate.Servable(c.request),
+		Resumable:           c.pool.Save && c.version != "" && c.entry.gate.Servable(now, c.request),
 	})
 	if verdict.Action == retry.Fail {
 		return c.refusedBy(verdict, failure)
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -21,7 +21,6 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
-	"github.com/chicoryrock/chicoryrock/internal/state/servers"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -153,6 +152,13 @@
 			continue
 		}
 		sent := time.Now()
+		if !f.Gate.Takes(sent, c.request, replica.Name) {
+			// It has said so since, to another request.
+			f.done(sent, c.request, 0, false)
+			granted = ""
+			replica, err = f.Gate.Reacquire(c.ctx, sent, c.request, replica.Name)
+			continue
+		}
 		err = c.attempt(&replica)
 		now := time.Now()
 		f.Needs.RecordSlotTime(c.request, now.Sub(sent))
@@ -226,10 +232,10 @@
 	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.verdict(now).State != suspect.Clean {
 		return false
 	}
-	if c.started && !c.mayGoOn() {
+	c.request.Deadline = c.until
+	if c.started && !c.mayGoOn(now) {
 		return false
 	}
-	c.request.Deadline = c.until
 	if !c.started && !c.hasRoom(now) {
 		return false
 	}
@@ -297,15 +303,6 @@
 	return c.relay(answer)
 }
 
-// observe takes in what a backend server says of itself in an answer.
-func (c *call) observe(replica *chicoryrock.Replica, answer *upstream.Answer) {
-	if answer.Status == http.StatusMisdirectedRequest {
-		return // another server answered
-	}
-	start := servers.Start{ID: replica.Name, Address: replica.Address, StartedMs: replica.StartedMs}
-	c.front.Observe(time.Now(), start, servers.Statement{Leaving: platform.Leaves(answer.Header)})
-}
-
 // relay passes an answer on to the caller.
 func (c *call) relay(answer *upstream.Answer) error {
 	if platform.NotRun(answer.Status, answer.Header) {
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -207,6 +207,7 @@
 			Region:    f.Node.Regions[s.Centre],
 			Address:   s.Address,
 			StartedMs: s.StartedMs,
+			RestUntil: s.RestUntil,
 			Slots:     s.Slots,
 			Leaving:   s.Leaving,
 			ColdUntil: cold[this],
@@ -410,7 +411,7 @@
 
 // returns says how long a refused request's caller should wait.
 func (f *Front) returns(now time.Time, request *chicoryrock.Request) (time.Duration, bool) {
-	replicas := f.Gate.ReplicasFor(request)
+	replicas := f.Gate.ReplicasFor(now, request)
 	f.placing.Lock()
 	defer f.placing.Unlock()
 	return f.Placer.RecordRefusal(now, request, replicas)
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -90,7 +90,7 @@
 	if !f.knowsLimits() {
 		return true
 	}
-	replicas := f.Gate.ReplicasFor(c.request)
+	replicas := f.Gate.ReplicasFor(now, c.request)
 	waiting := f.Gate.Waiting(c.request.Pool)
 	f.placing.Lock()
 	defer f.placing.Unlock()
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -54,6 +54,6 @@
 }
 
 // mayGoOn reports whether a stream that broke off may go on at a backend server.
-func (c *call) mayGoOn() bool {
-	return c.origin.Version != "" && c.front.Gate.Servable(c.request)
+func (c *call) mayGoOn(now time.Time) bool {
+	return c.origin.Version != "" && c.front.Gate.Servable(now, c.request)
 }
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -35,6 +35,10 @@
 		return longest
 	case chicoryrock.ReasonVersionGone:
 		return 0 // coming back is in vain
+	case chicoryrock.ReasonResting:
+		if end, found := c.front.Gate.RestEnd(now, c.request); found {
+			return max(end.Sub(now), soonest)
+		}
 	case chicoryrock.ReasonVersionUnknown:
 		return min(lookAgain, longest)
 	}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -103,23 +103,39 @@
 }
 
 // refuseUnservable refuses the waiting requests whose software version has no replica any
-// more. The lock is held.
+// more, or whose replicas all rest for longer than they may wait. The lock is held.
 func (g *Gate) refuseUnservable(now time.Time) {
 	for request := range g.waiters {
-		if request.Version == "" {
+		reason := g.dispatcher.Unservable(now, request)
+		if reason != chicoryrock.ReasonVersionGone && reason != chicoryrock.ReasonResting {
 			continue
 		}
-		if reason := g.dispatcher.Unservable(request); reason != chicoryrock.ReasonNone && g.dispatcher.Cancel(now, request) {
+		if g.dispatcher.Cancel(now, request) {
 			g.tell(request, verdict{reason: reason})
 		}
 	}
 }
 
+// Takes reports whether a replica takes a request that it was chosen for.
+func (g *Gate) Takes(now time.Time, request *chicoryrock.Request, replica string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.Takes(now, request, replica)
+}
+
+// RestEnd returns when the first of the replicas that may take a request wants requests
+// again; false if there is none.
+func (g *Gate) RestEnd(now time.Time, request *chicoryrock.Request) (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.dispatcher.RestEnd(now, request)
+}
+
 // Servable reports whether a replica may take a request, now or later.
-func (g *Gate) Servable(request *chicoryrock.Request) bool {
+func (g *Gate) Servable(now time.Time, request *chicoryrock.Request) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.Unservable(request) == chicoryrock.ReasonNone
+	return g.dispatcher.Unservable(now, request) == chicoryrock.ReasonNone
 }
 
 func (g *Gate) await(request *chicoryrock.Request) chan verdict {
@@ -243,10 +259,10 @@
 }
 
 // ReplicasFor returns a copy of what is known of the replicas that may take a request.
-func (g *Gate) ReplicasFor(request *chicoryrock.Request) []chicoryrock.Replica {
+func (g *Gate) ReplicasFor(now time.Time, request *chicoryrock.Request) []chicoryrock.Replica {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.dispatcher.ReplicasFor(request)
+	return g.dispatcher.ReplicasFor(now, request)
 }
 
 // Address returns where a replica is reached; the zero value for one that is not
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -38,6 +38,7 @@
 	Removed   // no longer on the list
 	Lapsed    // kept although its entry is missing after an outage of the store
 	Restarted // has another start time or address
+	Resting   // wants no requests for a while
 )
 
 // Change is a change of one server.
--- a/internal/state/servers/stated.go
+++ b/internal/state/servers/stated.go
@@ -12,6 +12,9 @@
 	maxStated = 1024
 	// statedLifetime is how long that is kept after the start last said it.
 	statedLifetime = 10 * time.Minute
+	// maxRest bounds a rest: less than statedLifetime, so that it isn't forgotten before its
+	// end.
+	maxRest = 5 * time.Minute
 )
 
 // Start identifies one start of a backend server: its next one knows nothing of what this
@@ -29,19 +32,21 @@
 
 // Statement is what a server says of itself in an answer.
 type Statement struct {
-	Leaving bool // it takes no new work
+	Leaving bool          // it takes no new work
+	Rest    time.Duration // it wants no requests from this process for so long
 }
 
 // stated is what a start has said.
 type stated struct {
-	leaving bool
-	at      time.Time // of the last statement
+	leaving   bool
+	restUntil time.Time // the latest end of a rest that it has asked for
+	at        time.Time // of the last statement
 }
 
 // Observe takes in what a start of a server says of itself. It reports whether that changes
 // what is known of a server on the list.
 func (l *List) Observe(now time.Time, start Start, said Statement) (Change, bool) {
-	if !said.Leaving {
+	if said == (Statement{}) {
 		return Change{}, false
 	}
 	if l.stated == nil {
@@ -53,13 +58,21 @@
 		known = &stated{}
 		l.stated[start] = known
 	}
-	news := !known.leaving
-	known.leaving, known.at = true, now
+	leaves := said.Leaving && !known.leaving
+	until := now.Add(min(said.Rest, maxRest))
+	rests := said.Rest > 0 && until.After(known.restUntil)
+	known.leaving, known.at = known.leaving || said.Leaving, now
+	if rests {
+		known.restUntil = until
+	}
 	e := l.servers[start.ID]
-	if !news || e == nil || StartOf(&e.server) != start || e.server.Leaving {
+	switch {
+	case e == nil || StartOf(&e.server) != start:
 		return Change{}, false
+	case leaves && !e.server.Leaving:
+		return Change{l.view(e), Leaving}, true
 	}
-	return Change{l.view(e), Leaving}, true
+	return Change{l.view(e), Resting}, rests
 }
 
 // forgetStated forgets what was said long ago, and of too many all but what listed servers
@@ -79,6 +92,7 @@
 	server := e.server
 	if known := l.stated[StartOf(&server)]; known != nil {
 		server.Leaving = server.Leaving || known.leaving
+		server.RestUntil = known.restUntil
 	}
 	return server
 }
--- a/internal/state/servers/stated_test.go
+++ b/internal/state/servers/stated_test.go
@@ -77,3 +77,29 @@
 	}
 	require.True(t, l.Servers()[0].Leaving)
 }
+
+// The latest end of all rests that a start has asked for counts.
+func TestRestsEndWithTheLatest(t *testing.T) {
+	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	server := chicoryrock.Server{ID: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), StartedMs: 5}
+	var l servers.List
+	l.Put(0, server)
+	cases := []struct {
+		at, rest, until time.Duration
+		news            bool
+	}{
+		{0, 3 * time.Second, 3 * time.Second, true},
+		{time.Second, time.Second, 3 * time.Second, false},
+		{time.Second, 3 * time.Second, 4 * time.Second, true},
+		{2 * time.Second, 0, 4 * time.Second, false},
+		{2 * time.Second, 1000 * time.Hour, 2*time.Second + 5*time.Minute, true},
+	}
+	for _, c := range cases {
+		_, news := l.Observe(now.Add(c.at), servers.StartOf(&server), servers.Statement{Rest: c.rest})
+		require.Equal(t, c.news, news, c)
+		require.Equal(t, now.Add(c.until), l.Servers()[0].RestUntil, c)
+	}
+	server.StartedMs = 6
+	l.Put(0, server)
+	require.Zero(t, l.Servers()[0].RestUntil, "the next start asks for itself")
+}
--- a/platform.go
+++ b/platform.go
@@ -154,4 +154,7 @@
 	StartedMs int64          `json:"Born"`    // start time, milliseconds since 1970; zero if not stated
 	Heartbeat uint64         `json:"Beat"`    // grows while the server is alive
 	Version   string         `json:"Version"` // of its software; empty if not stated
+	// RestUntil is until when it wants no requests from this process, as it has said in an
+	// answer; no part of its entry.
+	RestUntil time.Time `json:"-"`
 }
--- a/request.go
+++ b/request.go
@@ -57,6 +57,7 @@
 	SlowStart   bool      // joined while this entry was running; its share of the work ramps up
 	ColdUntil   time.Time // slow until then, by its own report; zero if not cold
 	Version     string    // of its software; empty if not known
+	RestUntil   time.Time // gets no requests until then; zero for none
 	Unheard     bool      // its version isn't known here; its agent keeps to the one that a request names
 	Unlisted    bool      // no resumable stream may begin there: other processes don't know of its version yet
 }
