Send a request on a new connection to a server that has answered it

A booking ran twice: turned away by a faulty server, it returned on the kept connection, and the old refusal, written once more, passed for the answer to the new attempt, as it bears the request's ID.

Cause: answers are matched by the request's ID alone, which all attempts of a request share. Connections that carried another request's answer were safe, and idle ones with bytes to read; not the one that the same request returns on. Now a request that has had an answer from an address goes there on a new connection only.

--- a/internal/serve/assembly/refusal_test.go
+++ b/internal/serve/assembly/refusal_test.go
@@ -48,7 +48,8 @@
 			_, _ = io.WriteString(conn, earlier[id])
 			continue
 		}
-		_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: 4\r\n\r\nfine", earlier[id], sample.ID, id, sample.Seal)
+		const body = "id: 1\ndata: fine\n\n"
+		_, _ = fmt.Fprintf(conn, "%sHTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", earlier[id], sample.ID, id, sample.Seal, len(body), body)
 	}
 }
 
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"time"
 
@@ -65,34 +66,37 @@
 	ctx       context.Context
 	stop      context.CancelCauseFunc // of ctx
 
-	sent      int           // attempts that reached a backend server and were not turned away
-	turned    int           // attempts that were turned away or could not be sent
-	begun     bool          // an attempt may have run
-	counted   bool          // the request stands in the workspace's usage
-	started   bool          // the answer's header has gone out
-	events    int           // events that the caller has
-	status    int           // of the answer that the caller got
-	first     time.Duration // from its arrival to the first token, or the answer
-	longest   time.Duration // between two events, as the caller saw them
-	got       bool          // the attempt under way has had an event
-	last      time.Time     // when its last event came
-	pause     time.Duration // the longest between two of its events
-	lastID    string
-	gotAt     time.Time            // when its first event came
-	endKnown  bool                 // its answer stated where it ends
-	settled   bool                 // it has run for suspect.Probation
-	software  origin.Software      // of the attempt's backend server
-	origin    origin.Software      // that began the stream; zero before its first event
-	trial     bool                 // it is the trial of a ban
-	attempts  int                  // that were begun, for their names
-	print     *suspect.Fingerprint // once it has been taken
-	parts     []suspect.Fingerprint
-	partsOf   string         // the pool that parts are of
-	fetch     netip.AddrPort // where the attempt's backend server may fetch parts of the prompt
-	trail     trail.Trail
-	limitWait bool     // its deadline is that of a wait for a server's limit
-	waited    bool     // it was not given a backend server at once
-	failure   *failure // the last failure that a backend server answered with
+	sent     int           // attempts that reached a backend server and were not turned away
+	turned   int           // attempts that were turned away or could not be sent
+	begun    bool          // an attempt may have run
+	counted  bool          // the request stands in the workspace's usage
+	started  bool          // the answer's header has gone out
+	events   int           // events that the caller has
+	status   int           // of the answer that the caller got
+	first    time.Duration // from its arrival to the first token, or the answer
+	longest  time.Duration // between two events, as the caller saw them
+	got      bool          // the attempt under way has had an event
+	last     time.Time     // when its last event came
+	pause    time.Duration // the longest between two of its events
+	lastID   string
+	gotAt    time.Time       // when its first event came
+	endKnown bool            // its answer stated where it ends
+	settled  bool            // it has run for suspect.Probation
+	software origin.Software // of the attempt's backend server
+	origin   origin.Software // that began the stream; zero before its first event
+	trial    bool            // it is the trial of a ban
+	attempts int             // that were begun, for their names
+	// answeredBy is where answers to the request have come from. One of them may be written
+	// again on its connection, where it would pass for the answer to a later attempt.
+	answeredBy []netip.AddrPort
+	print      *suspect.Fingerprint // once it has been taken
+	parts      []suspect.Fingerprint
+	partsOf    string         // the pool that parts are of
+	fetch      netip.AddrPort // where the attempt's backend server may fetch parts of the prompt
+	trail      trail.Trail
+	limitWait  bool     // its deadline is that of a wait for a server's limit
+	waited     bool     // it was not given a backend server at once
+	failure    *failure // the last failure that a backend server answered with
 }
 
 // failure is a backend server's own failed answer, held while others are tried.
@@ -287,6 +291,7 @@
 		Framed:  c.r.ContentLength != 0,
 		Fragile: !c.request.Idempotent,
 		Most:    c.front.connections(c.request.Pool),
+		Fresh:   slices.Contains(c.answeredBy, replica.Address),
 		Mine:    func(header http.Header) bool { return platform.Answers(header, c.ask.ID) },
 	})
 	if errors.Is(err, chicoryrock.ErrNotRun) {
@@ -298,6 +303,7 @@
 		return err
 	}
 	defer func() { _ = answer.Body.Close() }()
+	c.answeredBy = append(c.answeredBy, replica.Address)
 	c.observe(replica, answer)
 	c.limited(sent, replica.Name, answer)
 	return c.relay(answer)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -60,6 +60,7 @@
 	Framed  bool // the caller sent a body, which may be empty
 	Fragile bool // the request must not run twice
 	Most    int  // connections to the address, in use or idle; zero for no limit
+	Fresh   bool // only a new connection will do: an answer to the request has come from the address before
 	Mine    func(http.Header) bool
 }
 
@@ -146,7 +147,7 @@
 // connection returns an idle connection that still looks sound, or a new one.
 func (c *Client) connection(ctx context.Context, call *Call) (*conn, error) {
 	now := time.Now()
-	for {
+	for !call.Fresh {
 		kept := c.take(now, call)
 		if kept == nil {
 			break
