Have engines leave and rest by what they say, in the soak

Engines of the soak say in their answers that they leave until their next start, or turn requests away and ask for rests of one to three seconds. What comes later than 2.5 s after such an answer, or more than two requests in a rest, from a front that nothing has disturbed since, fails the run.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -30,6 +30,7 @@
 	target   netip.AddrPort
 	listener net.Listener
 	mood     atomic.Int32
+	troubled atomic.Int64 // when its mood last changed or it was reset, in Unix nanoseconds
 
 	mutex sync.Mutex
 	conns map[net.Conn]struct{}
@@ -52,6 +53,12 @@
 	return p
 }
 
+// feel puts the proxy into a mood.
+func (p *proxy) feel(m mood) {
+	p.troubled.Store(time.Now().UnixNano())
+	p.mood.Store(int32(m))
+}
+
 func (p *proxy) address() netip.AddrPort {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -126,6 +133,7 @@
 
 // reset cuts all connections at once.
 func (p *proxy) reset() {
+	p.troubled.Store(time.Now().UnixNano())
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for conn := range p.conns {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -126,7 +126,7 @@
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(16) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(18) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
@@ -154,6 +154,8 @@
 		}
 	case 9, 10:
 		w.renew()
+	case 12:
+		w.stateAnother(last)
 	case 11:
 		for _, p := range w.fronts {
 			p.kill()
@@ -163,14 +165,14 @@
 		}
 	default:
 		one := w.proxies[w.random.IntN(len(w.proxies))]
-		one.mood.Store(int32(1 + w.random.IntN(int(moods)-1)))
-		time.AfterFunc(last, func() { one.mood.Store(int32(calm)) })
+		one.feel(mood(1 + w.random.IntN(int(moods)-1)))
+		time.AfterFunc(last, func() { one.feel(calm) })
 	}
 }
 
 func (w *world) calm() {
 	for _, one := range w.proxies {
-		one.mood.Store(int32(calm))
+		one.feel(calm)
 	}
 	w.store.Switch(store.Switches{})
 	for _, p := range w.fronts {
@@ -221,6 +223,7 @@
 	require.Empty(w.t, w.odd)
 	w.checkLimits(seed)
 	w.checkCrashes(seed)
+	w.checkStatements(seed)
 	w.t.Logf("seed %d: %d of %d streams that callers took up went on", seed, w.taken.on.Load(), w.taken.all.Load())
 	w.t.Logf("seed %d: %d of %d served, %d windows reported", seed, served, len(results), len(w.sheet))
 }
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -39,6 +39,7 @@
 	service     string
 	starts      int
 	proxy       *proxy
+	statements  statements
 }
 
 func (s *software) get() (id, version string) {
@@ -78,6 +79,7 @@
 	s.starts++
 	s.id = fmt.Sprintf("%s+%d", strings.Split(before, "+")[0], s.starts)
 	s.version = fmt.Sprintf("v%d", 1+w.random.IntN(3))
+	s.statements = statements{broken: s.statements.broken}
 	s.mutex.Unlock()
 	go func() {
 		// The store may be out for a while.
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -147,6 +147,11 @@
 			return
 		}
 		named, version := self.get()
+		if front, found := w.frontOf(asked); found && self.states(rw.Header(), front, w.fronts[front].disturbedAt()) {
+			rw.Header().Set(sample.NotRun, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if r.Header.Get(sample.Server) != named {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
