Have engines of two software versions in the replay

A stream that moves or resumes in a replay keeps to the version that made its first token; tokens from another one are counted.

--- a/internal/policy/replay/entry.go
+++ b/internal/policy/replay/entry.go
@@ -194,6 +194,10 @@
 		}
 		if c.tokens == 0 {
 			c.firstTokenAt = e.sim.now
+			c.request.Version, c.version = a.engine.Version, a.engine.Version
+		}
+		if c.version != a.engine.Version {
+			e.sim.stats.joinedTokens++
 		}
 		a.observeToken()
 		c.tokens++
@@ -280,7 +284,7 @@
 		Started:             c.tokens > 0,
 		FirstTokenAt:        epoch.Add(c.firstTokenAt),
 		TokenIntervalTarget: c.class.TokenIntervalTarget,
-		Resumable:           a.engine.CanResume,
+		Resumable:           a.engine.CanResume && e.dispatcher.Unservable(now, c.request) == chicoryrock.ReasonNone,
 	})
 	if decision.Action != retry.Fail {
 		c.request.Deadline = decision.Deadline
--- a/internal/policy/replay/replay_test.go
+++ b/internal/policy/replay/replay_test.go
@@ -103,3 +103,20 @@
 	// Each workspace has a fair share of 9 of the 18 tokens.
 	assert.InDelta(t, 1, report.WorstFairRatio, 1e-9)
 }
+
+// Engines of two software versions crash and straggle: streams move to engines of their own
+// version only, and most of them still end whole.
+func TestStreamsKeepToTheirVersionInReplays(t *testing.T) {
+	policy := replay.Deployed()
+	for _, name := range []string{"crash", "straggler"} {
+		scenario := loadScenario(t, name)
+		whole := replay.Run(scenario, &policy)
+		scenario = loadScenario(t, name)
+		for i := range scenario.Engines {
+			scenario.Engines[i].Version = []string{"v1", "v2"}[i%2]
+		}
+		report := replay.Run(scenario, &policy)
+		assert.Zero(t, report.JoinedTokens, name)
+		assert.GreaterOrEqual(t, 2*report.GoodTokens, whole.GoodTokens, name)
+	}
+}
--- a/internal/policy/replay/report.go
+++ b/internal/policy/replay/report.go
@@ -22,6 +22,7 @@
 	Crashes           int
 	NotRun            int           // attempts that a full agent rejected
 	Preempted         int           // streams that an agent stopped for a higher tier
+	JoinedTokens      int           // tokens from another software version than the one that began their answer
 	CrossRegionBytes  int           // of prompts sent between regions
 	EngineTime        time.Duration // length of the replay times the number of engines
 }
@@ -116,6 +117,7 @@
 	outcomes         []outcome       // by index in the trace
 	refusals         map[chicoryrock.Reason]int
 	producedTokens   int
+	joinedTokens     int
 	crossRegionBytes int
 	notRun           int
 	preempted        int
@@ -157,6 +159,7 @@
 		ProducedTokens:    s.producedTokens,
 		NotRun:            s.notRun,
 		Preempted:         s.preempted,
+		JoinedTokens:      s.joinedTokens,
 		CrossRegionBytes:  s.crossRegionBytes,
 		EngineTime:        sim.now * time.Duration(len(sim.engines)),
 	}
--- a/internal/policy/replay/scenario.go
+++ b/internal/policy/replay/scenario.go
@@ -39,6 +39,7 @@
 	PrefillPerToken time.Duration // for each prompt token
 	RestartTime     time.Duration // from a crash to the next start
 	CanResume       bool          // resumes a stream that broke on another engine
+	Version         string        // of its software; streams resume at the same one only. Empty if all have one
 }
 
 // FaultKind is the effect of a fault.
--- a/internal/policy/replay/simulation.go
+++ b/internal/policy/replay/simulation.go
@@ -63,6 +63,7 @@
 	failures           int           // failed attempts other than rejections
 	rejections         int           // attempts that ended for want of capacity
 	tokens             int           // that the caller has
+	version            string        // of the software that made the first of them
 	firstTokenAt       time.Duration // when the first token reached the caller
 	lastTokenAt        time.Duration // when the latest token reached the caller
 }
@@ -113,6 +114,8 @@
 			Centre: engine.Centre,
 			Region: engine.Region,
 			Slots:  engine.Slots,
+
+			Version: engine.Version,
 		})
 	}
 	for pool, replicas := range pools {
