--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -147,15 +147,15 @@
 			return
 		}
 		named, version := self.get()
+		if r.Header.Get(sample.Server) != named {
+			rw.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
 		if front, found := w.frontOf(asked); found && self.states(rw.Header(), front, w.fronts[front].disturbedAt()) {
 			rw.Header().Set(sample.NotRun, "1")
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		if r.Header.Get(sample.Server) != named {
-			rw.WriteHeader(http.StatusMisdirectedRequest)
-			return
-		}
 		w.mutex.Lock()
 		w.runs[asked]++
 		w.mutex.Unlock()
