front: hold requests back for crashes, not for lost connections

Cause: each lost connection counted against its request, so three lost ones without an answer between them banned it with 422 though no server had gone down. A process that started more than ten minutes after a ban's last crash also dropped the evidence that it was told, and sent the request. Change: a front records a failure only with evidence that the server went down: its port refused at once, 20 or 100 ms after the loss, silence after a close by its side, or a newer start in its entry within 3 s. Crashes of a service with nine or more different causes within ten seconds count against no request (clear.go). A ban is answered with 503, the new reason crash-request and the time of the next trial. Failures state their service, and whether a ban rests on them. Trials and the exchange between fronts are unchanged. The tests of whole requests state crashes now, since a failure without one counts for nothing; TestFrontHoldsBackWhatCrashesServers has servers that really go down, instead of connections that are cut, and allows one attempt more, which may begin before the third crash is known. Without Front.restarted, 29 requests reach servers after the contact time in the case of a server that is back at once. TestFleetKeepsTwoCrashingPartsFromEngines fails as before.

--- a/internal/ops/burn/judge.go
+++ b/internal/ops/burn/judge.go
@@ -30,15 +30,16 @@
 // callerReasons are the reasons that lie with the caller: the service would have
 // refused these requests at any load.
 var callerReasons = map[chicoryrock.Reason]bool{
-	chicoryrock.ReasonMalformed:  true,
-	chicoryrock.ReasonTooLarge:   true,
-	chicoryrock.ReasonUnknownKey: true,
-	chicoryrock.ReasonWithdrawn:  true,
-	chicoryrock.ReasonNoRoute:    true,
-	chicoryrock.ReasonLimit:      true,
-	chicoryrock.ReasonSuspect:    true,
-	chicoryrock.ReasonCrashPart:  true,
-	chicoryrock.ReasonClaimed:    true,
+	chicoryrock.ReasonMalformed:    true,
+	chicoryrock.ReasonTooLarge:     true,
+	chicoryrock.ReasonUnknownKey:   true,
+	chicoryrock.ReasonWithdrawn:    true,
+	chicoryrock.ReasonNoRoute:      true,
+	chicoryrock.ReasonLimit:        true,
+	chicoryrock.ReasonSuspect:      true,
+	chicoryrock.ReasonCrashPart:    true,
+	chicoryrock.ReasonCrashRequest: true,
+	chicoryrock.ReasonClaimed:      true,
 }
 
 // Judge holds a request against the targets of its class. A target of zero is not
--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -44,6 +44,7 @@
 	chicoryrock.ReasonVersionUnknown: "It would have gone on where the store could be read, or where the front that began it had lived for a moment longer; the whole request can be sent again.",
 	chicoryrock.ReasonVersionGone:    "A backend server with the software version of event 318 would have gone on with it; the whole request can be sent again.",
 	chicoryrock.ReasonCrashPart:      "A prompt without that part would have been served; event 313 names it. Look at what it does to the backend servers.",
+	chicoryrock.ReasonCrashRequest:   "A different request would have been served, or this one as a trial after the time that Retry-After names; look at what it does to the backend servers.",
 	chicoryrock.ReasonSuspect:        "A different request would have been served; look at what this one does to the backend servers.",
 	chicoryrock.ReasonClaimed:        "The first request with this key decides; a new call needs a new idempotency key.",
 	chicoryrock.ReasonNoStore:        "It would have been let in once the platform's key-value service could be reached.",
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -116,7 +116,7 @@
 func (m *Metrics) Request(ended Ended) {
 	m.requests.WithLabelValues(m.classes.value(ended.Class), string(ended.Outcome), ended.Reason.String()).Inc()
 	switch {
-	case ended.Reason == chicoryrock.ReasonSuspect || ended.Reason == chicoryrock.ReasonCrashPart:
+	case ended.Reason == chicoryrock.ReasonSuspect || ended.Reason == chicoryrock.ReasonCrashPart || ended.Reason == chicoryrock.ReasonCrashRequest:
 		m.incidents.WithLabelValues(m.workspaces.value(ended.Workspace), "suspect").Inc()
 	case ended.Outcome == chicoryrock.OutcomeUnknown:
 		m.incidents.WithLabelValues(m.workspaces.value(ended.Workspace), "unknown").Inc()
--- a/internal/policy/suspect/ban.go
+++ b/internal/policy/suspect/ban.go
@@ -12,9 +12,8 @@
 )
 
 const (
-	// requestThreshold is the number of failures from which a request is assumed to
-	// crash every backend server that runs it. A failure may be a lost connection
-	// instead of a crash, so two could be chance.
+	// requestThreshold is the number of crashes from which a request that no server has
+	// answered since is assumed to have caused them. Two could be chance.
 	requestThreshold = 3
 	// partThreshold is the number of crashes from which a part that no server has run
 	// well since is assumed to have caused them.
@@ -126,29 +125,25 @@
 		return
 	}
 	t.expire(now)
+	suspicions := t.suspicions(now)
 	t.evaluated, t.changed, t.settled = now, false, true
 	t.bans = nil
 	for _, failure := range t.failures {
-		failure.held, failure.kept = false, false
+		failure.Held, failure.kept = false, false
 		t.settled = t.settled && now.Sub(failure.at) >= settleTime
 	}
-	suspicions := t.suspicions(now)
 	if len(suspicions) == 0 {
 		return
 	}
 	incidents := incidentsOf(suspicions)
-	explained := make(map[int]bool)
-	for {
-		worst := worstOf(suspicions, incidents, explained)
-		if worst == nil {
-			break
-		}
-		t.bans = append(t.bans, worst.ban(suspicions))
-		for _, failure := range worst.failures {
-			explained[incidents[failure]] = true
-		}
-		for _, failure := range lastOfIncidents(worst.failures, incidents) {
-			failure.held, failure.kept = true, true
+	causes, explained := causesOf(suspicions, incidents)
+	for t.clear(causes, suspicions, incidents, explained) {
+		causes, explained = causesOf(suspicions, incidents)
+	}
+	for _, c := range causes {
+		t.bans = append(t.bans, c.ban)
+		for _, failure := range lastOfIncidents(c.failures, incidents) {
+			failure.Held, failure.kept = true, true
 		}
 	}
 	for _, s := range suspicions {
@@ -160,6 +155,28 @@
 	}
 }
 
+// cause is a suspicion that holds, with its ban.
+type cause struct {
+	*suspicion
+
+	ban Ban
+}
+
+// causesOf returns the suspicions that explain the crashes, and which crashes they explain.
+func causesOf(suspicions []*suspicion, incidents map[*Failure]int) (causes []cause, explained map[int]bool) {
+	explained = make(map[int]bool)
+	for {
+		worst := worstOf(suspicions, incidents, explained)
+		if worst == nil {
+			return causes, explained
+		}
+		causes = append(causes, cause{worst, worst.ban(suspicions)})
+		for _, failure := range worst.failures {
+			explained[incidents[failure]] = true
+		}
+	}
+}
+
 // ban returns the ban of a subject, together with the parts that were seen in just the same
 // failures.
 func (s *suspicion) ban(suspicions []*suspicion) Ban {
@@ -233,7 +250,7 @@
 		s := &suspicion{subject: subject}
 		for _, failure := range failures {
 			s.part = subject != failure.Request
-			if failure.at.After(success) && (!s.part || now.Sub(failure.at) >= settleTime) {
+			if failure.at.After(success) && s.counts(now, failure) {
 				s.failures = append(s.failures, failure)
 			}
 		}
@@ -246,6 +263,16 @@
 	return all
 }
 
+// counts reports whether a failure is neither too young nor too old to count. One against
+// a request on which no ban rests ends to count before failures that clear the request are
+// dropped.
+func (s *suspicion) counts(now time.Time, failure *Failure) bool {
+	if s.part {
+		return now.Sub(failure.at) >= settleTime
+	}
+	return failure.Held || now.Sub(failure.at) < failureTTL-2*clearWindow
+}
+
 func (s *suspicion) threshold() int {
 	if s.part {
 		return partThreshold
@@ -302,97 +329,3 @@
 	}
 	return count
 }
-
-// Verdict says what may be done with a request.
-type Verdict struct {
-	// State is Suspect if the request may be sent once it has been granted a trial.
-	State State
-	Ban   Ban // unless State is Clean
-}
-
-// Decide returns what may be done with a request.
-func (t *Tracker) Decide(now time.Time, c *Candidate) Verdict {
-	t.evaluate(now)
-	verdict := Verdict{State: Clean}
-	for i := range t.bans {
-		state := t.decide(now, c, &t.bans[i])
-		if state == Refused || state == Suspect && verdict.State == Clean {
-			verdict = Verdict{State: state, Ban: t.bans[i]}
-		}
-		if state == Refused {
-			break
-		}
-	}
-	return verdict
-}
-
-// decide returns what one ban says of a request.
-func (t *Tracker) decide(now time.Time, c *Candidate, ban *Ban) State {
-	matching := 0
-	c.subjects(func(subject Fingerprint) {
-		if slices.Contains(ban.Subjects, subject) {
-			matching++
-		}
-	})
-	if matching == 0 {
-		return Clean
-	}
-	trials, last := t.trialsOf(ban)
-	underWay := !last.IsZero() && now.Sub(last) < trialTime && !ban.last.After(last)
-	if underWay {
-		return Refused
-	}
-	pause := banTTL
-	since := ban.last
-	if last.After(since) {
-		since = last
-	}
-	if trials < len(trialPauses) {
-		pause = trialPauses[trials]
-		// What such a request does tells more than another one of the same.
-		if matching < len(ban.Subjects) || ban.Part && !ban.workspaces[c.Workspace] {
-			pause = 0
-		}
-	}
-	if now.Sub(since) < pause {
-		return Refused
-	}
-	return Suspect
-}
-
-// trialsOf returns how many trials a ban has had, and when the last one was granted.
-func (t *Tracker) trialsOf(ban *Ban) (count int, last time.Time) {
-	for _, trial := range t.trials {
-		if !slices.ContainsFunc(trial.Subjects, func(subject Fingerprint) bool {
-			return slices.Contains(ban.Subjects, subject) && trial.at.After(t.successes.last(subject))
-		}) {
-			continue
-		}
-		count++
-		if trial.at.After(last) {
-			last = trial.at
-		}
-	}
-	return count, last
-}
-
-// Grant lets a request be sent as the trial of a ban, if one is due. One process at a time
-// grants the trials of a ban, for all. The evidence is for the process that asked for it.
-func (t *Tracker) Grant(now time.Time, id string, c *Candidate) (Evidence, bool) {
-	verdict := t.Decide(now, c)
-	if verdict.State != Suspect {
-		return Evidence{}, verdict.State == Clean
-	}
-	trial := Trial{ID: id, at: now}
-	for i := range t.bans {
-		c.subjects(func(subject Fingerprint) {
-			if slices.Contains(t.bans[i].Subjects, subject) {
-				trial.Subjects = append(trial.Subjects, subject)
-			}
-		})
-	}
-	evidence := Evidence{Trials: []Trial{trial}}
-	t.Merge(now, evidence)
-	note(&t.news.trials, id)
-	return evidence, true
-}
--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -73,22 +73,25 @@
 	}
 }
 
-// Failure records that an attempt's answer broke off or was lost before it had run for
-// Probation.
+// Failure records that an attempt's answer broke off or was lost as its server went down.
 type Failure struct {
-	ID        string        `json:"id"` // of the attempt
-	Server    string        `json:"server"`
+	ID     string `json:"id"` // of the attempt
+	Server string `json:"server"`
+	// Service is what the server belongs to; empty from former builds.
+	Service   string        `json:"service,omitempty"`
 	Workspace string        `json:"workspace,omitempty"`
 	Request   Fingerprint   `json:"request"`
-	Parts     []Fingerprint `json:"parts,omitempty"`
-	// Crash says that the server was down afterwards. Only crashes count against parts:
-	// connections that are lost for other reasons take many requests with them that have
-	// a part in common.
-	Crash bool      `json:"crash,omitempty"`
-	Age   Age       `json:"age"` // when it was exported
-	at    time.Time // by the receiver's clock
-	held  bool      // a ban rests on it
-	kept  bool      // it is worth keeping if all processes are lost
+	Parts     []Fingerprint `json:"parts,omitempty"` // none once it has run for Probation
+	// Crash says that there is evidence that the server went down. Former builds also send
+	// failures without it, which don't count: connections that are lost for other reasons
+	// say nothing of the request.
+	Crash bool `json:"crash,omitempty"`
+	Age   Age  `json:"age"` // when it was exported
+	// Held says that a ban rested on it at the process that tells of it, so that it counts
+	// for banTTL.
+	Held bool      `json:"held,omitempty"`
+	at   time.Time // by the receiver's clock
+	kept bool      // it is worth keeping if all processes are lost
 }
 
 // Success records that an attempt ran for Probation or to its end.
@@ -186,10 +189,9 @@
 // Empty reports whether no failures are known.
 func (t *Tracker) Empty() bool { return len(t.failures) == 0 }
 
-// RecordFailure takes in a failure of this process. A second record with the same ID can
-// only add that it was a crash.
+// RecordFailure takes in a failure of this process, which may be some time ago. A second
+// record with the same ID changes nothing, and neither does one that was no crash.
 func (t *Tracker) RecordFailure(now time.Time, failure Failure) {
-	failure.Age = 0
 	t.Merge(now, Evidence{Failures: []Failure{failure}})
 	t.evaluated = time.Time{}
 	note(&t.news.failures, failure.ID)
@@ -229,9 +231,7 @@
 	var evidence Evidence
 	for id := range t.news.failures {
 		if failure := t.failures[id]; failure != nil {
-			told := *failure
-			told.Age = Age(now.Sub(failure.at))
-			evidence.Failures = append(evidence.Failures, told)
+			evidence.Failures = append(evidence.Failures, failure.aged(now))
 		}
 	}
 	for subject := range t.news.successes {
@@ -257,12 +257,17 @@
 	}
 }
 
+// aged returns the failure as another process is told of it.
+func (f *Failure) aged(now time.Time) Failure {
+	told := *f
+	told.Age = Age(now.Sub(f.at))
+	return told
+}
+
 // subjects calls a function with each subject that the failure counts against.
 func (f *Failure) subjects(visit func(subject Fingerprint)) {
-	if f.Crash {
-		for _, part := range f.Parts {
-			visit(part)
-		}
+	for _, part := range f.Parts {
+		visit(part)
 	}
 	if f.Request != (Fingerprint{}) {
 		visit(f.Request)
@@ -300,23 +305,16 @@
 	return reply
 }
 
-// add stores a failure, or that a known one was a crash. It returns nil for one that is too
-// old.
+// add stores a failure. It returns nil for one that is too old or was no crash.
 func (t *Tracker) add(now time.Time, failure Failure) *Failure {
-	if failure.ID == "" || failure.Age.duration() >= banTTL {
+	if failure.ID == "" || !failure.Crash || failure.Age.duration() >= banTTL {
 		return nil
 	}
-	known := t.failures[failure.ID]
-	if known != nil && (known.Crash || !failure.Crash) {
+	if known := t.failures[failure.ID]; known != nil {
 		return known
 	}
 	failure.at = now.Add(-failure.Age.duration())
 	failure.Parts = failure.Parts[:min(len(failure.Parts), maxParts)]
-	if known != nil {
-		failure.at = known.at
-		failure.held, failure.kept = known.held, known.kept
-		t.remove(known)
-	}
 	if len(t.failures) == 0 {
 		t.failures = make(map[string]*Failure)
 		t.bySubject = make(map[Fingerprint][]*Failure)
@@ -358,7 +356,7 @@
 func (t *Tracker) expire(now time.Time) {
 	if len(t.failures) > maxFailures {
 		all := t.sorted()
-		slices.SortStableFunc(all, func(a, b *Failure) int { return cmp.Compare(flag(a.held), flag(b.held)) })
+		slices.SortStableFunc(all, func(a, b *Failure) int { return cmp.Compare(flag(a.Held), flag(b.Held)) })
 		for _, failure := range all[:len(all)-maxFailures] {
 			t.remove(failure)
 		}
@@ -378,7 +376,7 @@
 	t.expired = now
 	for _, failure := range t.failures {
 		ttl := failureTTL
-		if failure.held {
+		if failure.Held {
 			ttl = banTTL
 		}
 		if now.Sub(failure.at) >= ttl {
@@ -417,7 +415,7 @@
 	t.evaluate(now)
 	all := t.sorted()
 	from := len(all) - exportedFailures
-	return t.export(now, all, func(i int) bool { return all[i].held || i >= from })
+	return t.export(now, all, func(i int) bool { return all[i].Held || i >= from })
 }
 
 // export returns a choice of all failures, with the successes and trials.
@@ -427,9 +425,7 @@
 		if !chosen(i) {
 			continue
 		}
-		told := *failure
-		told.Age = Age(now.Sub(failure.at))
-		evidence.Failures = append(evidence.Failures, told)
+		evidence.Failures = append(evidence.Failures, failure.aged(now))
 	}
 	for subject := range t.bySubject {
 		if last := t.successes.last(subject); !last.IsZero() {
@@ -454,7 +450,7 @@
 	t.evaluate(now)
 	var recent Evidence
 	for _, failure := range t.failures {
-		if failure.held || now.Sub(failure.at) < digestTime {
+		if failure.Held || now.Sub(failure.at) < digestTime {
 			recent.Failures = append(recent.Failures, Failure{ID: failure.ID, Crash: failure.Crash})
 		}
 	}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -189,6 +189,7 @@
 		}
 	}
 	f.Origins.SetServers(now, list)
+	f.restarted(now, list)
 	f.placing.Lock()
 	cold := make(map[boot]time.Time)
 	for i := range list {
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -33,6 +33,8 @@
 	switch reason {
 	case chicoryrock.ReasonCrashPart:
 		return longest
+	case chicoryrock.ReasonCrashRequest:
+		return max(c.verdict(now).Wait, soonest) // until it may be tried
 	case chicoryrock.ReasonVersionGone:
 		return 0 // coming back is in vain
 	case chicoryrock.ReasonResting:
--- a/internal/serve/upstream/errors.go
+++ b/internal/serve/upstream/errors.go
@@ -14,6 +14,14 @@
 // an answer. It comes with ErrUnknownOutcome, or by the error of an answer's body.
 var ErrClosed = errors.New("connection closed by the backend server")
 
+// What Listens finds out of a backend server.
+var (
+	// ErrRefused says that its machine answers and its port is closed.
+	ErrRefused = errors.New("the backend server's port is closed")
+	// ErrSilent says that nothing answers at its address.
+	ErrSilent = errors.New("nothing answers at the backend server's address")
+)
+
 // closedError is an error that also matches ErrClosed.
 type closedError struct{ error }
 
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -105,19 +105,29 @@
 	Framed bool
 }
 
-// Listens reports whether a backend server takes new connections.
-func (c *Client) Listens(ctx context.Context, address netip.AddrPort) bool {
+// Listens returns nil if a backend server takes new connections. Errors: ErrRefused if it
+// refuses them, ErrSilent if nothing answers; others are this process's own, such as a lack
+// of descriptors, and say nothing of the server.
+func (c *Client) Listens(ctx context.Context, address netip.AddrPort) error {
 	timeout := c.Dial
 	if timeout == 0 {
 		timeout = defaultDial
 	}
 	dialer := net.Dialer{Timeout: timeout, Control: c.Control}
 	conn, err := dialer.DialContext(ctx, "tcp", address.String())
-	if err != nil {
-		return false
+	var wait net.Error
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return nil
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errors.Wrap(ErrRefused, err.Error())
+	case ctx.Err() == nil && errors.As(err, &wait) && wait.Timeout(),
+		errors.Is(err, syscall.EHOSTUNREACH), errors.Is(err, syscall.ENETUNREACH):
+		return errors.Wrap(ErrSilent, err.Error())
+	default:
+		return errors.WithStack(err)
 	}
-	_ = conn.Close()
-	return true
 }
 
 // Do sends a request and reads the beginning of its answer. The context bounds the
--- a/reason.go
+++ b/reason.go
@@ -23,6 +23,7 @@
 	ReasonResting
 	ReasonSuspect
 	ReasonCrashPart
+	ReasonCrashRequest
 	ReasonClaimed
 	ReasonNoStore
 	ReasonShutdown
@@ -55,6 +56,7 @@
 	ReasonResting:        {"resting", "Each backend server that could run the request has asked for a pause, which lasts for longer than the request may wait.", 503},
 	ReasonSuspect:        {"suspect", "This same request was running when backend servers crashed, so it is not run again.", 422},
 	ReasonCrashPart:      {"crash-part", "Backend servers crashed under a part of this request's prompt, so no request with that part is run for now.", 503},
+	ReasonCrashRequest:   {"crash-request", "Backend servers crashed under this same request, so it is not run for now.", 503},
 	ReasonClaimed:        {"claimed", "A request with the same idempotency key has already been started.", 409},
 	ReasonNoStore:        {"no-store", "The call must run at most once, and the store that guards this cannot be reached.", 503},
 	ReasonShutdown:       {"shutdown", "This process is shutting down and takes no new requests.", 503},
