front: take in SIGHUP from the beginning of the process on

Cause: the handler of SIGHUP was installed as the front's parts began to run, about 13 ms after the start on an idle core; before that the signal ends the process. Change: package serve/hangup asks for SIGHUP as it is initialised, ahead of the packages that take milliseconds for that. A signal that has come by then reads the settings once more. Other subcommands give it back to the system.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -79,6 +79,8 @@
 	Dropped func() int64 // lines of the log that were dropped; may be nil
 	// Scrapes is where metrics are served, at /metrics; the zero value for nowhere.
 	Scrapes netip.AddrPort
+	// Hangup is where SIGHUP arrives; nil to ask for it in Run.
+	Hangup <-chan os.Signal
 
 	parts   guard.Parts
 	metrics *metrics.Metrics
@@ -437,9 +439,13 @@
 // reload takes in the settings again on SIGHUP, and when the file has changed
 // without one. Settings with a fault leave those in force as they are.
 func (p *Front) reload(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
+	hangup := p.Hangup
+	if hangup == nil {
+		own := make(chan os.Signal, 1)
+		signal.Notify(own, syscall.SIGHUP)
+		defer signal.Stop(own)
+		hangup = own
+	}
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
--- a/internal/serve/program/front.go
+++ b/internal/serve/program/front.go
@@ -14,6 +14,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/assembly"
+	"github.com/chicoryrock/chicoryrock/internal/serve/hangup"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -50,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	process := &assembly.Front{Node: node, Log: log, File: *file, Started: time.Now(), Dropped: bounded.Dropped}
+	process := &assembly.Front{Node: node, Log: log, File: *file, Started: time.Now(), Dropped: bounded.Dropped, Hangup: hangup.Signals()}
 	if *port != 0 {
 		process.Scrapes = netip.AddrPortFrom(node.Address, uint16(*port))
 	}
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -20,6 +20,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/serve/assembly"
 	"github.com/chicoryrock/chicoryrock/internal/serve/demo"
+	"github.com/chicoryrock/chicoryrock/internal/serve/hangup"
 )
 
 // The exit codes of the command.
@@ -49,6 +50,9 @@
 		return exitUsage
 	}
 	proc.SetTimeToForceQuit(never)
+	if args[0] != "front" {
+		hangup.Reset()
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	switch args[0] {
