platform: keep the order of more than ten ranks of priority

Cause: an urgency was the rank, or 9 from the tenth rank on, so that engines did not preempt among those.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -61,6 +61,7 @@
 	workspace *routing.Workspace
 	body      []byte
 	request   *chicoryrock.Request
+	ranks     int // of priority that requests for its service have
 	begin     time.Time
 	until     time.Time // when the caller or the route gives up
 	ctx       context.Context
@@ -272,11 +273,12 @@
 	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
 	c.attempts++
 	stamp := platform.Stamp{
-		Server:  replica.Name,
-		Left:    c.until.Sub(sent),
-		Urgency: c.request.Tier - 1,
-		Resume:  c.lastID,
-		Fetch:   c.fetch,
+		Server: replica.Name,
+		Left:   c.until.Sub(sent),
+		Rank:   c.request.Tier - 1,
+		Ranks:  c.ranks,
+		Resume: c.lastID,
+		Fetch:  c.fetch,
 	}
 	if c.workspace != nil {
 		stamp.Workspace = c.workspace.Name
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -287,6 +287,7 @@
 	if c.workspace != nil {
 		request.Workspace = c.workspace.Name
 	}
+	c.ranks = table.Priorities(service)
 	return request
 }
 
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -179,6 +179,11 @@
 	return byWorkspace*len(priorities) + byRoute
 }
 
+// Priorities returns how many values EffectivePriority has for a service.
+func (t *Table) Priorities(service string) int {
+	return max(len(t.workspacePriorities), 1) * len(t.routePriorities[service])
+}
+
 // collectPriorities collects the priorities that EffectivePriority compares.
 func (t *Table) collectPriorities() {
 	t.routePriorities = make(map[string][]int)
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -52,6 +52,8 @@
 	require.Less(t, table.EffectivePriority(root, high, "llm"), table.EffectivePriority(deep, high, "llm"))
 	require.Less(t, table.EffectivePriority(deep, high, "llm"), table.EffectivePriority(root, low, "llm"))
 	require.Less(t, table.EffectivePriority(root, low, "llm"), table.EffectivePriority(deep, low, "llm"))
+	require.Equal(t, 4, table.Priorities("llm"))
+	require.Equal(t, table.Priorities("llm")-1, table.EffectivePriority(deep, low, "llm"))
 	require.Equal(t, table.EffectivePriority(root, nil, "llm"), table.EffectivePriority(root, table.Workspace(DigestOf("k3")), "llm"))
 }
 
