assembly: let the test of a missed ban set its fronts' start before they run

Cause: TestFrontThatMissedABanLearnsOfIt moved Front.Started back while the front's followers read it (Front.settled): a data race of the test. Change: its fronts are made with that start. The test asks for the same as before. Measured: with -race, five processes at once and twelve runs each, all five reported the race before (bans_test.go:125 against front.go:398) and none of the 60 runs failed after.

--- a/internal/serve/assembly/bans_test.go
+++ b/internal/serve/assembly/bans_test.go
@@ -114,16 +114,13 @@
 // A front that was not told of the crashes, as it was cut off or frozen, learns of the ban
 // from any front that knows it.
 func TestFrontThatMissedABanLearnsOfIt(t *testing.T) {
-	all := deployMany(t, 3)
+	// Longer ago than a process compares what it knows after its start.
+	all := deployStarted(t, 3, time.Now().Add(-2*compareTime))
 	all[0].configure(2, "k1")
 	b := all[0].add("i-1", "llm", stream(2, 0))
 	for _, d := range all {
 		d.settle(2, 1)
 	}
-	// Longer than a process compares what it knows after its start.
-	for _, d := range all {
-		d.front.Started = d.front.Started.Add(-2 * compareTime)
-	}
 	all[0].front.front.Told(time.Now(), bannedFor(time.Second))
 	for _, d := range all {
 		require.Eventually(t, func() bool { return d.front.front.EvidenceDigest(time.Now()) != 0 }, waitTime, 10*time.Millisecond)
--- a/internal/serve/assembly/server_limit_test.go
+++ b/internal/serve/assembly/server_limit_test.go
@@ -77,24 +77,37 @@
 
 // deployMany starts fronts that share one platform and talk to each other.
 func deployMany(t *testing.T, count int) []*deployment {
+	return deployStarted(t, count, time.Now())
+}
+
+// deployStarted is deployMany with fronts that take themselves for started at a time.
+func deployStarted(t *testing.T, count int, started time.Time) []*deployment {
 	talks := func(node *platform.Node) {
 		at := host.Own()
 		node.Address, node.Ports = at.Addr(), [2]uint16{at.Port(), at.Port()}
 	}
-	all := []*deployment{deploy(t, talks)}
+	all := []*deployment{deployWith(t, func(front *Front) {
+		talks(front.Node)
+		front.Started = started
+	})}
 	for i := 1; i < count; i++ {
 		node := *all[0].node
 		node.Name, node.Callers, node.Ready = fmt.Sprintf("front-a-%d", i+1), host.Own(), host.Own()
 		talks(&node)
-		all = append(all, all[0].startAnother(&node))
+		all = append(all, all[0].startAnotherAt(&node, started))
 	}
 	return all
 }
 
 // startAnother starts a front of another node on the same platform.
 func (d *deployment) startAnother(node *platform.Node) *deployment {
+	return d.startAnotherAt(node, time.Now())
+}
+
+// startAnotherAt is startAnother for a front that takes itself for started at a time.
+func (d *deployment) startAnotherAt(node *platform.Node, started time.Time) *deployment {
 	other := &deployment{t: d.t, store: d.store, server: d.server, node: node, ended: make(chan error, 1)}
-	other.front = &Front{Node: node, Log: event.NewNop(), Started: time.Now()}
+	other.front = &Front{Node: node, Log: event.NewNop(), Started: started}
 	ctx, stop := context.WithCancel(context.Background())
 	other.stop = stop
 	go func() { other.ended <- other.front.Run(ctx) }()
