billing: write counts again in time after the store has come back from a copy

Cause: two faults, by the logs of failed runs of TestCountsThatARestoredStoreHasLostAreReported. A write that failed because the store had come back set the rest of writePause (2 s), after Restored had ended it; so the counts were written again after rewriteTime (2 s), when the window was sealed without them. And an answer that is the first of the new history was used for a seal before Restored was called. Change: such a write causes no rest. A window is not sealed from counts read since the store came back until the processes have had rewriteTime (Reporter.Era, RequiredCounts.Current). Measured: without the changes TestCountsAreWrittenAgainAtOnce and TestCountsOfACopyAreNotSealed fail.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -293,6 +293,7 @@
 		Alive:  p.peers.alive,
 		Sent:   p.metrics.Window,
 		Share:  p.shareSeal,
+		Era:    p.store.Era,
 	}
 }
 
--- a/internal/serve/billing/billing.go
+++ b/internal/serve/billing/billing.go
@@ -79,6 +79,7 @@
 	mutex sync.Mutex
 	tally tally.Counter
 	again time.Time                       // when the store is asked again after it took nothing
+	times int                             // that Restored was called
 	kept  map[string][]chicoryrock.Change // by process, what this one keeps for others
 }
 
@@ -97,6 +98,7 @@
 	defer b.mutex.Unlock()
 	b.tally.MarkAllUnwritten()
 	b.again = time.Time{}
+	b.times++
 }
 
 // Run writes counts until the context ends.
@@ -205,12 +207,11 @@
 func (b *Book) flushBy(ctx context.Context, before int64, write func(context.Context, []chicoryrock.Change) error) bool {
 	now := time.Now()
 	b.mutex.Lock()
-	resting := now.Before(b.again)
-	b.mutex.Unlock()
-	if resting {
+	if now.Before(b.again) {
+		b.mutex.Unlock()
 		return false
 	}
-	b.mutex.Lock()
+	times := b.times
 	changes, err := b.tally.TakeChanges(b.Process, before)
 	b.mutex.Unlock()
 	if err != nil {
@@ -224,7 +225,11 @@
 		b.Log.Write(event.UsageKept, zap.Int("windows", len(changes)), zap.Error(err))
 		b.mutex.Lock()
 		b.tally.MarkUnwritten(changes)
-		b.again = now.Add(writePause)
+		if times == b.times {
+			// Else it may have failed as the store came back from a copy, and is made again
+			// before windows are sealed, within rewriteTime.
+			b.again = now.Add(writePause)
+		}
 		b.mutex.Unlock()
 		return false
 	}
@@ -272,8 +277,12 @@
 	// Share tells other processes what a window was sealed with, before it is reported; nil
 	// for none. The store may lose the seal when it comes back from a copy.
 	Share func(ctx context.Context, number int64, counts tally.Counts)
+	// Era says how often the store has come back from a copy, by its last answer; nil for
+	// never. It is known before Restored is called.
+	Era func() uint64
 
 	mutex    sync.Mutex
+	era      uint64                 // of the last call of Restored
 	sealed   map[int64]tally.Counts // what the last windows were sealed with, as far as known
 	restored time.Time              // when the store last came back from a copy
 
@@ -287,6 +296,9 @@
 func (r *Reporter) Restored(ctx context.Context, now time.Time) {
 	r.mutex.Lock()
 	r.restored = now
+	if r.Era != nil {
+		r.era = r.Era()
+	}
 	sealed := maps.Clone(r.sealed)
 	r.mutex.Unlock()
 	for number, counts := range sealed {
@@ -300,9 +312,13 @@
 func (r *Reporter) rewritten(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime
+	return r.current() && (r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime)
 }
 
+// current says whether Restored has been called since the store last came back from a copy.
+// The lock is held.
+func (r *Reporter) current() bool { return r.Era == nil || r.Era() == r.era }
+
 // seal seals a window, with the same sum as before if it is known to have been sealed.
 func (r *Reporter) seal(ctx context.Context, number int64, required tally.RequiredCounts) (tally.Counts, error) {
 	r.mutex.Lock()
@@ -311,6 +327,7 @@
 	if found {
 		return tally.SealWith(ctx, r.Store, number, known)
 	}
+	required.Current = func() bool { return r.rewritten(time.Now()) }
 	counts, err := tally.Seal(ctx, r.Store, number, required)
 	if err != nil {
 		return nil, err
--- a/internal/serve/billing/restored_test.go
+++ b/internal/serve/billing/restored_test.go
@@ -45,3 +45,54 @@
 	require.NoError(t, err)
 	require.Equal(t, sum, again, "the store has the seal again")
 }
+
+// Guards against sealing a window with what the store had when it was copied: its answer is
+// the first to say that it has come back, and the counts have not been written again yet.
+func TestCountsOfACopyAreNotSealed(t *testing.T) {
+	server := &store.Server{Listen: host.Loopback()}
+	require.NoError(t, server.Start())
+	t.Cleanup(server.Close)
+	client := &platform.Store{Address: server.Addr(), Timeout: 10 * time.Second}
+	write := func(counts string) {
+		other := &platform.Store{Address: server.Addr(), Timeout: 10 * time.Second}
+		_, err := other.Commit(t.Context(), []chicoryrock.Change{{Key: tally.CountPrefix + "7/a", Value: []byte(counts), Unconditional: true}})
+		require.NoError(t, err)
+	}
+	write(`{}`)
+	server.Copy()
+	write(`{"w1":5}`)
+	server.Restore()
+	reporter := &Reporter{Store: client, Log: event.NewNop(), Era: client.Era}
+	required := tally.RequiredCounts{Alive: []string{"a"}}
+	_, err := reporter.seal(t.Context(), 7, required)
+	require.ErrorIs(t, err, tally.ErrCountsMissing)
+	reporter.Restored(t.Context(), time.Now())
+	_, err = reporter.seal(t.Context(), 7, required)
+	require.ErrorIs(t, err, tally.ErrCountsMissing, "the processes have had no time to write again")
+	write(`{"w1":5}`)
+	reporter.Restored(t.Context(), time.Now().Add(-rewriteTime))
+	sum, err := reporter.seal(t.Context(), 7, required)
+	require.NoError(t, err)
+	require.EqualValues(t, 5, sum["w1"])
+}
+
+// Guards against a rest of writePause after a write that failed because the store came back
+// from a copy: windows would be sealed before the counts are written again.
+func TestCountsAreWrittenAgainAtOnce(t *testing.T) {
+	book := &Book{Process: "a", Length: time.Second, Log: event.NewNop(), Clock: &Clock{}}
+	book.Began(time.Now(), "w1")
+	last := tally.WindowAt(time.Now(), book.Length) + 2
+	written := 0
+	failing := func(_ context.Context, changes []chicoryrock.Change) error {
+		written += len(changes)
+		book.Restored()
+		return chicoryrock.ErrUnknownOutcome
+	}
+	require.False(t, book.flushBy(t.Context(), last, failing))
+	require.Equal(t, 1, written)
+	require.True(t, book.flushBy(t.Context(), last, func(_ context.Context, changes []chicoryrock.Change) error {
+		written += len(changes)
+		return nil
+	}))
+	require.Equal(t, 2, written)
+}
--- a/internal/state/tally/tally.go
+++ b/internal/state/tally/tally.go
@@ -195,6 +195,9 @@
 type RequiredCounts struct {
 	Alive    []string // written by the process or relayed
 	Departed []string // written by the process, as counts kept by a peer may lack the latest
+	// Current says, once the counts have been read, whether the store has come back from no
+	// copy that the processes have not written their counts to again; nil if it never does.
+	Current func() bool
 }
 
 // Seal seals a window with the sum of the counts of all processes, or returns the sum
@@ -209,6 +212,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "read the counts")
 	}
+	if required.Current != nil && !required.Current() {
+		return nil, errors.Wrap(ErrCountsMissing, "the store has come back from a copy")
+	}
 	byProcess, err := parseCounts(entries, prefix)
 	if err != nil {
 		return nil, err
