Limit retries over the whole window of their bound

Cause: a front's token bucket saved up half of the fixed allowance, 1.4 retries in a fleet of 21 fronts, so that of the requests which a crash interrupts only the first could be sent again. The bound itself is on a window. Change: a budget with a window compares the retries and the calls of each span of that length; what the calls have earned may be used at once. Without a window it is the bucket that it was.

--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -15,11 +15,17 @@
 // a token bucket that new calls fill. A small constant rate allows retries in a
 // process with little traffic, and the burst covers the streams that break at once
 // when a replica crashes. It is not safe for concurrent use.
+//
+// With a Window it keeps to a limit on each span of that length instead: the retries in it
+// are at most Ratio for each of its calls, and Burst besides. All of these may be used at
+// once, so that the calls that a crash has interrupted can be sent again together.
 type Budget struct {
-	Ratio    float64 // retries for each new call; 0 means 0.1
-	Burst    float64 // most retries that are saved up; 0 means 64
-	BaseRate float64 // retries a second without any traffic; 0 means 1
+	Ratio    float64       // retries for each new call; 0 means 0.1
+	Burst    float64       // most retries that are saved up; 0 means 64
+	BaseRate float64       // retries a second without any traffic; 0 means 1; unused with a Window
+	Window   time.Duration // span over which retries and calls are compared; 0 for none
 
+	window     window
 	spent      float64 // retries used and not refilled since, of Burst
 	lastRefill time.Time
 }
@@ -28,16 +34,28 @@
 // them is paid back first.
 func (b *Budget) SetBounds(bounds Budget) {
 	b.Ratio, b.Burst, b.BaseRate = bounds.Ratio, bounds.Burst, bounds.BaseRate
+	if b.Window != bounds.Window {
+		b.Window, b.window = bounds.Window, window{}
+	}
 }
 
 // Deposit credits the budget for one new call from a caller.
 func (b *Budget) Deposit(now time.Time) {
+	if b.Window > 0 {
+		b.window.advance(now, b.Window)
+		b.window.parts[b.window.at].calls++
+		return
+	}
 	b.refill(now)
 	b.spent = max(b.spent-orDefault(b.Ratio, defaultRatio), 0)
 }
 
 // Balance returns how many retries are left.
 func (b *Budget) Balance(now time.Time) float64 {
+	if b.Window > 0 {
+		b.window.advance(now, b.Window)
+		return orDefault(b.Ratio, defaultRatio)*b.window.calls() + b.burst() - b.window.repeats()
+	}
 	b.refill(now)
 	return b.burst() - b.spent
 }
@@ -47,6 +65,10 @@
 	if b.Balance(now) < 1 {
 		return false
 	}
+	if b.Window > 0 {
+		b.window.parts[b.window.at].repeats++
+		return true
+	}
 	b.spent++
 	return true
 }
