Keep copies of running requests on a second backend server

Change: policy/backup decides who gets a copy, where, and when a request goes on from it; the front names the copy with each attempt and goes on there within the same answer when the server has gone down.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -44,6 +44,7 @@
 	BanEnded       = Event{314, zapcore.InfoLevel, "parts of prompts are no longer held back"}
 	Trial          = Event{315, zapcore.InfoLevel, "request is sent as a trial of what is held back"}
 	TrialGranted   = Event{316, zapcore.InfoLevel, "trial of what is held back decided"}
+	TakenOver      = Event{319, zapcore.InfoLevel, "request goes on from its copy on another backend server"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
 	OriginUnread   = Event{317, zapcore.WarnLevel, "which software version began a stream could not be read"}
 	ServersRead    = Event{401, zapcore.DebugLevel, "list of VMs read"}
--- a/internal/ops/retell/retell.go
+++ b/internal/ops/retell/retell.go
@@ -109,6 +109,8 @@
 		return fmt.Sprintf("The attempt on %s failed after %d events: %s.", l.Server, l.Events, l.Error)
 	case event.Resumed.Number:
 		return fmt.Sprintf("It goes on elsewhere after event %s.", l.After)
+	case event.TakenOver.Number:
+		return fmt.Sprintf("It goes on from its copy on %s after %d events.", l.Server, l.Events)
 	case event.Refused.Number:
 		return fmt.Sprintf("Refused, not run: %s Told to come back after %s.", sentenceOf(l.Reason), short(l.Wait))
 	case event.Failed.Number:
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -105,6 +105,8 @@
 	}
 	rest, found := d.RestEnd(now, request)
 	switch {
+	case !found && request.Only != "":
+		return chicoryrock.ReasonNoServer
 	case !found && request.Version != "":
 		return chicoryrock.ReasonVersionGone
 	case found && rest.After(now) && !rest.Before(request.Deadline):
@@ -144,8 +146,11 @@
 	return fits(replica, request) && !now.Before(replica.RestUntil)
 }
 
-// fits reports whether a replica's software may run a request.
+// fits reports whether a replica may run a request, now or later.
 func fits(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
+	if request.Only != "" && replica.Name != request.Only {
+		return false
+	}
 	if request.Version != "" {
 		return replica.Version == request.Version || replica.Unheard
 	}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/backup"
 	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
 	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 )
@@ -26,6 +27,9 @@
 	// FetchTimePerToken returns how long an engine takes to fetch a prompt token from
 	// another engine's prefix cache; zero where engines can't.
 	FetchTimePerToken func(pool string) time.Duration
+	// CopyTimePerToken returns how long it takes to copy the memory of one token of a running
+	// request to another engine; zero where engines keep no copies.
+	CopyTimePerToken func(pool string) time.Duration
 	// Seed starts the random sequence by which replicas are sampled. It differs between
 	// processes.
 	Seed uint64
@@ -36,6 +40,7 @@
 	pools       map[string]*poolState
 	limited     []candidate                // of the present Pick, those without a permit
 	newPrefixes []chicoryrock.CachedPrefix // not yet returned by TakeCachedPrefixes
+	backups     []backup.Server            // of the present ChooseBackup
 	processes   int                        // as given to SetPeerLoads
 	peerLoadsAt time.Time                  // of the last SetPeerLoads
 }
@@ -61,6 +66,7 @@
 	limitRefusals   jitter.RefusedWork                  // requests
 	randomState     uint64                              // of randomBelow
 	fetchMsPerToken float64                             // from another engine's prefix cache; zero for never
+	copies          backup.Engines
 	prefixHolders   map[uint32][maxHolders]prefixHolder // by sessionHash
 	byKeyHash       map[uint32]*replica
 }
@@ -189,7 +195,8 @@
 			allowed = !hard
 			f.penaltyMs += milliseconds(request.FirstTokenTarget)
 		}
-		onTime := allowed && f.firstTokenMs+confidence*f.interferenceMs <= limitMs
+		// A request that can go on only here waits in vain for a better time.
+		onTime := allowed && f.firstTokenMs+confidence*f.interferenceMs <= limitMs || request.Only != ""
 		oversized := allowed && !onTime && ps.oversize.allows(f.idleFirstTokenMs) && f.firstTokenMs+confidence*f.interferenceMs <= f.idleFirstTokenMs+oversizeWaitMs
 		if !onTime && !oversized {
 			return
@@ -214,7 +221,7 @@
 	best, passedOver := p.tryLimited(now, ps, request, replicas, best)
 	// A replica that has just failed is used only where no replica is healthy. Otherwise
 	// the request waits for a healthy one.
-	if best.index < 0 || hasPrompt && anyHealthy && !best.healthy {
+	if best.index < 0 || hasPrompt && anyHealthy && !best.healthy && request.Only == "" {
 		return 0, false
 	}
 	ps.oversize.spend(best.oversizeMs)
@@ -274,6 +281,10 @@
 	if p.FetchTimePerToken != nil {
 		ps.fetchMsPerToken = milliseconds(p.FetchTimePerToken(ps.name))
 	}
+	if p.CopyTimePerToken != nil {
+		ps.copies.TransferTime = p.CopyTimePerToken(ps.name)
+		ps.copies.Enabled = ps.copies.TransferTime > 0
+	}
 }
 
 // replica returns the state of a replica, created if needed.
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -217,7 +217,7 @@
 		},
 		Placer: &place.Placer{
 			Centre: node.Centre, Region: node.Region,
-			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime,
+			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime, CopyTimePerToken: p.copyTime,
 			Seed: xxhash.Sum64String(p.peers.process), Quota: &quota.Member{Name: p.peers.process},
 		},
 		Budget:  p.budget,
@@ -256,6 +256,9 @@
 // fetchTime returns how long an engine of a service takes to fetch a token.
 func (p *Front) fetchTime(service string) time.Duration { return p.engine(service).FetchTimePerToken }
 
+// copyTime returns how long the memory of a token takes to a copy on another engine.
+func (p *Front) copyTime(service string) time.Duration { return p.engine(service).CopyTimePerToken }
+
 // engine returns what is known of a service's engines; zeros where it has none.
 func (p *Front) engine(service string) routing.Engine {
 	if table := p.front.Table(); table != nil {
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -93,6 +93,7 @@
 	parts      []suspect.Fingerprint
 	partsOf    string         // the pool that parts are of
 	fetch      netip.AddrPort // where the attempt's backend server may fetch parts of the prompt
+	copies     copies
 	trail      trail.Trail
 	limitWait  bool     // its deadline is that of a wait for a server's limit
 	waited     bool     // it was not given a backend server at once
@@ -233,7 +234,13 @@
 		c.sent++
 	}
 	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.events), zap.Bool("began", c.got), event.Cause(failure))
-	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.verdict(now).State != suspect.Clean {
+	if c.verdict(now).State != suspect.Clean {
+		return false
+	}
+	if c.takeOver(now, replica, failure) {
+		return true
+	}
+	if c.sent >= c.route.MaxAttempts || c.turned >= maxTurns || c.request.Only != "" {
 		return false
 	}
 	c.request.Deadline = c.until
@@ -278,6 +285,7 @@
 		Resume:  c.lastID,
 		Fetch:   c.fetch,
 	}
+	stamp.Backup, stamp.FromCopy = c.nextCopy(sent, replica)
 	if c.workspace != nil {
 		stamp.Workspace = c.workspace.Name
 	}
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -107,7 +107,9 @@
 func (g *Gate) refuseUnservable(now time.Time) {
 	for request := range g.waiters {
 		reason := g.dispatcher.Unservable(now, request)
-		if reason != chicoryrock.ReasonVersionGone && reason != chicoryrock.ReasonResting {
+		// A pool without servers may get some again, but not the one that keeps a copy.
+		gone := reason == chicoryrock.ReasonNoServer && request.Only != ""
+		if reason != chicoryrock.ReasonVersionGone && reason != chicoryrock.ReasonResting && !gone {
 			continue
 		}
 		if g.dispatcher.Cancel(now, request) {
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -87,6 +87,9 @@
 	// FetchTimePerToken is the time to fetch the cache of one prompt token from
 	// another engine; zero if engines can't.
 	FetchTimePerToken time.Duration
+	// CopyTimePerToken is the time to copy the memory of one token of a running request to
+	// another engine that keeps it; zero if engines keep no copies.
+	CopyTimePerToken time.Duration
 }
 
 // Scaling bounds the number of backend servers in each data centre.
--- a/request.go
+++ b/request.go
@@ -29,6 +29,7 @@
 	Suspect      bool      // the call may crash an engine and never runs beside another suspect
 	Version      string    // the software version that began the stream, the only one that may go on with it; empty for any
 	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
+	Only         string    // the replica that keeps a copy of its memory, the only one that may go on with it; empty for any
 
 	Parts            []Part        // the prompt's parts, in order; nil if unknown
 	MaxOutputTokens  int           // longest possible answer; zero if unknown
