Keep the part of more urgent streams when replicas are too few

Cause: in a burst of long prompts the pool was divided and joined by turns: with too few replicas for both parts the division was given up although the streams beside large prefill chunks were late on every engine, and late streams counted only when they ended, three seconds later. Change: where the streams are more urgent than the long prompts, too few replicas are no reason to mix them; a pause that is too long counts at once.

--- a/internal/policy/place/partition.go
+++ b/internal/policy/place/partition.go
@@ -87,6 +87,8 @@
 	orderChanged bool       // since the last assignParts
 	resizedAt    time.Time
 	maxTokenGap  time.Duration // longest pause that streams of short prompts allow; zero for none seen
+	longTier     int           // of the last long prompt
+	shortTier    int           // of the last stream of a short prompt
 
 	longLoad      float64      // prefill of long prompts by this process, seconds per second
 	shortLoad     float64      // the same for short prompts
@@ -146,8 +148,10 @@
 func (ps *poolState) assignParts(now time.Time, request *chicoryrock.Request) {
 	pt := &ps.partition
 	pt.decay(now)
-	if !isLong(request) && request.MaxTokenGap > 0 {
-		pt.maxTokenGap = request.MaxTokenGap
+	if isLong(request) {
+		pt.longTier = request.Tier
+	} else if request.MaxTokenGap > 0 {
+		pt.maxTokenGap, pt.shortTier = request.MaxTokenGap, request.Tier
 	}
 	ps.updatePartitioned(now)
 	if !pt.resize(now, pt.wantedLongReplicas(ps)) && !pt.orderChanged {
@@ -375,9 +379,10 @@
 	allowedMs := milliseconds(pt.maxTokenGap)
 	pauseMs := ps.longestPauseMs()
 	// With too few replicas for both parts, prompts would wait in one that would be on
-	// time in the other.
+	// time in the other. That is right only where the streams are more urgent than the
+	// long prompts that wait for them.
 	n := pt.needs(ps)
-	tooFewReplicas := n.spare(len(pt.order)) <= 0
+	tooFewReplicas := n.spare(len(pt.order)) <= 0 && pt.shortTier >= pt.longTier
 	switch {
 	case pt.active:
 		if pauseMs <= unpartitionShare*allowedMs && (tooFewReplicas || !now.Before(pt.unpartitioned.retryAt)) {
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -63,9 +63,9 @@
 	oversize        oversizeBudget
 	longJobs        int // of jobs, those with long prompts
 	hasReplicas     bool
-	limitRefusals   jitter.RefusedWork                  // requests
-	randomState     uint64                              // of randomBelow
-	fetchMsPerToken float64                             // from another engine's prefix cache; zero for never
+	limitRefusals   jitter.RefusedWork // requests
+	randomState     uint64             // of randomBelow
+	fetchMsPerToken float64            // from another engine's prefix cache; zero for never
 	copies          backup.Engines
 	prefixHolders   map[uint32][maxHolders]prefixHolder // by sessionHash
 	byKeyHash       map[uint32]*replica
@@ -103,6 +103,7 @@
 	unreadTokens  float64 // prompt tokens to prefill when it was sent, estimated
 	backlogTokens float64 // tokens to prefill before them at that time, estimated
 	started       bool    // its first token has come
+	late          bool    // a pause between its events was too long
 	plain         bool    // it went to a plain service
 	long          bool    // its prompt is long
 	calibrates    bool    // it is a sample for the prefill model: unreadTokens is certain, no backlog
@@ -428,8 +429,8 @@
 	if j != nil && j.long && pause > 0 {
 		ps.recordPause(milliseconds(pause))
 	}
-	if j != nil && j.gapSensitive() > 0 && pause > 0 && !ps.partitioned() {
-		ps.partition.unpartitioned.add(pause > request.MaxTokenGap)
+	if j != nil && pause > 0 && !j.late {
+		ps.recordStream(j, pause > request.MaxTokenGap)
 	}
 	if j == nil || !failed {
 		return
--- a/internal/policy/place/unpartitioned.go
+++ b/internal/policy/place/unpartitioned.go
@@ -1,6 +1,10 @@
 package place
 
-import "time"
+import (
+	"time"
+
+	"github.com/chicoryrock/chicoryrock"
+)
 
 const (
 	// maxLateShare bounds the share of late streams in an unpartitioned pool. If more
@@ -43,6 +47,26 @@
 	}
 }
 
+// recordStream adds a stream of a short prompt to the observations, unless the pool is
+// partitioned.
+func (ps *poolState) recordStream(j *job, late bool) {
+	if j.gapSensitive() > 0 && !ps.partitioned() {
+		ps.partition.unpartitioned.add(late)
+	}
+}
+
+// RecordLatePause records at once that a pause between two events of an open request was
+// too long. Until such a stream ends, others that begin would be late as well.
+func (p *Placer) RecordLatePause(request *chicoryrock.Request) {
+	ps := p.pool(request.Pool)
+	j := ps.jobs[request]
+	if j == nil || j.late {
+		return
+	}
+	j.late = true
+	ps.recordStream(j, true)
+}
+
 // weight is the weight of this process's lateShare among those of its peers.
 func (u *unpartitionedStats) weight() float64 { return float64(min(u.streams, maxEstimateWeight)) }
 
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -423,6 +423,12 @@
 	f.Placer.RecordFirstToken(now, request)
 }
 
+func (f *Front) latePause(request *chicoryrock.Request) {
+	f.placing.Lock()
+	defer f.placing.Unlock()
+	f.Placer.RecordLatePause(request)
+}
+
 func (f *Front) done(now time.Time, request *chicoryrock.Request, pause time.Duration, failed bool) {
 	f.placing.Lock()
 	defer f.placing.Unlock()
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -66,7 +66,11 @@
 		c.front.suspects.setSafe(c)
 		c.front.first(now, c.request)
 	} else {
-		c.pause = max(c.pause, now.Sub(c.last))
+		pause := now.Sub(c.last)
+		if c.request.MaxTokenGap > 0 && pause > c.request.MaxTokenGap && c.pause <= c.request.MaxTokenGap {
+			c.front.latePause(c.request)
+		}
+		c.pause = max(c.pause, pause)
 	}
 	if c.started {
 		c.longest = max(c.longest, now.Sub(c.last))
