--- a/internal/policy/backup/backup.go
+++ b/internal/policy/backup/backup.go
@@ -18,6 +18,10 @@
 	// maxTransferTime bounds the time for which a copy may occupy the link between two
 	// servers: longer transfers delay those of other copies and fetched prompts.
 	maxTransferTime = 50 * time.Millisecond
+	// minAnswerShare is the share of a request's tokens that its answer makes up at least.
+	// With a longer prompt the copy costs more than the run is worth: it moves the whole
+	// prompt, while a short answer is soon over.
+	minAnswerShare = 0.2
 	// maxLoad is the share of a server's places up to which it keeps copies. Above it,
 	// its own requests need the memory.
 	maxLoad = 0.75
@@ -52,6 +56,9 @@
 		return false
 	}
 	tokens := request.PromptTokens + request.MaxOutputTokens
+	if float64(request.MaxOutputTokens) < minAnswerShare*float64(tokens) {
+		return false
+	}
 	return time.Duration(tokens)*e.TransferTime <= maxTransferTime
 }
 
--- a/internal/policy/backup/backup_test.go
+++ b/internal/policy/backup/backup_test.go
@@ -32,7 +32,8 @@
 		{"a stream that may be resumed", engines, resumable, false},
 		{"a request that may be sent again", engines, repeatable, false},
 		{"no stream", engines, plain, false},
-		{"a prompt that takes too long to copy", engines, stream(20000, 300), false},
+		{"a long prompt with a short answer", engines, stream(9000, 300), false},
+		{"what takes too long to copy", engines, stream(9000, 6000), false},
 	}
 	for _, c := range cases {
 		require.Equal(t, c.want, c.engines.Wanted(c.request), c.name)
--- a/internal/serve/assembly/copies_test.go
+++ b/internal/serve/assembly/copies_test.go
@@ -89,7 +89,9 @@
 				})
 			}
 			d.settle(1, 2)
-			got := d.send("POST", "/short/", "x1", "k1", "x")
+			request := d.request(t.Context(), "POST", "/short/", "x1", "k1", "x")
+			request.Header.Set(sample.Tokens, "600,300")
+			got := d.do(request)
 			ran, other := servers["i-1"], servers["i-2"]
 			if ran.ran("x1") == 0 || other.ran("x1") > 0 && other.last().Header.Get(sample.FromCopy) == "" {
 				ran, other = other, ran
