--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -219,7 +219,7 @@
 		},
 		Placer: &place.Placer{
 			Centre: node.Centre, Region: node.Region,
-			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime,
+			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime, CopyTimePerToken: p.copyTime,
 			Seed: xxhash.Sum64String(p.peers.process), Quota: &quota.Member{Name: p.peers.process},
 		},
 		Budget:  p.budget,
@@ -258,6 +258,9 @@
 // fetchTime returns how long an engine of a service takes to fetch a token.
 func (p *Front) fetchTime(service string) time.Duration { return p.engine(service).FetchTimePerToken }
 
+// copyTime returns how long the memory of a token takes to a copy on another engine.
+func (p *Front) copyTime(service string) time.Duration { return p.engine(service).CopyTimePerToken }
+
 // engine returns what is known of a service's engines; zeros where it has none.
 func (p *Front) engine(service string) routing.Engine {
 	if table := p.front.Table(); table != nil {
@@ -271,12 +274,10 @@
 // budget is this process's part of the repeats that a service allows.
 func (p *Front) budget() retry.Budget {
 	bounds := p.front.Bounds()
-	slack := bounds.RetrySlack * retryMargin / float64(p.processes())
-	// Half of the slack may go at once, the other half over the window.
 	return retry.Budget{
-		Ratio:    bounds.RetryShare * retryMargin,
-		Burst:    max(slack/2, 1),
-		BaseRate: slack / 2 / bounds.RetryWindow.Seconds(),
+		Ratio:  bounds.RetryShare * retryMargin,
+		Burst:  max(bounds.RetrySlack*retryMargin/float64(p.processes()), 1),
+		Window: bounds.RetryWindow,
 	}
 }
 
