Keep requests out of evacuated data centres and to allowed regions

Cause: a front sent requests to any server of a service. Operators could neither empty a data centre nor bind a route or a workspace to regions.

Change: keys below op/evacuate/ are followed with the configuration, by a watch of their common prefix, and kept as one list of facts with the store's revisions (state/evacuation). Fronts tell each other the list by datagram while it matters, and one that starts asks its peers. Routes and workspaces have allowed regions; a request carries those that both allow. Dispatch, placement, sources of parts and the check right before sending heed both. Where no server is left, the answer is 503 at once, for the reason region or evacuated.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -28,6 +28,8 @@
 	StoreBack      = Event{207, zapcore.InfoLevel, "store reached again"}
 	HistoryGone    = Event{208, zapcore.InfoLevel, "store dropped its history, everything is read again"}
 	Restored       = Event{210, zapcore.WarnLevel, "store has come back from a copy"}
+	Evacuating     = Event{211, zapcore.WarnLevel, "data centre is being evacuated, its backend servers get no requests"}
+	EvacuationOver = Event{212, zapcore.InfoLevel, "evacuation of a data centre is over"}
 	Refused        = Event{301, zapcore.InfoLevel, "request refused"}
 	Failed         = Event{302, zapcore.WarnLevel, "request failed"}
 	Panicked       = Event{303, zapcore.ErrorLevel, "handler panicked"}
--- a/internal/policy/demand/counter.go
+++ b/internal/policy/demand/counter.go
@@ -44,7 +44,7 @@
 // capacity. Other reasons are ignored.
 func (c *Counter) RecordRefusal(request *chicoryrock.Request, reason chicoryrock.Reason) {
 	switch reason {
-	case chicoryrock.ReasonLate, chicoryrock.ReasonQueueFull, chicoryrock.ReasonServerLimit, chicoryrock.ReasonNoServer:
+	case chicoryrock.ReasonLate, chicoryrock.ReasonQueueFull, chicoryrock.ReasonServerLimit, chicoryrock.ReasonNoServer, chicoryrock.ReasonEvacuated:
 	default:
 		return
 	}
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -81,10 +81,10 @@
 }
 
 // Address returns the address of a replica, or the zero value for one that is
-// unknown or leaving.
+// unknown or gets no new work.
 func (d *Dispatcher) Address(poolName, replica string) netip.AddrPort {
 	r := d.pool(poolName).find(replica)
-	if r == nil || r.Leaving {
+	if r == nil || r.Leaving || r.Evacuated {
 		return netip.AddrPort{}
 	}
 	return r.Address
@@ -104,6 +104,11 @@
 		return chicoryrock.ReasonNoServer
 	}
 	rest, found := d.RestEnd(now, request)
+	if !found {
+		if reason := d.pool(request.Pool).disallowed(request); reason != chicoryrock.ReasonNone {
+			return reason
+		}
+	}
 	switch {
 	case !found && request.Version != "":
 		return chicoryrock.ReasonVersionGone
@@ -113,6 +118,27 @@
 	return chicoryrock.ReasonNone
 }
 
+// disallowed returns the reason why no replica may take a request if it is their regions or
+// their data centres, else ReasonNone.
+func (p *pool) disallowed(request *chicoryrock.Request) chicoryrock.Reason {
+	reason := chicoryrock.ReasonNone
+	for i := range p.replicas {
+		r := &p.replicas[i]
+		switch {
+		case r.Leaving || !runs(r, request):
+		case !request.AllowsRegion(r.Region):
+			if reason == chicoryrock.ReasonNone {
+				reason = chicoryrock.ReasonRegion
+			}
+		case r.Evacuated:
+			reason = chicoryrock.ReasonEvacuated
+		default:
+			return chicoryrock.ReasonNone
+		}
+	}
+	return reason
+}
+
 // RestEnd returns when the first of the replicas that may take a request wants requests
 // again, which is now if one does not rest; false if no replica may take it.
 func (d *Dispatcher) RestEnd(now time.Time, request *chicoryrock.Request) (end time.Time, found bool) {
@@ -144,8 +170,13 @@
 	return fits(replica, request) && !now.Before(replica.RestUntil)
 }
 
-// fits reports whether a replica's software may run a request.
+// fits reports whether a replica may run a request, by its data centre, region and software.
 func fits(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
+	return request.Allows(replica) && runs(replica, request)
+}
+
+// runs reports whether a replica's software may run a request.
+func runs(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
 	if request.Version != "" {
 		return replica.Version == request.Version || replica.Unheard
 	}
@@ -336,10 +367,22 @@
 	return grants
 }
 
-// excludesAny reports whether some replica of the pool may not take a request.
+// excludesAny reports whether some replica of the pool that takes other requests may not
+// take this one, or takes none for now.
 func (p *pool) excludesAny(now time.Time, request *chicoryrock.Request) bool {
 	for i := range p.replicas {
-		if !mayTake(now, &p.replicas[i], request) {
+		if r := &p.replicas[i]; !r.Evacuated && !mayTake(now, r, request) {
+			return true
+		}
+	}
+	return false
+}
+
+// hidesAny reports whether the picker must not see some replica of the pool. It passes over
+// those that a request doesn't allow by itself, as it knows most of the whole list.
+func (p *pool) hidesAny(now time.Time, request *chicoryrock.Request) bool {
+	for i := range p.replicas {
+		if r := &p.replicas[i]; request.Allows(r) && !mayTake(now, r, request) {
 			return true
 		}
 	}
@@ -358,7 +401,7 @@
 			return index, true
 		}
 	}
-	if p.excludesAny(now, request) {
+	if p.hidesAny(now, request) {
 		return p.pickAmong(now, picker, request, func(r *chicoryrock.Replica) bool { return mayTake(now, r, request) })
 	}
 	return picker.Pick(now, request, p.replicas)
--- a/internal/policy/pick/health.go
+++ b/internal/policy/pick/health.go
@@ -281,7 +281,7 @@
 	s.nextProbe = now.Add(minProbeInterval / 2)
 	for i := range replicas {
 		h := s.replicas[replicas[i].Name]
-		if h != nil && h.suspended && !replicas[i].Leaving && replicas[i].Open == 0 && !now.Before(h.nextProbe) {
+		if h != nil && h.suspended && !replicas[i].Leaving && !replicas[i].Evacuated && replicas[i].Open == 0 && !now.Before(h.nextProbe) {
 			return i
 		}
 	}
--- a/internal/policy/pick/locality.go
+++ b/internal/policy/pick/locality.go
@@ -158,7 +158,7 @@
 // anyUp reports whether one of the replicas is neither leaving nor suspended.
 func (s *poolState) anyUp(replicas []chicoryrock.Replica) bool {
 	for i := range replicas {
-		if h := s.replicas[replicas[i].Name]; !replicas[i].Leaving && (h == nil || !h.suspended) {
+		if h := s.replicas[replicas[i].Name]; !replicas[i].Leaving && !replicas[i].Evacuated && (h == nil || !h.suspended) {
 			return true
 		}
 	}
--- a/internal/policy/pick/pick.go
+++ b/internal/policy/pick/pick.go
@@ -68,6 +68,9 @@
 	if len(replicas) == 0 {
 		return 0, false
 	}
+	if request.Regions != nil {
+		return p.pickBound(now, request, replicas)
+	}
 	s := p.state(request.Pool)
 	centreEnd, regionEnd := p.localityBounds(replicas)
 	if request.Suspect {
@@ -89,6 +92,26 @@
 	return 0, false
 }
 
+// pickBound is Pick for a request that is bound to regions: it picks among the replicas that
+// may serve it.
+func (p *Picker) pickBound(now time.Time, request *chicoryrock.Request, replicas []chicoryrock.Replica) (int, bool) {
+	allowed := make([]chicoryrock.Replica, 0, len(replicas))
+	indices := make([]int, 0, len(replicas))
+	for i := range replicas {
+		if request.Allows(&replicas[i]) {
+			allowed = append(allowed, replicas[i])
+			indices = append(indices, i)
+		}
+	}
+	free := *request
+	free.Regions = nil
+	index, found := p.Pick(now, &free, allowed)
+	if !found {
+		return 0, false
+	}
+	return indices[index], true
+}
+
 // lastResort returns the index of a suspended replica that is due for a probe if
 // all replicas are suspended, or -1. It serves requests that may not run twice:
 // they are not used as probes while another replica can take them, but a pool
@@ -96,7 +119,7 @@
 func (p *Picker) lastResort(now time.Time, s *poolState, replicas []chicoryrock.Replica) int {
 	due := -1
 	for i := range replicas {
-		if replicas[i].Leaving {
+		if replicas[i].Leaving || replicas[i].Evacuated {
 			continue
 		}
 		h := s.replicas[replicas[i].Name]
@@ -173,7 +196,7 @@
 // that can't take another request.
 func (p *Picker) evaluate(now time.Time, s *poolState, replicas []chicoryrock.Replica, index int) candidate {
 	replica := &replicas[index]
-	if replica.Leaving || replica.Slots <= 0 {
+	if replica.Leaving || replica.Evacuated || replica.Slots <= 0 {
 		return noCandidate
 	}
 	slots := float64(replica.Slots)
--- a/internal/policy/place/candidates.go
+++ b/internal/policy/place/candidates.go
@@ -19,6 +19,27 @@
 	}
 }
 
+// setAllowed finds the replicas that a request may be sent to which is bound to regions, so
+// that they are sampled as those of the pool are for other requests. A list without some of
+// the pool's replicas is short, and its replicas are considered as they come.
+func (ps *poolState) setAllowed(request *chicoryrock.Request, replicas []chicoryrock.Replica) {
+	ps.bound = request.Regions != nil && len(replicas) == len(ps.byIndex)
+	if !ps.bound {
+		return
+	}
+	ps.allowed = ps.allowed[:0]
+	ps.allowedShort = 0
+	for i, r := range ps.partition.order {
+		if !request.AllowsRegion(r.region) {
+			continue
+		}
+		ps.allowed = append(ps.allowed, r)
+		if i < ps.partition.longReplicas {
+			ps.allowedShort = len(ps.allowed)
+		}
+	}
+}
+
 // considerReplica considers a replica if it is still at its index of the list.
 func considerReplica(r *replica, replicas []chicoryrock.Replica, consider func(i int)) {
 	if r != nil && r.index < len(replicas) && replicas[r.index].Name == r.name {
@@ -46,6 +67,10 @@
 // than the best of all, the time doesn't grow with the pool, and other processes sample
 // other replicas.
 func (ps *poolState) considerAll(replicas []chicoryrock.Replica, affinity sessionAffinity, consider func(i int)) {
+	if ps.bound {
+		ps.considerAllowed(replicas, affinity, consider)
+		return
+	}
 	if len(replicas) <= maxCandidates {
 		for i := range replicas {
 			consider(i)
@@ -58,3 +83,18 @@
 		consider(ps.randomBelow(len(replicas)))
 	}
 }
+
+// considerAllowed is considerAll for a request that is bound to regions.
+func (ps *poolState) considerAllowed(replicas []chicoryrock.Replica, affinity sessionAffinity, consider func(i int)) {
+	if len(ps.allowed) <= maxCandidates {
+		for _, r := range ps.allowed {
+			considerReplica(r, replicas, consider)
+		}
+		return
+	}
+	considerReplica(ps.replicas[affinity.first], replicas, consider)
+	considerReplica(ps.replicas[affinity.second], replicas, consider)
+	for range maxCandidates {
+		considerReplica(ps.allowed[ps.randomBelow(len(ps.allowed))], replicas, consider)
+	}
+}
--- a/internal/policy/place/fetch.go
+++ b/internal/policy/place/fetch.go
@@ -104,13 +104,13 @@
 }
 
 // likelySources returns the replicas that probably have a request's shared parts cached.
-func (ps *poolState) likelySources(now time.Time, affinity *sessionAffinity) (best fetchSources) {
+func (ps *poolState) likelySources(now time.Time, request *chicoryrock.Request, affinity *sessionAffinity) (best fetchSources) {
 	if ps.fetchMsPerToken <= 0 {
 		return best
 	}
 	consider := func(r *replica, cachedShare float64) {
 		switch {
-		case r == nil || r.leaving || now.Before(r.avoidUntil) || r == best[0].replica:
+		case r == nil || r.leaving || !request.AllowsRegion(r.region) || now.Before(r.avoidUntil) || r == best[0].replica:
 		case cachedShare > best[0].cachedShare:
 			best[0], best[1] = fetchSource{r, cachedShare}, best[0]
 		case cachedShare > best[1].cachedShare:
@@ -134,7 +134,7 @@
 	if savedMs := float64(request.PromptTokens) * (ps.prefill.msPerToken() - ps.fetchMsPerToken); savedMs < minFetchSavingMs {
 		return nil
 	}
-	for _, source := range ps.likelySources(now, &affinity) {
+	for _, source := range ps.likelySources(now, request, &affinity) {
 		if source.replica != nil && source.replica != r {
 			return source.replica
 		}
--- a/internal/policy/place/fetch_test.go
+++ b/internal/policy/place/fetch_test.go
@@ -120,7 +120,7 @@
 	now := epoch.Add(time.Second)
 	affinity = pool.affinity(now, document(10, 21))
 	require.Greater(t, affinity.cachedShare(other), firstHomeCachedShare)
-	require.Equal(t, other, pool.likelySources(now, &affinity)[0].replica)
+	require.Equal(t, other, pool.likelySources(now, &chicoryrock.Request{}, &affinity)[0].replica)
 	later := epoch.Add(10 * cachedShareDecay)
 	affinity = pool.affinity(later, document(10, 22))
 	require.Less(t, affinity.cachedShare(other), secondHomeCachedShare)
--- a/internal/policy/place/partition.go
+++ b/internal/policy/place/partition.go
@@ -270,13 +270,17 @@
 }
 
 // replicasFor returns the replicas of the part for a request's prompt, or all of them
-// while the pool is not partitioned.
+// while the pool is not partitioned. For a request that is bound to regions, it returns those
+// that may serve it, from the other part if its own has none of them.
 func (ps *poolState) replicasFor(request *chicoryrock.Request) []*replica {
-	all := ps.partition.order
-	if !ps.partitioned() {
+	all, longReplicas := ps.partition.order, ps.partition.longReplicas
+	if ps.bound {
+		all, longReplicas = ps.allowed, ps.allowedShort
+	}
+	if !ps.partitioned() || ps.bound && (longReplicas == 0 || longReplicas == len(all)) {
 		return all
 	}
-	longReplicas := min(ps.partition.longReplicas, len(all))
+	longReplicas = min(longReplicas, len(all))
 	if isLong(request) {
 		return all[:longReplicas]
 	}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -63,6 +63,9 @@
 	fetchMsPerToken float64                             // from another engine's prefix cache; zero for never
 	prefixHolders   map[uint32][maxHolders]prefixHolder // by sessionHash
 	byKeyHash       map[uint32]*replica
+	bound           bool       // the request that is being placed may use only the replicas of allowed
+	allowed         []*replica // in the order of the partition; see setAllowed
+	allowedShort    int        // index in allowed of the first replica outside of the part for long prompts
 }
 
 // replica holds the load and the estimates of one replica.
@@ -79,7 +82,8 @@
 	slowdown      float64 // observed over predicted time to first token, moving average
 	failures      int     // in a row
 	avoidUntil    time.Time
-	leaving       bool
+	leaving       bool // it gets no new work, or its data centre is being evacuated
+	region        string
 	coldUntil     time.Time // it is slow until then
 	takesLong     bool      // it is one of the replicas for long prompts
 	roleSince     time.Time // last change of takesLong
@@ -166,6 +170,7 @@
 		ps.assignParts(now, request)
 		ps.computeLimits(now, request)
 	}
+	ps.setAllowed(request, replicas)
 	affinity := ps.affinity(now, request)
 	best := candidate{index: -1, costMs: math.Inf(1)}
 	p.limited = p.limited[:0]
@@ -177,7 +182,7 @@
 	}
 	anyHealthy := false
 	consider := func(i int) {
-		if replicas[i].Leaving {
+		if replicas[i].Leaving || !request.Allows(&replicas[i]) {
 			return
 		}
 		r := ps.replicaAt(i, &replicas[i])
@@ -451,10 +456,11 @@
 		r.index = i
 		ps.byIndex = append(ps.byIndex, r)
 		ps.byKeyHash[r.keyHash] = r
-		r.leaving = replicas[i].Leaving
+		r.leaving = replicas[i].Leaving || replicas[i].Evacuated
+		r.region = replicas[i].Region
 		r.coldUntil = replicas[i].ColdUntil
 		present[r.name] = true
-		if !replicas[i].Leaving {
+		if !r.leaving {
 			ps.partition.order = append(ps.partition.order, r)
 		}
 	}
--- a/internal/policy/place/refusal.go
+++ b/internal/policy/place/refusal.go
@@ -61,11 +61,12 @@
 // request, milliseconds; infinite without replicas.
 func (ps *poolState) shortestDelayMs(now time.Time, p *Placer, request *chicoryrock.Request, replicas []chicoryrock.Replica) float64 {
 	shortestMs := math.Inf(1)
+	ps.setAllowed(request, replicas)
 	affinity := ps.affinity(now, request)
 	ps.computeLimits(now, request)
 	limitMs := admissionShare * milliseconds(request.FirstTokenTarget)
 	ps.considerAll(replicas, affinity, func(i int) {
-		if replicas[i].Leaving {
+		if replicas[i].Leaving || !request.Allows(&replicas[i]) {
 			return
 		}
 		r := ps.replicaAt(i, &replicas[i])
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -65,6 +65,7 @@
 				p.book.Hold(kept.Process, kept.Changes)
 				return true, nil
 			}),
+			callEvacuations: p.answerEvacuations,
 		},
 	}
 }
@@ -88,6 +89,8 @@
 				signalTo(p.told)
 			}
 		},
+		Evacuations:      p.evacuationMessage,
+		HeardEvacuations: p.heardEvacuations,
 	}
 }
 
@@ -168,6 +171,7 @@
 		})
 		p.firstOf(ctx, configured, asked, p.fetchConfig)
 		p.firstOf(ctx, listed, asked, p.fetchServers)
+		p.fetchEvacuations(ctx, now)
 	}
 	return nil
 }
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -90,6 +90,8 @@
 	book    *billing.Book
 	needs   *demand.Counter
 	peers   *peers
+	// evacuations are followed like the servers.
+	evacuations evacuations
 	// collector writes the counts of other processes with this one's.
 	collector billing.Collector
 	usage     *billing.Reporter // nil without that duty
@@ -323,13 +325,10 @@
 func (p *Front) followers() []*follow.Follower {
 	return []*follow.Follower{
 		{
-			Store: p.store, Prefix: platform.ConfigKey, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
-			Reset: func(now time.Time, entries []chicoryrock.KeyValue, _ uint64) {
-				for _, entry := range entries {
-					p.configure(now, entry)
-				}
-			},
-			Change: p.configure,
+			Store: p.store, Prefix: platform.OperatorPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
+			Reset:  p.readOperator,
+			Change: p.changeOperator,
+			Caught: p.caughtOperator,
 		},
 		{
 			Store: p.store, Prefix: platform.ServerPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -75,6 +75,8 @@
 	callTrial    = "trial"
 	callSeal     = "seal"
 	callSoftware = "software"
+	// callEvacuations returns what is known of evacuated data centres.
+	callEvacuations = "evacuations"
 	// callBreaks is used by processes of former builds.
 	callBreaks = "breaks"
 )
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -121,9 +121,11 @@
 	p.publish([]servers.Change{change})
 }
 
-// expire drops the servers whose entries have not come back.
+// expire drops the servers whose entries have not come back, and the evacuations that the
+// store has lost.
 func (p *Front) expire(ctx context.Context) error {
 	pause.Every(ctx, lapseInterval, func(now time.Time) {
+		p.expireEvacuations(now)
 		p.mutex.Lock()
 		defer p.mutex.Unlock()
 		if gone := p.servers.ExpireLapsed(now); len(gone) > 0 {
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -91,8 +91,8 @@
 	answeredBy []netip.AddrPort
 	print      *suspect.Fingerprint // once it has been taken
 	parts      []suspect.Fingerprint
-	partsOf    string         // the pool that parts are of
-	fetch      netip.AddrPort // where the attempt's backend server may fetch parts of the prompt
+	partsOf    string // the pool that parts are of
+	source     string // the server from which the attempt's may fetch parts of the prompt; empty for none
 	trail      trail.Trail
 	limitWait  bool     // its deadline is that of a wait for a server's limit
 	waited     bool     // it was not given a backend server at once
@@ -189,7 +189,7 @@
 	if known && c.request.PromptTokens > 0 {
 		c.front.Metrics.Prompt(c.request.Pool, choice.UnreadTokens, c.request.PromptTokens-choice.UnreadTokens)
 	}
-	c.fetch = c.front.address(c.request.Pool, choice.FetchFrom)
+	c.source = choice.FetchFrom
 	c.trail.Write(event.Placed, now, zap.String("server", replica.Name), zap.String("software", replica.Version), zap.String("centre", replica.Centre),
 		zap.Duration("first", choice.TimeToFirstToken), zap.Int("unread", choice.UnreadTokens), zap.Int("ahead", choice.BacklogTokens), zap.Int("open", choice.OpenRequests),
 		zap.Float64("speed", choice.Slowdown), zap.Bool("reader", choice.TakesLongPrompts), zap.Duration("age", choice.PeerLoadAge), zap.Int("of", choice.Replicas), zap.Bool("limited", choice.Limited),
@@ -206,6 +206,7 @@
 		return &gate.RefusedError{Reason: reason}
 	}
 	c.route, c.workspace = route, workspace
+	c.bind()
 	switch {
 	case route.HasService(c.request.Pool):
 	case c.request.Version != "":
@@ -276,7 +277,7 @@
 		Left:    c.until.Sub(sent),
 		Urgency: c.request.Tier - 1,
 		Resume:  c.lastID,
-		Fetch:   c.fetch,
+		Fetch:   c.front.address(replica.Pool, c.source),
 	}
 	if c.workspace != nil {
 		stamp.Workspace = c.workspace.Name
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -88,7 +88,7 @@
 
 	bounds   atomic.Pointer[platform.Bounds]
 	table    atomic.Pointer[routing.Table]
-	known    atomic.Bool // a list of backend servers has been read
+	known    atomic.Bool // a list of backend servers has been read, and which of them are evacuated
 	draining atomic.Bool
 	open     atomic.Int64
 	placing  sync.Mutex
@@ -100,6 +100,8 @@
 	trails   trail.Book
 	conns    conns
 	parts    guard.Parts
+
+	evacuated map[string]bool // data centres that are being evacuated; nil until that is known
 }
 
 // Bounds returns the platform's bounds that are in force.
@@ -180,6 +182,18 @@
 	born int64
 }
 
+// SetEvacuated takes in the data centres that are being evacuated. It takes effect with the
+// next SetServers.
+func (f *Front) SetEvacuated(centres []string) {
+	evacuated := make(map[string]bool, len(centres))
+	for _, centre := range centres {
+		evacuated[centre] = true
+	}
+	f.placing.Lock()
+	f.evacuated = evacuated
+	f.placing.Unlock()
+}
+
 // SetServers takes in the backend servers that may be used.
 func (f *Front) SetServers(now time.Time, list []chicoryrock.Server) {
 	pools := make(map[string][]chicoryrock.Replica)
@@ -210,19 +224,23 @@
 			RestUntil: s.RestUntil,
 			Slots:     s.Slots,
 			Leaving:   s.Leaving,
+			Evacuated: f.evacuated[s.Centre],
 			ColdUntil: cold[this],
 			Version:   s.Version,
 			Unlisted:  !f.Origins.MayBegin(s.Service, s.Version),
 		})
 	}
 	f.cold = cold
+	known := f.evacuated != nil
 	f.limits.setNames(list)
 	for name, replicas := range pools {
 		f.Placer.SetReplicas(name, replicas)
 	}
 	f.placing.Unlock()
 	f.Gate.SetReplicas(pools)
-	f.known.Store(true)
+	if known {
+		f.known.Store(true)
+	}
 }
 
 // Ready says whether the process can serve.
@@ -401,7 +419,7 @@
 }
 
 // address returns where a backend server is reached; the zero value for one that
-// is not known or leaves.
+// is not known or gets no new work.
 func (f *Front) address(service, name string) netip.AddrPort {
 	if name == "" {
 		return netip.AddrPort{}
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -279,6 +279,7 @@
 		Idempotent:       c.route.Retryable(),
 		Version:          c.origin.Version,
 		Resumable:        c.route.Kind == routing.Stream && c.route.Resumable,
+		Regions:          routing.AllowedRegions(c.route, c.workspace),
 		Parts:            c.ask.Parts,
 		MaxOutputTokens:  c.ask.MaxOutputTokens,
 		FirstTokenTarget: target,
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -31,8 +31,8 @@
 	}
 	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
 	switch reason {
-	case chicoryrock.ReasonCrashPart:
-		return longest
+	case chicoryrock.ReasonCrashPart, chicoryrock.ReasonRegion, chicoryrock.ReasonEvacuated:
+		return longest // only an operator changes that
 	case chicoryrock.ReasonVersionGone:
 		return 0 // coming back is in vain
 	case chicoryrock.ReasonResting:
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -102,12 +102,13 @@
 	return g.wait(ctx, request, wait)
 }
 
-// refuseUnservable refuses the waiting requests whose software version has no replica any
-// more, or whose replicas all rest for longer than they may wait. The lock is held.
+// refuseUnservable refuses the waiting requests that no replica may take any more, by its
+// software version, region or data centre, and those whose replicas all rest for longer than
+// they may wait. Where a pool has no replica at all they wait on. The lock is held.
 func (g *Gate) refuseUnservable(now time.Time) {
 	for request := range g.waiters {
 		reason := g.dispatcher.Unservable(now, request)
-		if reason != chicoryrock.ReasonVersionGone && reason != chicoryrock.ReasonResting {
+		if reason == chicoryrock.ReasonNone || reason == chicoryrock.ReasonNoServer {
 			continue
 		}
 		if g.dispatcher.Cancel(now, request) {
@@ -266,7 +267,7 @@
 }
 
 // Address returns where a replica is reached; the zero value for one that is not
-// known or leaves.
+// known or gets no new work.
 func (g *Gate) Address(pool, replica string) netip.AddrPort {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/quota"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
+	"github.com/chicoryrock/chicoryrock/internal/state/evacuation"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 )
 
@@ -52,8 +53,12 @@
 	// after each one that is heard; nil for none.
 	Limits      func(now time.Time) []LimitMessage
 	HeardLimits func(now time.Time, message *quota.Message)
-	News        <-chan struct{} // something has changed that the others should ask for
-	Log         *event.Log
+	// Evacuations returns an encoded evacuation.State that goes to all with the present
+	// report, or nothing; nil for none.
+	Evacuations      func(now time.Time) []byte
+	HeardEvacuations func(now time.Time, from netip.AddrPort, state *evacuation.State)
+	News             <-chan struct{} // something has changed that the others should ask for
+	Log              *event.Log
 
 	mutex  sync.Mutex
 	failed bool
@@ -107,6 +112,10 @@
 			g.heardLimits(ctx, time.Now(), socket, from, buffer[:n])
 			continue
 		}
+		if g.HeardEvacuations != nil && n > 0 && buffer[0] == evacuation.FormatVersion {
+			g.heardEvacuations(time.Now(), from, buffer[:n])
+			continue
+		}
 		report, err := fleet.Parse(buffer[:n])
 		if err != nil {
 			g.Log.Write(event.PeerFailed, zap.Stringer("from", from), zap.Error(err))
@@ -129,8 +138,11 @@
 			full = now.Add(max(leastInterval, time.Duration(len(peers))*perPeer))
 		}
 		data = report.Append(data[:0])
-		for _, peer := range peers {
-			if !g.post(ctx, socket, data, peer) {
+		if !g.postAll(ctx, socket, data, peers) {
+			return
+		}
+		if g.Evacuations != nil {
+			if state := g.Evacuations(now); len(state) > 0 && !g.postAll(ctx, socket, state, peers) {
 				return
 			}
 		}
@@ -173,6 +185,16 @@
 	}
 }
 
+// postAll sends a datagram to several processes, and says whether the exchange goes on.
+func (g *Gossip) postAll(ctx context.Context, socket *net.UDPConn, data []byte, to []netip.AddrPort) bool {
+	for _, peer := range to {
+		if !g.post(ctx, socket, data, peer) {
+			return false
+		}
+	}
+	return true
+}
+
 // post sends a datagram, and says whether the exchange goes on.
 func (g *Gossip) post(ctx context.Context, socket *net.UDPConn, data []byte, to netip.AddrPort) bool {
 	_, err := socket.WriteToUDPAddrPort(data, to)
@@ -194,6 +216,16 @@
 	g.tellLimits(ctx, now, socket)
 }
 
+// heardEvacuations takes in what another process knows of evacuations.
+func (g *Gossip) heardEvacuations(now time.Time, from netip.AddrPort, data []byte) {
+	state, err := evacuation.Parse(data)
+	if err != nil {
+		g.Log.Write(event.PeerFailed, zap.Stringer("from", from), zap.Error(err))
+		return
+	}
+	g.HeardEvacuations(now, netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), &state)
+}
+
 // wait waits for a time, or shorter when there is news.
 func (g *Gossip) wait(ctx context.Context, longest time.Duration) {
 	timer := time.NewTimer(longest)
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -38,6 +38,8 @@
 	Public        bool              // needs no key
 	Resumable     bool              // a broken stream may resume on another backend server
 	Services      []WeightedService // at least one
+	// AllowedRegions are the regions whose backend servers may serve its requests; nil for all.
+	AllowedRegions []string
 }
 
 // WeightedService is a service and its weight among a route's services.
@@ -72,6 +74,24 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// AllowedRegions returns the regions whose backend servers may serve a workspace's requests
+// on a route, or nil for all regions. It is empty where the two have no region in common.
+func AllowedRegions(route *Route, workspace *Workspace) []string {
+	if workspace == nil || workspace.AllowedRegions == nil {
+		return route.AllowedRegions
+	}
+	if route.AllowedRegions == nil {
+		return workspace.AllowedRegions
+	}
+	common := []string{}
+	for _, region := range route.AllowedRegions {
+		if slices.Contains(workspace.AllowedRegions, region) {
+			common = append(common, region)
+		}
+	}
+	return common
+}
+
 // Service is a group of equivalent backend servers.
 type Service struct {
 	Name     string
@@ -107,6 +127,8 @@
 type Workspace struct {
 	Name     string
 	Priority int // 0 is the highest; if negative, only the route's priority counts
+	// AllowedRegions are the regions whose backend servers may serve its requests; nil for all.
+	AllowedRegions []string
 }
 
 // Table is one version of the configuration. Set the exported fields, then call
--- a/reason.go
+++ b/reason.go
@@ -20,6 +20,8 @@
 	ReasonNoServer
 	ReasonVersionUnknown
 	ReasonVersionGone
+	ReasonRegion
+	ReasonEvacuated
 	ReasonResting
 	ReasonSuspect
 	ReasonCrashPart
@@ -52,6 +54,8 @@
 	ReasonNoServer:       {"no-server", "No backend server of the route's pools could be reached.", 503},
 	ReasonVersionUnknown: {"version-unknown", "It could not be found out which software version began this stream, and it goes on at no other one.", 503},
 	ReasonVersionGone:    {"version-gone", "No backend server has the software version that began this stream any more, and it goes on at no other one.", 503},
+	ReasonRegion:         {"region", "No backend server that could run the request stands in a region that its route and workspace allow.", 503},
+	ReasonEvacuated:      {"evacuated", "Each backend server that could run the request stands in a data centre that is being evacuated.", 503},
 	ReasonResting:        {"resting", "Each backend server that could run the request has asked for a pause, which lasts for longer than the request may wait.", 503},
 	ReasonSuspect:        {"suspect", "This same request was running when backend servers crashed, so it is not run again.", 422},
 	ReasonCrashPart:      {"crash-part", "Backend servers crashed under a part of this request's prompt, so no request with that part is run for now.", 503},
--- a/request.go
+++ b/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -29,6 +30,7 @@
 	Suspect      bool      // the call may crash an engine and never runs beside another suspect
 	Version      string    // the software version that began the stream, the only one that may go on with it; empty for any
 	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
+	Regions      []string  // whose replicas may serve it; nil for any
 
 	Parts            []Part        // the prompt's parts, in order; nil if unknown
 	MaxOutputTokens  int           // longest possible answer; zero if unknown
@@ -53,6 +55,7 @@
 	FullReports int       // consecutive reports of a full server
 	LastSeen    time.Time // time of the agent's last report
 	Leaving     bool      // gets no new work
+	Evacuated   bool      // its data centre is being evacuated, so that it gets no new work
 	RunsSuspect bool      // gets no other suspect until this entry's suspect there has ended or its probation is over
 	SlowStart   bool      // joined while this entry was running; its share of the work ramps up
 	ColdUntil   time.Time // slow until then, by its own report; zero if not cold
@@ -62,6 +65,18 @@
 	Unlisted    bool      // no resumable stream may begin there: other processes don't know of its version yet
 }
 
+// Allows reports whether a request may be sent to a replica, by the replica's data centre and
+// region.
+func (r *Request) Allows(replica *Replica) bool {
+	return !replica.Evacuated && r.AllowsRegion(replica.Region)
+}
+
+// AllowsRegion reports whether replicas of a region may serve a request. Those whose region
+// isn't known serve only requests that are bound to none.
+func (r *Request) AllowsRegion(region string) bool {
+	return r.Regions == nil || region != "" && slices.Contains(r.Regions, region)
+}
+
 // Load is the load that an agent reports with every answer.
 type Load struct {
 	Slots   int  `json:"slots"`
