--- a/internal/state/evacuation/evacuation.go
+++ b/internal/state/evacuation/evacuation.go
@@ -43,6 +43,12 @@
 	Evacuated bool   `json:"evacuated,omitempty"`
 }
 
+// isLost reports whether the fact is an evacuation from before a return of the store from a
+// copy, which the store has lost by a revision.
+func (f *Fact) isLost(revision uint64) bool {
+	return f.Evacuated && chicoryrock.RevisionEra(f.Revision) < chicoryrock.RevisionEra(revision)
+}
+
 // State is all that a process knows: the facts, sorted by data centre, and that no other data
 // centre was evacuated at a revision.
 type State struct {
@@ -68,19 +74,31 @@
 	return state, nil
 }
 
-// revisionOf returns the revision up to which a state tells of a data centre.
-func (s *State) revisionOf(centre string) uint64 {
+// factOf returns the fact on a data centre, one without an evacuation if there is none.
+func (s *State) factOf(centre string) Fact {
 	for _, fact := range s.Facts {
 		if fact.Centre == centre {
-			return max(fact.Revision, s.Revision)
+			return fact
 		}
 	}
-	return s.Revision
+	return Fact{Centre: centre}
+}
+
+// revisionOf returns the revision up to which a state tells of a data centre. That is the
+// revision of a fact which the store may have lost since.
+func (s *State) revisionOf(centre string) uint64 {
+	fact := s.factOf(centre)
+	if fact.isLost(s.Revision) {
+		return fact.Revision
+	}
+	return max(fact.Revision, s.Revision)
 }
 
-// lists reports whether a state has a fact on a data centre.
-func (s *State) lists(centre string) bool {
-	return slices.ContainsFunc(s.Facts, func(f Fact) bool { return f.Centre == centre })
+// evacuates reports whether a data centre is evacuated by a state, and not only because the
+// store may have lost that.
+func (s *State) evacuates(centre string) bool {
+	fact := s.factOf(centre)
+	return fact.Evacuated && !fact.isLost(s.Revision)
 }
 
 // List is what a process knows. The zero value knows nothing.
@@ -130,27 +148,21 @@
 		return
 	}
 	present := l.facts[learned.Centre]
-	if present == nil {
-		// The list itself denies what is not later, unless the store may have lost it.
-		lost := learned.Evacuated && formerEra(learned.Revision, l.revision)
-		if learned.Revision <= l.revision && !lost || !l.makeRoom() {
-			return
-		}
+	switch {
+	case learned.Revision <= l.revision && !learned.isLost(l.revision):
+		return // all up to the list's revision is known
+	case present != nil && learned.Revision <= present.Revision:
+		return
+	case present == nil && !l.makeRoom():
+		return
+	case present == nil:
 		if l.facts == nil {
 			l.facts = make(map[string]*fact)
 		}
 		present = &fact{}
-		if lost {
-			present.lostAt = now
-		}
 		l.facts[learned.Centre] = present
-	} else {
-		if learned.Revision <= present.Revision {
-			return
-		}
-		present.lostAt = time.Time{}
 	}
-	present.Fact = learned
+	*present = fact{Fact: learned}
 	l.record(now)
 }
 
@@ -182,47 +194,49 @@
 	for _, learned := range state.Facts {
 		l.Learn(now, learned)
 	}
+	l.CaughtUp(state.Revision)
 	for centre, present := range l.facts {
-		if present.Evacuated && present.Revision < state.Revision && !state.lists(centre) {
-			l.miss(now, present, state.Revision)
+		switch {
+		case present.isLost(l.revision):
+			if present.lostAt.IsZero() {
+				present.lostAt = now
+			}
+		case present.Evacuated && present.Revision < state.Revision && !state.evacuates(centre):
+			l.end(now, present, state.Revision)
 		}
 	}
-	l.CaughtUp(state.Revision)
-}
-
-// miss takes in that a data centre is not evacuated at a revision, by a list without it.
-func (l *List) miss(now time.Time, present *fact, revision uint64) {
-	if !formerEra(present.Revision, revision) {
-		*present = fact{Fact: Fact{Centre: present.Centre, Revision: revision}}
-		l.record(now)
-		return
-	}
-	if present.lostAt.IsZero() {
-		present.lostAt = now
-	}
 }
 
-// formerEra reports whether the store has come back from a copy between two revisions.
-func formerEra(former, latter uint64) bool {
-	return chicoryrock.RevisionEra(former) < chicoryrock.RevisionEra(latter)
+// end takes in that a data centre is no longer evacuated at a revision.
+func (l *List) end(now time.Time, present *fact, revision uint64) {
+	*present = fact{Fact: Fact{Centre: present.Centre, Revision: revision}}
+	l.record(now)
 }
 
 // Expire ends the evacuations that the store lost some time ago.
 func (l *List) Expire(now time.Time) {
 	for _, present := range l.facts {
 		if !present.lostAt.IsZero() && now.Sub(present.lostAt) >= lostTime {
-			*present = fact{Fact: Fact{Centre: present.Centre, Revision: l.revision}}
-			l.record(now)
+			l.end(now, present, l.revision)
 		}
 	}
 }
 
-// Exceeds reports whether something is known that a process with a state does not know.
+// Exceeds reports whether a process with a state lacks something that is known here, so that
+// it believes otherwise or will.
 func (l *List) Exceeds(state *State) bool {
-	for centre, present := range l.facts {
-		if present.Revision > state.revisionOf(centre) {
-			return true
+	own := l.State()
+	return own.corrects(state, own.Facts) || own.corrects(state, state.Facts)
+}
+
+// corrects reports whether a state is newer than another one on one of the data centres of
+// some facts, and different.
+func (s *State) corrects(other *State, facts []Fact) bool {
+	return slices.ContainsFunc(facts, func(f Fact) bool {
+		if s.revisionOf(f.Centre) <= other.revisionOf(f.Centre) {
+			return false
 		}
-	}
-	return false
+		theirs := other.factOf(f.Centre)
+		return s.factOf(f.Centre).Evacuated != theirs.Evacuated || theirs.isLost(other.Revision)
+	})
 }
