--- a/internal/policy/pick/pick_test.go
+++ b/internal/policy/pick/pick_test.go
@@ -260,6 +260,45 @@
 	}
 }
 
+// Guards against requests that leave the regions that they are bound to, and against requests
+// to evacuated replicas, on any of the ways to a replica.
+func TestPickKeepsToRegionsAndEvacuations(t *testing.T) {
+	p := newPicker(1)
+	replicas := fleet(60, 5)
+	for i := range replicas {
+		replicas[i].Evacuated = replicas[i].Centre == "c0" || replicas[i].Centre == "c4"
+	}
+	p.Sort(replicas)
+	r := request()
+	r.PrefixHash = 42
+	for name := range countPicks(start, p, r, replicas, 300) {
+		assert.NotContains(t, evacuatedOf(replicas), name)
+	}
+	r.Regions = []string{"r1"}
+	got := countPicks(start, p, r, replicas, 300)
+	assert.Len(t, got, 12, "all of c3")
+	for i := range replicas {
+		if replicas[i].Centre != "c3" {
+			assert.NotContains(t, got, replicas[i].Name)
+		}
+	}
+	r.Suspect = true
+	for name := range countPicks(start, p, r, replicas, 10) {
+		assert.Contains(t, got, name)
+	}
+	r.Regions = []string{}
+	assert.Empty(t, countPicks(start, p, r, replicas, 10))
+}
+
+func evacuatedOf(replicas []chicoryrock.Replica) (names []string) {
+	for i := range replicas {
+		if replicas[i].Evacuated {
+			names = append(names, replicas[i].Name)
+		}
+	}
+	return names
+}
+
 func TestPickDoesNotAllocate(t *testing.T) {
 	p := newPicker(1)
 	replicas := fleet(710, 5)
--- a/internal/state/routing/routing_test.go
+++ b/internal/state/routing/routing_test.go
@@ -69,3 +69,21 @@
 	require.False(t, newTable(1).Newer(newTable(1)))
 	require.False(t, newTable(1).Newer(newTable(2)))
 }
+
+// A list that allows no region at all must not be taken for one that allows all.
+func TestAllowedRegions(t *testing.T) {
+	cases := []struct {
+		name                   string
+		route, workspace, want []string
+	}{
+		{"neither", nil, nil, nil},
+		{"the route", []string{"a", "b"}, nil, []string{"a", "b"}},
+		{"the workspace", nil, []string{"b"}, []string{"b"}},
+		{"both", []string{"a", "b", "c"}, []string{"c", "d", "b"}, []string{"b", "c"}},
+		{"nothing in common", []string{"a"}, []string{"b"}, []string{}},
+	}
+	for _, c := range cases {
+		require.Equal(t, c.want, AllowedRegions(&Route{AllowedRegions: c.route}, &Workspace{AllowedRegions: c.workspace}), c.name)
+	}
+	require.Equal(t, []string{"a"}, AllowedRegions(&Route{AllowedRegions: []string{"a"}}, nil))
+}
