Evacuate a data centre at the end of a soak

Cause: the soak did not show that fronts still follow evacuations after all that it does to them.

Change: a backend server stands in a data centre of its own. At the end of the run this is evacuated; five seconds later no front may send requests there, and each does when it is taken back. Runs with former builds leave it out.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,7 @@
 	w.limitSome()
 	results := w.play(time.Duration(seconds) * time.Second)
 	w.untilServing("end")
+	w.evacuate(seed)
 	w.check(seed, results)
 }
 
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -59,7 +59,11 @@
 
 func (w *world) enter(s *software) {
 	id, version := s.get()
-	w.put(platform.ServerPrefix+id, sample.EntryOf(s.service, s.proxy.address(), "ready", version))
+	entry := sample.EntryOf(s.service, s.proxy.address(), "ready", version)
+	if id == evacuable {
+		entry = sample.In(entry, otherCentre)
+	}
+	w.put(platform.ServerPrefix+id, entry)
 }
 
 // versions says whether this run's fronts heed software versions: those of former builds
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -18,6 +18,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -51,6 +52,8 @@
 	crashed crashed
 	taken   taken
 	engines []*software
+	// evacuable counts the requests to the backend server of that name.
+	evacuable atomic.Int64
 
 	mutex  sync.Mutex
 	runs   map[string]int
@@ -156,6 +159,9 @@
 			rw.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if id == evacuable {
+			w.evacuable.Add(1)
+		}
 		w.mutex.Lock()
 		w.runs[asked]++
 		w.mutex.Unlock()
@@ -219,7 +225,7 @@
 ip: %q
 zone: "a"
 region: "north"
-zones: {a: "north"}
+zones: {a: "north", b: "north"}
 listen: {front: %q, ready: %q}
 portRange: [%d, %d]
 bounds: {graceS: 4, leaseMs: 1500, usageWindowS: 1, usageLateS: 3, budgetRatio: 0.2, budgetSlack: 60}
