--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -63,12 +63,16 @@
 	oversize        oversizeBudget
 	longJobs        int // of jobs, those with long prompts
 	hasReplicas     bool
+	evacuated       int                // replicas in data centres that are being evacuated
 	limitRefusals   jitter.RefusedWork // requests
 	randomState     uint64             // of randomBelow
 	fetchMsPerToken float64            // from another engine's prefix cache; zero for never
 	copies          backup.Engines
 	prefixHolders   map[uint32][maxHolders]prefixHolder // by sessionHash
 	byKeyHash       map[uint32]*replica
+	bound           bool       // the request that is being placed may use only the replicas of allowed
+	allowed         []*replica // in the order of the partition; see setAllowed
+	allowedShort    int        // index in allowed of the first replica outside of the part for long prompts
 }
 
 // replica holds the load and the estimates of one replica.
@@ -85,7 +89,8 @@
 	slowdown      float64 // observed over predicted time to first token, moving average
 	failures      int     // in a row
 	avoidUntil    time.Time
-	leaving       bool
+	leaving       bool // it gets no new work, or its data centre is being evacuated
+	region        string
 	coldUntil     time.Time // it is slow until then
 	takesLong     bool      // it is one of the replicas for long prompts
 	roleSince     time.Time // last change of takesLong
@@ -173,6 +178,7 @@
 		ps.assignParts(now, request)
 		ps.computeLimits(now, request)
 	}
+	ps.setAllowed(request, replicas)
 	affinity := ps.affinity(now, request)
 	best := candidate{index: -1, costMs: math.Inf(1)}
 	p.limited = p.limited[:0]
@@ -184,7 +190,7 @@
 	}
 	anyHealthy := false
 	consider := func(i int) {
-		if replicas[i].Leaving {
+		if replicas[i].Leaving || !request.Allows(&replicas[i]) {
 			return
 		}
 		r := ps.replicaAt(i, &replicas[i])
@@ -244,6 +250,8 @@
 		PeerLoadAge:      now.Sub(p.peerLoadsAt),
 		Replicas:         len(replicas),
 		Limited:          passedOver,
+		Evacuated:        ps.evacuated,
+		OutOfRegion:      ps.outOfRegion(),
 	}
 	if source != nil {
 		j.placement.FetchFrom = source.name
@@ -454,6 +462,7 @@
 
 func (ps *poolState) setReplicas(replicas []chicoryrock.Replica) {
 	ps.hasReplicas = len(replicas) > 0
+	ps.evacuated = 0
 	present := make(map[string]bool, len(replicas))
 	ps.partition.order = ps.partition.order[:0]
 	ps.byIndex = ps.byIndex[:0]
@@ -463,10 +472,14 @@
 		r.index = i
 		ps.byIndex = append(ps.byIndex, r)
 		ps.byKeyHash[r.keyHash] = r
-		r.leaving = replicas[i].Leaving
+		r.leaving = replicas[i].Leaving || replicas[i].Evacuated
+		r.region = replicas[i].Region
 		r.coldUntil = replicas[i].ColdUntil
 		present[r.name] = true
-		if !replicas[i].Leaving {
+		if replicas[i].Evacuated {
+			ps.evacuated++
+		}
+		if !r.leaving {
 			ps.partition.order = append(ps.partition.order, r)
 		}
 	}
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -92,6 +92,8 @@
 	book    *billing.Book
 	needs   *demand.Counter
 	peers   *peers
+	// evacuations are followed like the servers.
+	evacuations evacuations
 	// collector writes the counts of other processes with this one's.
 	collector billing.Collector
 	usage     *billing.Reporter // nil without that duty
@@ -327,13 +329,10 @@
 func (p *Front) followers() []*follow.Follower {
 	return []*follow.Follower{
 		{
-			Store: p.store, Prefix: platform.ConfigKey, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
-			Reset: func(now time.Time, entries []chicoryrock.KeyValue, _ uint64) {
-				for _, entry := range entries {
-					p.configure(now, entry)
-				}
-			},
-			Change: p.configure,
+			Store: p.store, Prefix: platform.OperatorPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
+			Reset:  p.readOperator,
+			Change: p.changeOperator,
+			Caught: p.caughtOperator,
 		},
 		{
 			Store: p.store, Prefix: platform.ServerPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
@@ -433,7 +432,13 @@
 func (p *Front) republish() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.servers.Loaded() {
+	p.publishAgain()
+}
+
+// publishAgain is republish with the lock held. A list that a peer has sent change by change
+// has a version, too, although it was never read as a whole.
+func (p *Front) publishAgain() {
+	if p.servers.Version() > 0 {
 		p.publish(nil)
 	}
 }
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -31,8 +31,8 @@
 	}
 	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
 	switch reason {
-	case chicoryrock.ReasonCrashPart:
-		return longest
+	case chicoryrock.ReasonCrashPart, chicoryrock.ReasonRegion, chicoryrock.ReasonEvacuated:
+		return longest // only an operator changes the latter two
 	case chicoryrock.ReasonCrashRequest:
 		return max(c.verdict(now).Wait, soonest) // until it may be tried
 	case chicoryrock.ReasonVersionGone:
