Share out what cold backend servers bear

Cause: nothing kept a cold server from getting more requests in a second than it bears; its cold counted as a slowdown only, and one that became cold again within a start was taken for warm. Change: while a server is cold and its service says what it bears, all fronts share permits for it under a key of its own (policy/quota), at a rate that keeps any second within the platform's bound. What a server says of its cold is read again with each newer entry.

--- a/internal/policy/place/limited.go
+++ b/internal/policy/place/limited.go
@@ -56,7 +56,7 @@
 		if replicas[i].Leaving {
 			continue
 		}
-		interval, known := p.Quota.Interval(now, ps.replica(replicas[i].Name).nameHash)
+		interval, known := p.permitInterval(now, ps.replica(replicas[i].Name))
 		if !known || interval <= 0 {
 			return 0, false
 		}
@@ -100,12 +100,47 @@
 // ServerKey returns the key of a replica's limit.
 func ServerKey(name string) uint64 { return xxhash.Sum64String(name) }
 
+// ColdKey returns the key of the limit that a replica has while it is cold.
+func ColdKey(name string) uint64 { return xxhash.Sum64String(name + "/cold") }
+
+// coldLimit reports whether a replica has the limit of a cold one.
+func (r *replica) coldLimit(now time.Time) bool { return r.coldLimited && now.Before(r.coldUntil) }
+
 // permits reports whether a replica has no limit, or this process a permit for it.
 func (p *Placer) permits(now time.Time, r *replica) bool {
-	return p.Quota == nil || p.Quota.Permits(now, r.nameHash)
+	return p.Quota == nil || p.Quota.Permits(now, r.nameHash) && (!r.coldLimit(now) || p.Quota.Permits(now, r.coldKey))
 }
 
-// allows reports whether a replica's limit allows a request now that would be sent there.
+// allows reports whether a replica's limits allow a request now that would be sent there.
 func (p *Placer) allows(now time.Time, request *chicoryrock.Request, r *replica) bool {
-	return p.Quota == nil || p.Quota.Allows(now, r.nameHash, request.ID)
+	if p.Quota == nil {
+		return true
+	}
+	allowed := p.Quota.Allows(now, r.nameHash, request.ID)
+	if !r.coldLimit(now) {
+		return allowed
+	}
+	return p.Quota.Allows(now, r.coldKey, request.ID) && allowed
+}
+
+// takePermit uses up a permit of each limit that a replica has.
+func (p *Placer) takePermit(now time.Time, request *chicoryrock.Request, r *replica) {
+	if p.Quota == nil {
+		return
+	}
+	p.Quota.Take(now, r.nameHash, request.ID)
+	if r.coldLimit(now) {
+		p.Quota.Take(now, r.coldKey, request.ID)
+	}
+}
+
+// permitInterval returns the mean time between two permits that this process can expect
+// for a replica; false if that is unknown.
+func (p *Placer) permitInterval(now time.Time, r *replica) (time.Duration, bool) {
+	interval, known := p.Quota.Interval(now, r.nameHash)
+	if !known || !r.coldLimit(now) {
+		return interval, known
+	}
+	cold, known := p.Quota.Interval(now, r.coldKey)
+	return max(interval, cold), known
 }
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -85,6 +85,8 @@
 	leaving       bool // it gets no new work, or its data centre is being evacuated
 	region        string
 	coldUntil     time.Time // it is slow until then
+	coldLimited   bool      // until then it has a limit under coldKey
+	coldKey       uint64    // see ColdKey
 	takesLong     bool      // it is one of the replicas for long prompts
 	roleSince     time.Time // last change of takesLong
 
@@ -228,9 +230,7 @@
 		source = ps.chooseSource(now, request, ps.replica(replicas[best.index].Name), affinity)
 	}
 	j := ps.assign(now, request, &replicas[best.index], affinity, hasPrompt)
-	if p.Quota != nil {
-		p.Quota.Take(now, j.replica.nameHash, request.ID)
-	}
+	p.takePermit(now, request, j.replica)
 	j.placement = Placement{
 		TimeToFirstToken: duration(best.firstMs),
 		UnreadTokens:     int(j.unreadTokens),
@@ -291,6 +291,7 @@
 		keyHash:  keyHash(name),
 		slowdown: initialSlowdown,
 		nameHash: ServerKey(name),
+		coldKey:  ColdKey(name),
 	}
 	ps.replicas[name] = r
 	return r
@@ -459,6 +460,7 @@
 		r.leaving = replicas[i].Leaving || replicas[i].Evacuated
 		r.region = replicas[i].Region
 		r.coldUntil = replicas[i].ColdUntil
+		r.coldLimited = replicas[i].ColdLimited
 		present[r.name] = true
 		if !r.leaving {
 			ps.partition.order = append(ps.partition.order, r)
--- a/internal/policy/place/refusal.go
+++ b/internal/policy/place/refusal.go
@@ -76,7 +76,7 @@
 			lateMs = max(lateMs, excessMs)
 		}
 		if p.Quota != nil {
-			if interval, known := p.Quota.Interval(now, r.nameHash); known {
+			if interval, known := p.permitInterval(now, r); known {
 				lateMs = max(lateMs, milliseconds(interval))
 			}
 		}
--- a/internal/policy/quota/quota.go
+++ b/internal/policy/quota/quota.go
@@ -125,6 +125,12 @@
 	deniedAt time.Time // when a request last found no permit
 }
 
+// LimitWithin returns the limit, requests a second, under which a server gets no more than
+// count requests in any span of a length while one process issues its permits.
+func LimitWithin(count float64, length time.Duration) float64 {
+	return max(count-1, 0) / (length + PermitLifetime + saveTime).Seconds()
+}
+
 // SetMembers sets the processes that share the limits: peers are those others that can
 // be reached and may issue permits, members is the number of all that may send requests,
 // this one included. Issues says whether this process may issue.
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -93,7 +93,7 @@
 	open     atomic.Int64
 	placing  sync.Mutex
 	suspects suspects
-	cold     map[boot]time.Time // until when servers that have just started are slow
+	cold     coldServers
 	retries  retriers
 	limits   limits
 	served   counts
@@ -204,16 +204,10 @@
 	}
 	f.Origins.SetServers(now, list)
 	f.placing.Lock()
-	cold := make(map[boot]time.Time)
+	f.cold.set(now, list)
 	for i := range list {
 		s := &list[i]
-		this := boot{s.ID, s.StartedMs}
-		if known, found := f.cold[this]; found {
-			cold[this] = known
-		} else if s.ColdFor > 0 {
-			// The entry says for how long from when it was written, and stays as it is.
-			cold[this] = now.Add(s.ColdFor)
-		}
+		coldUntil := f.cold.until(s)
 		pools[s.Service] = append(pools[s.Service], chicoryrock.Replica{
 			Name:      s.ID,
 			Pool:      s.Service,
@@ -225,12 +219,12 @@
 			Slots:     s.Slots,
 			Leaving:   s.Leaving,
 			Evacuated: f.evacuated[s.Centre],
-			ColdUntil: cold[this],
+			ColdUntil: coldUntil,
 			Version:   s.Version,
 			Unlisted:  !f.Origins.MayBegin(s.Service, s.Version),
 		})
 	}
-	f.cold = cold
+	f.limitCold(now, list, pools)
 	known := f.evacuated != nil
 	f.limits.setNames(list)
 	for name, replicas := range pools {
@@ -351,6 +345,7 @@
 		case now := <-sweep.C:
 			f.Upstream.Sweep(now)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
+			f.liftCold(now)
 			f.writeViews(now)
 			f.writeSent(now)
 		}
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -87,7 +87,7 @@
 func (c *call) hasRoom(now time.Time) bool {
 	f := c.front
 	c.limitWait = false
-	if !f.knowsLimits() {
+	if !f.KnowsLimits() {
 		return true
 	}
 	replicas := f.Gate.ReplicasFor(now, c.request)
@@ -102,8 +102,8 @@
 	return !limited || !until.IsZero()
 }
 
-// knowsLimits says whether any server states a limit, or did so of late.
-func (f *Front) knowsLimits() bool {
+// KnowsLimits says whether any server states a limit, or did so of late.
+func (f *Front) KnowsLimits() bool {
 	f.placing.Lock()
 	defer f.placing.Unlock()
 	return f.Placer.Quota.Limits() > 0
@@ -156,6 +156,7 @@
 	names := make(map[uint64]string, len(servers))
 	for i := range servers {
 		names[place.ServerKey(servers[i].ID)] = servers[i].ID
+		names[place.ColdKey(servers[i].ID)] = servers[i].ID + " while cold"
 	}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -95,7 +95,8 @@
 // Service is a group of equivalent backend servers.
 type Service struct {
 	Name     string
-	MaxConns int // connections that a backend server accepts from all callers together
+	ColdRate float64 // requests a second that a backend server bears while it is cold; zero for no limit
+	MaxConns int     // connections that a backend server accepts from all callers together
 	Engine   *Engine
 	Scaling  *Scaling // nil if the router does not order backend servers
 }
--- a/request.go
+++ b/request.go
@@ -59,6 +59,7 @@
 	RunsSuspect bool      // gets no other suspect until this entry's suspect there has ended or its probation is over
 	SlowStart   bool      // joined while this entry was running; its share of the work ramps up
 	ColdUntil   time.Time // slow until then, by its own report; zero if not cold
+	ColdLimited bool      // while it is cold, all processes together keep to a rate that it bears
 	Version     string    // of its software; empty if not known
 	RestUntil   time.Time // gets no requests until then; zero for none
 	Unheard     bool      // its version isn't known here; its agent keeps to the one that a request names
