policy/quota: message numbers may wrap around

Cause: a receiver ignored messages whose number was not above the last one. The numbers have 32 bits: a process that sends 500 messages a second uses them up in 99 days, and would get no permits from then on. Change: numbers are compared modulo 2^32, and the first message of a sender counts whatever its number is.

--- a/internal/policy/quota/message.go
+++ b/internal/policy/quota/message.go
@@ -33,7 +33,7 @@
 type Message struct {
 	From    string
 	To      string // not encoded
-	Number  uint32 // grows with each message of the sender
+	Number  uint32 // grows with each message of the sender, and wraps around
 	Members int    // that the sender has heard of
 	Entries []Entry
 }
@@ -58,7 +58,8 @@
 	sentAt     time.Time // last message that asks
 	silent     time.Time // when the first message was sent that has had no answer; zero if none
 	avoidUntil time.Time // it is not chosen as an issuer
-	number     uint32    // of the last message received
+	number     uint32    // of the last message received, if one was heard
+	heard      bool
 }
 
 func (m *Member) contact(name string) *contact {
@@ -277,9 +278,11 @@
 		return
 	}
 	c := m.contact(message.From)
-	if message.Number <= c.number {
+	// A sender of 500 messages a second uses up its numbers in 99 days.
+	if c.heard && int32(message.Number-c.number) <= 0 {
 		return
 	}
+	c.heard = true
 	c.number, c.silent, c.avoidUntil = message.Number, time.Time{}, time.Time{}
 	for i := range message.Entries {
 		e := &message.Entries[i]
--- a/internal/policy/quota/quota_test.go
+++ b/internal/policy/quota/quota_test.go
@@ -1,6 +1,8 @@
 package quota_test
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -215,6 +217,25 @@
 	return &quota.Message{From: "b", Number: number, Members: 2, Entries: []quota.Entry{{Server: 1, Limit: limit, Permits: count}}}
 }
 
+// A process that runs for months uses up the numbers of its messages. Those that come after
+// must still count, and late ones from before must not.
+func TestNumbersOfMessagesWrapAround(t *testing.T) {
+	m := &quota.Member{Name: "a"}
+	m.SetMembers([]string{"b"}, false, 2)
+	m.Observe(start, start, 1, 10)
+	for _, number := range []uint32{math.MaxUint32, 0, math.MaxUint32, 1, 0} {
+		m.Receive(start, permits(number, 1, 10))
+	}
+	allowed := 0
+	for i := range 10 {
+		if id := fmt.Sprint(i); m.Allows(start, 1, id) {
+			m.Take(start, 1, id)
+			allowed++
+		}
+	}
+	require.Equal(t, 3, allowed)
+}
+
 func TestPermits(t *testing.T) {
 	cases := []struct {
 		name  string
