policy/suspect: a lost success shows in the digest

Cause: processes compare digests of what they know of crashes, but successes did not count. A process that had not been told of the success that ended a ban passed for one that knows the same, and refused the request until its own ban expired. Change: the digest covers the bans in force too. Processes whose bans differ exchange all evidence, as they do for failures. During an upgrade, processes of both builds do so while there are bans.

--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -448,8 +448,9 @@
 // digestTime is how long a failure counts for the digest that no ban rests on.
 const digestTime = 10 * time.Second
 
-// Digest returns a number that is the same at processes with the same recent evidence, but
-// for successes; zero if there is none.
+// Digest returns a number that is the same at processes with the same recent evidence and the
+// same bans; zero if there is none. Of successes, only those that end a ban count: a process
+// that has not been told of one goes on refusing what others let pass.
 func (t *Tracker) Digest(now time.Time) uint64 {
 	t.evaluate(now)
 	var recent Evidence
@@ -461,7 +462,13 @@
 	for id := range t.trials {
 		recent.Trials = append(recent.Trials, Trial{ID: id})
 	}
-	return recent.Digest()
+	sum := recent.Digest()
+	for i := range t.bans {
+		for _, subject := range t.bans[i].Subjects {
+			sum ^= xxhash.Sum64String("ban " + string(subject[:]))
+		}
+	}
+	return sum
 }
 
 // Digest returns a number that changes with the failures and trials, but not with their age.
--- a/internal/policy/suspect/tracker_test.go
+++ b/internal/policy/suspect/tracker_test.go
@@ -323,6 +323,25 @@
 	})
 }
 
+// A process that has not been told of the success that ended a ban must not pass for one that
+// knows the same: it would refuse the request until the ban expires, with the reply that the
+// message was lost.
+func TestLostSuccessShowsInTheDigest(t *testing.T) {
+	var one, other Tracker
+	course := crashes(1, 7)
+	for i := range partThreshold {
+		course[i].take(&one, i)
+	}
+	other.Merge(after(4), one.Export(after(4)))
+	require.NotEmpty(t, other.Bans(after(4)))
+	require.Equal(t, one.Digest(after(4)), other.Digest(after(4)))
+	one.RecordSuccess(after(5), &Candidate{Workspace: "w1", Parts: parts(1)})
+	require.NotEqual(t, one.Bans(after(5)), other.Bans(after(5)))
+	require.NotEqual(t, one.Digest(after(5)), other.Digest(after(5)))
+	other.Merge(after(5), one.Export(after(5)))
+	require.Equal(t, one.Digest(after(6)), other.Digest(after(6)))
+}
+
 // After a crash, only a success that others may lack is told: that of a part that crashes
 // have come close to a ban, once by one process, and that of a request that had failed.
 func TestSuccessIsToldWhereItMatters(t *testing.T) {
