--- a/internal/serve/assembly/evacuation.go
+++ b/internal/serve/assembly/evacuation.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/follow"
 	"github.com/chicoryrock/chicoryrock/internal/state/evacuation"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
@@ -46,18 +47,21 @@
 	p.learnEvacuations("store", func(list *evacuation.List) { list.Read(now, &state) })
 }
 
-// changeOperator takes in one entry that an operator has written or removed.
-func (p *Front) changeOperator(now time.Time, entry chicoryrock.KeyValue) {
-	p.configure(now, entry)
-	if centre, found := platform.EvacuatedCentre(entry); found {
-		fact := evacuation.Fact{Centre: centre, Revision: entry.Revision, Evacuated: !entry.Deleted}
-		p.learnEvacuations("store", func(list *evacuation.List) { list.Learn(now, fact) })
+// changeOperator takes in a whole answer of a watch of what operators write.
+func (p *Front) changeOperator(now time.Time, changes *follow.Changes) {
+	var facts []evacuation.Fact
+	for _, entry := range changes.Entries {
+		p.configure(now, entry)
+		if centre, found := platform.EvacuatedCentre(entry); found {
+			facts = append(facts, evacuation.Fact{Centre: centre, Revision: entry.Revision, Evacuated: !entry.Deleted})
+		}
 	}
-}
-
-// caughtOperator takes in that a watch's changes up to a revision have all been taken in.
-func (p *Front) caughtOperator(revision uint64) {
-	p.learnEvacuations("store", func(list *evacuation.List) { list.CaughtUp(revision) })
+	p.learnEvacuations("store", func(list *evacuation.List) {
+		for _, fact := range facts {
+			list.Learn(now, fact)
+		}
+		list.CaughtUp(changes.Through)
+	})
 }
 
 // learnEvacuations changes the list of evacuated data centres and puts it in force at once.
