--- a/internal/state/servers/follow_test.go
+++ b/internal/state/servers/follow_test.go
@@ -232,7 +232,7 @@
 func (n *network) checkDigests(t *rapid.T, m *member) {
 	for version, state := range n.store.at {
 		if digest, known := m.list.digestAt(version); known && version >= m.beyond {
-			require.True(t, fold(digestOf(state)) == digest, "the digest as of %d", version)
+			require.Equal(t, fold(digestOf(state)), digest, "the digest as of %d", version)
 		}
 	}
 }
@@ -287,7 +287,7 @@
 				n.checkDigests(t, draw())
 				for _, m := range n.members {
 					n.check(t, m)
-					require.True(t, m.list.Version() >= stated[m], "the version goes back")
+					require.GreaterOrEqual(t, m.list.Version(), stated[m], "the version goes back")
 					stated[m] = m.list.Version()
 				}
 			},
