billing: seal no window before this process has written its own counts of it

Cause: a front without peers also writes the counts of the present window, so that a part of them stands in the store. Where its next write came later than settleTime (0.5 s) after the window's end, the window was sealed with that part: in a failed run of TestCountsThatARestoredStoreHasLostAreReported the write came 0.85 s after it. Change: the holder of the duty leaves a window alone, up to lastShare of the time until its report, while its own counts of it have not been written or a write is under way (Reporter.Unwritten). TestOwnCountsAreSealedOnceTheyAreWritten guards the rule.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -284,16 +284,17 @@
 func (p *Front) newUsage() *billing.Reporter {
 	bounds := &p.Node.Bounds
 	return &billing.Reporter{
-		Length: bounds.UsageWindow,
-		Late:   bounds.UsageLate,
-		Store:  p.store,
-		Biller: &platform.API{Address: p.Node.API, Timeout: apiTimeout, Holder: p.Node.Name},
-		Log:    p.Log,
-		Clock:  &p.clock,
-		Alive:  p.peers.alive,
-		Sent:   p.metrics.Window,
-		Share:  p.shareSeal,
-		Era:    p.store.Era,
+		Length:    bounds.UsageWindow,
+		Late:      bounds.UsageLate,
+		Store:     p.store,
+		Biller:    &platform.API{Address: p.Node.API, Timeout: apiTimeout, Holder: p.Node.Name},
+		Log:       p.Log,
+		Clock:     &p.clock,
+		Alive:     p.peers.alive,
+		Sent:      p.metrics.Window,
+		Share:     p.shareSeal,
+		Era:       p.store.Era,
+		Unwritten: p.book.Unwritten,
 	}
 }
 
--- a/internal/serve/billing/billing.go
+++ b/internal/serve/billing/billing.go
@@ -80,6 +80,7 @@
 	tally tally.Counter
 	again time.Time                       // when the store is asked again after it took nothing
 	times int                             // that Restored was called
+	open  int                             // writes of counts under way
 	kept  map[string][]chicoryrock.Change // by process, what this one keeps for others
 }
 
@@ -101,6 +102,13 @@
 	b.times++
 }
 
+// Unwritten says whether the store may lack counts of this process of a window.
+func (b *Book) Unwritten(number int64) bool {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.open > 0 || b.tally.HasUnwritten(number)
+}
+
 // Run writes counts until the context ends.
 func (b *Book) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -213,7 +221,13 @@
 	}
 	times := b.times
 	changes, err := b.tally.TakeChanges(b.Process, before)
+	b.open++
 	b.mutex.Unlock()
+	defer func() {
+		b.mutex.Lock()
+		b.open--
+		b.mutex.Unlock()
+	}()
 	if err != nil {
 		b.Log.Write(event.UsageFailed, zap.Error(err))
 		return false
@@ -277,6 +291,9 @@
 	// Share tells other processes what a window was sealed with, before it is reported; nil
 	// for none. The store may lose the seal when it comes back from a copy.
 	Share func(ctx context.Context, number int64, counts tally.Counts)
+	// Unwritten says whether the store may lack this process's own counts of a window: a front
+	// without peers also writes a part of them before the window's end. Nil for never.
+	Unwritten func(number int64) bool
 	// Era says how often the store has come back from a copy, by its last answer; nil for
 	// never. It is known before Restored is called.
 	Era func() uint64
@@ -433,6 +450,9 @@
 // report seals a window and sends it. A window in which nothing began is no news.
 func (r *Reporter) report(ctx context.Context, grant duty.Grant, number int64) error {
 	age := r.Clock.True(time.Now()).Sub(tally.WindowEnd(number, r.Length))
+	if r.Unwritten != nil && age < time.Duration(lastShare*float64(r.Late)) && r.Unwritten(number) {
+		return tally.ErrCountsMissing
+	}
 	counts, err := r.seal(ctx, number, r.wanted(age))
 	if err != nil {
 		return err
--- a/internal/serve/billing/restored_test.go
+++ b/internal/serve/billing/restored_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/internal/standin/store"
 	"github.com/chicoryrock/chicoryrock/internal/state/tally"
@@ -96,3 +97,23 @@
 	}))
 	require.Equal(t, 2, written)
 }
+
+// Guards against sealing a window with a part of this process's own counts, which it wrote
+// before the window's end, when the write of the rest is late.
+func TestOwnCountsAreSealedOnceTheyAreWritten(t *testing.T) {
+	book := &Book{Process: "a", Length: time.Second, Log: event.NewNop(), Clock: &Clock{}}
+	now := time.Now()
+	number := tally.WindowAt(now, book.Length)
+	write := func(context.Context, []chicoryrock.Change) error {
+		require.True(t, book.Unwritten(number), "the write is under way")
+		return nil
+	}
+	book.Began(now, "w1")
+	require.True(t, book.flushBy(t.Context(), number+1, write))
+	require.False(t, book.Unwritten(number))
+	book.Began(now, "w1")
+	require.True(t, book.Unwritten(number))
+	late := time.Hour
+	reporter := &Reporter{Length: book.Length, Late: late, Clock: &Clock{}, Unwritten: book.Unwritten}
+	require.ErrorIs(t, reporter.report(t.Context(), duty.Grant{}, number), tally.ErrCountsMissing)
+}
--- a/internal/state/tally/tally.go
+++ b/internal/state/tally/tally.go
@@ -115,6 +115,12 @@
 	return changes, nil
 }
 
+// HasUnwritten reports whether the counts of a window have grown since they were taken.
+func (c *Counter) HasUnwritten(number int64) bool {
+	w := c.windows[number]
+	return w != nil && w.unwritten
+}
+
 // PendingChanges returns the writes of all unwritten counts, which remain unwritten.
 func (c *Counter) PendingChanges(process string) ([]chicoryrock.Change, error) {
 	return c.unwrittenChanges(process, math.MaxInt64)
