inbound: one place decides where a caller's requests begin and end

Heads were bounded only by net/http, after it had allocated memory for them. Change: serve/inbound wraps connections by policy/framing. A head reaches net/http whole and checked, the next request only after the answer before it, and the caller's leaving is noticed by poll without a read. Refusals are 400, 431, 503 and 505. Heads of more than 200 lines take turns, 8 at once. Answers left unread end the connection (limits.unreadMs, 10 s). An account may be asked for memory (inbound.Account, nil so far). A call that ends without an answer aborts its connection, in front and entry. The ready and metrics addresses and plain listeners of serve/web have bounds too. Event 319 counts what was ended. The tests of the old reader go with it; those of policy/framing are stricter: they hold the verdict of each form, where the old ones let most pass.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -32,6 +33,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/front"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
+	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
 	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
@@ -194,10 +196,17 @@
 		p.gauges(time.Now())
 		scraped.ServeHTTP(w, r)
 	})
-	server := &http.Server{Addr: p.Scrapes.String(), Handler: mux, ReadHeaderTimeout: scrapeTimeout, ErrorLog: p.Log.Std()}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", p.Scrapes.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	server := &http.Server{
+		Handler: mux, ReadHeaderTimeout: scrapeTimeout, MaxHeaderBytes: inbound.SmallHead, ErrorLog: p.Log.Std(), ConnState: inbound.State,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(inbound.Listener{Listener: listener, Bounds: inbound.Small}.Wrap()); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve metrics")
 	}
 	return nil
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -297,7 +297,9 @@
 	if c.r.Context().Err() != nil {
 		c.settle(c.outcome())
 		c.progress.end(time.Now(), chicoryrock.OutcomeCancelled, chicoryrock.ReasonNone)
-		return
+		// A caller that has only closed its sending side still reads: without this, the
+		// server would complete the answer, which is none.
+		panic(http.ErrAbortHandler)
 	}
 	refusal := c.refusalFor(err)
 	c.entry.Needs.RecordRefusal(c.request, refusal.Reason)
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -419,6 +419,9 @@
 		c.front.served.left.Add(1)
 		c.trail.Write(event.Cancelled, now, zap.Int("sent", c.sent), zap.Int("events", c.events), event.Cause(err))
 		c.close(now, chicoryrock.OutcomeCancelled, chicoryrock.ReasonNone, true)
+		// A caller that has only closed its sending side still reads: without this, the
+		// server would complete the answer, which is none.
+		panic(http.ErrAbortHandler)
 	case c.started:
 		c.failed(now, chicoryrock.ReasonBroken, err)
 		// The connection ends without the end of the answer, so that it does not
--- a/internal/serve/front/framing.go
+++ b/internal/serve/front/framing.go
@@ -1,188 +1,114 @@
 package front
 
 import (
-	"bytes"
 	"net"
-	"net/http"
-	"strconv"
-	"sync/atomic"
-)
-
-// framedListener accepts connections whose requests' framing is looked at.
-type framedListener struct{ net.Listener }
-
-// Accept implements net.Listener.
-func (l framedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &framedConn{Conn: conn}, nil
-}
-
-// framedConn finds the request that states both a length and chunks. The server's
-// library takes such a body by its chunks and drops the length, so that the request
-// can't be told from others once it has been read. Whoever else reads it by its
-// length takes a part of it for another request, or another request for a part of it.
-type framedConn struct {
-	net.Conn
-	frames frames
-	asked  int64        // requests that were handled; one at a time is
-	clash  atomic.Int64 // which one's framing clashes; zero for none so far
-}
+	"net/netip"
+	"sync"
+	"time"
 
-// Read implements net.Conn.
-func (c *framedConn) Read(data []byte) (int, error) {
-	n, err := c.Conn.Read(data)
-	if at := c.frames.scan(data[:n]); at > 0 {
-		c.clash.Store(at)
-	}
-	return n, err
-}
+	"go.uber.org/zap"
 
-// clashes says whether a request states both a length and chunks. It is to be asked
-// once for each request of a connection.
-func clashes(r *http.Request) bool {
-	conn, framed := r.Context().Value(connKey{}).(*framedConn)
-	if !framed {
-		return false
-	}
-	conn.asked++
-	return conn.clash.Load() == conn.asked
-}
-
-// part is what a connection's next bytes belong to.
-type part int
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
+	"github.com/chicoryrock/chicoryrock/internal/policy/framing"
+	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
+)
 
+// Bounds of callers where the settings state none.
 const (
-	inHeader part = iota
-	inBody
-	inChunkSize
-	inChunk
-	inTrailer
-	unfollowed // the rest is not looked at
+	// headSlack is what a head may have above the configuration's maxHeaderBytes: its first
+	// line's version and the ends of lines were never counted.
+	headSlack = 512
+	// defaultUnread is how long a caller may take to read a piece of 64 kB of its answer.
+	defaultUnread = 10 * time.Second
+	// defaultHeavyLines is far above what client libraries send.
+	defaultHeavyLines = 200
+	// defaultHeavy bounds heavy requests: a legal head of as many lines as possible took 0.3 MB
+	// in the crowd tests.
+	defaultHeavy = 8
 )
 
-// frames follows the requests of a connection through its bytes, as far as it takes
-// to tell headers from bodies.
-type frames struct {
-	part    part
-	line    []byte // the line under way
-	left    int64  // bytes of the body or the chunk
-	begun   bool   // the header's first line has come
-	length  bool
-	chunked bool
-	count   int64 // headers that have ended
+// accept returns the listener of callers.
+func (f *Front) accept(listener net.Listener) net.Listener {
+	heavy := defaultHeavy
+	if f.Node.Heavy > 0 {
+		heavy = f.Node.Heavy
+	}
+	return inbound.Listener{Listener: listener, Bounds: f.callerBounds, Heavy: heavy, Account: f.Account, Ended: f.ended.add}.Wrap()
 }
 
-// scan takes in the next bytes. It returns the number of the request, from 1, whose
-// header ended among them and states both a length and chunks, or zero.
-func (f *frames) scan(data []byte) int64 {
-	for len(data) > 0 && f.part != unfollowed {
-		if f.part == inBody || f.part == inChunk {
-			data = f.skip(data)
-			continue
+// callerBounds returns what a caller may use of a connection, by the configuration in force
+// and the settings.
+func (f *Front) callerBounds() inbound.Bounds {
+	bounds := inbound.Bounds{
+		Limits:     framing.Limits{HeadBytes: maxHeader},
+		HeaderTime: headerTimeout,
+		IdleTime:   idleTimeout,
+		UnreadTime: defaultUnread,
+		HeavyLines: defaultHeavyLines,
+	}
+	if f.Node.Unread > 0 {
+		bounds.UnreadTime = f.Node.Unread
+	}
+	if f.Node.HeavyLines > 0 {
+		bounds.HeavyLines = f.Node.HeavyLines
+	}
+	if table := f.Table(); table != nil {
+		if limit := table.Limits.MaxHeaderBytes; limit > 0 {
+			bounds.HeadBytes = min(limit+headSlack, maxHeader)
 		}
-		end := bytes.IndexByte(data, '\n')
-		if end < 0 {
-			f.hold(data)
-			return 0
+		if limit := table.Limits.HeaderTimeout; limit > 0 {
+			bounds.HeaderTime = limit
 		}
-		f.hold(data[:end])
-		data = data[end+1:]
-		line := bytes.TrimSuffix(f.line, []byte("\r"))
-		f.line = f.line[:0]
-		if f.take(line) {
-			f.part = unfollowed
-			return f.count
+		if limit := table.Limits.IdleTimeout; limit > 0 {
+			bounds.IdleTime = limit
 		}
 	}
-	return 0
+	return bounds
 }
 
-// hold keeps a part of a line. One that is longer than a header may be is not
-// followed: the server refuses it.
-func (f *frames) hold(data []byte) {
-	if len(f.line)+len(data) > maxHeader {
-		f.part = unfollowed
-		return
-	}
-	f.line = append(f.line, data...)
+// endings are the connections of callers that were ended by a rule, since the last lines
+// about them.
+type endings struct {
+	mutex sync.Mutex
+	kinds map[string]*ending
 }
 
-func (f *frames) skip(data []byte) []byte {
-	n := min(f.left, int64(len(data)))
-	f.left -= n
-	if f.left == 0 {
-		if f.part == inBody {
-			f.part = inHeader
-		} else {
-			f.part = inChunkSize
-		}
-	}
-	return data[n:]
+// ending is one reason for that. There are as many as package framing and inbound state.
+type ending struct {
+	why    error
+	count  int
+	caller netip.Addr // the last one
 }
 
-// take takes in a whole line, and says whether it ends a header that states both.
-func (f *frames) take(line []byte) bool {
-	switch {
-	case f.part == inChunkSize:
-		f.chunk(line)
-	case f.part == inTrailer:
-		if len(line) == 0 {
-			f.part = inHeader
-		}
-	case len(line) == 0:
-		return f.begun && f.end()
-	case !f.begun:
-		f.begun = true
-	default:
-		f.field(line)
+func (e *endings) add(_ time.Time, caller netip.AddrPort, why error) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.kinds == nil {
+		e.kinds = make(map[string]*ending)
 	}
-	return false
-}
-
-// chunkEnd are the bytes behind a chunk.
-const chunkEnd = 2
-
-func (f *frames) chunk(line []byte) {
-	size, _, _ := bytes.Cut(line, []byte(";"))
-	n, err := strconv.ParseInt(string(bytes.TrimSpace(size)), 16, 62)
-	switch {
-	case err != nil || n < 0:
-		f.part = unfollowed
-	case n == 0:
-		f.part = inTrailer
-	default:
-		f.part, f.left = inChunk, n+chunkEnd
+	kind := e.kinds[why.Error()]
+	if kind == nil {
+		kind = &ending{why: why}
+		e.kinds[why.Error()] = kind
 	}
+	kind.count++
+	kind.caller = caller.Addr()
 }
 
-func (f *frames) field(line []byte) {
-	name, value, _ := bytes.Cut(line, []byte(":"))
-	switch {
-	case bytes.EqualFold(name, []byte("Transfer-Encoding")):
-		f.chunked = true
-	case bytes.EqualFold(name, []byte("Content-Length")):
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 63)
-		if err != nil {
-			f.part = unfollowed
-			return
+// write writes a line for each reason.
+func (e *endings) write(log *event.Log, into *metrics.Metrics) {
+	e.mutex.Lock()
+	kinds := e.kinds
+	e.kinds = nil
+	e.mutex.Unlock()
+	for text, kind := range kinds {
+		log.Write(event.CallerEnded, zap.String("why", text), zap.Int("count", kind.count), zap.Stringer("caller", kind.caller))
+		if status, reason := inbound.Answer(kind.why); status != 0 {
+			for range kind.count {
+				into.Request(metrics.Ended{Outcome: chicoryrock.OutcomeRefused, Reason: reason})
+			}
 		}
-		f.length, f.left = true, n
-	}
-}
-
-// end takes in the end of a header.
-func (f *frames) end() bool {
-	f.count++
-	clash := f.length && f.chunked
-	switch {
-	case f.chunked:
-		f.part = inChunkSize
-	case f.length && f.left > 0:
-		f.part = inBody
 	}
-	f.begun, f.length, f.chunked = false, false, false
-	return clash
 }
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -27,6 +27,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
+	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
 	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
@@ -83,6 +84,8 @@
 	Observe func(now time.Time, start servers.Start, said servers.Statement)
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
+	// Account is asked for the memory of callers' connections and heads; nil for none.
+	Account inbound.Account
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -98,7 +101,7 @@
 	limits   limits
 	served   counts
 	trails   trail.Book
-	conns    conns
+	ended    endings
 	parts    guard.Parts
 }
 
@@ -244,23 +247,25 @@
 	}
 	server := &http.Server{
 		Handler:           http.HandlerFunc(f.safely),
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
+		ReadHeaderTimeout: headerTimeout, // the bounds of callers hold besides
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          f.Log.Std(),
-		ConnState:         f.connState,
-		ConnContext:       withConn,
+		ConnState:         inbound.State,
 	}
 	ready := &http.Server{
 		Handler:           http.HandlerFunc(f.handleReady),
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    inbound.SmallHead,
 		ErrorLog:          f.Log.Std(),
+		ConnState:         inbound.State,
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return serve(server, framedListener{callers}) })
-	group.Go(func() error { return serve(ready, asked) })
+	group.Go(func() error { return serve(server, f.accept(callers)) })
+	group.Go(func() error {
+		return serve(ready, inbound.Listener{Listener: asked, Bounds: inbound.Small, Ended: f.ended.add}.Wrap())
+	})
 	group.Go(func() error { return f.parts.Keep(background, "tick", f.tick) })
 	group.Go(func() error {
 		defer cancel()
@@ -333,6 +338,7 @@
 		case now := <-sweep.C:
 			f.Upstream.Sweep(now)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
+			f.ended.write(f.Log, f.Metrics)
 			f.writeViews(now)
 			f.writeSent(now)
 		}
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -70,7 +70,6 @@
 // handle serves one request.
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
-	f.headerRead(r)
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	if f.draining.Load() {
@@ -78,11 +77,6 @@
 	}
 	ask := platform.ReadAsk(r.Header)
 	table := f.Table()
-	if clashes(r) {
-		w.Header().Set("Connection", "close")
-		f.turnAway(now, w, ask, table, chicoryrock.ReasonMalformed, 0)
-		return
-	}
 	if table == nil || !f.known.Load() {
 		f.turnAway(now, w, ask, table, chicoryrock.ReasonStaleConfig, unconfigured)
 		return
@@ -191,9 +185,6 @@
 // read takes in a request's body whole, as it may have to be sent again. It may take
 // until a deadline.
 func (f *Front) read(deadline time.Time, w http.ResponseWriter, r *http.Request, table *routing.Table) ([]byte, chicoryrock.Reason) {
-	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerSize(r) > limit {
-		return nil, chicoryrock.ReasonTooLarge
-	}
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, chicoryrock.ReasonNone
 	}
@@ -242,17 +233,6 @@
 	}
 }
 
-// headerSize returns the bytes of a request's header as it came, about.
-func headerSize(r *http.Request) int {
-	size := len(r.Method) + len(r.RequestURI) + len(r.Host)
-	for name, values := range r.Header {
-		for _, value := range values {
-			size += len(name) + len(value) + 4
-		}
-	}
-	return size
-}
-
 // describe says of a call what the decisions need.
 func (c *call) describe(now time.Time, table *routing.Table) *chicoryrock.Request {
 	id := c.ask.ID
--- a/internal/serve/web/web.go
+++ b/internal/serve/web/web.go
@@ -21,6 +21,8 @@
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/framing"
+	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
 )
 
 const (
@@ -30,8 +32,24 @@
 	idleTimeout = 2 * time.Minute
 	// maxHeader is the largest request header, in bytes.
 	maxHeader = 64 << 10
+	// unreadTime is how long a client may take none of its answer.
+	unreadTime = 10 * time.Second
+	// heavyLines is how many header lines make a request heavy, and heavyRequests how many
+	// of those are served at once.
+	heavyLines, heavyRequests = 200, 8
 )
 
+// bounds are what a client may use of a connection.
+func bounds() inbound.Bounds {
+	return inbound.Bounds{
+		Limits:     framing.Limits{HeadBytes: maxHeader},
+		HeaderTime: headerTimeout,
+		IdleTime:   idleTimeout,
+		UnreadTime: unreadTime,
+		HeavyLines: heavyLines,
+	}
+}
+
 // Server is one HTTP listener. Set the exported fields, then call Run.
 type Server struct {
 	Name     string
@@ -74,6 +92,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          s.Log.Std(),
+		ConnState:         inbound.State,
 	}
 	done := make(chan error, 1)
 	go func() { done <- s.serve(server) }()
@@ -89,7 +108,7 @@
 	if s.TLS != nil {
 		return server.ServeTLS(s.listener, "", "")
 	}
-	return server.Serve(s.listener)
+	return server.Serve(inbound.Listener{Listener: s.listener, Bounds: bounds, Heavy: heavyRequests}.Wrap())
 }
 
 // shutdown waits for open requests, and closes what is still open when the
