--- a/internal/serve/inbound/listener.go
+++ b/internal/serve/inbound/listener.go
@@ -4,6 +4,7 @@
 package inbound
 
 import (
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -88,9 +89,13 @@
 }
 
 func (l *Listener) newConn(accepted net.Conn) (*conn, error) {
-	socket, found := accepted.(syscall.Conn)
+	inner := accepted
+	if secure, found := accepted.(*tls.Conn); found {
+		inner = secure.NetConn()
+	}
+	socket, found := inner.(syscall.Conn)
 	if !found {
-		return nil, errors.Errorf("%T is no socket", accepted)
+		return nil, errors.Errorf("%T is no socket", inner)
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
@@ -111,7 +116,7 @@
 // State is to be called by the server's ConnState: it tells when an answer has been written,
 // so that the next request may be read.
 func State(served net.Conn, state http.ConnState) {
-	if c, found := served.(*conn); found && state == http.StateIdle {
+	if c, found := served.(interface{ begin(now time.Time) }); found && state == http.StateIdle {
 		c.begin(time.Now())
 	}
 }
--- a/internal/serve/web/web.go
+++ b/internal/serve/web/web.go
@@ -87,13 +87,15 @@
 	}
 	server := &http.Server{
 		Handler:           handler,
-		TLSConfig:         s.TLS,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          s.Log.Std(),
 		ConnState:         inbound.State,
 	}
+	if s.TLS != nil {
+		server.TLSConfig = inbound.TLSConfig(s.TLS)
+	}
 	done := make(chan error, 1)
 	go func() { done <- s.serve(server) }()
 	select {
@@ -105,10 +107,11 @@
 }
 
 func (s *Server) serve(server *http.Server) error {
+	listener := inbound.Listener{Listener: s.listener, Bounds: bounds, Heavy: heavyRequests}
 	if s.TLS != nil {
-		return server.ServeTLS(s.listener, "", "")
+		return server.Serve(listener.WrapTLS(server.TLSConfig))
 	}
-	return server.Serve(inbound.Listener{Listener: s.listener, Bounds: bounds, Heavy: heavyRequests}.Wrap())
+	return server.Serve(listener.Wrap())
 }
 
 // shutdown waits for open requests, and closes what is still open when the
