--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -48,6 +48,7 @@
 	TrialGranted   = Event{316, zapcore.InfoLevel, "trial of what is held back decided"}
 	TakenOver      = Event{319, zapcore.InfoLevel, "request goes on from its copy on another backend server"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
+	CallerEnded    = Event{322, zapcore.InfoLevel, "connections of callers ended by a rule"}
 	OriginUnread   = Event{317, zapcore.WarnLevel, "which software version began a stream could not be read"}
 	ServersRead    = Event{401, zapcore.DebugLevel, "list of VMs read"}
 	ServersLost    = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
