--- a/internal/serve/program/endless_test.go
+++ b/internal/serve/program/endless_test.go
@@ -28,12 +28,13 @@
 // smallest is the memory of the smallest VM that a front is to run on, bytes.
 const smallest = 112 << 20
 
-// realFront starts a front as a process of its own, on a store.
-func realFront(t *testing.T, storeAt netip.AddrPort) (callers, ready netip.AddrPort, command *exec.Cmd) {
+// realFront starts a front as a process of its own, on a store. More lines of its
+// settings may be given.
+func realFront(t *testing.T, storeAt netip.AddrPort, more ...string) (callers, ready netip.AddrPort, command *exec.Cmd) {
 	callers, ready = host.Own(), host.Own()
 	settings := fmt.Sprintf("node: one\nip: %q\nzone: a\nregion: north\nzones: {a: north}\nlisten: {front: %q, ready: %q}\n"+
 		"bounds: {graceS: 4, leaseMs: 1500, usageWindowS: 1, usageLateS: 3, budgetRatio: 0.2, budgetSlack: 60}\nplatform: {address: %q}\n",
-		callers.Addr(), callers, ready, storeAt)
+		callers.Addr(), callers, ready, storeAt) + strings.Join(more, "\n")
 	file := filepath.Join(t.TempDir(), "node.yaml")
 	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
 	command = exec.Command(programPath("chicoryrock"), "front", "-settings", file)
