Reserve memory and connections for callers of a front

Cause: Node.Memory and Node.Files were read and used nowhere, and the fingerprint of a request copied its body. Change: serve/reserve carries out the decisions of policy/memory. A front reserves each connection, request, body and part of an answer. What finds no room waits for 0.4 s and is refused as no-room (503, Retry-After, connection closed). Bodies that can't be sent again are let go of, fingerprints are taken without a copy, and the runtime's limit is three quarters of memoryMb. Event 319, reserved_bytes, caller_connections and no_room_total report it.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -45,6 +45,7 @@
 	Trial          = Event{315, zapcore.InfoLevel, "request is sent as a trial of what is held back"}
 	TrialGranted   = Event{316, zapcore.InfoLevel, "trial of what is held back decided"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
+	NoRoom         = Event{319, zapcore.WarnLevel, "callers found no room since the last such line"}
 	OriginUnread   = Event{317, zapcore.WarnLevel, "which software version began a stream could not be read"}
 	ServersRead    = Event{401, zapcore.DebugLevel, "list of VMs read"}
 	ServersLost    = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -39,6 +39,7 @@
 	chicoryrock.ReasonLate:           "More backend servers, fewer requests at that moment, or a longer target would have let it in.",
 	chicoryrock.ReasonServerLimit:    "More backend servers of the pool would have let it in, or the same ones once they state no limit.",
 	chicoryrock.ReasonQueueFull:      "More backend servers, or fewer requests at that moment, would have let it in.",
+	chicoryrock.ReasonNoRoom:         "More memory for the process, or fewer and smaller requests at that moment, would have let it in.",
 	chicoryrock.ReasonNoServer:       "A backend server that could be reached in the route's pools would have served it.",
 	chicoryrock.ReasonResting:        "It would have been served after the pause that Retry-After names, or by further backend servers.",
 	chicoryrock.ReasonVersionUnknown: "It would have gone on where the store could be read, or where the front that began it had lived for a moment longer; the whole request can be sent again.",
--- a/internal/ops/metrics/define.go
+++ b/internal/ops/metrics/define.go
@@ -37,6 +37,13 @@
 	m.prompts = counter("prompt_tokens_total", "Tokens of prompts as they are placed: unread ones are read by the engine, kept ones are in its memory, about.", labelPool, "kind")
 	m.calls = counter("store_calls_total", "Calls to the platform's store.", "kind", "outcome")
 	m.windows = counter("usage_windows_total", "Usage windows that this process reported.", "outcome")
+	m.reserved = gauge("reserved_bytes", "Memory that is held for callers.", "kind")
+	m.noRoom = counter("no_room_total", "Connections, requests and parts of answers that found no room, or made room for others.", "kind", "outcome")
+	m.callers = prometheus.NewGauge(prometheus.GaugeOpts{
+		Namespace: namespace,
+		Name:      "caller_connections",
+		Help:      "Connections that callers have open.",
+	})
 	m.servers = prometheus.NewGauge(prometheus.GaugeOpts{
 		Namespace: namespace,
 		Name:      "servers_age_seconds",
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -71,7 +71,10 @@
 	prompts   *prometheus.CounterVec
 	calls     *prometheus.CounterVec
 	windows   *prometheus.CounterVec
+	reserved  *prometheus.GaugeVec
+	noRoom    *prometheus.CounterVec
 	servers   prometheus.Gauge
+	callers   prometheus.Gauge
 	revision  prometheus.Gauge
 
 	confirmed atomic.Int64 // Unix time in nanoseconds; zero before the first configuration
@@ -92,7 +95,7 @@
 	m.define()
 	m.registry.MustRegister(
 		m.requests, m.incidents, m.verdicts, m.goals, m.first, m.gap, m.queue, m.running,
-		m.tokens, m.across, m.retries, m.held, m.wait, m.budget, m.prompts, m.calls, m.windows, m.servers, m.revision,
+		m.tokens, m.across, m.retries, m.held, m.wait, m.budget, m.prompts, m.calls, m.windows, m.reserved, m.noRoom, m.servers, m.callers, m.revision,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "configuration_age_seconds",
@@ -186,6 +189,23 @@
 	m.budget.WithLabelValues(m.pools.value(pool)).Set(left)
 }
 
+// Reserved sets how many bytes are held for callers by what they are used for.
+func (m *Metrics) Reserved(kind string, bytes int64) {
+	m.reserved.WithLabelValues(kind).Set(float64(bytes))
+}
+
+// Callers sets how many connections callers have.
+func (m *Metrics) Callers(count int) { m.callers.Set(float64(count)) }
+
+// NoRoom counts a use that has found no room, or that was closed to make room for others.
+func (m *Metrics) NoRoom(kind string, closed bool) {
+	outcome := "refused"
+	if closed {
+		outcome = "closed"
+	}
+	m.noRoom.WithLabelValues(kind, outcome).Inc()
+}
+
 // Prompt counts the tokens of a prompt as it is placed: those that its engine has to
 // read, about, and those that it has in memory.
 func (m *Metrics) Prompt(pool string, unread, kept int) {
--- a/internal/policy/suspect/suspect.go
+++ b/internal/policy/suspect/suspect.go
@@ -45,14 +45,17 @@
 // fingerprint of another's.
 type Fingerprint [16]byte
 
-// FingerprintOf returns the fingerprint of a request. The workspace is hashed to a
-// fixed length first, so that its end and the body's beginning cannot be confused.
-func FingerprintOf(workspace string, body []byte) Fingerprint {
+// FingerprintOf returns the fingerprint of a request, whose body may be given in parts.
+// The workspace is hashed to a fixed length first, so that its end and the body's
+// beginning cannot be confused.
+func FingerprintOf(workspace string, body ...[]byte) Fingerprint {
 	hash := sha256.New()
 	workspaceHash := sha256.Sum256([]byte(workspace))
 	// Writing to a hash never fails.
 	_, _ = hash.Write(workspaceHash[:])
-	_, _ = hash.Write(body)
+	for _, part := range body {
+		_, _ = hash.Write(part)
+	}
 	return Fingerprint(hash.Sum(nil))
 }
 
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -214,7 +214,9 @@
 		Log:  p.Log,
 		Upstream: &upstream.Client{
 			Control: platform.SetUnackedTimeout(upstreamSilence),
+			Most:    connections(node.Files),
 		},
+		Room: p.room(),
 		Placer: &place.Placer{
 			Centre: node.Centre, Region: node.Region,
 			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime,
--- a/internal/serve/assembly/gauges.go
+++ b/internal/serve/assembly/gauges.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 )
@@ -39,6 +40,9 @@
 			}
 		}
 	}
+	if room := p.front.Room; room != nil {
+		p.metrics.Callers(room.Read(func(kind memory.Kind, bytes int64) { p.metrics.Reserved(kind.String(), bytes) }))
+	}
 	p.mutex.Lock()
 	duties := p.duties
 	p.mutex.Unlock()
--- /dev/null
+++ b/internal/serve/front/answer.go
@@ -0,0 +1,111 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
+	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
+	"github.com/chicoryrock/chicoryrock/internal/state/routing"
+	"github.com/chicoryrock/chicoryrock/platform"
+)
+
+const (
+	// maxHeld is how much of an answer is held, bytes, so that one that breaks off can
+	// be replaced by another server's. A longer one is passed on as it comes.
+	maxHeld = 256 << 10
+	// maxAnswer bounds an answer altogether, bytes.
+	maxAnswer = 64 << 20
+)
+
+// relay passes an answer on to the caller.
+func (c *call) relay(answer *upstream.Answer) error {
+	if platform.NotRun(answer.Status, answer.Header) {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxTurnedBody))
+		return errors.Wrap(errTurned, strconv.Itoa(answer.Status))
+	}
+	c.begun = true
+	c.count()
+	if c.route.Kind == routing.Stream && answer.Status == http.StatusOK {
+		return c.relayStream(answer)
+	}
+	if c.started {
+		return errors.Wrapf(errFailed, "status %d", answer.Status)
+	}
+	body, whole, err := c.keep(answer.Body)
+	if err != nil {
+		return truncated(err)
+	}
+	c.endKnown = answer.Framed
+	failed := answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status)
+	if failed && !whole {
+		return errors.Wrapf(upstream.ErrBadAnswer, "a failure of more than %d bytes", len(body))
+	}
+	c.front.first(time.Now(), c.request)
+	if failed {
+		c.failure = &failure{answer.Status, answer.Header, body}
+		return errors.Wrapf(errFailed, "status %d", answer.Status)
+	}
+	if !whole {
+		return c.pass(answer, body)
+	}
+	return c.write(answer.Status, answer.Header, body)
+}
+
+// pass passes on an answer that is too long to be held: what came of it, and the rest
+// as it comes.
+func (c *call) pass(answer *upstream.Answer, came []byte) error {
+	c.started = true
+	c.status = answer.Status
+	c.first = time.Since(c.begin)
+	platform.Answered(c.w.Header(), answer.Header)
+	if length := answer.Header.Get("Content-Length"); length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
+	c.w.WriteHeader(answer.Status)
+	c.dropBody(answer)
+	if err := c.deliver(came, memory.Running); err != nil {
+		return err
+	}
+	buffer := came[:cap(came)]
+	if len(buffer) > passedAtOnce {
+		c.hold.Shrink(int64(len(buffer) - passedAtOnce))
+		buffer = make([]byte, passedAtOnce)
+	}
+	for passed := len(came); passed <= maxAnswer; {
+		n, err := answer.Body.Read(buffer)
+		passed += n
+		if failure := c.deliver(buffer[:n], memory.Running); failure != nil {
+			return failure
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return truncated(err)
+		}
+	}
+	return errors.Wrapf(upstream.ErrBadAnswer, "an answer of more than %d bytes", maxAnswer)
+}
+
+// passedAtOnce is how much of a long answer is read before it is passed on, bytes.
+const passedAtOnce = 32 << 10
+
+// maxTurnedBody is how much of a refusal is read so that its connection can serve
+// on, bytes.
+const maxTurnedBody = 64 << 10
+
+// write sends a whole answer to the caller.
+func (c *call) write(status int, header http.Header, body []byte) error {
+	c.started = true
+	c.status = status
+	c.first = time.Since(c.begin)
+	platform.Answered(c.w.Header(), header)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(status)
+	return c.deliver(body, memory.Running)
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,25 +14,20 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/ops/trail"
+	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
-const (
-	// maxHeld is how much of an answer is held, bytes, so that one that breaks off can
-	// be replaced by another server's. A longer one is passed on as it comes.
-	maxHeld = 256 << 10
-	// maxAnswer bounds an answer altogether, bytes.
-	maxAnswer = 64 << 20
-	// maxTurns is how many backend servers a request is offered to that turn it
-	// away without running it.
-	maxTurns = 4
-)
+// maxTurns is how many backend servers a request is offered to that turn it away without
+// running it.
+const maxTurns = 4
 
 // The ways in which an attempt fails. The first two match chicoryrock.ErrNotRun:
 // it certainly did not run.
@@ -60,6 +53,7 @@
 	route     *routing.Route
 	workspace *routing.Workspace
 	body      []byte
+	hold      *reserve.Hold // its memory; nil without limits
 	request   *chicoryrock.Request
 	begin     time.Time
 	until     time.Time // when the caller or the route gives up
@@ -213,7 +207,13 @@
 	default:
 		return errMoved
 	}
-	return c.maySend()
+	if err := c.maySend(); err != nil {
+		return err
+	}
+	if c.hold.Move(memory.Running, nil) != nil {
+		return &gate.RefusedError{Reason: chicoryrock.ReasonNoRoom}
+	}
+	return nil
 }
 
 // blames says whether a failed attempt speaks against its backend server.
@@ -309,78 +309,6 @@
 	return c.relay(answer)
 }
 
-// relay passes an answer on to the caller.
-func (c *call) relay(answer *upstream.Answer) error {
-	if platform.NotRun(answer.Status, answer.Header) {
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxTurnedBody))
-		return errors.Wrap(errTurned, strconv.Itoa(answer.Status))
-	}
-	c.begun = true
-	c.count()
-	if c.route.Kind == routing.Stream && answer.Status == http.StatusOK {
-		return c.relayStream(answer)
-	}
-	if c.started {
-		return errors.Wrapf(errFailed, "status %d", answer.Status)
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
-	if err != nil {
-		return truncated(err)
-	}
-	c.endKnown = answer.Framed
-	failed := answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status)
-	if failed && len(body) > maxHeld {
-		return errors.Wrapf(upstream.ErrBadAnswer, "a failure of more than %d bytes", maxHeld)
-	}
-	c.front.first(time.Now(), c.request)
-	if failed {
-		c.failure = &failure{answer.Status, answer.Header, body}
-		return errors.Wrapf(errFailed, "status %d", answer.Status)
-	}
-	if len(body) > maxHeld {
-		return c.pass(answer, body)
-	}
-	return c.write(answer.Status, answer.Header, body)
-}
-
-// pass passes on an answer that is too long to be held: what came of it, and the rest
-// as it comes.
-func (c *call) pass(answer *upstream.Answer, came []byte) error {
-	c.started = true
-	c.status = answer.Status
-	c.first = time.Since(c.begin)
-	platform.Answered(c.w.Header(), answer.Header)
-	if length := answer.Header.Get("Content-Length"); length != "" {
-		c.w.Header().Set("Content-Length", length)
-	}
-	c.w.WriteHeader(answer.Status)
-	if _, err := c.w.Write(came); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
-	}
-	buffer := make([]byte, passedAtOnce)
-	for passed := len(came); passed <= maxAnswer; {
-		n, err := answer.Body.Read(buffer)
-		passed += n
-		if _, failure := c.w.Write(buffer[:n]); failure != nil {
-			return errors.Wrap(errCallerGone, failure.Error())
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return truncated(err)
-		}
-	}
-	return errors.Wrapf(upstream.ErrBadAnswer, "an answer of more than %d bytes", maxAnswer)
-}
-
-// passedAtOnce is how much of a long answer is read before it is passed on, bytes.
-const passedAtOnce = 32 << 10
-
-// maxTurnedBody is how much of a refusal is read so that its connection can serve
-// on, bytes.
-const maxTurnedBody = 64 << 10
-
 // count puts the request on its workspace's bill, once.
 func (c *call) count() {
 	if c.counted || c.workspace == nil {
@@ -390,20 +318,6 @@
 	c.front.Began(time.Now(), c.workspace.Name)
 }
 
-// write sends a whole answer to the caller.
-func (c *call) write(status int, header http.Header, body []byte) error {
-	c.started = true
-	c.status = status
-	c.first = time.Since(c.begin)
-	platform.Answered(c.w.Header(), header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(status)
-	if _, err := c.w.Write(body); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
-	}
-	return nil
-}
-
 // end gives the caller its final answer where it has none yet.
 func (c *call) end(err error) {
 	now := time.Now()
@@ -479,6 +393,8 @@
 		c.refused(now, refused.Reason)
 	case c.heldBack():
 		c.refused(now, chicoryrock.ReasonCrashPart)
+	case errors.Is(context.Cause(c.ctx), reserve.ErrNoRoom):
+		c.refused(now, chicoryrock.ReasonNoRoom)
 	case c.ctx.Err() != nil:
 		c.refused(now, chicoryrock.ReasonLate)
 	default:
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -28,6 +28,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/internal/state/servers"
@@ -83,6 +84,9 @@
 	Observe func(now time.Time, start servers.Start, said servers.Statement)
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
+	// Room is what callers may hold in memory, and how many connections they may have; nil
+	// for no limits.
+	Room *reserve.Pool
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -248,7 +252,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          f.Log.Std(),
-		ConnState:         f.connState,
+		ConnState:         f.connChanged,
 		ConnContext:       withConn,
 	}
 	ready := &http.Server{
@@ -259,7 +263,7 @@
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return serve(server, framedListener{callers}) })
+	group.Go(func() error { return serve(server, framedListener{f.Room.Listener(callers)}) })
 	group.Go(func() error { return serve(ready, asked) })
 	group.Go(func() error { return f.parts.Keep(background, "tick", f.tick) })
 	group.Go(func() error {
@@ -332,6 +336,7 @@
 			f.enforceBans(now)
 		case now := <-sweep.C:
 			f.Upstream.Sweep(now)
+			f.Room.Write(f.Log)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
 			f.writeViews(now)
 			f.writeSent(now)
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -17,6 +17,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
@@ -71,6 +72,9 @@
 func (f *Front) handle(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	f.headerRead(r)
+	if conn := counted(callerOf(r)); conn != nil && conn.Begin() != nil {
+		panic(http.ErrAbortHandler) // it was closed to make room
+	}
 	f.open.Add(1)
 	defer f.open.Add(-1)
 	if f.draining.Load() {
@@ -93,10 +97,10 @@
 		return
 	}
 	limit := patience(route, ask)
-	body, reason := f.read(now.Add(limit), w, r, table)
+	body, hold, reason := f.read(now, now.Add(limit), w, r, table, workspace)
+	defer hold.Release()
 	if reason != chicoryrock.ReasonNone {
-		w.Header().Set("Connection", "close")
-		f.turnAway(now, w, ask, table, reason, 0)
+		f.turnOut(now, w, ask, reason)
 		return
 	}
 	f.serve(now, limit, table, &call{
@@ -107,6 +111,7 @@
 		route:     route,
 		workspace: workspace,
 		body:      body,
+		hold:      hold,
 	})
 }
 
@@ -128,6 +133,11 @@
 	if err := http.NewResponseController(c.w).SetWriteDeadline(c.until.Add(time.Second)); err != nil {
 		c.trail.Write(event.Failed, now, event.Cause(err))
 	}
+	if !c.lend() {
+		c.w.Header().Set("Connection", "close")
+		c.refused(now, chicoryrock.ReasonNoRoom)
+		return
+	}
 	c.run()
 }
 
@@ -188,57 +198,59 @@
 	return path
 }
 
-// read takes in a request's body whole, as it may have to be sent again. It may take
-// until a deadline.
-func (f *Front) read(deadline time.Time, w http.ResponseWriter, r *http.Request, table *routing.Table) ([]byte, chicoryrock.Reason) {
+// read reserves a request's memory and takes in its body whole, as it may have to be sent
+// again. It may take until a deadline. The hold is to be released in any case.
+func (f *Front) read(now, deadline time.Time, w http.ResponseWriter, r *http.Request, table *routing.Table,
+	workspace *routing.Workspace) ([]byte, *reserve.Hold, chicoryrock.Reason) {
 	if limit := table.Limits.MaxHeaderBytes; limit > 0 && headerSize(r) > limit {
-		return nil, chicoryrock.ReasonTooLarge
-	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, chicoryrock.ReasonNone
+		return nil, nil, chicoryrock.ReasonTooLarge
 	}
 	limit := table.Limits.MaxBodyBytes
 	if limit <= 0 {
 		limit = defaultBody
 	}
 	if r.ContentLength > limit {
-		return nil, chicoryrock.ReasonTooLarge
+		return nil, nil, chicoryrock.ReasonTooLarge
 	}
 	control := http.NewResponseController(w)
+	size := int64(0)
+	switch {
+	case r.ContentLength > 0:
+		size = r.ContentLength + 1 // so that the end is found without more room
+	case r.ContentLength < 0:
+		size = firstRead
+	}
+	claim := f.claim(now, deadline, r, workspace, size)
+	hold, err := f.Room.Reserve(r.Context(), claim, func() {
+		// It ends the reading. Where that fails the body ends by its deadline.
+		_ = control.SetReadDeadline(now)
+	})
+	if err != nil {
+		return nil, nil, chicoryrock.ReasonNoRoom
+	}
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, hold, chicoryrock.ReasonNone
+	}
 	if err := control.SetReadDeadline(deadline); err != nil {
 		f.Log.Write(event.Failed, event.Cause(err))
 	}
-	buffer := make([]byte, 0, max(r.ContentLength, 0)+512)
-	body, err := readAll(buffer, http.MaxBytesReader(w, r.Body, limit))
+	body, err := readAll(r.Context(), hold, claim.Wait, make([]byte, 0, size), limit+1, http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
 		// From here on the server only looks whether the caller is still there.
 		err = control.SetReadDeadline(time.Time{})
 	}
 	var large *http.MaxBytesError
 	switch {
+	case err == nil:
+		return body, hold, chicoryrock.ReasonNone
+	case noRoom(hold, err):
+		return nil, hold, chicoryrock.ReasonNoRoom
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, chicoryrock.ReasonLate
+		return nil, hold, chicoryrock.ReasonLate
 	case errors.As(err, &large):
-		return nil, chicoryrock.ReasonTooLarge
-	case err != nil:
-		return nil, chicoryrock.ReasonMalformed
-	}
-	return body, chicoryrock.ReasonNone
-}
-
-func readAll(buffer []byte, from io.Reader) ([]byte, error) {
-	for {
-		if len(buffer) == cap(buffer) {
-			buffer = append(buffer, 0)[:len(buffer)]
-		}
-		n, err := from.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
-		}
-		if err != nil {
-			return buffer, errors.WithStack(err)
-		}
+		return nil, hold, chicoryrock.ReasonTooLarge
+	default:
+		return nil, hold, chicoryrock.ReasonMalformed
 	}
 }
 
--- /dev/null
+++ b/internal/serve/front/room.go
@@ -0,0 +1,198 @@
+package front
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/jitter"
+	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
+	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
+	"github.com/chicoryrock/chicoryrock/internal/state/routing"
+)
+
+const (
+	// requestBytes is what a request takes beside its head and its body: the stacks that
+	// serve it, its header once more for the backend server, and that connection's buffers.
+	requestBytes = 24 << 10
+	// firstRead is what is reserved for a body of unknown length, bytes, and then doubled.
+	firstRead = 16 << 10
+	// roomWait is how long a request waits unread for room: several bodies of 4 MiB go
+	// through within that time.
+	roomWait = 400 * time.Millisecond
+	// roomWaitPart is the part of a request's time that it may wait for room.
+	roomWaitPart = 4
+	// roomReturn is when to come back at the earliest after no room was found; callers are
+	// spread over as long again.
+	roomReturn = 500 * time.Millisecond
+	// droppedFrom is how long a body is, bytes, for which it pays to let go of it once it
+	// can't be needed again: its fingerprint must be taken before.
+	droppedFrom = 64 << 10
+	// firstKept is the first buffer of an answer or an event, bytes. It is part of
+	// requestBytes, so that small ones need no more room.
+	firstKept = 4 << 10
+)
+
+// counted returns a caller's connection in the process's room, nil without limits.
+func counted(conn net.Conn) *reserve.Conn {
+	if framed, ok := conn.(*framedConn); ok {
+		conn = framed.Conn
+	}
+	found, _ := conn.(*reserve.Conn)
+	return found
+}
+
+func callerOf(r *http.Request) net.Conn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	return conn
+}
+
+// connChanged is told what becomes of a connection. An idle one may be closed to make
+// room: the end of its last answer has gone out by then.
+func (f *Front) connChanged(conn net.Conn, state http.ConnState) {
+	f.connState(conn, state)
+	if known := counted(conn); known != nil && state == http.StateIdle {
+		// It may be being closed already.
+		_ = known.End()
+	}
+}
+
+// claim asks for the room of a request with so many bytes of its body.
+func (f *Front) claim(now, deadline time.Time, r *http.Request, workspace *routing.Workspace, body int64) memory.Claim {
+	claim := memory.Claim{
+		Kind:  memory.Body,
+		Bytes: requestBytes + int64(headerSize(r)) + body,
+		Wait:  min(roomWait, deadline.Sub(now)/roomWaitPart),
+	}
+	if address, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		claim.Owner.Address = address.Addr().Unmap()
+	}
+	if workspace != nil {
+		claim.Owner.Workspace = workspace.Name
+	}
+	return claim
+}
+
+// roomAgain returns when a caller that found no room should come back.
+func (f *Front) roomAgain(id string) time.Duration {
+	wait := roomReturn + time.Duration(jitter.Fraction(id)*float64(roomReturn))
+	return min(wait, f.Bounds().Return)
+}
+
+// readAll reads a body of less than some bytes into a buffer, and reserves more where that
+// is too small.
+func readAll(ctx context.Context, hold *reserve.Hold, wait time.Duration, buffer []byte, most int64, from io.Reader) ([]byte, error) {
+	for {
+		if len(buffer) == cap(buffer) {
+			old := int64(cap(buffer))
+			size := min(2*old, most)
+			// Both buffers are there while the one is copied to the other.
+			if err := hold.Grow(ctx, size, wait); err != nil {
+				return nil, err
+			}
+			buffer = append(make([]byte, 0, size), buffer...)
+			hold.Shrink(old)
+		}
+		n, err := from.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, nil
+		}
+		if err != nil {
+			return buffer, errors.WithStack(err)
+		}
+	}
+}
+
+// keep reads an answer as far as it is held: to its end, to the most that is held, or as
+// far as there is room. It says whether the answer is whole.
+func (c *call) keep(from io.Reader) (body []byte, whole bool, err error) {
+	buffer := make([]byte, 0, firstKept)
+	for len(buffer) <= maxHeld {
+		if len(buffer) == cap(buffer) {
+			size := min(2*cap(buffer), maxHeld+1)
+			if err := c.hold.Grow(c.ctx, int64(size-cap(buffer)), 0); err != nil {
+				return buffer, false, nil //nolint:nilerr // what came is passed on
+			}
+			buffer = append(make([]byte, 0, size), buffer...)
+		}
+		n, err := from.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if errors.Is(err, io.EOF) {
+			return buffer, true, nil
+		}
+		if err != nil {
+			c.hold.Shrink(int64(cap(buffer) - firstKept))
+			return nil, false, errors.WithStack(err)
+		}
+	}
+	return buffer, false, nil
+}
+
+// deliver writes a part of the answer to the caller. Where the caller leaves it unread, its
+// connection may be closed to make room for others.
+func (c *call) deliver(data []byte, kind memory.Kind) error {
+	if err := c.hold.Move(memory.Answer, c.cut); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	if _, err := c.w.Write(data); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	if kind == memory.Stream {
+		if err := http.NewResponseController(c.w).Flush(); err != nil {
+			return errors.Wrap(errCallerGone, err.Error())
+		}
+	}
+	if err := c.hold.Move(kind, nil); err != nil {
+		return errors.Wrap(errCallerGone, err.Error())
+	}
+	return nil
+}
+
+// cut closes the caller's connection.
+func (c *call) cut() {
+	if conn := callerOf(c.r); conn != nil {
+		_ = conn.Close()
+	}
+}
+
+// dropBody lets go of a long body that has been sent whole and can't be sent again, as the
+// answer has begun.
+func (c *call) dropBody(answer *upstream.Answer) {
+	if len(c.body) < droppedFrom || c.route.Resumable || !answer.Sent() {
+		return
+	}
+	c.fingerprint()
+	c.hold.Shrink(int64(cap(c.body)))
+	c.body = nil
+}
+
+// lend puts a call that has been read whole into the account as one that waits, and says
+// whether there is still room for it.
+func (c *call) lend() bool {
+	return c.hold.Move(memory.Waiting, func() { c.stop(reserve.ErrNoRoom) }) == nil
+}
+
+// noRoom says whether reading a body failed for want of room. One that had to make room
+// for others finds its reading ended.
+func noRoom(hold *reserve.Hold, err error) bool {
+	return errors.Is(err, reserve.ErrNoRoom) || hold.Move(memory.Body, nil) != nil
+}
+
+// turnOut refuses a request that found no room, and ends its connection: its body is still
+// to come.
+func (f *Front) turnOut(now time.Time, w http.ResponseWriter, ask chicoryrock.RequestHeader, reason chicoryrock.Reason) {
+	w.Header().Set("Connection", "close")
+	wait := time.Duration(0)
+	if reason == chicoryrock.ReasonNoRoom {
+		wait = f.roomAgain(ask.ID)
+	}
+	f.turnAway(now, w, ask, f.Table(), reason, wait)
+}
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -4,12 +4,12 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
@@ -25,12 +25,20 @@
 func (c *call) relayStream(answer *upstream.Answer) error {
 	reader := bufio.NewReaderSize(answer.Body, 4<<10)
 	var pending []byte
+	held := int64(firstKept) // is part of each request's room
+	defer func() { c.hold.Shrink(held - firstKept) }()
 	for {
 		line, err := reader.ReadSlice('\n')
 		pending = append(pending, line...)
 		if len(pending) > maxEvent {
 			return errors.Wrapf(upstream.ErrBadAnswer, "an event of more than %d bytes", maxEvent)
 		}
+		if grown := int64(cap(pending)) - held; grown > 0 {
+			if err := c.hold.Grow(c.ctx, grown, 0); err != nil {
+				return errors.Wrap(errFailed, err.Error())
+			}
+			held += grown
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
 			continue
 		}
@@ -81,12 +89,10 @@
 		c.first = now.Sub(c.begin)
 		platform.Answered(c.w.Header(), answer.Header)
 		c.w.WriteHeader(answer.Status)
+		c.dropBody(answer)
 	}
-	if _, err := c.w.Write(event); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
-	}
-	if err := http.NewResponseController(c.w).Flush(); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
+	if err := c.deliver(event, memory.Stream); err != nil {
+		return err
 	}
 	c.events++
 	if id := eventID(event); id != "" {
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -155,7 +155,7 @@
 			workspace = c.workspace.Name
 		}
 		asked := strings.Join([]string{c.r.Method, c.r.Host, target(c.r), ""}, "\n")
-		mark := suspect.FingerprintOf(workspace, append([]byte(asked), c.body...))
+		mark := suspect.FingerprintOf(workspace, []byte(asked), c.body)
 		c.print = &mark
 	}
 	return *c.print
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -31,6 +31,8 @@
 	}
 	longest := min(c.front.Bounds().Return, max(c.until.Sub(now)/returnPart, soonest))
 	switch reason {
+	case chicoryrock.ReasonNoRoom:
+		return min(c.front.roomAgain(c.request.ID), longest)
 	case chicoryrock.ReasonCrashPart:
 		return longest
 	case chicoryrock.ReasonVersionGone:
--- a/internal/serve/program/crowd_test.go
+++ b/internal/serve/program/crowd_test.go
@@ -138,7 +138,7 @@
 // files returns how many descriptors the front has open.
 func (c *crowded) files() int {
 	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", c.command.Process.Pid))
-	assert.NoError(c.t, err)
+	require.NoError(c.t, err)
 	return len(open)
 }
 
--- a/internal/serve/program/front.go
+++ b/internal/serve/program/front.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 	"time"
 
@@ -50,6 +51,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(node.Memory)
 	process := &assembly.Front{Node: node, Log: log, File: *file, Started: time.Now(), Dropped: bounded.Dropped}
 	if *port != 0 {
 		process.Scrapes = netip.AddrPortFrom(node.Address, uint16(*port))
@@ -57,6 +59,19 @@
 	return process.Run(ctx)
 }
 
+// heapPart is the part of a process's memory that the runtime may use before it collects as
+// fast as it can, in quarters. The rest is for the program's own pages, 17 MB of a front, and
+// for what the runtime exceeds its limit by.
+const heapPart = 3
+
+// limitHeap sets the runtime's limit from the memory that the process may use, bytes; zero
+// for no limit. A lower limit of the environment (GOMEMLIMIT) stays.
+func limitHeap(memory int) {
+	if memory > 0 {
+		debug.SetMemoryLimit(min(int64(memory)/4*heapPart, debug.SetMemoryLimit(-1)))
+	}
+}
+
 func readNode(file string) (*platform.Node, error) {
 	if file == "" {
 		return nil, errors.Wrapf(chicoryrock.ErrInvalid, "no settings file: give -settings or set %s", platform.NodeFileVariable)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -68,8 +68,10 @@
 type Client struct {
 	Dial    time.Duration // bounds a new connection; 0 means 400 ms
 	Control func(network, address string, raw syscall.RawConn) error
+	Most    int // connections to all servers, in use or idle; 0 for no limit
 
 	mutex sync.Mutex
+	total int // connections, in use or idle
 	idle  map[netip.AddrPort][]*conn
 	open  map[netip.AddrPort]int // connections, in use or idle
 }
@@ -165,7 +167,7 @@
 		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
 	}}
 	if !c.reserve(call) {
-		return nil, errors.Wrapf(chicoryrock.ErrNotRun, "all %d connections are in use", call.Most)
+		return nil, errors.Wrapf(chicoryrock.ErrNotRun, "all connections are in use")
 	}
 	opened, err := dialer.DialContext(ctx, "tcp", call.Address.String())
 	if err != nil {
@@ -182,42 +184,6 @@
 	return fresh, nil
 }
 
-// reserve counts a connection that is about to be opened. Where there are too many,
-// an idle one that was not fit for the request makes room.
-func (c *Client) reserve(call *Call) bool {
-	c.mutex.Lock()
-	var spare *conn
-	full := call.Most > 0 && c.open[call.Address] >= call.Most
-	if list := c.idle[call.Address]; full && len(list) > 0 {
-		spare = list[0]
-		c.idle[call.Address] = list[1:]
-	}
-	if !full || spare != nil {
-		if c.open == nil {
-			c.open = make(map[netip.AddrPort]int)
-		}
-		c.open[call.Address]++
-	}
-	c.mutex.Unlock()
-	if spare != nil {
-		_ = spare.Close()
-	}
-	return !full || spare != nil
-}
-
-// release counts a connection that is closed.
-func (c *Client) release(address netip.AddrPort) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	c.uncount(address)
-}
-
-func (c *Client) uncount(address netip.AddrPort) {
-	if c.open[address]--; c.open[address] <= 0 {
-		delete(c.open, address)
-	}
-}
-
 // drop closes an idle connection. The lock is held.
 func (c *Client) drop(one *conn) {
 	one.closed.Do(func() { c.uncount(one.address) })
--- a/reason.go
+++ b/reason.go
@@ -16,6 +16,7 @@
 	ReasonLimit
 	ReasonLate
 	ReasonQueueFull
+	ReasonNoRoom
 	ReasonServerLimit
 	ReasonNoServer
 	ReasonVersionUnknown
@@ -48,6 +49,7 @@
 	ReasonLimit:          {"limit", "The workspace has used up its limit for now.", 429},
 	ReasonLate:           {"late", "The answer could not have begun within the class's target.", 503},
 	ReasonQueueFull:      {"queue-full", "Too many requests of the same or a higher tier were already waiting.", 503},
+	ReasonNoRoom:         {"no-room", "This process had no memory for the request, as others use that up for now.", 503},
 	ReasonServerLimit:    {"server-limit", "Each backend server of the pool has stated how many requests it takes, and others use that up for now.", 503},
 	ReasonNoServer:       {"no-server", "No backend server of the route's pools could be reached.", 503},
 	ReasonVersionUnknown: {"version-unknown", "It could not be found out which software version began this stream, and it goes on at no other one.", 503},
