Bound entries, agents, peers' listeners and operators' addresses too

Cause: only callers of a front were bounded; an entry takes as many bodies and connections as come. Change: entries and agents have -memory and -files. An entry reserves a body three times, and all listeners of fronts, entries and agents count their connections. The answer to a request that found no room goes out before its connection is closed, as it was lost by a reset otherwise. The runtime's limit is seven tenths of the memory.

--- a/internal/ops/settings/check.go
+++ b/internal/ops/settings/check.go
@@ -20,6 +20,7 @@
 	store, vms, peers      *option
 	cert, secret, ca, wait *option
 	window                 *option
+	memory, files          *option
 }
 
 func (p *parser) common(c *Common) *commonOptions {
@@ -39,6 +40,8 @@
 		wait:   p.duration(&c.Drain, "drain", "longest wait for open requests at a shutdown"),
 		window: p.duration(&c.Window, "window", "length of a usage window; the same in all processes, and never changed while usage is unreported"),
 	}
+	options.memory = p.integer(&c.Memory, "memory", "MB", "memory that this process may use; 0 for no limit")
+	options.files = p.integer(&c.Files, "files", "descriptors", "file descriptors that this process may use, 200 of them for files; 0 for no limit")
 	p.boolean(&c.Plain, "plain", "no TLS; allowed with loopback addresses only")
 	p.boolean(&c.Verbose, "verbose", "log events of the level debug too")
 	return options
@@ -62,6 +65,12 @@
 	if !options.window.bad && c.Window < minWindow {
 		options.window.faultf("%s is shorter than %s", c.Window, minWindow)
 	}
+	if !options.memory.bad && c.Memory < 0 {
+		options.memory.faultf("%d is below 0", c.Memory)
+	}
+	if !options.files.bad && c.Files < 0 {
+		options.files.faultf("%d is below 0", c.Files)
+	}
 	if c.Drain < 0 {
 		options.wait.faultf("%s is negative; give a duration of zero or more", c.Drain)
 	}
--- a/internal/ops/settings/entry.go
+++ b/internal/ops/settings/entry.go
@@ -16,6 +16,9 @@
 	defaultWindow = 5 * time.Minute
 	// minWindow is the shortest usage window: parts of it are timers.
 	minWindow = time.Second
+	// bodyRoom is how many times its largest body an entry's memory must be: half of it is
+	// for callers, half of that for connections, and a body is there three times.
+	bodyRoom = 12
 	// defaultSlots is how many streams a backend server runs at once.
 	defaultSlots = 16
 )
@@ -49,6 +52,9 @@
 	checkDialled(intake, entry.Intake, entry.Plain, false)
 	checkPair(callerCert, callerKey, entry.CallerCert, entry.CallerKey, entry.Plain)
 	checkAtLeastOne(maxBody, entry.MaxBody)
+	if least := bodyRoom * entry.MaxBody >> 20; entry.Memory > 0 && entry.Memory < least {
+		common.memory.faultf("%d is too little for a body of %d bytes; give %d at least", entry.Memory, entry.MaxBody, least)
+	}
 	if err := p.result(); err != nil {
 		return nil, err
 	}
--- a/internal/ops/settings/settings.go
+++ b/internal/ops/settings/settings.go
@@ -22,6 +22,8 @@
 	Cert    string           // file with the certificate chain, PEM
 	Secret  string           // file with the private key, PEM
 	CA      string           // file with the authorities that sign peers, PEM
+	Memory  int64            // that this process may use, MB; 0 for no limit
+	Files   int64            // descriptors that it may use; 0 for no limit
 	Drain   time.Duration    // longest wait for open requests at a shutdown
 	Window  time.Duration    // length of a usage window, the same in all processes
 	Verbose bool
--- a/internal/serve/admin/admin.go
+++ b/internal/serve/admin/admin.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 )
 
@@ -34,6 +35,7 @@
 	Status  func(now time.Time) Status
 	Metrics http.Handler // nil for none
 	Extra   []rest.Route
+	Room    *reserve.Pool // for connections; nil for no limits
 }
 
 // Server returns the HTTP server to run.
@@ -51,6 +53,7 @@
 		Listen: a.Listen,
 		Routes: append(routes, a.Extra...),
 		Log:    a.Log,
+		Room:   a.Room,
 	}
 }
 
--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -17,6 +17,7 @@
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -29,6 +30,7 @@
 	Opened   func(entries netip.AddrPort)
 	Process  string // this process's name, never used by another one before
 	Usage    UsageCounter
+	Room     *reserve.Pool // for entries' connections; nil for no limits
 
 	engine   httpc.Service
 	room     *room
@@ -54,6 +56,7 @@
 		TLS:      a.TLS,
 		Log:      a.Log,
 		Drain:    a.Settings.Drain,
+		Room:     a.Room,
 	}
 	address, err := server.Open()
 	if err != nil {
--- a/internal/serve/assembly/agent.go
+++ b/internal/serve/assembly/agent.go
@@ -66,6 +66,7 @@
 		Opened:   p.Opened,
 		Process:  p.usage.Process,
 		Usage:    p.usage,
+		Room:     room(bytesOf(&p.Settings.Common), int(p.Settings.Files), nil),
 	}
 	p.agent.Prepare()
 	p.feed = &feed.Feed{
@@ -85,6 +86,7 @@
 		Listen: p.Settings.Admin,
 		Log:    p.Log,
 		Ready:  p.agent.Ready,
+		Room:   operatorRoom(int(p.Settings.Files)),
 		Status: func(now time.Time) admin.Status {
 			return admin.Status{
 				Name:     p.Settings.Name,
--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -209,6 +209,7 @@
 		Claims:    p.claims,
 		Process:   p.instance,
 		Usage:     p.usage,
+		Room:      room(bytesOf(&p.Settings.Common), int(p.Settings.Files), p.metrics),
 		CallerTLS: p.secrets.callers,
 		AgentTLS:  p.secrets.dialAgents,
 	}
@@ -224,7 +225,8 @@
 			exchange.MethodTell: peer.Typed(p.exchange.HandleTell),
 			duty.MethodUsage:    peer.Typed(p.collector.Handle),
 		},
-		Log: p.Log,
+		Log:  p.Log,
+		Room: peerRoom(int(p.Settings.Files)),
 	}
 }
 
@@ -234,6 +236,7 @@
 		Listen: p.Settings.Admin,
 		Log:    p.Log,
 		Ready:  p.entry.Ready,
+		Room:   operatorRoom(int(p.Settings.Files)),
 		Status: func(now time.Time) admin.Status {
 			return admin.Status{
 				Name:     p.Settings.Name,
@@ -257,6 +260,7 @@
 		now := time.Now()
 		p.metrics.Configuration(p.tables.Revision(), now.Add(-p.feed.Age(now)))
 		p.entry.Measure()
+		measureRoom(p.entry.Room, p.metrics)
 		for _, one := range p.dutyStatus(now) {
 			p.metrics.Duty(one.Name, one.Held)
 		}
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -27,6 +27,7 @@
 	return &peer.Server{
 		Listen: p.peers.address,
 		Log:    p.Log,
+		Room:   peerRoom(p.Node.Files),
 		Handlers: map[string]peer.Handler{
 			callConfig: func(context.Context, json.RawMessage) (any, error) {
 				table := p.front.Table()
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -195,9 +196,16 @@
 		scraped.ServeHTTP(w, r)
 	})
 	server := &http.Server{Addr: p.Scrapes.String(), Handler: mux, ReadHeaderTimeout: scrapeTimeout, ErrorLog: p.Log.Std()}
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", server.Addr)
+	if err != nil {
+		return errors.Wrap(err, "listen for scrapes")
+	}
+	room := operatorRoom(p.Node.Files)
+	room.Guard(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(room.Listener(listener)); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve metrics")
 	}
 	return nil
@@ -216,7 +224,8 @@
 			Control: platform.SetUnackedTimeout(upstreamSilence),
 			Most:    connections(node.Files),
 		},
-		Room: p.room(),
+		Room:  room(node.Memory, node.Files, p.metrics),
+		Asked: operatorRoom(node.Files),
 		Placer: &place.Placer{
 			Centre: node.Centre, Region: node.Region,
 			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime,
--- a/internal/serve/assembly/gauges.go
+++ b/internal/serve/assembly/gauges.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/serve/duty"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 )
@@ -40,9 +39,7 @@
 			}
 		}
 	}
-	if room := p.front.Room; room != nil {
-		p.metrics.Callers(room.Read(func(kind memory.Kind, bytes int64) { p.metrics.Reserved(kind.String(), bytes) }))
-	}
+	measureRoom(p.front.Room, p.metrics)
 	p.mutex.Lock()
 	duties := p.duties
 	p.mutex.Unlock()
--- a/internal/serve/entry/admit.go
+++ b/internal/serve/entry/admit.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -11,6 +10,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
@@ -62,22 +63,53 @@
 	e.answer(w, request, wire.Refusal{Reason: chicoryrock.ReasonWithdrawn, Outcome: wire.OutcomeNotRun})
 }
 
-func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request, who caller) ([]byte, bool) {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.MaxBody))
+// readBody takes in a request's body whole. Where it can't, it refuses the request. The
+// hold is to be released in any case.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request, request *chicoryrock.Request, who caller) ([]byte, *reserve.Hold, bool) {
+	claim := memory.Claim{
+		Owner: memory.Owner{Address: reserve.AddressOf(r), Workspace: who.workspace.Name},
+		Kind:  memory.Body, Bytes: firstRead, Wait: roomWait,
+	}
+	if r.ContentLength >= 0 {
+		claim.Bytes = min(r.ContentLength, e.Settings.MaxBody) + 1
+	}
+	size := claim.Bytes
+	claim.Bytes += requestBytes
+	control := http.NewResponseController(w)
+	hold, err := e.Room.Reserve(r.Context(), claim, func() {
+		// It ends the reading. Where that fails the body ends by itself.
+		_ = control.SetReadDeadline(request.Arrived)
+	})
+	var data []byte
+	if err == nil {
+		data, err = hold.ReadAll(r.Context(), roomWait, make([]byte, 0, size), e.Settings.MaxBody+1, http.MaxBytesReader(w, r.Body, e.Settings.MaxBody))
+	}
+	if err == nil {
+		err = hold.Grow(r.Context(), copies*int64(len(data)), roomWait)
+	}
+	if moved := hold.Move(memory.Running, nil); moved != nil {
+		err = moved
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, reserve.ErrNoRoom):
+		w.Header().Set("Connection", "close")
+		e.refuse(w, request, chicoryrock.ReasonNoRoom, "")
+		hold.Release()
+		reserve.Linger(w, r, e.Settings.MaxBody)
+		return nil, hold, false
 	case errors.As(err, &tooLarge):
 		e.refuse(w, request, chicoryrock.ReasonTooLarge, "")
-		return nil, false
+		return nil, hold, false
 	case err != nil:
 		e.refuse(w, request, chicoryrock.ReasonMalformed, "The body ended early.")
-		return nil, false
+		return nil, hold, false
 	}
 	if carriesKey(r, data, who.secret) {
 		e.refuse(w, request, chicoryrock.ReasonMalformed, "The key may stand in the Authorization header only.")
-		return nil, false
+		return nil, hold, false
 	}
-	return data, true
+	return data, hold, true
 }
 
 // carriesKey says whether the caller's key stands anywhere in what would go on to
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -23,6 +23,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/dispatch"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/pause"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/roster"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
@@ -50,6 +51,7 @@
 	CallerTLS  *tls.Config // nil for plain HTTP towards callers
 	AgentTLS   *tls.Config // nil for plain HTTP towards agents
 	Opened     func(callers netip.AddrPort)
+	Room       *reserve.Pool // what callers may hold; nil for no limits
 
 	gate     *gate.Gate
 	calls    *registry
@@ -77,6 +79,7 @@
 		TLS:      e.CallerTLS,
 		Log:      e.Log,
 		Drain:    e.Settings.Drain,
+		Room:     e.Room,
 	}
 	address, err := server.Open()
 	if err != nil {
--- a/internal/serve/entry/handler.go
+++ b/internal/serve/entry/handler.go
@@ -24,6 +24,14 @@
 	// retryAfter is when a refused caller should come back.
 	retryAfter  = time.Second
 	servicePath = "/svc/"
+	// firstRead is what is reserved for a body of unknown length, bytes, and then doubled.
+	firstRead = 16 << 10
+	// requestBytes is what a request takes beside its body: stacks, headers and buffers.
+	requestBytes = 24 << 10
+	// roomWait is how long a body waits for room.
+	roomWait = 400 * time.Millisecond
+	// copies is how often a body is there besides as it came: taken apart, and written anew.
+	copies = 2
 )
 
 // handleModel serves the two completion calls.
@@ -33,7 +41,8 @@
 	if !ok {
 		return
 	}
-	data, ok := e.readBody(w, r, request, who)
+	data, hold, ok := e.readBody(w, r, request, who)
+	defer hold.Release()
 	if !ok {
 		return
 	}
@@ -96,7 +105,8 @@
 	if !ok {
 		return
 	}
-	data, ok := e.readBody(w, r, request, who)
+	data, hold, ok := e.readBody(w, r, request, who)
+	defer hold.Release()
 	if !ok {
 		return
 	}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -87,6 +87,8 @@
 	// Room is what callers may hold in memory, and how many connections they may have; nil
 	// for no limits.
 	Room *reserve.Pool
+	// Asked is the room of the address at which the platform asks whether it is ready.
+	Asked *reserve.Pool
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -260,11 +262,12 @@
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          f.Log.Std(),
 	}
+	f.Asked.Guard(ready)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
 	group.Go(func() error { return serve(server, framedListener{f.Room.Listener(callers)}) })
-	group.Go(func() error { return serve(ready, asked) })
+	group.Go(func() error { return serve(ready, f.Asked.Listener(asked)) })
 	group.Go(func() error { return f.parts.Keep(background, "tick", f.tick) })
 	group.Go(func() error {
 		defer cancel()
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -100,7 +100,8 @@
 	body, hold, reason := f.read(now, now.Add(limit), w, r, table, workspace)
 	defer hold.Release()
 	if reason != chicoryrock.ReasonNone {
-		f.turnOut(now, w, ask, reason)
+		hold.Release()
+		f.turnOut(now, w, r, ask, reason)
 		return
 	}
 	f.serve(now, limit, table, &call{
@@ -234,7 +235,7 @@
 	if err := control.SetReadDeadline(deadline); err != nil {
 		f.Log.Write(event.Failed, event.Cause(err))
 	}
-	body, err := readAll(r.Context(), hold, claim.Wait, make([]byte, 0, size), limit+1, http.MaxBytesReader(w, r.Body, limit))
+	body, err := hold.ReadAll(r.Context(), claim.Wait, make([]byte, 0, size), limit+1, http.MaxBytesReader(w, r.Body, limit))
 	if err == nil {
 		// From here on the server only looks whether the caller is still there.
 		err = control.SetReadDeadline(time.Time{})
--- a/internal/serve/front/room.go
+++ b/internal/serve/front/room.go
@@ -1,11 +1,10 @@
 package front
 
 import (
-	"context"
 	"io"
 	"net"
 	"net/http"
-	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -67,13 +66,11 @@
 // claim asks for the room of a request with so many bytes of its body.
 func (f *Front) claim(now, deadline time.Time, r *http.Request, workspace *routing.Workspace, body int64) memory.Claim {
 	claim := memory.Claim{
+		Owner: memory.Owner{Address: reserve.AddressOf(r)},
 		Kind:  memory.Body,
 		Bytes: requestBytes + int64(headerSize(r)) + body,
 		Wait:  min(roomWait, deadline.Sub(now)/roomWaitPart),
 	}
-	if address, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
-		claim.Owner.Address = address.Addr().Unmap()
-	}
 	if workspace != nil {
 		claim.Owner.Workspace = workspace.Name
 	}
@@ -86,31 +83,6 @@
 	return min(wait, f.Bounds().Return)
 }
 
-// readAll reads a body of less than some bytes into a buffer, and reserves more where that
-// is too small.
-func readAll(ctx context.Context, hold *reserve.Hold, wait time.Duration, buffer []byte, most int64, from io.Reader) ([]byte, error) {
-	for {
-		if len(buffer) == cap(buffer) {
-			old := int64(cap(buffer))
-			size := min(2*old, most)
-			// Both buffers are there while the one is copied to the other.
-			if err := hold.Grow(ctx, size, wait); err != nil {
-				return nil, err
-			}
-			buffer = append(make([]byte, 0, size), buffer...)
-			hold.Shrink(old)
-		}
-		n, err := from.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if errors.Is(err, io.EOF) {
-			return buffer, nil
-		}
-		if err != nil {
-			return buffer, errors.WithStack(err)
-		}
-	}
-}
-
 // keep reads an answer as far as it is held: to its end, to the most that is held, or as
 // far as there is room. It says whether the answer is whole.
 func (c *call) keep(from io.Reader) (body []byte, whole bool, err error) {
@@ -186,13 +158,14 @@
 	return errors.Is(err, reserve.ErrNoRoom) || hold.Move(memory.Body, nil) != nil
 }
 
-// turnOut refuses a request that found no room, and ends its connection: its body is still
-// to come.
-func (f *Front) turnOut(now time.Time, w http.ResponseWriter, ask chicoryrock.RequestHeader, reason chicoryrock.Reason) {
+// turnOut refuses a request whose body was not read to its end, and ends its connection.
+func (f *Front) turnOut(now time.Time, w http.ResponseWriter, r *http.Request, ask chicoryrock.RequestHeader, reason chicoryrock.Reason) {
 	w.Header().Set("Connection", "close")
-	wait := time.Duration(0)
-	if reason == chicoryrock.ReasonNoRoom {
-		wait = f.roomAgain(ask.ID)
+	if reason != chicoryrock.ReasonNoRoom {
+		f.turnAway(now, w, ask, f.Table(), reason, 0)
+		return
 	}
-	f.turnAway(now, w, ask, f.Table(), reason, wait)
+	w.Header().Set("Content-Length", strconv.Itoa(len(reason.Sentence())+1))
+	f.turnAway(now, w, ask, f.Table(), reason, f.roomAgain(ask.ID))
+	reserve.Linger(w, r, defaultBody)
 }
--- a/internal/serve/peer/server.go
+++ b/internal/serve/peer/server.go
@@ -15,6 +15,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 )
 
 // maxCalls bounds the calls of one connection that are worked on at once.
@@ -42,6 +43,7 @@
 	TLS      *tls.Config // nil for plain connections
 	Handlers map[string]Handler
 	Log      *event.Log
+	Room     *reserve.Pool // for connections; nil for no limits
 
 	listener net.Listener
 	mu       sync.Mutex
@@ -55,7 +57,7 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrap(err, "listen for peers")
 	}
-	s.listener = listener
+	s.listener = s.Room.Listener(listener)
 	return netip.MustParseAddrPort(listener.Addr().String()), nil
 }
 
--- a/internal/serve/program/front.go
+++ b/internal/serve/program/front.go
@@ -60,15 +60,15 @@
 }
 
 // heapPart is the part of a process's memory that the runtime may use before it collects as
-// fast as it can, in quarters. The rest is for the program's own pages, 17 MB of a front, and
+// fast as it can, in tenths. With three quarters a front of 134 MB peaked at 123 MB. The rest is for the program's own pages, 17 MB of a front, and
 // for what the runtime exceeds its limit by.
-const heapPart = 3
+const heapPart = 7
 
 // limitHeap sets the runtime's limit from the memory that the process may use, bytes; zero
 // for no limit. A lower limit of the environment (GOMEMLIMIT) stays.
 func limitHeap(memory int) {
 	if memory > 0 {
-		debug.SetMemoryLimit(min(int64(memory)/4*heapPart, debug.SetMemoryLimit(-1)))
+		debug.SetMemoryLimit(min(int64(memory)/10*heapPart, debug.SetMemoryLimit(-1)))
 	}
 }
 
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -109,6 +109,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(int(config.Memory) << 20)
 	process := &assembly.Entry{Settings: config, Log: log}
 	return process.Run(ctx)
 }
@@ -122,6 +123,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(int(config.Memory) << 20)
 	process := &assembly.Agent{Settings: config, Log: log}
 	return process.Run(ctx)
 }
--- a/internal/serve/reserve/reserve.go
+++ b/internal/serve/reserve/reserve.go
@@ -270,6 +270,13 @@
 	return places
 }
 
+// Total returns how many bytes are held, and how many connections there are.
+func (p *Pool) Total() (bytes int64, connections int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.account.Total()
+}
+
 // Write logs what has found no room since it was last called, in one line.
 func (p *Pool) Write(log *event.Log) {
 	if p == nil {
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -361,3 +361,45 @@
 	client.Forget(s.address())
 	require.Empty(t, client.open)
 }
+
+// A process has a bounded number of descriptors for all backend servers together. The
+// connection that has been idle for longest makes room; without one nothing is sent.
+func TestConnectionsToAllServersAreLimited(t *testing.T) {
+	held := make(chan struct{})
+	script := func(r *http.Request, _ []byte, conn net.Conn) bool {
+		id := r.Header.Get("Request-Id")
+		if id == "held" {
+			<-held
+		}
+		whole(conn, id, "fine")
+		return true
+	}
+	one, two, three := start(t, script), start(t, script), start(t, script)
+	client := &Client{Most: 2}
+	for _, s := range []*server{one, two, three} {
+		_, err := do(t, client, s.call("1"))
+		require.NoError(t, err)
+	}
+	require.Equal(t, 2, client.total)
+	require.Empty(t, client.idle[one.address()], "it was idle for longest")
+	ended := make(chan error, 2)
+	for _, s := range []*server{two, three} {
+		go func() {
+			_, err := do(t, client, s.call("held"))
+			ended <- err
+		}()
+		require.Eventually(t, func() bool { requests, _ := s.counts(); return requests == 2 }, patience, time.Millisecond)
+	}
+	_, err := do(t, client, one.call("2"))
+	require.ErrorIs(t, err, chicoryrock.ErrNotRun)
+	close(held)
+	require.NoError(t, <-ended)
+	require.NoError(t, <-ended)
+	_, err = do(t, client, one.call("3"))
+	require.NoError(t, err)
+	client.Forget(one.address())
+	client.Forget(two.address())
+	client.Forget(three.address())
+	require.Zero(t, client.total)
+	require.Empty(t, client.open)
+}
--- a/internal/serve/web/web.go
+++ b/internal/serve/web/web.go
@@ -21,6 +21,7 @@
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 )
 
 const (
@@ -40,6 +41,7 @@
 	NotFound http.HandlerFunc // answers what no route matches; nil for the usual 404
 	TLS      *tls.Config      // nil for plain HTTP
 	Log      *event.Log
+	Room     *reserve.Pool // for connections; nil for no limits
 	Drain    time.Duration // longest wait for open requests after the context ends
 
 	listener net.Listener
@@ -52,7 +54,7 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrapf(err, "listen for %s", s.Name)
 	}
-	s.listener = listener
+	s.listener = s.Room.Listener(listener)
 	return netip.MustParseAddrPort(listener.Addr().String()), nil
 }
 
@@ -75,6 +77,10 @@
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          s.Log.Std(),
 	}
+	s.Room.Guard(server)
+	if s.Room != nil {
+		go s.report(ctx)
+	}
 	done := make(chan error, 1)
 	go func() { done <- s.serve(server) }()
 	select {
@@ -85,6 +91,20 @@
 	return s.shutdown(server)
 }
 
+// report logs what has found no room, one line a second at most.
+func (s *Server) report(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.Room.Write(s.Log)
+		}
+	}
+}
+
 func (s *Server) serve(server *http.Server) error {
 	if s.TLS != nil {
 		return server.ServeTLS(s.listener, "", "")
