Test that a waiting request makes room for another caller

Cause: the case in which a request is placed while it makes room was tested in the account only. Change: a test at a whole front.

--- a/internal/serve/assembly/front_room_test.go
+++ b/internal/serve/assembly/front_room_test.go
@@ -8,8 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -83,20 +85,28 @@
 	}, waitTime, time.Millisecond, "the room of a caller that has left is free")
 }
 
+// askFrom sends a request with a body of some bytes from a caller address.
+func (d *deployment) askFrom(address net.IP, id string, length int) (*http.Response, error) {
+	request := d.request(d.t.Context(), http.MethodPost, "/read/x", id, "k1", strings.Repeat("x", length))
+	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: address}}
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", d.node.Callers.String())
+	}}
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		err = response.Body.Close()
+	}
+	return response, err
+}
+
 // Bodies that one caller address sends slowly make room for another address, and their
 // callers hear that they have not run.
 func TestSlowBodiesMakeRoomForAnotherCaller(t *testing.T) {
 	d, server := deployTight(t)
 	crowd := []net.Conn{d.hold("slow-1", 3<<20), d.hold("slow-2", 3<<20)}
 	d.heldBytes(6 << 20)
-	request := d.request(t.Context(), http.MethodPost, "/read/x", "other", "k1", strings.Repeat("x", 2<<20))
-	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 9)}}
-	transport := &http.Transport{DisableKeepAlives: true, DialContext: func(ctx context.Context, _, _ string) (net.Conn, error) {
-		return dialer.DialContext(ctx, "tcp", d.node.Callers.String())
-	}}
-	response, err := transport.RoundTrip(request)
+	response, err := d.askFrom(net.IPv4(127, 0, 0, 9), "other", 2<<20)
 	require.NoError(t, err)
-	require.NoError(t, response.Body.Close())
 	require.Equal(t, http.StatusOK, response.StatusCode)
 	// The later one has made the least progress.
 	displaced, err := http.ReadResponse(bufio.NewReader(crowd[1]), nil)
@@ -106,3 +116,35 @@
 	require.True(t, displaced.Close)
 	require.Zero(t, server.ran("slow-1")+server.ran("slow-2"))
 }
+
+// A request that made room while it waited for a backend server is refused as not run, even
+// if a server is found for it in the same moment.
+func TestWaitingRequestMakesRoomForAnotherCaller(t *testing.T) {
+	d, server := deployTight(t)
+	statuses := make(chan int, 2)
+	var other sync.WaitGroup
+	// What waits, waits at the gate: nothing passes while it is held.
+	d.front.front.Gate.Change(func() {
+		for _, id := range []string{"waits-1", "waits-2"} {
+			go func() { statuses <- d.send(http.MethodPost, "/read/x", id, "k1", strings.Repeat("x", 3<<20)).status }()
+		}
+		d.heldBytes(6 << 20)
+		require.Eventually(t, func() bool { return d.scrape("reserved_bytes{kind=\"body\"} 0") }, waitTime, time.Millisecond)
+		// Whether it finds its room in time is not looked at.
+		other.Go(func() { _, _ = d.askFrom(net.IPv4(127, 0, 0, 9), "other", 2<<20) })
+		require.Eventually(t, func() bool {
+			return d.scrape("no_room_total{kind=\"waiting\",outcome=\"closed\"} 1")
+		}, waitTime, time.Millisecond)
+	})
+	other.Wait()
+	require.ElementsMatch(t, []int{http.StatusOK, http.StatusServiceUnavailable}, []int{<-statuses, <-statuses})
+	require.Equal(t, 1, server.ran("waits-1")+server.ran("waits-2"))
+}
+
+// scrape says whether the front's metrics hold a line of a series.
+func (d *deployment) scrape(line string) bool {
+	measureRoom(d.front.front.Room, d.front.metrics)
+	recorder := httptest.NewRecorder()
+	d.front.metrics.Handler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	return strings.Contains(recorder.Body.String(), "chicoryrock_"+line+"\n")
+}
