Count what has been released until it is collected

Cause: released bodies are garbage until the runtime collects them, and its limit is soft: while the machine was busy a front of 134 MB reached 134 MB. Change: a hold of 256 KB or more counts until a collection that began after its release. One is run when a quarter of the limit has been released, or when a claim waits.

--- a/internal/policy/memory/memory.go
+++ b/internal/policy/memory/memory.go
@@ -22,16 +22,17 @@
 	Running                // a request that has been sent to a backend server
 	Stream                 // a stream that has begun
 	Answer                 // an answer that is being written to its caller
+	Freed                  // what has been released and is not collected yet
 	kinds
 )
 
-var kindNames = [kinds]string{"idle", "connection", "body", "waiting", "running", "stream", "answer"}
+var kindNames = [kinds]string{"idle", "connection", "body", "waiting", "running", "stream", "answer", "freed"}
 
 // String returns the kind's name, which appears in metrics.
 func (k Kind) String() string { return kindNames[k] }
 
 // Kinds returns all kinds.
-func Kinds() []Kind { return []Kind{Idle, Connection, Body, Waiting, Running, Stream, Answer} }
+func Kinds() []Kind { return []Kind{Idle, Connection, Body, Waiting, Running, Stream, Answer, Freed} }
 
 // ofConnection says whether holds of a kind are those of connections themselves.
 func (k Kind) ofConnection() bool { return k == Idle || k == Connection }
@@ -229,6 +230,9 @@
 // Used returns how many bytes are held for a kind.
 func (a *Account) Used(kind Kind) int64 { return a.used[kind] }
 
+// Waits says whether any claim waits for room.
+func (a *Account) Waits() bool { return len(a.waiting) > 0 }
+
 // Total returns how many bytes are held, and how many connections.
 func (a *Account) Total() (bytes int64, places int) { return a.total.bytes, a.total.places }
 
--- a/internal/serve/reserve/reserve.go
+++ b/internal/serve/reserve/reserve.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"sync"
 	"time"
 
@@ -29,6 +30,11 @@
 	// limitPart is the part of a process's memory that may be reserved. The rest is for the
 	// program, what it knows, and what has been released and not collected yet.
 	limitPart = 2
+	// large is from how many bytes on what is released counts until it is collected. While
+	// the machine was busy, the runtime's limit alone let a front of 134 MB reach 134 MB.
+	large = 256 << 10
+	// freedPart is the part of the limit that may be released before it is collected.
+	freedPart = 4
 )
 
 // Pool is the room of one process. Nil is one without limits. Set the exported fields
@@ -41,7 +47,10 @@
 	mutex   sync.Mutex
 	account memory.Account
 	holds   map[memory.ID]*Hold
-	refused int64 // since it was last logged
+	freed   []*Hold // released, but their memory is not collected yet
+	free    int64   // bytes of them
+	frees   bool    // a collection is under way
+	refused int64   // since it was last logged
 	closed  int64
 }
 
@@ -110,6 +119,7 @@
 	h.waits = verdict.Decision == memory.Waits
 	closes := p.closing(verdict.Close)
 	p.wake()
+	p.collect()
 	if verdict.Decision == memory.Refused {
 		p.count(h.kind, false)
 	}
@@ -231,16 +241,49 @@
 	return h.bytes
 }
 
-// Release ends a hold. It may be called again.
+// Release ends a hold. It may be called again. A large one counts until its memory has been
+// collected.
 func (h *Hold) Release() {
 	if h == nil {
 		return
 	}
-	h.pool.mutex.Lock()
-	defer h.pool.mutex.Unlock()
-	h.pool.account.Release(h.id)
-	delete(h.pool.holds, h.id)
-	h.pool.wake()
+	p := h.pool
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.holds[h.id] == nil {
+		return
+	}
+	delete(p.holds, h.id)
+	if h.bytes < large || !p.account.Move(time.Now(), h.id, memory.Freed) {
+		p.account.Release(h.id)
+		p.wake()
+		return
+	}
+	p.freed = append(p.freed, h)
+	p.free += h.bytes
+	p.collect()
+}
+
+// collect starts a collection where much has been freed, or where somebody waits for it. The
+// lock is held.
+func (p *Pool) collect() {
+	if p.frees || p.free == 0 || p.free < p.account.Limit/freedPart && !p.account.Waits() {
+		return
+	}
+	p.frees = true
+	freed := p.freed
+	p.freed, p.free = nil, 0
+	go func() {
+		runtime.GC()
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		for _, h := range freed {
+			p.account.Release(h.id)
+		}
+		p.wake()
+		p.frees = false
+		p.collect()
+	}()
 }
 
 // count counts a use that has found no room or was closed. The lock is held.
