--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -49,6 +49,7 @@
 	TakenOver      = Event{319, zapcore.InfoLevel, "request goes on from its copy on another backend server"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
 	CallerEnded    = Event{322, zapcore.InfoLevel, "connections of callers ended by a rule"}
+	NoRoom         = Event{323, zapcore.WarnLevel, "callers found no room since the last such line"}
 	OriginUnread   = Event{317, zapcore.WarnLevel, "which software version began a stream could not be read"}
 	ServersRead    = Event{401, zapcore.DebugLevel, "list of VMs read"}
 	ServersLost    = Event{402, zapcore.WarnLevel, "list of VMs could not be read"}
--- a/internal/ops/explain/story.go
+++ b/internal/ops/explain/story.go
@@ -39,6 +39,7 @@
 	chicoryrock.ReasonLate:           "More backend servers, fewer requests at that moment, or a longer target would have let it in.",
 	chicoryrock.ReasonServerLimit:    "More backend servers of the pool would have let it in, or the same ones once they state no limit.",
 	chicoryrock.ReasonQueueFull:      "More backend servers, or fewer requests at that moment, would have let it in.",
+	chicoryrock.ReasonNoRoom:         "More memory for the process, or fewer and smaller requests at that moment, would have let it in.",
 	chicoryrock.ReasonNoServer:       "A backend server that could be reached in the route's pools would have served it.",
 	chicoryrock.ReasonRegion:         "A backend server in a region that both the route and the workspace allow would have served it, or a longer list of allowed regions.",
 	chicoryrock.ReasonEvacuated:      "It would have been served once the evacuation is taken back, or by backend servers in other data centres.",
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -210,9 +210,11 @@
 	server := &http.Server{
 		Handler: mux, ReadHeaderTimeout: scrapeTimeout, MaxHeaderBytes: inbound.SmallHead, ErrorLog: p.Log.Std(), ConnState: inbound.State,
 	}
+	room := operatorRoom(p.Node.Files)
+	room.Guard(server)
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
-	if err := server.Serve(inbound.Listener{Listener: listener, Bounds: inbound.Small}.Wrap()); !errors.Is(err, http.ErrServerClosed) {
+	if err := server.Serve(inbound.Listener{Listener: room.Listener(listener), Bounds: inbound.Small}.Wrap()); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "serve metrics")
 	}
 	return nil
@@ -229,7 +231,10 @@
 		Log:  p.Log,
 		Upstream: &upstream.Client{
 			Control: platform.SetUnackedTimeout(upstreamSilence),
+			Most:    connections(node.Files),
 		},
+		Room:  room(node.Memory, node.Files, p.metrics),
+		Asked: operatorRoom(node.Files),
 		Placer: &place.Placer{
 			Centre: node.Centre, Region: node.Region,
 			SlotsPerEngine: p.slots, TokensPerEvent: p.stride, FetchTimePerToken: p.fetchTime, CopyTimePerToken: p.copyTime,
--- a/internal/serve/assembly/gauges.go
+++ b/internal/serve/assembly/gauges.go
@@ -39,6 +39,7 @@
 			}
 		}
 	}
+	measureRoom(p.front.Room, p.metrics)
 	p.mutex.Lock()
 	duties := p.duties
 	p.mutex.Unlock()
--- a/internal/serve/front/framing.go
+++ b/internal/serve/front/framing.go
@@ -13,6 +13,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/policy/framing"
 	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 )
 
 // Bounds of callers where the settings state none.
@@ -35,7 +36,7 @@
 	if f.Node.Heavy > 0 {
 		heavy = f.Node.Heavy
 	}
-	return inbound.Listener{Listener: listener, Bounds: f.callerBounds, Heavy: heavy, Account: f.Account, Ended: f.ended.add}.Wrap()
+	return inbound.Listener{Listener: listener, Bounds: f.callerBounds, Heavy: heavy, Account: reserve.Heads{}, Ended: f.ended.add}.Wrap()
 }
 
 // callerBounds returns what a caller may use of a connection, by the configuration in force
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -29,6 +29,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/guard"
 	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
 	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/internal/state/servers"
@@ -84,8 +85,11 @@
 	Observe func(now time.Time, start servers.Start, said servers.Statement)
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
-	// Account is asked for the memory of callers' connections and heads; nil for none.
-	Account inbound.Account
+	// Room is what callers may hold in memory, and how many connections they may have; nil
+	// for no limits.
+	Room *reserve.Pool
+	// Asked is the room of the address at which the platform asks whether it is ready.
+	Asked *reserve.Pool
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -263,7 +267,8 @@
 		ReadHeaderTimeout: headerTimeout, // the bounds of callers hold besides
 		MaxHeaderBytes:    maxHeader,
 		ErrorLog:          f.Log.Std(),
-		ConnState:         inbound.State,
+		ConnState:         f.connChanged,
+		ConnContext:       withConn,
 	}
 	ready := &http.Server{
 		Handler:           http.HandlerFunc(f.handleReady),
@@ -272,12 +277,13 @@
 		ErrorLog:          f.Log.Std(),
 		ConnState:         inbound.State,
 	}
+	f.Asked.Guard(ready)
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	group, background := errgroup.WithContext(background)
-	group.Go(func() error { return serve(server, f.accept(callers)) })
+	group.Go(func() error { return serve(server, f.accept(f.Room.Listener(callers))) })
 	group.Go(func() error {
-		return serve(ready, inbound.Listener{Listener: asked, Bounds: inbound.Small, Ended: f.ended.add}.Wrap())
+		return serve(ready, inbound.Listener{Listener: f.Asked.Listener(asked), Bounds: inbound.Small, Ended: f.ended.add}.Wrap())
 	})
 	group.Go(func() error { return f.parts.Keep(background, "tick", f.tick) })
 	group.Go(func() error {
@@ -350,6 +356,7 @@
 			f.enforceBans(now)
 		case now := <-sweep.C:
 			f.Upstream.Sweep(now)
+			f.Room.Write(f.Log)
 			f.served.write(f.Log, f.open.Load(), f.trails.Left(), f.dropped())
 			f.liftCold(now)
 			f.ended.write(f.Log, f.Metrics)
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -35,6 +35,8 @@
 		return longest // only an operator changes the latter two
 	case chicoryrock.ReasonCrashRequest:
 		return max(c.verdict(now).Wait, soonest) // until it may be tried
+	case chicoryrock.ReasonNoRoom:
+		return min(c.front.roomAgain(c.request.ID), longest)
 	case chicoryrock.ReasonVersionGone:
 		return 0 // coming back is in vain
 	case chicoryrock.ReasonResting:
--- a/internal/serve/inbound/inbound_test.go
+++ b/internal/serve/inbound/inbound_test.go
@@ -30,14 +30,14 @@
 	bytes, open int
 }
 
-func (a *account) Open(netip.Addr) bool {
+func (a *account) Open(net.Conn) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.open++
 	return true
 }
 
-func (a *account) Keep(_ netip.Addr, bytes int) bool {
+func (a *account) Keep(_ net.Conn, bytes int) bool {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	if a.bytes+bytes > a.limit {
@@ -47,13 +47,13 @@
 	return true
 }
 
-func (a *account) Release(_ netip.Addr, bytes int) {
+func (a *account) Release(_ net.Conn, bytes int) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.bytes -= bytes
 }
 
-func (a *account) Closed(netip.Addr) {
+func (a *account) Closed(net.Conn) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
 	a.open--
--- a/internal/serve/inbound/limits.go
+++ b/internal/serve/inbound/limits.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"net"
 	"os"
 	"time"
 
@@ -100,7 +101,7 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if c.closed || !account.Keep(c.caller.Addr(), bytes) {
+	if c.closed || !account.Keep(c.Conn, bytes) {
 		return false
 	}
 	c.kept += bytes
@@ -113,7 +114,7 @@
 	defer c.mutex.Unlock()
 	c.leaveTurn()
 	if c.kept > but {
-		c.listener.Account.Release(c.caller.Addr(), c.kept-but)
+		c.listener.Account.Release(c.Conn, c.kept-but)
 		c.kept = but
 	}
 }
@@ -127,12 +128,15 @@
 	if first {
 		c.release(0)
 		if account := c.listener.Account; account != nil {
-			account.Closed(c.caller.Addr())
+			account.Closed(c.Conn)
 		}
 	}
 	return c.Conn.Close() //nolint:wrapcheck // callers look for net.ErrClosed
 }
 
+// NetConn returns the connection that was accepted.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // CloseWrite ends the sending side, so that a caller that still sends can read its answer.
 func (c *conn) CloseWrite() error {
 	half, found := c.Conn.(interface{ CloseWrite() error })
--- a/internal/serve/inbound/listener.go
+++ b/internal/serve/inbound/listener.go
@@ -40,14 +40,14 @@
 // Account decides about memory that connections take. Its methods may be called at once by
 // many connections.
 type Account interface {
-	// Open says whether another connection may be accepted.
-	Open(caller netip.Addr) bool
+	// Open says whether an accepted connection may be served.
+	Open(accepted net.Conn) bool
 	// Keep says whether so many more bytes of a head may be kept.
-	Keep(caller netip.Addr, bytes int) bool
+	Keep(accepted net.Conn, bytes int) bool
 	// Release takes back bytes that were kept.
-	Release(caller netip.Addr, bytes int)
+	Release(accepted net.Conn, bytes int)
 	// Closed takes back a connection.
-	Closed(caller netip.Addr)
+	Closed(accepted net.Conn)
 }
 
 // Listener accepts connections for one http.Server, whose ConnState must call State.
@@ -105,7 +105,7 @@
 	if tcp, found := accepted.RemoteAddr().(*net.TCPAddr); found {
 		c.caller = tcp.AddrPort()
 	}
-	if l.Account != nil && !l.Account.Open(c.caller.Addr()) {
+	if l.Account != nil && !l.Account.Open(accepted) {
 		c.tell(ErrNoRoom)
 		return nil, ErrNoRoom
 	}
--- a/internal/serve/program/program.go
+++ b/internal/serve/program/program.go
@@ -113,6 +113,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(int(config.Memory) << 20)
 	process := &assembly.Entry{Settings: config, Log: log}
 	return process.Run(ctx)
 }
@@ -126,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	limitHeap(int(config.Memory) << 20)
 	process := &assembly.Agent{Settings: config, Log: log}
 	return process.Run(ctx)
 }
--- a/internal/serve/web/web.go
+++ b/internal/serve/web/web.go
@@ -23,6 +23,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/framing"
 	"github.com/chicoryrock/chicoryrock/internal/serve/inbound"
+	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
 )
 
 const (
@@ -58,6 +59,7 @@
 	NotFound http.HandlerFunc // answers what no route matches; nil for the usual 404
 	TLS      *tls.Config      // nil for plain HTTP
 	Log      *event.Log
+	Room     *reserve.Pool // for connections; nil for no limits
 	Drain    time.Duration // longest wait for open requests after the context ends
 
 	listener net.Listener
@@ -70,7 +72,7 @@
 	if err != nil {
 		return netip.AddrPort{}, errors.Wrapf(err, "listen for %s", s.Name)
 	}
-	s.listener = listener
+	s.listener = s.Room.Listener(listener)
 	return netip.MustParseAddrPort(listener.Addr().String()), nil
 }
 
@@ -96,6 +98,10 @@
 	if s.TLS != nil {
 		server.TLSConfig = inbound.TLSConfig(s.TLS)
 	}
+	s.Room.Guard(server)
+	if s.Room != nil {
+		go s.report(ctx)
+	}
 	done := make(chan error, 1)
 	go func() { done <- s.serve(server) }()
 	select {
@@ -106,6 +112,20 @@
 	return s.shutdown(server)
 }
 
+// report logs what has found no room, one line a second at most.
+func (s *Server) report(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.Room.Write(s.Log)
+		}
+	}
+}
+
 func (s *Server) serve(server *http.Server) error {
 	listener := inbound.Listener{Listener: s.listener, Bounds: bounds, Heavy: heavyRequests}
 	if s.TLS != nil {
