Test evacuations at a front that has its servers from a peer

Cause: publishAgain judged a list by its version alone. A front of a store without any write, whose list is empty at revision 0, then was not ready if it read its servers before the evacuations. The fault that publishAgain mends was only met by chance in a test.

Change: a list counts if it was read or has a version. A test builds the list change by change.

--- a/internal/serve/assembly/evacuation_test.go
+++ b/internal/serve/assembly/evacuation_test.go
@@ -16,6 +16,9 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/standin/store"
+	"github.com/chicoryrock/chicoryrock/internal/state/evacuation"
+	"github.com/chicoryrock/chicoryrock/internal/state/servers"
 	"github.com/chicoryrock/chicoryrock/platform"
 	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
@@ -154,6 +157,37 @@
 	}
 }
 
+// Guards against a front that does not apply an evacuation, or a newer configuration, as it has
+// its servers change by change from a peer, and never read a whole list.
+func TestEvacuationsReachAListFromChanges(t *testing.T) {
+	d := deploy(t, centres)
+	d.configure(1, "k1")
+	d.settle(1, 0)
+	d.server.Switch(store.Switches{Outage: true})
+	p := d.front
+	var told servers.Delta
+	for i, centre := range []string{"a", "b"} {
+		server := chicoryrock.Server{ID: "i-" + centre, Service: "app", Address: host.Own(), Centre: centre, Slots: 1}
+		told.Version = servers.VersionOf(uint64(1000 + i))
+		told.Updates = append(told.Updates, servers.Update{Version: told.Version, Server: server})
+	}
+	var fresh servers.VersionedList
+	changes, newer := fresh.ApplyDelta(time.Now(), &told)
+	require.True(t, newer)
+	p.mutex.Lock()
+	p.servers = fresh
+	p.publish(changes)
+	p.mutex.Unlock()
+	usable := func() bool { return p.front.Gate.Address("app", "i-b").IsValid() }
+	require.True(t, usable())
+	state := evacuation.State{Revision: 1002, Facts: []evacuation.Fact{{Centre: "b", Revision: 1002, Evacuated: true}}}
+	p.heardEvacuations(time.Now(), netip.AddrPort{}, &state)
+	require.False(t, usable())
+	state = evacuation.State{Revision: 1003}
+	p.heardEvacuations(time.Now(), netip.AddrPort{}, &state)
+	require.True(t, usable())
+}
+
 // talking gives a front an address at which it talks with others.
 func talking(node *platform.Node) {
 	at := host.Own()
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -434,7 +434,7 @@
 // publishAgain is republish with the lock held. A list that a peer has sent change by change
 // has a version, too, although it was never read as a whole.
 func (p *Front) publishAgain() {
-	if p.servers.Version() > 0 {
+	if p.servers.Loaded() || p.servers.Version() > 0 {
 		p.publish(nil)
 	}
 }
