--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -90,3 +90,15 @@
 	}
 	return value
 }
+
+// Used returns the share of the budget that is used, 0 to 1.
+func (b *Budget) Used(now time.Time) float64 {
+	left, spent := b.Balance(now), b.spent
+	if b.Window > 0 {
+		spent = b.window.repeats()
+	}
+	if spent <= 0 {
+		return 0
+	}
+	return spent / (spent + max(left, 0))
+}
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -141,23 +141,6 @@
 	return attempt.FirstTokenAt.Add(allowed - now.Sub(attempt.FirstTokenAt))
 }
 
-// Hedge reports whether a second copy of a call without an answer may be sent to
-// another replica. Elapsed is the time since the call was sent. Hedging stops when
-// half of the budget's burst is used up, before retries do.
-func (r *Retrier) Hedge(now time.Time, attempt Attempt, elapsed time.Duration) bool {
-	if !attempt.Request.Idempotent || attempt.Started || attempt.Tokens > 0 || attempt.UsualTimeToFirstToken == 0 {
-		return false
-	}
-	if elapsed < hedgeFactor*attempt.UsualTimeToFirstToken || !canMeetDeadline(now, &attempt) {
-		return false
-	}
-	return r.Budget.Balance(now) > r.Budget.burst()/2 && r.Budget.TryWithdraw(now)
-}
-
-// hedgeFactor is how many times its usual time to first token a call waits before
-// it is hedged.
-const hedgeFactor = 3
-
 // canMeetDeadline reports whether the first token of a call sent now is expected
 // before its deadline.
 func canMeetDeadline(now time.Time, attempt *Attempt) bool {
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -91,31 +91,6 @@
 	assert.LessOrEqual(t, retries, calls/10+10+1)
 }
 
-func TestHedge(t *testing.T) {
-	tests := []struct {
-		name       string
-		idempotent bool
-		attempt    retry.Attempt
-		elapsed    time.Duration
-		burst      float64
-		want       bool
-	}{
-		{"slow and idempotent", true, retry.Attempt{UsualTimeToFirstToken: 20 * time.Millisecond}, 80 * time.Millisecond, 10, true},
-		{"not idempotent", false, retry.Attempt{UsualTimeToFirstToken: 20 * time.Millisecond}, 80 * time.Millisecond, 10, false},
-		{"not slow yet", true, retry.Attempt{UsualTimeToFirstToken: 20 * time.Millisecond}, 40 * time.Millisecond, 10, false},
-		{"has tokens", true, retry.Attempt{UsualTimeToFirstToken: 20 * time.Millisecond, Tokens: 1}, 80 * time.Millisecond, 10, false},
-		{"budget is low", true, retry.Attempt{UsualTimeToFirstToken: 20 * time.Millisecond}, 80 * time.Millisecond, 1, false},
-	}
-	for _, test := range tests {
-		r := &retry.Retrier{Budget: retry.Budget{Burst: test.burst}}
-		if test.burst == 1 {
-			r.Budget.TryWithdraw(start)
-		}
-		test.attempt.Request = request(test.idempotent)
-		assert.Equal(t, test.want, r.Hedge(start.Add(test.elapsed), test.attempt, test.elapsed), test.name)
-	}
-}
-
 // In any order of failures, a call that may have run and is not idempotent is never
 // sent again, there are never more retries than the budget allows, and a stream
 // resumes exactly after the tokens that the caller has.
