Send hedged requests from fronts

Cause: a request that a slow server holds waits for it, although another server could answer sooner. Change: chicoryrock front -hedge SHARE. An attempt of a request that may be repeated runs in a goroutine of its own, and a second one on another server may join it; the first answer that can be passed on is relayed, the other attempt is cancelled. Both are placed and counted like any attempt. Without the flag the path of an attempt is as before: call.attempt is split into message and take, and call.pass and call.write move to answer.go. A cancelled attempt raises the slowdown of its server. Events 320 and 321, metrics hedges_total and hedges_won_total.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -45,6 +45,8 @@
 	Trial          = Event{315, zapcore.InfoLevel, "request is sent as a trial of what is held back"}
 	TrialGranted   = Event{316, zapcore.InfoLevel, "trial of what is held back decided"}
 	TakenOver      = Event{319, zapcore.InfoLevel, "request goes on from its copy on another backend server"}
+	Hedged         = Event{320, zapcore.InfoLevel, "request is sent to a second backend server, as the first has not answered"}
+	HedgeEnded     = Event{321, zapcore.InfoLevel, "one of two attempts cancelled, as the other has been answered"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
 	OriginUnread   = Event{317, zapcore.WarnLevel, "which software version began a stream could not be read"}
 	ServersRead    = Event{401, zapcore.DebugLevel, "list of VMs read"}
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -65,6 +65,8 @@
 	tokens    *prometheus.CounterVec
 	across    *prometheus.CounterVec
 	retries   *prometheus.CounterVec
+	hedges    *prometheus.CounterVec
+	hedgesWon *prometheus.CounterVec
 	held      *prometheus.GaugeVec
 	wait      *prometheus.HistogramVec
 	budget    *prometheus.GaugeVec
@@ -92,7 +94,7 @@
 	m.define()
 	m.registry.MustRegister(
 		m.requests, m.incidents, m.verdicts, m.goals, m.first, m.gap, m.queue, m.running,
-		m.tokens, m.across, m.retries, m.held, m.wait, m.budget, m.prompts, m.calls, m.windows, m.servers, m.revision,
+		m.tokens, m.across, m.retries, m.hedges, m.hedgesWon, m.held, m.wait, m.budget, m.prompts, m.calls, m.windows, m.servers, m.revision,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "configuration_age_seconds",
@@ -175,6 +177,17 @@
 	m.retries.WithLabelValues(m.classes.value(class)).Inc()
 }
 
+// Hedge counts a request that is sent to a second backend server before the first has
+// answered.
+func (m *Metrics) Hedge(class string) {
+	m.hedges.WithLabelValues(m.classes.value(class)).Inc()
+}
+
+// HedgeWon counts a hedged request that the second backend server answered.
+func (m *Metrics) HedgeWon(class string) {
+	m.hedgesWon.WithLabelValues(m.classes.value(class)).Inc()
+}
+
 // Wait records the time that a request waited before it was first given to a
 // backend server.
 func (m *Metrics) Wait(class string, waited time.Duration) {
--- a/internal/ops/retell/predict.go
+++ b/internal/ops/retell/predict.go
@@ -60,6 +60,9 @@
 			if known.route != "" {
 				open[one.Ref] = begun{known.route, known.placed + 1, span(one.At), span(one.First)}
 			}
+		case event.Hedged.Number:
+			known.placed++
+			open[one.Ref] = known
 		case event.Answered.Number:
 			if known.placed == 1 && known.predicted > 0 && one.First != "" {
 				samples[known.route] = append(samples[known.route], sample{known.predicted, span(one.First) - known.at, span(one.Pause)})
--- a/internal/ops/retell/retell.go
+++ b/internal/ops/retell/retell.go
@@ -30,6 +30,7 @@
 	Prompt    int     `json:"prompt"`
 	Patience  string  `json:"patience"`
 	Server    string  `json:"server"`
+	Slow      string  `json:"slow"`
 	First     string  `json:"first"`
 	Pause     string  `json:"pause"`
 	Unread    int     `json:"unread"`
@@ -111,6 +112,10 @@
 		return fmt.Sprintf("It goes on elsewhere after event %s.", l.After)
 	case event.TakenOver.Number:
 		return fmt.Sprintf("It goes on from its copy on %s after %d events.", l.Server, l.Events)
+	case event.Hedged.Number:
+		return fmt.Sprintf("%s had not answered, so it was sent to %s too, expected to begin within %s.", l.Slow, l.Server, short(l.First))
+	case event.HedgeEnded.Number:
+		return fmt.Sprintf("The other server answered; the attempt on %s was cancelled.", l.Server)
 	case event.Refused.Number:
 		return fmt.Sprintf("Refused, not run: %s Told to come back after %s.", sentenceOf(l.Reason), short(l.Wait))
 	case event.Failed.Number:
--- a/internal/ops/retell/retell_test.go
+++ b/internal/ops/retell/retell_test.go
@@ -22,6 +22,8 @@
 {"event":307,"ref":"r1","at":"2s","status":200,"first":"400ms","pause":"300ms","sent":2,"late":true}
 {"event":301,"ref":"r2","at":"48ms","reason":"late","wait":"250ms"}
 {"event":304,"ref":"r4","at":"0s","workspace":"w1"}
+{"event":320,"ref":"r4","at":"90ms","server":"i-2","slow":"i-1","after":"80ms","first":"20ms"}
+{"event":321,"ref":"r4","at":"110ms","server":"i-1","won":true}
 {"event":302,"ref":"r3","at":"1.5s","reason":"unknown-outcome","error":"context deadline exceeded"}
 `
 
@@ -33,7 +35,7 @@
 		{"r1", []string{"workspace w1", "Given to i-1", "expected to begin within 412.3ms", "failed after 3 events: read the answer", "after event 3", "Given to i-2", "status 200, late"}},
 		{"r2", []string{"workspace w2", "Refused, not run: The answer could not have begun within the class's target. Told to come back after 250ms."}},
 		{"r3", []string{"Failed: The call may have run, but its answer was lost. The last error was: context deadline exceeded."}},
-		{"r4", []string{"workspace w1", "No end is written"}},
+		{"r4", []string{"workspace w1", "i-1 had not answered, so it was sent to i-2 too, expected to begin within 20ms", "attempt on i-1 was cancelled", "No end is written"}},
 	}
 	for _, c := range cases {
 		story, err := Story(strings.NewReader(log), c.ref)
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -148,7 +148,7 @@
 
 // fits reports whether a replica may run a request, now or later.
 func fits(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
-	if request.Only != "" && replica.Name != request.Only {
+	if request.Only != "" && replica.Name != request.Only || request.Not != "" && replica.Name == request.Not {
 		return false
 	}
 	if request.Version != "" {
--- a/internal/policy/hedge/hedge.go
+++ b/internal/policy/hedge/hedge.go
@@ -83,7 +83,7 @@
 // not safe for concurrent use.
 type Hedger struct {
 	Share  float64       // most hedges for each request of a pool; zero for none
-	Window time.Duration // span over which they are compared; zero means 10 s
+	Window time.Duration // span over which they are compared; zero means 10 s; it may change
 
 	pools map[string]*pool
 }
@@ -183,11 +183,13 @@
 func (h *Hedger) minSamples() int64 { return int64(max(100, 5/h.Share)) }
 
 func (h *Hedger) pool(name string) *pool {
-	if p, found := h.pools[name]; found {
-		return p
-	}
-	if h.pools == nil {
-		h.pools = make(map[string]*pool)
+	p, found := h.pools[name]
+	if !found {
+		if h.pools == nil {
+			h.pools = make(map[string]*pool)
+		}
+		p = &pool{classes: make(map[string]*times)}
+		h.pools[name] = p
 	}
 	window := h.Window
 	if window <= 0 {
@@ -195,8 +197,7 @@
 	}
 	// Without a burst each process keeps to the share of its own requests, so that all
 	// processes together do, without messages between them.
-	p := &pool{budget: retry.Budget{Ratio: h.Share, Burst: noBurst, Window: window}, classes: make(map[string]*times)}
-	h.pools[name] = p
+	p.budget.SetBounds(retry.Budget{Ratio: h.Share, Burst: noBurst, Window: window})
 	return p
 }
 
--- a/internal/policy/hedge/loads_test.go
+++ b/internal/policy/hedge/loads_test.go
@@ -206,6 +206,7 @@
 			continue
 		}
 		if !other.hedge {
+			s.placer.RecordUnanswered(s.now, other.request)
 			s.hedger.RecordCancelled(s.now, "p", "c", other.estimate, s.now.Sub(other.sent))
 		}
 		s.end(other, false)
--- a/internal/policy/place/hedge.go
+++ b/internal/policy/place/hedge.go
@@ -27,3 +27,17 @@
 	j := p.pool(request.Pool).jobs[request]
 	return j != nil && now.Before(j.replica.avoidUntil)
 }
+
+// RecordUnanswered updates the estimates when an open request is cancelled because another
+// replica has answered it: this one would have taken longer. Without this, a slow replica
+// whose requests are all hedged would count as fast.
+func (p *Placer) RecordUnanswered(now time.Time, request *chicoryrock.Request) {
+	ps := p.pool(request.Pool)
+	j := ps.jobs[request]
+	if j == nil || j.started {
+		return
+	}
+	if ratio := ps.slowdownSample(j, milliseconds(now.Sub(j.sent))); ratio > j.replica.slowdown {
+		j.replica.slowdown += slowdownSmoothing * (ratio - j.replica.slowdown)
+	}
+}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -407,19 +407,26 @@
 	j.started = true
 	r.removeAwaiting(j)
 	tookMs := milliseconds(now.Sub(j.sent))
-	expectedMs := milliseconds(plainDelayPerRequest) * float64(r.open)
 	if !j.plain {
 		p.recordPrefill(now, ps, request, r)
-		tokens := j.backlogTokens + j.unreadTokens
-		expectedMs = ps.prefill.baseMs() + tokens*ps.prefill.msPerToken()
-		if j.calibrates {
-			ps.prefill.observe(tokens, tookMs/r.slowdown)
-		}
 	}
-	ratio := min(max(tookMs/max(expectedMs, 1), minSlowdownSample), maxSlowdownSample)
+	ratio := ps.slowdownSample(j, tookMs)
+	if !j.plain && j.calibrates {
+		ps.prefill.observe(j.backlogTokens+j.unreadTokens, tookMs/r.slowdown)
+	}
 	r.slowdown += slowdownSmoothing * (ratio - r.slowdown)
 }
 
+// slowdownSample returns the ratio of a time to the one that a replica of the predicted speed
+// takes, within bounds.
+func (ps *poolState) slowdownSample(j *job, tookMs float64) float64 {
+	expectedMs := milliseconds(plainDelayPerRequest) * float64(j.replica.open)
+	if !j.plain {
+		expectedMs = ps.prefill.baseMs() + (j.backlogTokens+j.unreadTokens)*ps.prefill.msPerToken()
+	}
+	return min(max(tookMs/max(expectedMs, 1), minSlowdownSample), maxSlowdownSample)
+}
+
 // RecordEnd releases a request from its replica. Pause is the longest between two of
 // its events, zero when it had too few. Failed is set where the replica caused the
 // end.
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -77,6 +77,8 @@
 	File    string // of the settings
 	Started time.Time
 	Dropped func() int64 // lines of the log that were dropped; may be nil
+	// Hedge is the share of a service's requests that may be hedged; 0 for none.
+	Hedge float64
 	// Scrapes is where metrics are served, at /metrics; the zero value for nowhere.
 	Scrapes netip.AddrPort
 
@@ -221,6 +223,7 @@
 			Seed: xxhash.Sum64String(p.peers.process), Quota: &quota.Member{Name: p.peers.process},
 		},
 		Budget:  p.budget,
+		Hedge:   p.Hedge,
 		Began:   p.book.Began,
 		Needs:   p.needs,
 		Metrics: p.metrics,
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -94,6 +94,7 @@
 	partsOf    string         // the pool that parts are of
 	fetch      netip.AddrPort // where the attempt's backend server may fetch parts of the prompt
 	copies     copies
+	granted    string // the server whose slot the request has
 	trail      trail.Trail
 	limitWait  bool     // its deadline is that of a wait for a server's limit
 	waited     bool     // it was not given a backend server at once
@@ -127,13 +128,12 @@
 		c.refused(c.begin, chicoryrock.ReasonServerLimit)
 		return
 	}
-	granted := "" // the server whose slot the call has
 	defer func() {
 		// A panic ends the call, and must not keep the slot.
-		if granted != "" {
+		if c.granted != "" {
 			now := time.Now()
 			f.done(now, c.request, 0, false)
-			f.Gate.Finish(now, c.request, granted)
+			f.Gate.Finish(now, c.request, c.granted)
 		}
 	}()
 	replica, seen, err := f.Gate.Acquire(c.ctx, c.begin, c.request)
@@ -142,12 +142,12 @@
 		c.trail.Write(event.Queued, time.Now(), zap.Int("higher", seen.Higher), zap.Bool("given", err == nil))
 	}
 	for err == nil {
-		granted = replica.Name
+		c.granted = replica.Name
 		c.placed(&replica)
 		if err = c.current(); err != nil {
 			now := time.Now()
 			f.done(now, c.request, 0, false)
-			granted = ""
+			c.granted = ""
 			f.Gate.Finish(now, c.request, replica.Name)
 			if !errors.Is(err, errMoved) {
 				break
@@ -160,21 +160,21 @@
 		if !f.Gate.Takes(sent, c.request, replica.Name) {
 			// It has said so since, to another request.
 			f.done(sent, c.request, 0, false)
-			granted = ""
+			c.granted = ""
 			replica, err = f.Gate.Reacquire(c.ctx, sent, c.request, replica.Name)
 			continue
 		}
-		err = c.attempt(&replica)
+		replica, err = c.attempt(replica)
 		now := time.Now()
 		f.Needs.RecordSlotTime(c.request, now.Sub(sent))
 		c.ended(now, &replica, err)
 		f.done(now, c.request, c.pause, blames(err) && c.ctx.Err() == nil)
 		if err == nil || !c.again(now, &replica, err) {
-			granted = ""
+			c.granted = ""
 			f.Gate.Finish(now, c.request, replica.Name)
 			break
 		}
-		granted = ""
+		c.granted = ""
 		replica, err = f.Gate.Reacquire(c.ctx, now, c.request, replica.Name)
 	}
 	c.end(err)
@@ -227,13 +227,7 @@
 	if errors.Is(failure, errCallerGone) || c.ctx.Err() != nil {
 		return false
 	}
-	turned := errors.Is(failure, errUnsent) || errors.Is(failure, errTurned)
-	if turned {
-		c.turned++
-	} else {
-		c.sent++
-	}
-	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.events), zap.Bool("began", c.got), event.Cause(failure))
+	c.countFailed(now, replica, failure)
 	if c.verdict(now).State != suspect.Clean {
 		return false
 	}
@@ -271,12 +265,19 @@
 	return true
 }
 
-// attempt sends the request to one backend server and relays its answer.
-func (c *call) attempt(replica *chicoryrock.Replica) error {
+// attempt sends the request to a backend server and relays its answer. It returns the server
+// that answered, which is another one where the request was hedged.
+func (c *call) attempt(replica chicoryrock.Replica) (chicoryrock.Replica, error) {
+	if c.mayHedge() {
+		return c.race(replica)
+	}
 	sent := time.Now()
-	c.got, c.pause = false, 0
-	c.endKnown, c.settled = false, false
-	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
+	answer, err := c.front.Upstream.Do(c.ctx, c.message(sent, &replica))
+	return replica, c.take(sent, &replica, answer, err)
+}
+
+// message returns the request as it is sent to a backend server.
+func (c *call) message(sent time.Time, replica *chicoryrock.Replica) *upstream.Call {
 	c.attempts++
 	stamp := platform.Stamp{
 		Server:  replica.Name,
@@ -289,7 +290,7 @@
 	if c.workspace != nil {
 		stamp.Workspace = c.workspace.Name
 	}
-	answer, err := c.front.Upstream.Do(c.ctx, &upstream.Call{
+	return &upstream.Call{
 		Address: replica.Address,
 		Method:  c.r.Method,
 		Target:  target(c.r),
@@ -301,7 +302,14 @@
 		Most:    c.front.connections(c.request.Pool),
 		Fresh:   slices.Contains(c.answeredBy, replica.Address),
 		Mine:    func(header http.Header) bool { return platform.Answers(header, c.ask.ID) },
-	})
+	}
+}
+
+// take takes in what came of an attempt, and relays its answer.
+func (c *call) take(sent time.Time, replica *chicoryrock.Replica, answer *upstream.Answer, err error) error {
+	c.got, c.pause = false, 0
+	c.endKnown, c.settled = false, false
+	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
 	if errors.Is(err, chicoryrock.ErrNotRun) {
 		return errors.Wrap(errUnsent, err.Error())
 	}
@@ -351,67 +359,6 @@
 	return c.write(answer.Status, answer.Header, body)
 }
 
-// pass passes on an answer that is too long to be held: what came of it, and the rest
-// as it comes.
-func (c *call) pass(answer *upstream.Answer, came []byte) error {
-	c.started = true
-	c.status = answer.Status
-	c.first = time.Since(c.begin)
-	platform.Answered(c.w.Header(), answer.Header)
-	if length := answer.Header.Get("Content-Length"); length != "" {
-		c.w.Header().Set("Content-Length", length)
-	}
-	c.w.WriteHeader(answer.Status)
-	if _, err := c.w.Write(came); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
-	}
-	buffer := make([]byte, passedAtOnce)
-	for passed := len(came); passed <= maxAnswer; {
-		n, err := answer.Body.Read(buffer)
-		passed += n
-		if _, failure := c.w.Write(buffer[:n]); failure != nil {
-			return errors.Wrap(errCallerGone, failure.Error())
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return truncated(err)
-		}
-	}
-	return errors.Wrapf(upstream.ErrBadAnswer, "an answer of more than %d bytes", maxAnswer)
-}
-
-// passedAtOnce is how much of a long answer is read before it is passed on, bytes.
-const passedAtOnce = 32 << 10
-
-// maxTurnedBody is how much of a refusal is read so that its connection can serve
-// on, bytes.
-const maxTurnedBody = 64 << 10
-
-// count puts the request on its workspace's bill, once.
-func (c *call) count() {
-	if c.counted || c.workspace == nil {
-		return
-	}
-	c.counted = true
-	c.front.Began(time.Now(), c.workspace.Name)
-}
-
-// write sends a whole answer to the caller.
-func (c *call) write(status int, header http.Header, body []byte) error {
-	c.started = true
-	c.status = status
-	c.first = time.Since(c.begin)
-	platform.Answered(c.w.Header(), header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(status)
-	if _, err := c.w.Write(body); err != nil {
-		return errors.Wrap(errCallerGone, err.Error())
-	}
-	return nil
-}
-
 // end gives the caller its final answer where it has none yet.
 func (c *call) end(err error) {
 	now := time.Now()
@@ -499,6 +446,7 @@
 	wait := c.wait(now, reason)
 	c.trail.Write(event.Refused, now, zap.Stringer("reason", reason), zap.Duration("wait", wait), zap.Int("turned", c.turned))
 	c.front.Needs.RecordRefusal(c.request, reason)
+	c.front.hedgeRefused(now, c.request.Pool, reason)
 	c.close(now, chicoryrock.OutcomeRefused, reason, true)
 	c.front.refuse(c.w, c.ask.ID, reason, wait)
 }
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -83,6 +83,8 @@
 	Observe func(now time.Time, start servers.Start, said servers.Statement)
 	// Origins knows which software version began each stream.
 	Origins *origins.Origins
+	// Hedge is the share of a service's requests that may be hedged; 0 for none.
+	Hedge float64
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -96,6 +98,7 @@
 	cold     map[boot]time.Time // until when servers that have just started are slow
 	retries  retriers
 	limits   limits
+	hedges   hedges
 	served   counts
 	trails   trail.Book
 	conns    conns
--- a/internal/serve/front/retries.go
+++ b/internal/serve/front/retries.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/chicoryrock/chicoryrock/internal/policy/hedge"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 )
 
@@ -32,6 +33,7 @@
 
 func (f *Front) fresh(now time.Time, service string) {
 	f.retries.use(service, f.Budget, func(r *retry.Retrier) { r.RecordCall(now) })
+	f.hedging(func(h *hedge.Hedger) { h.RecordCall(now, service) })
 }
 
 func (f *Front) decide(now time.Time, service string, attempt retry.Attempt) (verdict retry.Decision) {
--- a/internal/serve/gate/gate.go
+++ b/internal/serve/gate/gate.go
@@ -82,6 +82,28 @@
 	return replica, seen, err
 }
 
+// TryAcquire is Acquire for a request that does not wait: it returns false if no replica is
+// granted at once, or if other requests wait for the pool.
+func (g *Gate) TryAcquire(now time.Time, request *chicoryrock.Request) (chicoryrock.Replica, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.dispatcher.QueueLength(request.Pool) > 0 {
+		return chicoryrock.Replica{}, false
+	}
+	if _, reason := g.dispatcher.Enqueue(now, request); reason != chicoryrock.ReasonNone {
+		return chicoryrock.Replica{}, false
+	}
+	wait := g.await(request)
+	g.pump(now)
+	if _, waits := g.waiters[request]; waits {
+		g.forget(request)
+		g.dispatcher.Cancel(now, request)
+		return chicoryrock.Replica{}, false
+	}
+	answer := <-wait
+	return answer.grant.Replica, answer.reason == chicoryrock.ReasonNone
+}
+
 // higher counts the requests of higher tiers that wait for a request's pool.
 func (g *Gate) higher(request *chicoryrock.Request) int {
 	count := 0
--- a/internal/serve/program/front.go
+++ b/internal/serve/program/front.go
@@ -17,7 +17,11 @@
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
-const frontUsage = `usage: chicoryrock front [-settings FILE] [-metrics PORT] [-verbose]
+// maxHedge is the largest share of requests that may be hedged: the repeats of a service
+// are limited to as much altogether.
+const maxHedge = 0.2
+
+const frontUsage = `usage: chicoryrock front [-settings FILE] [-metrics PORT] [-hedge SHARE] [-verbose]
 
 Takes in the requests of a platform's callers. The settings file is the
 platform's; without -settings, CHICORYROCK_NODE_FILE names it.
@@ -30,6 +34,7 @@
 	flags.Usage = func() { show(stderr, frontUsage) }
 	file := flags.String("settings", os.Getenv(platform.NodeFileVariable), "settings file of the node")
 	port := flags.Uint("metrics", 0, "port of the node's address at which /metrics is served, 0 for none")
+	share := flags.Float64("hedge", 0, "share of a service's requests that may also be sent to a second server, 0 to 0.2; 0 for none")
 	verbose := flags.Bool("verbose", false, "lines of the debug level too")
 	if err := flags.Parse(args); err != nil {
 		if errors.Is(err, flag.ErrHelp) {
@@ -40,6 +45,9 @@
 	if flags.NArg() > 0 {
 		return errors.Wrapf(chicoryrock.ErrInvalid, "unexpected arguments: %s", strings.Join(flags.Args(), " "))
 	}
+	if !(*share >= 0 && *share <= maxHedge) { // also refuses NaN
+		return errors.Wrapf(chicoryrock.ErrInvalid, "-hedge %v: must be from 0 to %v", *share, maxHedge)
+	}
 	node, err := readNode(*file)
 	if err != nil {
 		return err
@@ -50,7 +58,7 @@
 	if err != nil {
 		return err
 	}
-	process := &assembly.Front{Node: node, Log: log, File: *file, Started: time.Now(), Dropped: bounded.Dropped}
+	process := &assembly.Front{Node: node, Log: log, File: *file, Started: time.Now(), Hedge: *share, Dropped: bounded.Dropped}
 	if *port != 0 {
 		process.Scrapes = netip.AddrPortFrom(node.Address, uint16(*port))
 	}
--- a/internal/serve/program/hostile_test.go
+++ b/internal/serve/program/hostile_test.go
@@ -152,6 +152,8 @@
 			nil,
 			[]string{"-centre", "-region", "-listen", "-admin", "-engine", "-pool", "-slots", "-cert", "-secret", "-ca"},
 		},
+		{"front", []string{"-hedge", "0.21"}, nil, []string{"-hedge 0.21"}},
+		{"front", []string{"-hedge", "NaN"}, nil, []string{"-hedge NaN"}},
 		{"entry", []string{"-unknown", "1"}, nil, []string{"unknown"}},
 	}
 	for _, c := range cases {
--- a/request.go
+++ b/request.go
@@ -30,6 +30,7 @@
 	Version      string    // the software version that began the stream, the only one that may go on with it; empty for any
 	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
 	Only         string    // the replica that keeps a copy of its memory, the only one that may go on with it; empty for any
+	Not          string    // the replica that runs another attempt of it and may not run this one; empty for none
 
 	Parts            []Part        // the prompt's parts, in order; nil if unknown
 	MaxOutputTokens  int           // longest possible answer; zero if unknown
