Check that a hedged stream's other attempt is cancelled at once

Cause: with answers that end at once the test passed also where the other attempt was cancelled only at the end. Change: the second server's stream goes on for longer than the first server takes.

--- a/internal/serve/assembly/hedge_test.go
+++ b/internal/serve/assembly/hedge_test.go
@@ -93,6 +93,12 @@
 					}
 				default:
 					c.second(w, r, "second")
+					if c.path == "/long/" {
+						// The stream goes on for longer than the first server takes, which has to be
+						// cancelled before.
+						_ = http.NewResponseController(w).Flush()
+						time.Sleep(2 * slowTime)
+					}
 				}
 			}
 			one, two := d.add("i-1", service, answer), d.add("i-2", service, answer)
