--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -47,6 +47,8 @@
 	Trial          = Event{315, zapcore.InfoLevel, "request is sent as a trial of what is held back"}
 	TrialGranted   = Event{316, zapcore.InfoLevel, "trial of what is held back decided"}
 	TakenOver      = Event{319, zapcore.InfoLevel, "request goes on from its copy on another backend server"}
+	Hedged         = Event{320, zapcore.InfoLevel, "request is sent to a second backend server, as the first has not answered"}
+	HedgeEnded     = Event{321, zapcore.InfoLevel, "one of two attempts cancelled, as the other has been answered"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
 	CallerEnded    = Event{322, zapcore.InfoLevel, "connections of callers ended by a rule"}
 	NoRoom         = Event{323, zapcore.WarnLevel, "callers found no room since the last such line"}
--- a/internal/ops/retell/retell_test.go
+++ b/internal/ops/retell/retell_test.go
@@ -22,6 +22,8 @@
 {"event":307,"ref":"r1","at":"2s","status":200,"first":"400ms","pause":"300ms","sent":2,"late":true}
 {"event":301,"ref":"r2","at":"48ms","reason":"late","wait":"250ms"}
 {"event":304,"ref":"r4","at":"0s","workspace":"w1"}
+{"event":320,"ref":"r4","at":"90ms","server":"i-2","slow":"i-1","after":"80ms","first":"20ms"}
+{"event":321,"ref":"r4","at":"110ms","server":"i-1","won":true}
 {"event":304,"ref":"r5","at":"0s","workspace":"w1","regions":["north","west"]}
 {"event":305,"ref":"r5","at":"1ms","server":"i-1","first":"90ms","evacuated":3,"outside":2}
 {"event":301,"ref":"r5","at":"2ms","reason":"region","wait":"2s"}
@@ -37,7 +39,7 @@
 		{"r1", []string{"workspace w1", "Given to i-1", "expected to begin within 412.3ms", "failed after 3 events: read the answer", "after event 3", "Given to i-2", "status 200, late"}},
 		{"r2", []string{"workspace w2", "Refused, not run: The answer could not have begun within the class's target. Told to come back after 250ms."}},
 		{"r3", []string{"Failed: The call may have run, but its answer was lost. The last error was: context deadline exceeded."}},
-		{"r4", []string{"workspace w1", "No end is written"}},
+		{"r4", []string{"workspace w1", "i-1 had not answered, so it was sent to i-2 too, expected to begin within 20ms", "attempt on i-1 was cancelled", "No end is written"}},
 		{"r5", []string{"Only backend servers in north, west may serve it.", "3 others stand in data centres that are being evacuated. 2 others stand in regions", "in a region that its route and workspace allow"}},
 		{"r6", []string{"allow no region in common"}},
 	}
--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -179,7 +179,7 @@
 
 // runs reports whether a replica can run a request, by its software and what it has of it.
 func runs(replica *chicoryrock.Replica, request *chicoryrock.Request) bool {
-	if request.Only != "" && replica.Name != request.Only {
+	if request.Only != "" && replica.Name != request.Only || request.Not != "" && replica.Name == request.Not {
 		return false
 	}
 	if request.Version != "" {
--- a/internal/serve/assembly/evacuation_test.go
+++ b/internal/serve/assembly/evacuation_test.go
@@ -172,7 +172,7 @@
 		told.Updates = append(told.Updates, servers.Update{Version: told.Version, Server: server})
 	}
 	var fresh servers.VersionedList
-	changes, newer := fresh.ApplyDelta(time.Now(), &told)
+	changes, newer := fresh.ApplyDelta(time.Now(), 0, &told)
 	require.True(t, newer)
 	p.mutex.Lock()
 	p.servers = fresh
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -90,6 +90,8 @@
 	Room *reserve.Pool
 	// Asked is the room of the address at which the platform asks whether it is ready.
 	Asked *reserve.Pool
+	// Hedge is the share of a service's requests that may be hedged; 0 for none.
+	Hedge float64
 	// Sound says whether the other parts of the process run; nil for always.
 	Sound func(now time.Time) bool
 
@@ -103,6 +105,7 @@
 	cold     coldServers
 	retries  retriers
 	limits   limits
+	hedges   hedges
 	served   counts
 	trails   trail.Book
 	ended    endings
