--- a/internal/policy/memory/memory_test.go
+++ b/internal/policy/memory/memory_test.go
@@ -86,7 +86,8 @@
 	s.held[verdict.ID] = e
 }
 
-func (s *sim) any(t *rapid.T) ID {
+// any draws a hold; false if there is none.
+func (s *sim) any(t *rapid.T) (ID, bool) {
 	var ids []ID
 	for id := ID(1); id <= s.account.last; id++ {
 		if s.held[id] != nil {
@@ -94,9 +95,9 @@
 		}
 	}
 	if len(ids) == 0 {
-		t.Skip("nothing is held")
+		return 0, false
 	}
-	return rapid.SampledFrom(ids).Draw(t, "hold")
+	return rapid.SampledFrom(ids).Draw(t, "hold"), true
 }
 
 // An account of any history stays within its limits, closes nothing that runs and nothing
@@ -118,20 +119,29 @@
 				s.take(t, s.account.Ask(s.now, claim), e, claim.Bytes, claim.Places)
 			},
 			"grow": func(t *rapid.T) {
-				id := s.any(t)
+				id, found := s.any(t)
+				if !found {
+					return
+				}
 				if e := s.held[id]; !e.waits && !e.closing {
 					bytes := rapid.Int64Range(1, 8<<20).Draw(t, "bytes")
 					s.take(t, s.account.Grow(s.now, id, bytes, time.Second), e, bytes, 0)
 				}
 			},
 			"shrink": func(t *rapid.T) {
-				id := s.any(t)
+				id, found := s.any(t)
+				if !found {
+					return
+				}
 				bytes := rapid.Int64Range(0, s.held[id].claim.Bytes).Draw(t, "bytes")
 				s.account.Shrink(id, bytes)
 				s.held[id].claim.Bytes -= bytes
 			},
 			"move": func(t *rapid.T) {
-				id := s.any(t)
+				id, found := s.any(t)
+				if !found {
+					return
+				}
 				e := s.held[id]
 				if e.waits || e.claim.Kind.ofConnection() {
 					return
@@ -143,12 +153,18 @@
 				}
 			},
 			"release": func(t *rapid.T) {
-				id := s.any(t)
+				id, found := s.any(t)
+				if !found {
+					return
+				}
 				s.account.Release(id)
 				delete(s.held, id)
 			},
 			"withdraw": func(t *rapid.T) {
-				id := s.any(t)
+				id, found := s.any(t)
+				if !found {
+					return
+				}
 				e := s.held[id]
 				require.Equal(t, e.waits, s.account.Withdraw(id))
 				if e.waits = false; e.claim.Bytes == 0 && e.claim.Places == 0 {
--- a/internal/policy/place/predict.go
+++ b/internal/policy/place/predict.go
@@ -94,3 +94,7 @@
 	}
 	return excess / float64(ps.slots) * ps.serviceTime.meanMs()
 }
+
+func duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -6,8 +6,6 @@
 	"encoding/binary"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -444,41 +442,6 @@
 // digestTime is how long a failure counts for the digest that no ban rests on.
 const digestTime = 10 * time.Second
 
-// Digest returns a number that is the same at processes with the same recent evidence and the
-// same bans; zero if there is none. Of successes, only those that end a ban count: a process
-// that has not been told of one goes on refusing what others let pass.
-func (t *Tracker) Digest(now time.Time) uint64 {
-	t.evaluate(now)
-	var recent Evidence
-	for _, failure := range t.failures {
-		if failure.Held || now.Sub(failure.at) < digestTime {
-			recent.Failures = append(recent.Failures, Failure{ID: failure.ID, Crash: failure.Crash})
-		}
-	}
-	for id := range t.trials {
-		recent.Trials = append(recent.Trials, Trial{ID: id})
-	}
-	sum := recent.Digest()
-	for i := range t.bans {
-		for _, subject := range t.bans[i].Subjects {
-			sum ^= xxhash.Sum64String("ban " + string(subject[:]))
-		}
-	}
-	return sum
-}
-
-// Digest returns a number that changes with the failures and trials, but not with their age.
-func (e *Evidence) Digest() uint64 {
-	var sum uint64
-	for i := range e.Failures {
-		sum ^= xxhash.Sum64String(e.Failures[i].ID) + uint64(flag(e.Failures[i].Crash))
-	}
-	for i := range e.Trials {
-		sum ^= xxhash.Sum64String(e.Trials[i].ID)
-	}
-	return sum
-}
-
 // Keep returns the evidence that is worth keeping if all processes are lost: what bans
 // rest on, and what speaks against parts that may be banned soon.
 func (t *Tracker) Keep(now time.Time) Evidence {
--- a/internal/serve/assembly/resting_test.go
+++ b/internal/serve/assembly/resting_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -15,6 +14,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/platform"
+	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
 
 // shedder is a backend server that turns requests away for a time, and says for how long it
@@ -65,10 +65,7 @@
 			// Every request that is turned away may be sent again, and none is too late for
 			// being slow on a busy machine: what is served is not the budget's matter here.
 			d := deploy(t, func(node *platform.Node) { node.Bounds.RetrySlack = 60000 })
-			d.configureWith(2, func(config string) string {
-				return strings.NewReplacer(`"targetLatencyMs":300`, `"targetLatencyMs":30000`, `"targetLatencyMs":800`, `"targetLatencyMs":30000`,
-					`"timeoutMs":1500`, `"timeoutMs":30000`, `"timeoutMs":6000`, `"timeoutMs":30000`).Replace(config)
-			})
+			d.configureWith(2, sample.Unhurried)
 			service, answer := "app", http.HandlerFunc(fine)
 			if c.path == "/long/x" {
 				service, answer = "llm", stream(4, 0)
