Keep the bucket for retries that begin a request anew

Change: only a request that goes on from its copy may use what the window allows at once; other retries are bound by the window and by the bucket that they had.

--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -18,12 +18,15 @@
 //
 // With a Window it keeps to a limit on each span of that length instead: the retries in it
 // are at most Ratio for each of its calls, and Burst besides. All of these may be used at
-// once, so that the calls that a crash has interrupted can be sent again together.
+// once, so that the calls that a crash has interrupted can go on together. Saved bounds the
+// retries that begin a call anew by a bucket as well: under overload, many of them at once
+// cost more than they serve.
 type Budget struct {
 	Ratio    float64       // retries for each new call; 0 means 0.1
 	Burst    float64       // most retries that are saved up; 0 means 64
-	BaseRate float64       // retries a second without any traffic; 0 means 1; unused with a Window
+	BaseRate float64       // retries a second without any traffic; 0 means 1
 	Window   time.Duration // span over which retries and calls are compared; 0 for none
+	Saved    float64       // with a Window, most retries that are saved up for TryWithdraw; 0 for no such bound
 
 	window     window
 	spent      float64 // retries used and not refilled since, of Burst
@@ -33,7 +36,7 @@
 // SetBounds takes over the exported fields of another budget. What has been spent beyond
 // them is paid back first.
 func (b *Budget) SetBounds(bounds Budget) {
-	b.Ratio, b.Burst, b.BaseRate = bounds.Ratio, bounds.Burst, bounds.BaseRate
+	b.Ratio, b.Burst, b.BaseRate, b.Saved = bounds.Ratio, bounds.Burst, bounds.BaseRate, bounds.Saved
 	if b.Window != bounds.Window {
 		b.Window, b.window = bounds.Window, window{}
 	}
@@ -44,7 +47,9 @@
 	if b.Window > 0 {
 		b.window.advance(now, b.Window)
 		b.window.parts[b.window.at].calls++
-		return
+		if b.Saved == 0 {
+			return
+		}
 	}
 	b.refill(now)
 	b.spent = max(b.spent-orDefault(b.Ratio, defaultRatio), 0)
@@ -52,12 +57,35 @@
 
 // Balance returns how many retries are left.
 func (b *Budget) Balance(now time.Time) float64 {
-	if b.Window > 0 {
-		b.window.advance(now, b.Window)
-		return orDefault(b.Ratio, defaultRatio)*b.window.calls() + b.burst() - b.window.repeats()
+	if b.Window == 0 {
+		b.refill(now)
+		return b.burst() - b.spent
 	}
-	b.refill(now)
-	return b.burst() - b.spent
+	left := b.windowBalance(now)
+	if b.Saved > 0 {
+		b.refill(now)
+		left = min(left, b.Saved-b.spent)
+	}
+	return left
+}
+
+// windowBalance returns how many retries are left in the window.
+func (b *Budget) windowBalance(now time.Time) float64 {
+	b.window.advance(now, b.Window)
+	return orDefault(b.Ratio, defaultRatio)*b.window.calls() + b.burst() - b.window.repeats()
+}
+
+// TryWithdrawInterrupted is TryWithdraw for a call that goes on from a copy of its run: it
+// may use what the window allows at once.
+func (b *Budget) TryWithdrawInterrupted(now time.Time) bool {
+	if b.Window == 0 {
+		return b.TryWithdraw(now)
+	}
+	if b.windowBalance(now) < 1 {
+		return false
+	}
+	b.window.parts[b.window.at].repeats++
+	return true
 }
 
 // TryWithdraw uses up one retry, or returns false if none is left.
@@ -67,7 +95,6 @@
 	}
 	if b.Window > 0 {
 		b.window.parts[b.window.at].repeats++
-		return true
 	}
 	b.spent++
 	return true
--- a/internal/policy/retry/window_test.go
+++ b/internal/policy/retry/window_test.go
@@ -15,7 +15,7 @@
 func TestBudgetKeepsToEachWindow(t *testing.T) {
 	const length = 10 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
-		budget := retry.Budget{Ratio: 0.14, Burst: 3, Window: length}
+		budget := retry.Budget{Ratio: 0.14, Burst: 3, Window: length, Saved: rapid.SampledFrom([]float64{0, 1.5}).Draw(t, "saved")}
 		now := start
 		var calls, retries []time.Time
 		for range rapid.IntRange(1, 400).Draw(t, "steps") {
@@ -25,7 +25,11 @@
 				calls = append(calls, now)
 				continue
 			}
-			if !budget.TryWithdraw(now) {
+			withdraw := budget.TryWithdraw
+			if rapid.Bool().Draw(t, "interrupted") {
+				withdraw = budget.TryWithdrawInterrupted
+			}
+			if !withdraw(now) {
 				continue
 			}
 			retries = append(retries, now)
@@ -45,16 +49,17 @@
 // Guards against requests that a crash has interrupted being lost for want of a budget that
 // their process has earned: a bucket that saves up one retry served the first of them only.
 func TestBudgetCoversACrash(t *testing.T) {
-	budget := retry.Budget{Ratio: 0.14, Burst: 1, Window: 10 * time.Second}
+	budget := retry.Budget{Ratio: 0.14, Burst: 1, Window: 10 * time.Second, Saved: 1}
 	for i := range 110 {
 		budget.Deposit(start.Add(time.Duration(i) * 90 * time.Millisecond))
 	}
 	granted := 0
 	for range 20 {
-		if budget.TryWithdraw(start.Add(10 * time.Second)) {
+		if budget.TryWithdrawInterrupted(start.Add(10 * time.Second)) {
 			granted++
 		}
 	}
 	assert.GreaterOrEqual(t, granted, 14)
-	assert.False(t, budget.TryWithdraw(start.Add(11*time.Second)), "they are spent for the rest of the window")
+	assert.False(t, budget.TryWithdrawInterrupted(start.Add(11*time.Second)), "they are spent for the rest of the window")
+	assert.False(t, budget.TryWithdraw(start.Add(11*time.Second)))
 }
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -292,10 +292,14 @@
 // budget is this process's part of the repeats that a service allows.
 func (p *Front) budget() retry.Budget {
 	bounds := p.front.Bounds()
+	slack := bounds.RetrySlack * retryMargin / float64(p.processes())
+	// Of the slack, half may go at once to retries that begin anew, and half over the window.
 	return retry.Budget{
-		Ratio:  bounds.RetryShare * retryMargin,
-		Burst:  max(bounds.RetrySlack*retryMargin/float64(p.processes()), 1),
-		Window: bounds.RetryWindow,
+		Ratio:    bounds.RetryShare * retryMargin,
+		Burst:    max(slack, 1),
+		Window:   bounds.RetryWindow,
+		Saved:    max(slack/2, 1),
+		BaseRate: slack / 2 / bounds.RetryWindow.Seconds(),
 	}
 }
 
--- a/internal/serve/front/copies.go
+++ b/internal/serve/front/copies.go
@@ -71,7 +71,7 @@
 		Down:     c.front.lookAt(replica.Name, replica.Address, now) != nil,
 		Closed:   errors.Is(failure, upstream.ErrClosed),
 	}
-	if !takeover.Allows() || !c.front.withdraw(now, c.request.Pool) {
+	if !takeover.Allows() || !c.front.withdrawInterrupted(now, c.request.Pool) {
 		return false
 	}
 	c.request.Only = c.copies.server
@@ -87,3 +87,9 @@
 	f.retries.use(service, f.Budget, func(r *retry.Retrier) { allowed = r.Budget.TryWithdraw(now) })
 	return allowed
 }
+
+// withdrawInterrupted is withdraw for a call that goes on from a copy.
+func (f *Front) withdrawInterrupted(now time.Time, service string) (allowed bool) {
+	f.retries.use(service, f.Budget, func(r *retry.Retrier) { allowed = r.Budget.TryWithdrawInterrupted(now) })
+	return allowed
+}
