Run no request anew whose route moves while it goes on from its copy

Cause: a call whose route leads to other services when it is granted is described anew, which dropped the server that keeps its copy: a request that may run only once would have run again from its start on another service. Found by reading.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -205,6 +205,9 @@
 	c.bind()
 	switch {
 	case route.HasService(c.request.Pool):
+	case c.request.Only != "":
+		// It has run already, and another service would run it from its start.
+		return &gate.RefusedError{Reason: chicoryrock.ReasonNoServer}
 	case c.request.Version != "":
 		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
 	default:
--- a/internal/serve/program/crowd_test.go
+++ b/internal/serve/program/crowd_test.go
@@ -115,7 +115,7 @@
 	for range crowdSize {
 		group.Go(func() {
 			for time.Now().Before(end) {
-				pester(callers, first, again, end)
+				sendAgain(callers, first, again, end)
 				time.Sleep(200 * time.Millisecond)
 			}
 		})
@@ -127,8 +127,8 @@
 	group.Wait()
 }
 
-// pester is one connection of a crowd.
-func pester(callers netip.AddrPort, first, again string, end time.Time) {
+// sendAgain is one connection of a crowd.
+func sendAgain(callers netip.AddrPort, first, again string, end time.Time) {
 	conn, err := net.DialTimeout("tcp", callers.String(), time.Second)
 	if err != nil {
 		return
