Test that no request runs anew as its route moves within a takeover

Change: TestMovedRouteRunsNoCopyAnew moves the route while a stream runs that may run once, and then its server crashes.

--- a/internal/serve/assembly/copies_test.go
+++ b/internal/serve/assembly/copies_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -128,3 +129,39 @@
 	require.Empty(t, b.last().Header.Get(sample.Backup))
 	require.Empty(t, b.last().Header.Get(sample.FromCopy))
 }
+
+// Guards against a request that may run once being run again from its start: its route moves
+// to another service while it runs, and then its server goes down.
+func TestMovedRouteRunsNoCopyAnew(t *testing.T) {
+	d := deploy(t)
+	d.configureWith(1, sample.Copied)
+	begun, goDown := make(chan struct{}, 2), make(chan struct{})
+	llm := func(w http.ResponseWriter, _ *http.Request, crash func()) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(sample.Seal, "s")
+		_, _ = fmt.Fprint(w, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(w).Flush()
+		begun <- struct{}{}
+		<-goDown
+		crash()
+	}
+	d.addMortal("i-1", llm)
+	d.addMortal("i-2", llm)
+	other := d.add("i-3", "app", stream(2, 0))
+	d.settle(1, 3)
+	answers := make(chan answered, 1)
+	go func() {
+		request := d.request(t.Context(), "POST", "/short/", "m1", "k1", "x")
+		request.Header.Set(sample.Tokens, "600,300")
+		answers <- d.do(request)
+	}()
+	<-begun
+	d.configureWith(2, func(config string) string {
+		return strings.Replace(sample.Copied(config), `"priority":0,"service":"llm"`, `"priority":0,"service":"app"`, 1)
+	})
+	d.settle(2, 3)
+	close(goDown)
+	got := <-answers
+	require.Error(t, got.err, "a cut stream must not look complete")
+	require.Zero(t, other.ran("m1"))
+}
