Log how far a front is behind the newest configuration

Cause: a failed call to a peer is a debug line, and nothing said that a front knows of a version that it lacks, whom it asked in vain and how long a version took to arrive, so that the hypotheses of the incident could not be told apart. Change: transfer.Lag follows the newest version heard of; event 213, at most once a second while a call for it ends, and the fields bytes, waited, asked and failed of event 201.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -30,6 +30,7 @@
 	Restored       = Event{210, zapcore.WarnLevel, "store has come back from a copy"}
 	Evacuating     = Event{211, zapcore.WarnLevel, "data centre is being evacuated, its backend servers get no requests"}
 	EvacuationOver = Event{212, zapcore.InfoLevel, "evacuation of a data centre is over"}
+	ConfigBehind   = Event{213, zapcore.InfoLevel, "newer configuration is known and not in force yet"}
 	Refused        = Event{301, zapcore.InfoLevel, "request refused"}
 	Failed         = Event{302, zapcore.WarnLevel, "request failed"}
 	Panicked       = Event{303, zapcore.ErrorLevel, "handler panicked"}
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -167,11 +167,16 @@
 		asOf := uint64(p.servers.Version())
 		p.mutex.Unlock()
 		var configured, listed []string
+		newest := uint64(0)
 		p.peers.ask(func(f *fleet.Fleet) {
 			configured = f.WithNewerConfig(now, version)
+			newest = f.NewestConfig(now)
 			listed = f.WithNewerServers(now, asOf)
 			p.clock.Agree(f.ClockOffset(now))
 		})
+		p.lagging.Lock()
+		p.lag.Hear(now, version, newest)
+		p.lagging.Unlock()
 		p.firstOf(ctx, configured, asked, p.fetchConfig)
 		p.firstOf(ctx, listed, asked, p.fetchServers)
 		p.fetchEvacuations(ctx, now)
@@ -232,13 +237,32 @@
 
 func (p *Front) fetchConfig(ctx context.Context, from string) error {
 	var raw json.RawMessage
-	if err := p.peers.call(ctx, from, callConfig, nil, &raw); err != nil {
+	err := p.peers.call(ctx, from, callConfig, nil, &raw)
+	p.calledForConfig(time.Now(), from, err)
+	if err != nil {
 		return err
 	}
 	p.takeRaw(time.Now(), raw, from)
 	return nil
 }
 
+// calledForConfig notes the end of a call to a peer for a newer configuration.
+func (p *Front) calledForConfig(now time.Time, peer string, err error) {
+	p.lagging.Lock()
+	defer p.lagging.Unlock()
+	p.lag.Asked(err)
+	if !p.lag.Due(now) {
+		return
+	}
+	present := uint64(0)
+	if table := p.front.Table(); table != nil {
+		present = table.Version
+	}
+	calls, failed := p.lag.Calls()
+	p.Log.Write(event.ConfigBehind, zap.Uint64("version", p.lag.Newest()), zap.Uint64("present", present), zap.Duration("waited", p.lag.Waited(now)),
+		zap.Int("asked", calls), zap.Int("failed", failed), zap.String("peer", peer), zap.Error(err))
+}
+
 // askSoftware asks peers at which software versions streams may begin.
 func (p *Front) askSoftware(ctx context.Context) {
 	now := time.Now()
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -37,6 +37,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/internal/state/servers"
+	"github.com/chicoryrock/chicoryrock/internal/state/transfer"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -108,6 +109,8 @@
 	restored  chan struct{} // the store has come back from a copy
 	again     atomic.Bool   // the list of backend servers is to be read from the store again
 	told      chan struct{} // a peer knows something that it was told of just now
+	lagging   sync.Mutex    // guards lag
+	lag       transfer.Lag  // behind the newest configuration
 }
 
 // Run runs the front until the context ends and its requests have drained.
@@ -446,8 +449,14 @@
 		return
 	}
 	p.metrics.Configuration(table.Version, now)
+	p.lagging.Lock()
+	waited := p.lag.Waited(now)
+	calls, failed := p.lag.Calls()
+	p.lag.Hear(now, table.Version, p.lag.Newest())
+	p.lagging.Unlock()
 	p.Log.Write(event.ConfigTaken, zap.Uint64("version", table.Version), zap.Int("routes", len(table.Routes)),
-		zap.Int("keys", len(table.Keys)), zap.String("from", from))
+		zap.Int("keys", len(table.Keys)), zap.String("from", from), zap.Int("bytes", len(table.Raw)),
+		zap.Duration("waited", waited), zap.Int("asked", calls), zap.Int("failed", failed))
 	p.republish()
 }
 
--- a/internal/state/fleet/fleet.go
+++ b/internal/state/fleet/fleet.go
@@ -330,6 +330,17 @@
 	return f.withNewer(now, version, func(r *Report) uint64 { return r.ConfigVersion })
 }
 
+// NewestConfig returns the newest version of the configuration that a live peer has in force.
+func (f *Fleet) NewestConfig(now time.Time) uint64 {
+	newest := uint64(0)
+	for _, p := range f.peers {
+		if now.Sub(p.received) <= aliveTimeout {
+			newest = max(newest, p.report.ConfigVersion)
+		}
+	}
+	return newest
+}
+
 // WithNewerServers is like WithNewerConfig, for the list of backend servers.
 func (f *Fleet) WithNewerServers(now time.Time, version uint64) []string {
 	return f.withNewer(now, version, func(r *Report) uint64 { return r.ServersVersion })
--- /dev/null
+++ b/internal/state/transfer/lag_test.go
@@ -0,0 +1,33 @@
+package transfer
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+var start = time.Date(2026, 5, 1, 8, 0, 0, 0, time.UTC)
+
+func TestLagLastsUntilTheNewestIsInForce(t *testing.T) {
+	var lag Lag
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	lag.Hear(at(0), 4, 4)
+	require.Zero(t, lag.Waited(at(500)))
+	lag.Hear(at(500), 4, 6)
+	lag.Asked(chicoryrock.ErrUnavailable)
+	lag.Hear(at(700), 4, 7)
+	require.Equal(t, []any{uint64(7), 500 * time.Millisecond}, []any{lag.Newest(), lag.Waited(at(1000))})
+	require.False(t, lag.Due(at(1400)))
+	require.True(t, lag.Due(at(1500)))
+	require.False(t, lag.Due(at(1600)), "once a second")
+	lag.Asked(nil)
+	asked, failed := lag.Calls()
+	require.Equal(t, []int{2, 1}, []int{asked, failed})
+	lag.Hear(at(1700), 6, 7)
+	require.Equal(t, 1200*time.Millisecond, lag.Waited(at(1700)), "the newest is not in force yet")
+	lag.Hear(at(1800), 7, 7)
+	require.Zero(t, lag.Waited(at(1800)))
+}
