Hand configurations on to peers part by part

Cause: a peer had 400 ms to hand on a whole configuration, whatever its size. All that is caught up also waited in one loop, and a change of one key cost as much as all routes. Change: a configuration is split between the elements of its lists, at elements chosen by their content, so that versions share all parts but those that differ (routing.Split). A process asks for the list of parts, then for those that it lacks, from any peer that has them, in batches that follow the time that calls take (transfer.Collector). What has arrived is kept when a call fails, its peer dies or a newer version comes. A peer compresses each part once. Configurations, servers and evacuations are caught up side by side. Former builds are answered as before, and asked for the whole.

--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -9,7 +9,6 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -29,13 +28,9 @@
 		Log:    p.Log,
 		Room:   peerRoom(p.Node.Files),
 		Handlers: map[string]peer.Handler{
-			callConfig: func(context.Context, json.RawMessage) (any, error) {
-				table := p.front.Table()
-				if table == nil {
-					return nil, errors.WithStack(chicoryrock.ErrNotFound)
-				}
-				return json.RawMessage(table.Raw), nil
-			},
+			callConfig:   p.answerConfig,
+			callManifest: p.answerManifest,
+			callParts:    peer.Typed(p.answerParts),
 			callServers: peer.Typed(func(_ context.Context, known servers.Version) (any, error) {
 				p.mutex.Lock()
 				defer p.mutex.Unlock()
@@ -88,6 +83,7 @@
 			}
 			if report.OmitsLoads {
 				signalTo(p.told)
+				signalTo(p.toldConfig)
 			}
 		},
 		Evacuations:      p.evacuationMessage,
@@ -153,38 +149,35 @@
 	return addressed
 }
 
-// catchUp asks peers for what they know and this process has missed: its watches
-// may be silent, or the store may turn just this process away.
-func (p *Front) catchUp(ctx context.Context) error {
+// catchUpServers asks peers for what they know of backend servers and this process has missed:
+// its watches may be silent, or the store may turn just this process away.
+func (p *Front) catchUpServers(ctx context.Context) error {
 	for ctx.Err() == nil {
-		p.awaitNews(ctx)
+		awaitNews(ctx, p.told)
 		now := time.Now()
-		version := uint64(0)
-		if table := p.front.Table(); table != nil {
-			version = table.Version
-		}
 		p.mutex.Lock()
 		asOf := uint64(p.servers.Version())
 		p.mutex.Unlock()
-		var configured, listed []string
-		newest := uint64(0)
+		var listed []string
 		p.peers.ask(func(f *fleet.Fleet) {
-			configured = f.WithNewerConfig(now, version)
-			newest = f.NewestConfig(now)
 			listed = f.WithNewerServers(now, asOf)
 			p.clock.Agree(f.ClockOffset(now))
 		})
-		p.lagging.Lock()
-		p.lag.Hear(now, version, newest)
-		p.lagging.Unlock()
-		p.firstOf(ctx, configured, asked, p.fetchConfig)
 		p.firstOf(ctx, listed, asked, p.fetchServers)
-		p.fetchEvacuations(ctx, now)
 		p.compareServers(ctx, time.Now())
 	}
 	return nil
 }
 
+// catchUpEvacuations asks peers about evacuations until something is known of them.
+func (p *Front) catchUpEvacuations(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause.For(ctx, catchPause)
+		p.fetchEvacuations(ctx, time.Now())
+	}
+	return nil
+}
+
 // eachPeer runs a call to every other living process at once.
 func (p *Front) eachPeer(now time.Time, call func(process string) error) {
 	var group sync.WaitGroup
@@ -203,14 +196,14 @@
 
 // awaitNews waits until it is time to look for what is newer, which is soon when
 // a peer has told of something.
-func (p *Front) awaitNews(ctx context.Context) {
+func awaitNews(ctx context.Context, told <-chan struct{}) {
 	timer := time.NewTimer(catchPause)
 	defer timer.Stop()
 	pause.For(ctx, newsPause)
 	select {
 	case <-ctx.Done():
 	case <-timer.C:
-	case <-p.told:
+	case <-told:
 	}
 }
 
@@ -235,34 +228,6 @@
 	return false
 }
 
-func (p *Front) fetchConfig(ctx context.Context, from string) error {
-	var raw json.RawMessage
-	err := p.peers.call(ctx, from, callConfig, nil, &raw)
-	p.calledForConfig(time.Now(), from, err)
-	if err != nil {
-		return err
-	}
-	p.takeRaw(time.Now(), raw, from)
-	return nil
-}
-
-// calledForConfig notes the end of a call to a peer for a newer configuration.
-func (p *Front) calledForConfig(now time.Time, peer string, err error) {
-	p.lagging.Lock()
-	defer p.lagging.Unlock()
-	p.lag.Asked(err)
-	if !p.lag.Due(now) {
-		return
-	}
-	present := uint64(0)
-	if table := p.front.Table(); table != nil {
-		present = table.Version
-	}
-	calls, failed := p.lag.Calls()
-	p.Log.Write(event.ConfigBehind, zap.Uint64("version", p.lag.Newest()), zap.Uint64("present", present), zap.Duration("waited", p.lag.Waited(now)),
-		zap.Int("asked", calls), zap.Int("failed", failed), zap.String("peer", peer), zap.Error(err))
-}
-
 // askSoftware asks peers at which software versions streams may begin.
 func (p *Front) askSoftware(ctx context.Context) {
 	now := time.Now()
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -37,7 +37,6 @@
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/internal/state/servers"
-	"github.com/chicoryrock/chicoryrock/internal/state/transfer"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -109,8 +108,9 @@
 	restored  chan struct{} // the store has come back from a copy
 	again     atomic.Bool   // the list of backend servers is to be read from the store again
 	told      chan struct{} // a peer knows something that it was told of just now
-	lagging   sync.Mutex    // guards lag
-	lag       transfer.Lag  // behind the newest configuration
+	// toldConfig is like told, for the part that collects configurations.
+	toldConfig     chan struct{}
+	configurations configurations
 }
 
 // Run runs the front until the context ends and its requests have drained.
@@ -126,7 +126,8 @@
 		signalTo(p.restored)
 	}
 	p.parts.Log = p.Log
-	p.news, p.told = make(chan struct{}, 1), make(chan struct{}, 1)
+	p.news, p.told, p.toldConfig = make(chan struct{}, 1), make(chan struct{}, 1), make(chan struct{}, 1)
+	p.configurations.failed = make(map[string]time.Time)
 	p.book = &billing.Book{Process: process, Length: node.Bounds.UsageWindow, Store: p.store, Log: p.Log, Clock: &p.clock}
 	p.peers = &peers{
 		process: process,
@@ -166,7 +167,9 @@
 		keep(background, "peers", func(ctx context.Context) error { return p.peerServer().Run(ctx) })
 		keep(background, "reports", func(ctx context.Context) error { return p.gossip().Run(ctx) })
 		keep(background, "share", p.share)
-		keep(background, "catch up", p.catchUp)
+		keep(background, "collect configurations", p.collectConfigurations)
+		keep(background, "catch up servers", p.catchUpServers)
+		keep(background, "catch up evacuations", p.catchUpEvacuations)
 		keep(background, "crashes", p.tellCrashes)
 		keep(background, "compare crashes", p.compareCrashes)
 	}
@@ -435,31 +438,6 @@
 	signalTo(p.news)
 }
 
-func (p *Front) takeRaw(now time.Time, raw []byte, from string) {
-	table, err := platform.ReadConfig(raw)
-	if err != nil {
-		p.Log.Write(event.ConfigBad, zap.String("from", from), zap.Error(err))
-		return
-	}
-	p.take(now, table, from)
-}
-
-func (p *Front) take(now time.Time, table *routing.Table, from string) {
-	if !p.front.Configure(table) {
-		return
-	}
-	p.metrics.Configuration(table.Version, now)
-	p.lagging.Lock()
-	waited := p.lag.Waited(now)
-	calls, failed := p.lag.Calls()
-	p.lag.Hear(now, table.Version, p.lag.Newest())
-	p.lagging.Unlock()
-	p.Log.Write(event.ConfigTaken, zap.Uint64("version", table.Version), zap.Int("routes", len(table.Routes)),
-		zap.Int("keys", len(table.Keys)), zap.String("from", from), zap.Int("bytes", len(table.Raw)),
-		zap.Duration("waited", waited), zap.Int("asked", calls), zap.Int("failed", failed))
-	p.republish()
-}
-
 // republish passes the list of backend servers on again after a change of what else is known
 // of them.
 func (p *Front) republish() {
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -65,7 +65,9 @@
 
 // The calls between processes.
 const (
-	callConfig   = "config"
+	callConfig   = "config" // by processes of former builds
+	callManifest = "manifest"
+	callParts    = "parts"
 	callServers  = "servers"
 	callCounts   = "counts"
 	callCollect  = "collect"
--- a/internal/serve/peer/codec.go
+++ b/internal/serve/peer/codec.go
@@ -44,7 +44,7 @@
 		return errors.Wrapf(chicoryrock.ErrInvalid, "message of %d bytes", len(data))
 	}
 	if len(data) >= leastPacked {
-		if data, err = pack(data); err != nil {
+		if data, err = Pack(data); err != nil {
 			return err
 		}
 	}
@@ -71,7 +71,7 @@
 		return errors.WithStack(io.ErrUnexpectedEOF)
 	}
 	if bytes.HasPrefix(data, packedMark) {
-		if data, err = unpack(data); err != nil {
+		if data, err = Unpack(data); err != nil {
 			return err
 		}
 	}
@@ -88,7 +88,8 @@
 	return packer
 }}
 
-func pack(data []byte) ([]byte, error) {
+// Pack compresses data.
+func Pack(data []byte) ([]byte, error) {
 	packer := packers.Get().(*gzip.Writer)
 	defer packers.Put(packer)
 	var packed bytes.Buffer
@@ -102,7 +103,9 @@
 	return packed.Bytes(), nil
 }
 
-func unpack(packed []byte) ([]byte, error) {
+// Unpack undoes Pack, up to the largest message. Error: chicoryrock.ErrInvalid, or that of a
+// reader of gzip.
+func Unpack(packed []byte) ([]byte, error) {
 	reader, err := gzip.NewReader(bytes.NewReader(packed))
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/internal/serve/peer/fuzz_test.go
+++ b/internal/serve/peer/fuzz_test.go
@@ -10,7 +10,7 @@
 // Whatever another process sends as a message is refused, or is one.
 func FuzzReadObject(f *testing.F) {
 	framed := func(data []byte) []byte { return append(binary.AppendUvarint(nil, uint64(len(data))), data...) }
-	packed, err := pack(bytes.Repeat([]byte(`{"a":1}`), 1))
+	packed, err := Pack(bytes.Repeat([]byte(`{"a":1}`), 1))
 	if err != nil {
 		f.Fatal(err)
 	}
--- a/internal/state/routing/routing.go
+++ b/internal/state/routing/routing.go
@@ -144,7 +144,8 @@
 	Limits     Limits
 	RequireKey bool // for requests, except on public routes
 	Keys       map[KeyDigest]*Workspace
-	Raw        []byte // as the operator wrote it; sent to peers
+	Raw        []byte // as the operator wrote it
+	Parts      []Part // of Raw; sent to peers
 
 	hosts               map[string][]*Route
 	services            map[string]*Service
--- a/internal/state/transfer/lag.go
+++ b/internal/state/transfer/lag.go
@@ -16,6 +16,8 @@
 	asked  int       // calls to peers since then
 	failed int       // those that brought nothing
 	told   time.Time // when it was last reported
+
+	progress time.Time // when a call last brought something; zero for never
 }
 
 // Hear takes in the version in force and the newest one that the peers state.
@@ -30,12 +32,19 @@
 	}
 }
 
-// Asked counts a call to a peer.
-func (l *Lag) Asked(err error) {
+// Asked counts a call to a peer that has just ended.
+func (l *Lag) Asked(now time.Time, err error) {
 	l.asked++
 	if err != nil {
 		l.failed++
+		return
 	}
+	l.progress = now
+}
+
+// Stuck says that no peer has brought anything of the newer version for a time.
+func (l *Lag) Stuck(now time.Time, patience time.Duration) bool {
+	return l.newest != 0 && now.Sub(l.since) >= patience && now.Sub(l.progress) >= patience
 }
 
 // Newest returns the newest version heard of; zero if it is in force.
