Let no watch of the store vouch for another one

Callers would be handled by old configurations at all fronts that leave the store to watchers, as long as these can't read op/ while their watch of servers/ goes on: the others neither read the store nor hear of a newer version. Cause: what a front tells the others of the store's last answer came from its watch of servers/ alone. And a front that knew of a newer version, and got it from no peer, went on leaving the store to the watchers. Change: the last answer told is that of op/ while reads of it fail; a large answer that is coming in is no failure. A front that gets nothing of a newer version from its peers for a third of the time to put it in force reads op/ itself. TestFrontThatGetsNothingFromPeersReadsTheStore waits in vain without the second part.

--- a/internal/serve/assembly/evacuation.go
+++ b/internal/serve/assembly/evacuation.go
@@ -64,6 +64,33 @@
 	})
 }
 
+// watchState is how the watch of a prefix goes.
+type watchState struct {
+	answered time.Time // when the store last answered
+	failed   bool      // it has not answered since a call failed
+}
+
+func (p *Front) heardOperator(now time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.operator = watchState{answered: now}
+}
+
+func (p *Front) lostOperator(time.Time) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.operator.failed = true
+}
+
+// lastStoreAnswer returns when the store last answered all that this process watches for the
+// others. A large answer of the operators' keys that is coming in is no failure. The lock is held.
+func (p *Front) lastStoreAnswer() time.Time {
+	if p.operator.failed && p.operator.answered.Before(p.watched) {
+		return p.operator.answered
+	}
+	return p.watched
+}
+
 // learnEvacuations changes the list of evacuated data centres and puts it in force at once.
 func (p *Front) learnEvacuations(from string, learn func(*evacuation.List)) {
 	p.mutex.Lock()
--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -113,7 +113,7 @@
 	summary, exact := p.servers.Summary()
 	report.ServersVersion = uint64(summary.LastChange)
 	report.ServersDigest, report.ServersQuiet, report.HasServersDigest = summary.Digest, summary.Quiet, exact
-	report.LastStoreAnswer = p.watched
+	report.LastStoreAnswer = p.lastStoreAnswer()
 	return report
 }
 
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -103,7 +103,8 @@
 	granting  sync.Mutex // held while a trial of a ban is decided
 	duties    []*duty.Holder
 	read      []byte        // the settings as last read
-	watched   time.Time     // when the store last answered a watch of this process
+	watched   time.Time     // when the store last answered a watch of the servers by this process
+	operator  watchState    // of what operators write
 	news      chan struct{} // the store has told something that the peers should know
 	restored  chan struct{} // the store has come back from a copy
 	again     atomic.Bool   // the list of backend servers is to be read from the store again
@@ -356,9 +357,12 @@
 func (p *Front) followers() []*follow.Follower {
 	return []*follow.Follower{
 		{
-			Store: p.store, Prefix: platform.OperatorPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
+			Store: p.store, Prefix: platform.OperatorPrefix, Log: p.Log, Settled: p.settled, Rest: p.restsOperator, Patient: p.leaves,
 			Reset:   p.readOperator,
 			Changed: p.changeOperator,
+			Heard:   p.heardOperator,
+			Cut:     p.lostOperator,
+			Lost:    p.lostOperator,
 		},
 		{
 			Store: p.store, Prefix: platform.ServerPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
--- a/internal/serve/assembly/large_configuration_test.go
+++ b/internal/serve/assembly/large_configuration_test.go
@@ -164,3 +164,22 @@
 		require.Eventually(t, func() bool { return d.version() == 2 }, waitTime, 10*time.Millisecond)
 	}
 }
+
+// Guards against a front that leaves the store to watchers, knows of a newer configuration and can get it from no peer.
+func TestFrontThatGetsNothingFromPeersReadsTheStore(t *testing.T) {
+	d := deploy(t, talking)
+	d.configure(1, "k1")
+	d.settle(1, 0)
+	told := uint64(1)
+	hear := func() {
+		for i := range watchers + 1 {
+			report := fleet.Report{Process: processName(fmt.Sprintf("front-0-%d", i), d.front.Started), ConfigVersion: told, OmitsLoads: true}
+			d.front.peers.heard(time.Now(), time.Now(), host.Own(), &report)
+		}
+	}
+	begin := time.Now()
+	require.Eventually(t, func() bool { hear(); return time.Since(begin) > 3*time.Second && d.front.rests(time.Now()) }, waitTime, 50*time.Millisecond)
+	d.configure(2, "k1")
+	told = 2
+	require.Eventually(t, func() bool { hear(); return d.version() == 2 }, waitTime, 50*time.Millisecond)
+}
--- a/internal/serve/assembly/relays.go
+++ b/internal/serve/assembly/relays.go
@@ -32,6 +32,16 @@
 	return watched
 }
 
+// restsOperator is rests for what operators write: a process that knows of a newer configuration
+// and gets nothing of it from its peers reads it from the store itself.
+func (p *Front) restsOperator(now time.Time) bool {
+	patience := p.front.Bounds().Apply / stuckPart
+	p.configurations.mutex.Lock()
+	stuck := p.configurations.lag.Stuck(now, patience)
+	p.configurations.mutex.Unlock()
+	return !stuck && p.rests(now)
+}
+
 // leaves says whether this process leaves it to the watchers to find out when the
 // store is back.
 func (p *Front) leaves(now time.Time) bool {
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -54,6 +54,8 @@
 	Changed func(now time.Time, changes *Changes)
 	Heard   func(now time.Time)
 	Lost    func(now time.Time)
+	// Cut is told that a watch has failed, before the store is asked again; nil for nobody.
+	Cut func(now time.Time)
 	// Again says, once, that everything is to be read again although no watch has failed;
 	// nil for never.
 	Again func() bool
@@ -115,6 +117,9 @@
 		case err != nil:
 			// A watch that was cut or is silent says nothing of the store: reading
 			// everything will.
+			if f.Cut != nil && ctx.Err() == nil {
+				f.Cut(now)
+			}
 			return
 		}
 		f.heard(now)
