Resume a watch of large values from its revision

Change: the follower of op/ asks for what has changed since the revision that it knows; it reads everything where the store has dropped that history, and in turn with it where the store doesn't answer. Other prefixes are read as before: what is missing from a whole list matters for backend servers. Measured: TestFailedWatchGoesOnFromItsRevision; the tests of evacuations and of a restored store pass.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -360,6 +360,7 @@
 			Store: p.store, Prefix: platform.OperatorPrefix, Log: p.Log, Settled: p.settled, Rest: p.restsOperator, Patient: p.leaves,
 			Reset:   p.readOperator,
 			Changed: p.changeOperator,
+			Resume:  true,
 			Heard:   p.heardOperator,
 			Cut:     p.lostOperator,
 			Lost:    p.lostOperator,
--- a/internal/serve/follow/follow.go
+++ b/internal/serve/follow/follow.go
@@ -62,6 +62,9 @@
 	// Patient says that others look for the store's return, so that this process
 	// asks it seldom while it does not answer; nil for never.
 	Patient func(now time.Time) bool
+	// Resume has what has changed since the last revision read after a failed watch or a rest,
+	// instead of everything, where the store still knows it: for prefixes with large values.
+	Resume bool
 	// Settled says that this process need not wait any more to hear whether others follow
 	// the prefix: it does not know at its start. Nil for always.
 	Settled func(now time.Time) bool
@@ -74,35 +77,70 @@
 
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
-	read := false
+	read, resumes := false, false
+	revision := uint64(0) // through which everything has been taken in
 	for ctx.Err() == nil {
 		if read && f.rests() {
 			pause.For(ctx, restInterval)
 			continue
 		}
-		entries, revision, err := f.Store.ListWithRevision(ctx, f.Prefix)
+		var err error
+		resumes = f.Resume && resumes
+		if resumes {
+			revision, err = f.resume(ctx, revision)
+		}
+		if !resumes || errors.Is(err, chicoryrock.ErrCompacted) {
+			revision, err = f.list(ctx, revision)
+		}
 		if err != nil {
 			f.failed(ctx, err)
+			// The store may answer one of the two while it doesn't answer the other.
+			resumes = read && !resumes
 			continue
 		}
-		now := time.Now()
-		f.heard(now)
-		f.Reset(now, entries, revision)
 		for !read && !f.settled() && !f.rests() && ctx.Err() == nil {
 			pause.For(ctx, settleInterval)
 		}
 		read = true
-		f.watch(ctx, revision)
+		revision, resumes = f.watch(ctx, revision)
 	}
 	return nil
 }
 
+// list takes in all entries, and returns the revision through which they are.
+func (f *Follower) list(ctx context.Context, revision uint64) (uint64, error) {
+	entries, listed, err := f.Store.ListWithRevision(ctx, f.Prefix)
+	if err != nil {
+		return revision, err
+	}
+	now := time.Now()
+	f.heard(now)
+	f.Reset(now, entries, listed)
+	return listed, nil
+}
+
+// resume takes in what has changed after a revision, and returns the one through which that is.
+func (f *Follower) resume(ctx context.Context, revision uint64) (uint64, error) {
+	changes, next, err := f.Store.WatchPrefix(ctx, f.Prefix, revision, 0)
+	if errors.Is(err, chicoryrock.ErrCompacted) {
+		f.Log.Write(event.HistoryGone, zap.String("prefix", f.Prefix), zap.Uint64("revision", revision))
+	}
+	if err != nil {
+		return revision, err
+	}
+	now := time.Now()
+	f.heard(now)
+	f.Changed(now, &Changes{revision, next, changes})
+	return max(revision, next), nil
+}
+
 func (f *Follower) settled() bool { return f.Settled == nil || f.Settled(time.Now()) }
 
 func (f *Follower) rests() bool { return f.Rest != nil && f.Rest(time.Now()) }
 
-// watch follows changes until a watch fails or everything is due to be read again.
-func (f *Follower) watch(ctx context.Context, revision uint64) {
+// watch follows changes until a watch fails or everything is due to be read again. It returns
+// the revision through which everything has been taken in, and whether a watch may go on there.
+func (f *Follower) watch(ctx context.Context, revision uint64) (uint64, bool) {
 	wait := f.Wait
 	if wait == 0 {
 		wait = defaultWait
@@ -113,22 +151,22 @@
 		switch {
 		case errors.Is(err, chicoryrock.ErrCompacted):
 			f.Log.Write(event.HistoryGone, zap.String("prefix", f.Prefix), zap.Uint64("revision", revision))
-			return
+			return revision, false
 		case err != nil:
-			// A watch that was cut or is silent says nothing of the store: reading
-			// everything will.
+			// A watch that was cut or is silent says nothing of the store.
 			if f.Cut != nil && ctx.Err() == nil {
 				f.Cut(now)
 			}
-			return
+			return revision, true
 		}
 		f.heard(now)
 		f.Changed(now, &Changes{revision, next, changes})
 		revision = max(revision, next)
 		if f.Again != nil && f.Again() {
-			return
+			return revision, false
 		}
 	}
+	return revision, true
 }
 
 func (f *Follower) heard(now time.Time) {
--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -63,6 +63,18 @@
 
 // followWith is follow with Follower.Again.
 func followWith(t *testing.T, j *journal, rest func(time.Time) bool, again func() bool) (heard func() []string) {
+	t.Helper()
+	return run(t, &Follower{Store: j, Rest: rest, Again: again})
+}
+
+// followResuming is follow with Follower.Resume.
+func followResuming(t *testing.T, j *journal) (heard func() []string) {
+	t.Helper()
+	return run(t, &Follower{Store: j, Resume: true})
+}
+
+// run runs a follower and returns what it heard of.
+func run(t *testing.T, f *Follower) (heard func() []string) {
 	t.Helper()
 	var mutex sync.Mutex
 	var list []string
@@ -71,22 +83,19 @@
 		defer mutex.Unlock()
 		list = append(list, text)
 	}
-	f := &Follower{
-		Store: j, Prefix: "p/", Log: event.NewNop(), Rest: rest,
-		Reset: func(_ time.Time, entries []chicoryrock.KeyValue, _ uint64) {
-			for _, entry := range entries {
-				note("=" + entry.Key)
-			}
-		},
-		Changed: func(_ time.Time, changes *Changes) {
-			for _, entry := range changes.Entries {
-				note("+" + entry.Key)
-			}
-			note(fmt.Sprint("at ", changes.Through))
-		},
-		Lost:  func(time.Time) { note("lost") },
-		Again: again,
+	f.Prefix, f.Log = "p/", event.NewNop()
+	f.Reset = func(_ time.Time, entries []chicoryrock.KeyValue, _ uint64) {
+		for _, entry := range entries {
+			note("=" + entry.Key)
+		}
 	}
+	f.Changed = func(_ time.Time, changes *Changes) {
+		for _, entry := range changes.Entries {
+			note("+" + entry.Key)
+		}
+		note(fmt.Sprint("at ", changes.Through))
+	}
+	f.Lost = func(time.Time) { note("lost") }
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -215,3 +224,39 @@
 		})
 	}
 }
+
+// A follower of large values reads what has changed since a failed watch, and everything only
+// where the store doesn't know that any more or does not answer.
+func TestFailedWatchGoesOnFromItsRevision(t *testing.T) {
+	cases := []struct {
+		name    string
+		resumed error // of the call that goes on
+		want    []string
+	}{
+		{"known", nil, []string{"=p/a", "+p/b", "at 11", "+p/c", "at 12"}},
+		{"history gone", chicoryrock.ErrCompacted, []string{"=p/a", "+p/b", "at 11", "=p/a"}},
+		{"no answer", chicoryrock.ErrUnavailable, []string{"=p/a", "+p/b", "at 11", "lost", "=p/a"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			j := &journal{entries: []chicoryrock.KeyValue{{Key: "p/a", Revision: 3}}}
+			j.watch = func(call int) ([]chicoryrock.KeyValue, uint64, error) {
+				switch call {
+				case 1:
+					return []chicoryrock.KeyValue{{Key: "p/b", Revision: 11}}, 11, nil
+				case 2:
+					return nil, 0, chicoryrock.ErrUnavailable
+				case 3:
+					if c.resumed != nil {
+						return nil, 0, c.resumed
+					}
+					return []chicoryrock.KeyValue{{Key: "p/c", Revision: 12}}, 12, nil
+				}
+				return nil, 0, nil
+			}
+			heard := followResuming(t, j)
+			require.Eventually(t, func() bool { return len(heard()) == len(c.want) }, waitTime, time.Millisecond)
+			require.Equal(t, c.want, heard())
+		})
+	}
+}
