Test that others are served beside answers without end

Change: seven more forms at a real front, with fifty such servers at once, and ten requests of others to a sound server meanwhile; the front's memory stays below that of the smallest VM.

--- a/internal/serve/program/endless_test.go
+++ b/internal/serve/program/endless_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -58,7 +59,7 @@
 }
 
 // Fifty servers at once that answer without end take a front neither its memory nor
-// its sound servers, and nothing of theirs looks like a whole answer.
+// its sound servers' requests, and nothing of theirs looks like a whole answer.
 func TestFrontOutlivesAnswersWithoutEnd(t *testing.T) {
 	const head = "HTTP/1.1 200 OK\r\n" + sample.ID + ": ID\r\n" + sample.Seal + ": s\r\n"
 	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
@@ -66,6 +67,13 @@
 	const events = head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 	cases := []struct{ name, service, path, beginning, again string }{
 		{"head", "app", "/read/", head, "X-More: yes\r\n"},
+		{"bytes that are no answer", "app", "/read/", "", "rubbish"},
+		{"lines that are no answer", "app", "/read/", "", "rubbish\n"},
+		{"bytes that are no answer in a head", "app", "/read/", head, "rubbish"},
+		{"bytes that are no chunk", "app", "/read/", chunked, "rubbish"},
+		{"no end of a chunk's size", "app", "/read/", chunked, "0"},
+		{"bytes that are no chunk in a stream", "llm", "/short/", events + "c\r\ndata: piece\n\r\n", "rubbish"},
+		{"bytes that are no event", "llm", "/short/", strings.Replace(unframed, "Connection", "Content-Type: text/event-stream\r\nConnection", 1), "rubbish"},
 		{"interim heads", "app", "/read/", "", "HTTP/1.1 102 Processing\r\n\r\n"},
 		{"chunks", "app", "/read/", chunked, "10\r\n0123456789abcdef\r\n"},
 		{"body without length", "app", "/read/", unframed, "0123456789abcdef"},
@@ -95,9 +103,17 @@
 				hostile = append(hostile, server)
 				put(platform.ServerPrefix+fmt.Sprintf("bad-%02d", i), sample.Entry(c.service, address, "ready"))
 			}
+			soundService, soundPath := "llm", "/long/"
+			if c.service == soundService {
+				soundService, soundPath = "app", "/book/"
+			}
+			put(platform.ServerPrefix+"sound", sample.Entry(soundService, soundServer(t), "ready"))
 			callers, ready, command := realFront(t, kept.Addr())
 			require.Eventually(t, func() bool { return isReady(ready) }, startLimit, 10*time.Millisecond)
 			var group sync.WaitGroup
+			for i := range 10 {
+				group.Go(func() { askSound(t, callers, soundPath, fmt.Sprintf("sound-%d", i)) })
+			}
 			for i := range servers {
 				group.Go(func() { askHostile(t, callers, c.path, fmt.Sprintf("r%d", i)) })
 			}
@@ -113,6 +129,45 @@
 	}
 }
 
+// soundServer answers each request with a whole stream.
+func soundServer(t *testing.T) netip.AddrPort {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(sample.ID, r.Header.Get(sample.ID))
+		w.Header().Set(sample.Seal, "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for i := range 5 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: piece\n\n", i+1)
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+		}
+	}))
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// askSound sends a request that a sound server answers.
+func askSound(t *testing.T, callers netip.AddrPort, path, id string) {
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+callers.String()+path, strings.NewReader(id))
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	request.Host = sample.Host
+	request.Header.Set(sample.ID, id)
+	request.Header.Set("Authorization", "Bearer k1")
+	request.Header.Set(sample.Tokens, "600,40")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Errorf("%s: %v", id, err)
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if body, err := io.ReadAll(response.Body); err != nil || response.StatusCode != http.StatusOK || strings.Count(string(body), "piece") != 5 {
+		t.Errorf("%s: status %d, %q, %v", id, response.StatusCode, body, err)
+	}
+}
+
 func isReady(ready netip.AddrPort) bool {
 	response, err := http.Get("http://" + ready.String() + platform.ReadyPath)
 	if err != nil {
