Take only what ends before the process does in a shutdown

Cause: a front that has been told to stop took every request for 2.5 s, whatever it may take, and at the end of the grace closed the connections of those that waited or ran. Change: in the grace a request is taken if its time limit ends before the process, or if one and a half times the longest run of its route in the last minutes does (policy/departure); any other one is refused at once as not run (shutdown), to be sent to another process. What is open at the end gets its final answer before: 503 if it waited, 504 if it may have run.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -40,6 +40,8 @@
 	errFailed = errors.New("the backend server failed")
 	// errMoved says that a call's route leads to other services than when it came.
 	errMoved = errors.New("the route has moved")
+	// errShutdown ends the calls that are open when the process has to end.
+	errShutdown = errors.New("the process is shutting down")
 	// errCallerGone says that the answer could not be written.
 	errCallerGone = errors.New("the caller has left")
 )
@@ -347,6 +349,7 @@
 	case err == nil:
 		c.streamEnded(now)
 		c.front.served.answered.Add(1)
+		c.front.runs.Record(now, c.route.Name, now.Sub(c.begin))
 		late := c.late()
 		c.trail.Write(event.Answered, now, zap.Int("status", c.status), zap.Duration("first", c.first), zap.Duration("pause", c.longest),
 			zap.Int("events", c.events), zap.Int("sent", c.sent+1), zap.Bool("late", late))
@@ -418,6 +421,8 @@
 		c.refused(now, refused.Reason)
 	case c.heldBack():
 		c.refused(now, chicoryrock.ReasonCrashPart)
+	case errors.Is(context.Cause(c.ctx), errShutdown):
+		c.refused(now, chicoryrock.ReasonShutdown)
 	case errors.Is(context.Cause(c.ctx), reserve.ErrNoRoom):
 		c.refused(now, chicoryrock.ReasonNoRoom)
 	case c.ctx.Err() != nil:
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -22,6 +22,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/metrics"
 	"github.com/chicoryrock/chicoryrock/internal/ops/trail"
 	"github.com/chicoryrock/chicoryrock/internal/policy/demand"
+	"github.com/chicoryrock/chicoryrock/internal/policy/departure"
 	"github.com/chicoryrock/chicoryrock/internal/policy/place"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
@@ -61,6 +62,10 @@
 	leastConnections = 4
 	// exitMargin is kept from the end of the time for a shutdown.
 	exitMargin = 600 * time.Millisecond
+	// finalTime is how long open requests may take to get their final answer before that.
+	finalTime = 100 * time.Millisecond
+	// finalInterval is how often it is looked whether they have.
+	finalInterval = 5 * time.Millisecond
 )
 
 // Front is one process that callers connect to. Set the exported fields, then
@@ -109,6 +114,8 @@
 	served   counts
 	trails   trail.Book
 	ended    endings
+	runs     departure.Runs
+	endsAt   atomic.Pointer[time.Time] // when open requests get their final answer; nil but in a shutdown
 	parts    guard.Parts
 
 	evacuated map[string]bool // data centres that are being evacuated; nil until that is known
@@ -331,19 +338,31 @@
 // open requests.
 func (f *Front) drain(server *http.Server) {
 	begin := time.Now()
+	grace := f.Bounds().Grace
+	endsAt := begin.Add(grace - min(exitMargin+finalTime, grace/8))
+	f.endsAt.Store(&endsAt)
 	f.draining.Store(true)
 	f.Log.Write(event.Draining, zap.Int64("open", f.open.Load()))
-	grace := f.Bounds().Grace
 	time.Sleep(min(noticeTime, grace/3))
-	limit := grace - min(exitMargin, grace/8) - time.Since(begin)
-	ctx, cancel := context.WithTimeout(context.Background(), max(limit, 0))
+	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		f.Log.Write(event.Failed, zap.String("why", "requests were still open at the end of the grace"),
 			zap.Int64("open", f.open.Load()), zap.Error(err))
+		f.suspects.endCalls(errShutdown)
+		for last := time.Now().Add(min(finalTime, grace/16)); f.open.Load() > 0 && time.Now().Before(last); {
+			time.Sleep(finalInterval)
+		}
 	}
 }
 
+// takes reports whether a request that has just come can be expected to end before the process
+// does.
+func (f *Front) takes(now time.Time, route *routing.Route, limit time.Duration) bool {
+	endsAt := f.endsAt.Load()
+	return endsAt == nil || f.runs.Takes(now, *endsAt, route.Name, limit)
+}
+
 // tick does what is due from time to time.
 func (f *Front) tick(ctx context.Context) error {
 	expire := time.NewTicker(expireInterval)
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -91,6 +91,10 @@
 		return
 	}
 	limit := patience(route, ask)
+	if !f.takes(now, route, limit) {
+		f.turnAway(now, w, ask, table, chicoryrock.ReasonShutdown, 0)
+		return
+	}
 	body, hold, reason := f.read(now, now.Add(limit), w, r, table, workspace)
 	defer hold.Release()
 	if reason != chicoryrock.ReasonNone {
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -100,6 +100,15 @@
 	s.calls[c] = &openCall{candidate: candidate}
 }
 
+// endCalls ends all calls that wait or run.
+func (s *suspects) endCalls(cause error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.calls {
+		c.stop(cause)
+	}
+}
+
 func (s *suspects) removeCall(c *call) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
--- a/internal/serve/front/wait.go
+++ b/internal/serve/front/wait.go
@@ -39,6 +39,8 @@
 		return min(c.front.roomAgain(c.request.ID), longest)
 	case chicoryrock.ReasonVersionGone:
 		return 0 // coming back is in vain
+	case chicoryrock.ReasonShutdown:
+		return 0 // other processes take it at once
 	case chicoryrock.ReasonResting:
 		if end, found := c.front.Gate.RestEnd(now, c.request); found {
 			return max(end.Sub(now), soonest)
