Use no answer of the software register that a later one has overtaken

One that was asked for before a release, taken in after a later one, hid the new version from a lookup that had just read it: with one version known, a stream that another front had begun at the new version was taken for one of the old version, and went on there (ORDER). Cause: what a process knows of the register was replaced by each answer, whatever its revision. Change: an answer of the same era with a lower revision than the one known is not used.

--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -240,6 +240,7 @@
 			o.Log.Write(event.OriginUnread, zap.String("key", entry.Key), zap.Error(err))
 			register = origin.Unreadable()
 		}
+		register.Revision = entry.Revision
 	}
 	o.take(register, era)
 	return register, entry.Revision, nil
@@ -341,7 +342,7 @@
 		if err != nil {
 			return errors.WithStack(err)
 		}
-		_, err = o.Store.Commit(ctx, []chicoryrock.Change{{Key: registerKey, Value: value, PriorRevision: revision}})
+		next.Revision, err = o.Store.Commit(ctx, []chicoryrock.Change{{Key: registerKey, Value: value, PriorRevision: revision}})
 		if errors.Is(err, chicoryrock.ErrConflict) {
 			continue
 		}
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -37,7 +37,22 @@
 type process struct {
 	book   origin.Book
 	listed []origin.Software
-	cut    bool // from the store
+	cut    bool   // from the store
+	late   *reply // an answer of the store that has not been taken in yet
+}
+
+// reply is the register as the store answered it in an era.
+type reply struct {
+	register origin.Register
+	era      uint64
+}
+
+// arrive has a late answer taken in, which others may have overtaken.
+func (w *world) arrive(p *process) {
+	if p.late != nil {
+		p.book.SetRegister(w.now, p.late.register, p.late.era)
+		p.late = nil
+	}
 }
 
 type stream struct {
@@ -65,7 +80,9 @@
 	if w.register == nil {
 		return origin.Register{}
 	}
-	return *w.register
+	stored := *w.register
+	stored.Revision = w.wrote
+	return stored
 }
 
 // complete is a process's turn to read and write the register. Between both, others may
@@ -82,7 +99,7 @@
 		return
 	}
 	w.register, w.wrote = &next, w.wrote+1
-	if !lost {
+	if next.Revision = w.wrote; !lost {
 		p.book.SetRegister(w.now, next, era)
 	}
 }
@@ -123,6 +140,7 @@
 		case step == origin.ReadRegister:
 			p.book.SetRegister(w.now, w.stored(), w.era)
 			l.Read()
+			w.arrive(p)
 		default:
 			if software, found := w.records[key]; found {
 				l.Found(w.now, software)
@@ -191,6 +209,12 @@
 				w.list(p)
 				p.book.ListHeard(w.now)
 			},
+			"a read begins": func(*rapid.T) {
+				if p := one("reader"); !p.cut && p.late == nil {
+					p.late = &reply{w.stored(), w.era}
+				}
+			},
+			"a late answer arrives": func(*rapid.T) { w.arrive(one("reader")) },
 			"one hears": func(*rapid.T) {
 				one("hearer").book.Hear(one("teller").book.Begins())
 			},
--- a/internal/state/origin/register.go
+++ b/internal/state/origin/register.go
@@ -26,6 +26,9 @@
 	// Versions that were added since an earlier one may be missing.
 	Era      uint64              `json:"era,omitempty"`
 	Services map[string][]string `json:"services"` // versions by service, sorted
+	// Revision is the store's, by which a later answer is told from an earlier one; zero
+	// where the store had no register.
+	Revision uint64 `json:"-"`
 
 	lost bool // what the store has can't be read
 }
@@ -66,7 +69,7 @@
 	if r.Era >= era && !r.lost {
 		return *r
 	}
-	next := Register{Era: era, Services: map[string][]string{anyService: {""}}}
+	next := Register{Era: era, Services: map[string][]string{anyService: {""}}, Revision: r.Revision}
 	maps.Copy(next.Services, r.Services)
 	return next
 }
@@ -160,10 +163,10 @@
 }
 
 // SetRegister takes in the register as the store had it in an era; the zero value if it had
-// none. It reports whether that is news.
+// none. An answer that a later one has overtaken is not used. It reports whether that is news.
 func (b *Book) SetRegister(now time.Time, register Register, era uint64) bool {
 	r := &b.registrar
-	if era < r.known.Era {
+	if era < r.known.Era || r.read && era == r.known.Era && register.Revision < r.known.Revision {
 		return false
 	}
 	if era > r.known.Era {
--- a/internal/state/origin/register_test.go
+++ b/internal/state/origin/register_test.go
@@ -145,3 +145,21 @@
 	require.Empty(t, book.Unsaved(start.Add(origin.Retention), 9))
 	require.NotEqual(t, origin.KeyOf("w", "a"), origin.KeyOf("x", "a"), "another workspace's request")
 }
+
+// Guards against a process that was out of step and takes in an earlier answer of the store after a later one.
+func TestEarlierAnswerOfTheRegisterHidesNoVersion(t *testing.T) {
+	earlier := origin.Register{Services: map[string][]string{"s": {"v1"}}, Revision: 4}
+	later := origin.Register{Services: map[string][]string{"s": {"v1", "v2"}}, Revision: 6}
+	var book origin.Book
+	book.SetListed(start, []origin.Software{{Service: "s", Version: "v1"}})
+	book.SetRegister(start, earlier, 0)
+	lookup := origin.Lookup{Book: &book, Key: origin.KeyOf("w", "began at v2 elsewhere"), Service: "s"}
+	require.Equal(t, origin.ReadRegister, lookup.Next(start))
+	require.True(t, book.SetRegister(start, later, 0))
+	require.False(t, book.SetRegister(start, earlier, 0), "asked for before, and overtaken")
+	require.False(t, book.SetRegister(start, origin.Register{}, 0), "there was none yet")
+	lookup.Read()
+	require.Equal(t, origin.ReadRecord, lookup.Next(start))
+	restored := origin.Register{Services: map[string][]string{"s": {"v1"}}, Revision: 2, Era: 0}
+	require.True(t, book.SetRegister(start, restored, 1), "another era counts anew")
+}
