Read a server's version before a stream is taken up there

Cause: a stream that is taken up goes on at its version, but which version a server has was known from the list alone, however old that was. Change: before a stream is taken up at a server, its entry is read from the store; another version, or none, has the request go to another server. Where the store can't be read only streams that began at this front go on, as before. It costs a read of the store for each stream that a caller takes up.

--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -256,6 +256,7 @@
 		Trial:   p.askTrial,
 		Sound:   p.parts.Sound,
 		Origins: p.origins,
+		Verify:  p.softwareOf,
 		Observe: p.observeServer,
 	}
 	if node.Bill {
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -127,6 +128,19 @@
 	return nil
 }
 
+// softwareOf reads from the store which software version a backend server has.
+func (p *Front) softwareOf(ctx context.Context, server string) (string, error) {
+	entry, err := p.store.Get(ctx, platform.ServerPrefix+server)
+	if err != nil {
+		return "", err
+	}
+	read, ok := p.readServer(entry)
+	if !ok {
+		return "", errors.WithStack(chicoryrock.ErrInvalid)
+	}
+	return read.Version, nil
+}
+
 func (p *Front) readServer(entry chicoryrock.KeyValue) (chicoryrock.Server, bool) {
 	server, err := platform.ReadServer(entry)
 	if err != nil {
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -81,6 +81,7 @@
 	settled  bool            // it has run for suspect.Probation
 	software origin.Software // of the attempt's backend server
 	origin   origin.Software // that began the stream; zero before its first event
+	began    bool            // the stream that is taken up began at this process
 	trial    bool            // it is the trial of a ban
 	attempts int             // that were begun, for their names
 	// answeredBy is where answers to the request have come from. One of them may be written
@@ -154,8 +155,16 @@
 			continue
 		}
 		sent := time.Now()
-		if !f.Gate.Takes(sent, c.request, replica.Name) {
-			// It has said so since, to another request.
+		matches, refused := c.verify(&replica)
+		if refused != nil {
+			f.done(sent, c.request, 0, false)
+			c.granted = ""
+			f.Gate.Finish(sent, c.request, replica.Name)
+			err = refused
+			break
+		}
+		if !matches || !f.Gate.Takes(sent, c.request, replica.Name) {
+			// It has said so since, to another request, or is of another version.
 			f.done(sent, c.request, 0, false)
 			c.granted = ""
 			replica, err = f.Gate.Reacquire(c.ctx, sent, c.request, replica.Name)
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -21,6 +22,7 @@
 		return nil
 	}
 	f := c.front
+	c.began = f.Origins.Began(c.begin, c.request.Workspace, c.ask.Resumes)
 	software, err := f.Origins.Find(c.ctx, c.request.Workspace, c.ask.Resumes, c.request.Pool)
 	if err != nil {
 		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
@@ -35,6 +37,26 @@
 	return nil
 }
 
+// verify reports whether a backend server has the version that began the stream which its
+// caller takes up. What this process knows of the server may be from before its last start.
+// Error: *gate.RefusedError where that can't be found out.
+func (c *call) verify(replica *chicoryrock.Replica) (bool, error) {
+	if !c.takesUp() || c.front.Verify == nil {
+		return true, nil
+	}
+	version, err := c.front.Verify(c.ctx, replica.Name)
+	switch {
+	case err == nil && version == c.request.Version, err != nil && c.began && !errors.Is(err, chicoryrock.ErrNotFound):
+		return true, nil
+	case err == nil || errors.Is(err, chicoryrock.ErrNotFound):
+		if c.turned++; c.turned < maxTurns {
+			return false, nil
+		}
+	}
+	c.front.Log.Write(event.OriginUnread, zap.String("ref", c.ask.ID), zap.String("key", replica.Name), event.Cause(err))
+	return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
+}
+
 // streamBegan records which software wrote the first event that the caller gets. From here
 // on the stream goes on only there.
 func (c *call) streamBegan(now time.Time) {
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -152,6 +152,14 @@
 	o.signal()
 }
 
+// Began reports whether this process knows by itself which software began a stream.
+func (o *Origins) Began(now time.Time, workspace, id string) bool {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	_, known := o.book.Find(now, origin.KeyOf(workspace, id))
+	return known
+}
+
 // Find returns the software that began a stream of a service. Error: ErrUnknown.
 func (o *Origins) Find(ctx context.Context, workspace, id, service string) (origin.Software, error) {
 	lookup := origin.Lookup{Book: &o.book, Key: origin.KeyOf(workspace, id), Service: service}
