Grow the configuration in the soak

The soak wrote one small configuration and never another one, so that a front which had lost its way to newer ones passed.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,7 @@
 	w.limitSome()
 	results := w.play(time.Duration(seconds) * time.Second)
 	w.untilServing("end")
+	w.reconfigure(seed)
 	w.evacuate(seed)
 	w.check(seed, results)
 }
@@ -157,6 +158,8 @@
 		w.renew()
 	case 12:
 		w.stateAnother(last)
+	case 13:
+		w.grow()
 	case 11:
 		for _, p := range w.fronts {
 			p.kill()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -52,6 +52,7 @@
 	crashed crashed
 	taken   taken
 	engines []*software
+	version int // of the configuration written last
 	// evacuable counts the requests to the backend server of that name.
 	evacuable atomic.Int64
 
@@ -135,7 +136,10 @@
 	require.NoError(w.t, err)
 }
 
-func (w *world) configure() { w.put(platform.ConfigKey, sample.Config(1, key)) }
+func (w *world) configure() {
+	w.version = 1
+	w.put(platform.ConfigKey, sample.Config(w.version, key))
+}
 
 // backend starts a backend server behind a proxy and enters it in the store.
 func (w *world) backend(id, service string) {
