--- a/internal/serve/assembly/large_configuration_test.go
+++ b/internal/serve/assembly/large_configuration_test.go
@@ -183,3 +183,30 @@
 	told = 2
 	require.Eventually(t, func() bool { hear(); return d.version() == 2 }, waitTime, 50*time.Millisecond)
 }
+
+// Guards against a limit of time that the list of many backend servers never meets on a slow link to a peer.
+func TestLargeServerListArrivesFromAPeer(t *testing.T) {
+	const count = 710
+	asks, tells := deploy(t, talking), deploy(t, talking)
+	asks.configure(1, "k1")
+	asks.settle(1, 0)
+	asks.server.Switch(store.Switches{Outage: true})
+	random := rand.New(rand.NewPCG(3, 4))
+	for i := range count {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(random.Uint32()), byte(random.Uint32()), byte(random.Uint32())}), uint16(1+random.IntN(60000)))
+		tells.put(platform.ServerPrefix+fmt.Sprintf("i-%010x-%d", random.Uint64()>>24, i), sample.Entry("llm", address, "ready"))
+	}
+	listed := func(d *deployment) int {
+		d.front.mutex.Lock()
+		defer d.front.mutex.Unlock()
+		return len(d.front.servers.Servers())
+	}
+	require.Eventually(t, func() bool { return listed(tells) == count }, waitTime, 10*time.Millisecond)
+	through := slowLink(t, tells.front.peers.address, peerLink)
+	report := fleet.Report{Process: processName("front-b-1", time.Now()), ServersVersion: 1 << 30, OmitsLoads: true}
+	require.Eventually(t, func() bool {
+		now := time.Now()
+		asks.front.peers.heard(now, now, through, &report)
+		return listed(asks) == count
+	}, waitTime, 50*time.Millisecond)
+}
