--- a/internal/state/transfer/lag.go
+++ b/internal/state/transfer/lag.go
@@ -1,6 +1,3 @@
-// Package transfer decides how a process gets a configuration from its peers: part by part,
-// so that no call is long and nothing that has arrived is asked for again. It does no I/O and
-// takes the present time as an argument.
 package transfer
 
 import "time"
