Verify a server within the checks of a granted call

The check of a server's version had a way out of its own from the loop of a call, and a stream that is taken up could be hedged at a server that was not verified (with -hedge only). Change: it is part of the checks before an attempt; streams that are taken up are not hedged.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -142,7 +142,11 @@
 	for err == nil {
 		c.granted = replica.Name
 		c.placed(&replica)
-		if err = c.current(); err != nil {
+		matches := true
+		if err = c.current(); err == nil {
+			matches, err = c.verify(&replica)
+		}
+		if err != nil {
 			now := time.Now()
 			f.done(now, c.request, 0, false)
 			c.granted = ""
@@ -155,14 +159,6 @@
 			continue
 		}
 		sent := time.Now()
-		matches, refused := c.verify(&replica)
-		if refused != nil {
-			f.done(sent, c.request, 0, false)
-			c.granted = ""
-			f.Gate.Finish(sent, c.request, replica.Name)
-			err = refused
-			break
-		}
 		if !matches || !f.Gate.Takes(sent, c.request, replica.Name) {
 			// It has said so since, to another request, or is of another version.
 			f.done(sent, c.request, 0, false)
--- a/internal/serve/front/hedge.go
+++ b/internal/serve/front/hedge.go
@@ -71,7 +71,7 @@
 func (c *call) mayHedge() bool {
 	r := c.request
 	return c.front.Hedge > 0 && c.route.Retryable() && r.Idempotent && (r.Resumable || r.MaxTokenGap <= 0) && r.Only == "" &&
-		!c.started && !c.trial && c.sent+2 <= c.route.MaxAttempts
+		!c.started && !c.takesUp() && !c.trial && c.sent+2 <= c.route.MaxAttempts
 }
 
 // race sends the request to a backend server, and to a second one if the first doesn't
