Report no negative time behind a configuration

A version that was taken in from the store while peers stated it was logged with a waited of some -50 ms: the time of the take-in is read before the text is. Found in a soak's log; the time is zero now.

--- a/internal/state/transfer/lag.go
+++ b/internal/state/transfer/lag.go
@@ -52,7 +52,7 @@
 	if l.newest == 0 {
 		return 0
 	}
-	return now.Sub(l.since)
+	return max(now.Sub(l.since), 0)
 }
 
 // Calls returns how many calls were made to peers since then, and how many of them failed.
--- a/internal/state/transfer/lag_test.go
+++ b/internal/state/transfer/lag_test.go
@@ -17,6 +17,7 @@
 	lag.Hear(at(0), 4, 4)
 	require.Zero(t, lag.Waited(at(500)))
 	lag.Hear(at(500), 4, 6)
+	require.Zero(t, lag.Waited(at(400)), "it was in force as this was heard")
 	lag.Asked(at(600), chicoryrock.ErrUnavailable)
 	lag.Hear(at(700), 4, 7)
 	require.Equal(t, []any{uint64(7), 500 * time.Millisecond}, []any{lag.Newest(), lag.Waited(at(1000))})
