--- a/internal/serve/assembly/large_configuration_test.go
+++ b/internal/serve/assembly/large_configuration_test.go
@@ -25,12 +25,11 @@
 // large returns a sample configuration with so many routes more.
 func large(version, routes int) string {
 	random := rand.New(rand.NewPCG(1, 2))
-	var more strings.Builder
-	for i := range routes {
-		_, _ = fmt.Fprintf(&more, `{"name":"r-%x","host":"h%x.example","pathPrefix":"/%x/%d/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":300,"priority":2,"service":"app","maxAttempts":2,"public":true},`,
-			random.Uint64(), random.Uint32(), random.Uint64(), i)
+	more := make([]string, routes)
+	for i := range more {
+		more[i] = sample.PublicRoute(fmt.Sprintf("r-%x", random.Uint64()), fmt.Sprintf("h%x.example", random.Uint32()), fmt.Sprintf("/%x/%d/", random.Uint64(), i))
 	}
-	return strings.Replace(sample.Config(version, "k1"), `"routes":[`, `"routes":[`+more.String(), 1)
+	return sample.WithRoutes(sample.Config(version, "k1"), more...)
 }
 
 // link passes connections on to an address. All bytes from there together come at a rate.
--- a/internal/state/routing/parts_test.go
+++ b/internal/state/routing/parts_test.go
@@ -27,7 +27,7 @@
 func elements(count int) []string {
 	list := make([]string, count)
 	for i := range list {
-		list[i] = fmt.Sprintf(`{"name":"r-%d","pathPrefix":"/%s/","of":[1,{"a":"]},"}]}`, i, strings.Repeat("x", i%150))
+		list[i] = fmt.Sprintf(`{"name":"r-%d","path":"/%s/","of":[1,{"a":"]},"}]}`, i, strings.Repeat("x", i%150))
 	}
 	return list
 }
--- a/soak/configuration_test.go
+++ b/soak/configuration_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -24,12 +23,11 @@
 
 // configuration returns a version of the configuration, with a route that only this one has.
 func configuration(version, routes int) string {
-	var more strings.Builder
+	more := []string{sample.PublicRoute("newest", sample.Host, fmt.Sprintf("/newest-%d/", version))}
 	for i := range routes {
-		_, _ = fmt.Fprintf(&more, `{"name":"r-%d","host":"h%d.example","pathPrefix":"/%x/","kind":"idempotent","service":"app","maxAttempts":2,"public":true},`, i, i%7, i*7919)
+		more = append(more, sample.PublicRoute(fmt.Sprintf("r-%d", i), fmt.Sprintf("h%d.example", i%7), fmt.Sprintf("/%x/", i*7919)))
 	}
-	_, _ = fmt.Fprintf(&more, `{"name":"newest","host":%q,"pathPrefix":"/newest-%d/","kind":"idempotent","service":"app","maxAttempts":2},`, sample.Host, version)
-	return strings.Replace(sample.Config(version, key), `"routes":[`, `"routes":[`+more.String(), 1)
+	return sample.WithRoutes(sample.Config(version, key), more...)
 }
 
 // grow writes another large configuration, if the store takes it.
