Wait until final answers are sent before the end of the grace

Cause: the front closed all connections as soon as no handler was open, but the server sends an answer's last bytes after its handler has returned. Change: it waits for the connections by another Shutdown, within the same time. Measured: the test and TestRequestsLateInTheGraceAreNotCutOff six times with the race detector: passed.

--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -64,8 +64,6 @@
 	exitMargin = 600 * time.Millisecond
 	// finalTime is how long open requests may take to get their final answer before that.
 	finalTime = 100 * time.Millisecond
-	// finalInterval is how often it is looked whether they have.
-	finalInterval = 5 * time.Millisecond
 )
 
 // Front is one process that callers connect to. Set the exported fields, then
@@ -354,9 +352,10 @@
 		f.Log.Write(event.Failed, zap.String("why", "requests were still open at the end of the grace"),
 			zap.Int64("open", f.open.Load()), zap.Error(err))
 		f.suspects.endCalls(errShutdown)
-		for last := time.Now().Add(min(finalTime, grace/16)); f.open.Load() > 0 && time.Now().Before(last); {
-			time.Sleep(finalInterval)
-		}
+		// It waits until the answers have been sent, not only until their handlers have ended.
+		final, cancel := context.WithTimeout(context.Background(), min(finalTime, grace/16))
+		defer cancel()
+		_ = server.Shutdown(final)
 	}
 }
 
