Test that server lists and crash evidence of any size arrive from a peer

A call to a peer has 400 ms, whatever its answer's size. TestLargeServerList failed once under load with 710 servers; with 2,000 it fails each time, alone on a calm machine (not there after 30 s over 0.8 Mbit/s). The new test of evidence on crashes, near the most that a process tells (45 failures of 64 parts, 2,560 successes), fails each time too.

--- a/internal/serve/assembly/large_configuration_test.go
+++ b/internal/serve/assembly/large_configuration_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/internal/standin/store"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
@@ -185,7 +186,7 @@
 
 // Guards against a limit of time that the list of many backend servers never meets on a slow link to a peer.
 func TestLargeServerListArrivesFromAPeer(t *testing.T) {
-	const count = 710
+	const count = 2000
 	asks, tells := deploy(t, talking), deploy(t, talking)
 	asks.configure(1, "k1")
 	asks.settle(1, 0)
@@ -209,3 +210,36 @@
 		return listed(asks) == count
 	}, waitTime, 50*time.Millisecond)
 }
+
+// Guards against a limit of time that much evidence on crashes never meets on a slow link to a peer.
+func TestMuchCrashEvidenceArrivesFromAPeer(t *testing.T) {
+	const crashes, parts = 40, 64
+	asks, tells := deploy(t, talking), deploy(t, talking)
+	asks.configure(1, "k1")
+	asks.settle(1, 0)
+	evidence := bannedFor(time.Second)
+	asks.front.front.Told(time.Now(), evidence)
+	random := rand.New(rand.NewPCG(5, 6))
+	for i := range crashes {
+		failure := suspect.Failure{ID: fmt.Sprint("more-", i), Server: fmt.Sprint("gone-", i), Workspace: fmt.Sprint("w", i), Crash: true, Age: suspect.Age(time.Second)}
+		for range parts {
+			part := suspect.PartFingerprint("llm", random.Uint64())
+			failure.Parts = append(failure.Parts, part)
+			evidence.Successes = append(evidence.Successes, suspect.Success{Subject: part, Age: suspect.Age(random.IntN(1e9))})
+		}
+		evidence.Failures = append(evidence.Failures, failure)
+	}
+	tells.front.front.Told(time.Now(), evidence)
+	known := func(d *deployment) int {
+		all, _ := d.front.front.Evidence(time.Now())
+		return len(all.Failures)
+	}
+	require.Equal(t, len(evidence.Failures), known(tells))
+	through := slowLink(t, tells.front.peers.address, peerLink)
+	report := fleet.Report{Process: processName("front-b-1", time.Now()), OmitsLoads: true}
+	require.Eventually(t, func() bool {
+		now := time.Now()
+		asks.front.peers.heard(now, now, through, &report)
+		return known(asks) == known(tells)
+	}, waitTime, 50*time.Millisecond)
+}
