Take lists of servers from peers in pieces

Seen: a front that has no list, and can reach its peers only over a slow link or late, never gets one: no request finds a server there.

A call to a peer has 400 ms for the whole answer, whatever its size, and begins anew after each failure, on a connection that the failure closes under all other calls.

Change: Client.CallInPieces takes an answer in pieces of 16 KB, each with the 400 ms of a call. The peer makes the answer once and keeps it for 5 s beyond the last piece that is asked for; what has come outlives connections and cut calls, and the next call with the same parameters goes on from it. A peer keeps 64 at most and turns others away, rather than dropping what has begun. Answers that fit into one piece come as they did. Former builds are asked as before, and ask as before.

--- a/internal/serve/assembly/exchange.go
+++ b/internal/serve/assembly/exchange.go
@@ -248,7 +248,7 @@
 	known := p.servers.Version()
 	p.mutex.Unlock()
 	var news servers.Delta
-	if err := p.peers.call(ctx, from, callServers, known, &news); err != nil {
+	if _, err := p.peers.callInPieces(ctx, from, callServers, known, &news); err != nil {
 		return err
 	}
 	p.mutex.Lock()
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -292,6 +292,16 @@
 	return client.Call(ctx, method, params, result)
 }
 
+// callInPieces is call for a method whose answer grows with the deployment. It also returns
+// from when the answer is.
+func (p *peers) callInPieces(ctx context.Context, process, method string, params, result any) (time.Time, error) {
+	client := p.client(process)
+	if client == nil {
+		return time.Time{}, errors.Wrapf(chicoryrock.ErrUnavailable, "no address of %s", process)
+	}
+	return client.CallInPieces(ctx, peerTimeout, method, params, result)
+}
+
 func (p *peers) client(process string) *peer.Client {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -119,7 +119,7 @@
 	since := p.servers.RepairSince()
 	p.mutex.Unlock()
 	var news servers.Delta
-	if err := p.peers.call(ctx, from, callServers, since, &news); err != nil {
+	if _, err := p.peers.callInPieces(ctx, from, callServers, since, &news); err != nil {
 		return err
 	}
 	p.mutex.Lock()
--- a/internal/serve/peer/client.go
+++ b/internal/serve/peer/client.go
@@ -23,8 +23,9 @@
 	Address netip.AddrPort
 	TLS     *tls.Config // nil for plain connections
 
-	mu   sync.Mutex
-	conn *jsonrpc2.Conn
+	mu       sync.Mutex
+	conn     *jsonrpc2.Conn
+	partials map[string]*partial // by method
 }
 
 // Call runs a method on the peer within the context's deadline. Errors:
--- /dev/null
+++ b/internal/serve/peer/pieces.go
@@ -0,0 +1,235 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const (
+	// pieceMethod returns a piece of another method's answer.
+	pieceMethod = "piece"
+	// pieceBytes is the size of a piece: at 400 ms for each, an answer of any size arrives over
+	// 40 KB/s.
+	pieceBytes = 16 << 10
+	// maxAnswers bounds the answers that are kept for those who take them in pieces. While
+	// there are so many, others are turned away, so that those that have begun come to an end.
+	maxAnswers = 64
+	// answerTime is how long an answer is kept of which no piece is asked for.
+	answerTime = 5 * time.Second
+)
+
+// pieceParams asks for a piece of an answer.
+type pieceParams struct {
+	Answer uint64          `json:"answer"` // chosen by the caller
+	Method string          `json:"method"`
+	Params json.RawMessage `json:"params"`
+	From   int             `json:"from,omitempty"`
+}
+
+// pieceResult is a piece of a compressed answer, or a short answer as it is.
+type pieceResult struct {
+	Whole json.RawMessage `json:"whole,omitempty"`
+	Size  int             `json:"size,omitempty"` // of the compressed answer
+	Data  []byte          `json:"data,omitempty"`
+}
+
+// partial is an answer of which pieces have come.
+type partial struct {
+	params pieceParams
+	packed []byte
+	begun  time.Time // when the first piece came
+}
+
+// CallInPieces is Call for answers of any size. The limit is that of each piece, and the pieces
+// that have come are kept for the next call with the same parameters. The method's handler may
+// run more than once. The answer is as of the time that is returned, when its first piece came.
+func (c *Client) CallInPieces(ctx context.Context, limit time.Duration, method string, params, result any) (time.Time, error) {
+	encoded, err := json.Marshal(params)
+	if err != nil {
+		return time.Time{}, errors.WithStack(err)
+	}
+	p := c.takePartial(method, encoded)
+	data, err := c.takePieces(ctx, limit, p)
+	var answered *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return p.begun, errors.WithStack(json.Unmarshal(data, result))
+	case errors.As(err, &answered) && answered.Code == jsonrpc2.CodeMethodNotFound: // a former build
+		err = c.callWithin(ctx, limit, method, params, result)
+		return time.Now(), err
+	case errors.Is(err, chicoryrock.ErrUnavailable), errors.Is(err, chicoryrock.ErrUnknownOutcome):
+		c.keepPartial(p)
+	}
+	return time.Time{}, err
+}
+
+// takePieces returns an answer once all of it has come.
+func (c *Client) takePieces(ctx context.Context, limit time.Duration, p *partial) ([]byte, error) {
+	for {
+		p.params.From = len(p.packed)
+		var piece pieceResult
+		if err := c.callWithin(ctx, limit, pieceMethod, &p.params, &piece); err != nil {
+			return nil, err
+		}
+		if p.params.From == 0 {
+			p.begun = time.Now()
+		}
+		if piece.Whole != nil {
+			return piece.Whole, nil
+		}
+		whole, err := p.add(&piece)
+		if err != nil {
+			return nil, err
+		}
+		if whole {
+			return Unpack(p.packed)
+		}
+	}
+}
+
+// add adds a piece, and reports whether it was the last one. Error: chicoryrock.ErrInvalid.
+func (p *partial) add(piece *pieceResult) (whole bool, err error) {
+	if piece.Size > maxMessage || len(piece.Data) == 0 || len(p.packed)+len(piece.Data) > piece.Size {
+		return false, errors.Wrapf(chicoryrock.ErrInvalid, "%d bytes from %d of %d of an answer", len(piece.Data), len(p.packed), piece.Size)
+	}
+	p.packed = append(p.packed, piece.Data...)
+	return len(p.packed) == piece.Size, nil
+}
+
+func (c *Client) callWithin(ctx context.Context, limit time.Duration, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.Call(ctx, method, params, result)
+}
+
+// takePartial returns what has come of a call's answer.
+func (c *Client) takePartial(method string, params json.RawMessage) *partial {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.partials[method]
+	delete(c.partials, method)
+	if p != nil && bytes.Equal(p.params.Params, params) {
+		return p
+	}
+	return &partial{params: pieceParams{Answer: rand.Uint64(), Method: method, Params: params}}
+}
+
+func (c *Client) keepPartial(p *partial) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.partials == nil {
+		c.partials = make(map[string]*partial)
+	}
+	c.partials[p.params.Method] = p
+}
+
+// answers are those that callers take in pieces.
+type answers struct {
+	mutex sync.Mutex
+	kept  map[uint64]*answer
+}
+
+// answer is one that is being made, or has been made and is too long for one piece.
+type answer struct {
+	used   time.Time
+	made   chan struct{} // closed when it has been
+	whole  json.RawMessage
+	packed []byte
+	err    error
+}
+
+// get returns the answer that a caller asks a piece of, and whether it is to be made. Errors:
+// chicoryrock.ErrNotFound for one that isn't kept any more, chicoryrock.ErrUnavailable when too
+// many are.
+func (a *answers) get(now time.Time, asked *pieceParams) (found *answer, isNew bool, err error) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	if known := a.kept[asked.Answer]; known != nil {
+		known.used = now
+		return known, false, nil
+	}
+	if asked.From > 0 {
+		return nil, false, errors.Wrapf(chicoryrock.ErrNotFound, "answer of %s", asked.Method)
+	}
+	for id, one := range a.kept {
+		if now.Sub(one.used) > answerTime {
+			delete(a.kept, id)
+		}
+	}
+	if len(a.kept) >= maxAnswers {
+		return nil, false, errors.Wrapf(chicoryrock.ErrUnavailable, "%d answers are being taken", len(a.kept))
+	}
+	if a.kept == nil {
+		a.kept = make(map[uint64]*answer)
+	}
+	made := &answer{used: now, made: make(chan struct{})}
+	a.kept[asked.Answer] = made
+	return made, true, nil
+}
+
+func (a *answers) drop(id uint64) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	delete(a.kept, id)
+}
+
+// answerPiece answers CallInPieces.
+func (s *Server) answerPiece(ctx context.Context, data json.RawMessage) (any, error) {
+	var asked pieceParams
+	if err := json.Unmarshal(data, &asked); err != nil {
+		return nil, errors.Wrap(chicoryrock.ErrInvalid, err.Error())
+	}
+	handler, found := s.Handlers[asked.Method]
+	if !found {
+		return nil, errors.Wrapf(chicoryrock.ErrInvalid, "no method %q", asked.Method)
+	}
+	answer, isNew, err := s.answers.get(time.Now(), &asked)
+	if err != nil {
+		return nil, err
+	}
+	if isNew {
+		answer.make(ctx, handler, asked.Params)
+		if answer.packed == nil {
+			s.answers.drop(asked.Answer)
+		}
+	}
+	select {
+	case <-answer.made:
+	case <-ctx.Done():
+		return nil, errors.WithStack(ctx.Err())
+	}
+	switch {
+	case answer.err != nil:
+		return nil, answer.err
+	case answer.packed == nil:
+		return pieceResult{Whole: answer.whole}, nil
+	case asked.From < 0 || asked.From >= len(answer.packed):
+		return nil, errors.Wrapf(chicoryrock.ErrInvalid, "byte %d of %d", asked.From, len(answer.packed))
+	}
+	to := min(asked.From+pieceBytes, len(answer.packed))
+	return pieceResult{Size: len(answer.packed), Data: answer.packed[asked.From:to]}, nil
+}
+
+// make has a handler make the answer. One that is too long for a piece is compressed.
+func (a *answer) make(ctx context.Context, handler Handler, params json.RawMessage) {
+	defer close(a.made)
+	a.err = errors.New("the handler panicked")
+	result, err := handler(ctx, params)
+	if err == nil {
+		a.whole, err = json.Marshal(result)
+	}
+	if err == nil && len(a.whole) > pieceBytes {
+		a.packed, err = Pack(a.whole)
+		a.whole = nil
+	}
+	a.err = err
+}
--- a/internal/serve/peer/server.go
+++ b/internal/serve/peer/server.go
@@ -48,6 +48,7 @@
 	listener net.Listener
 	mu       sync.Mutex
 	conns    map[*jsonrpc2.Conn]struct{}
+	answers  answers
 }
 
 // Open binds the listener, so that the address is known before Run.
@@ -130,6 +131,9 @@
 
 func (h *boundedHandler) answer(ctx context.Context, conn *jsonrpc2.Conn, request *jsonrpc2.Request) {
 	handler, found := h.server.Handlers[request.Method]
+	if request.Method == pieceMethod {
+		handler, found = h.server.answerPiece, true
+	}
 	if !found {
 		h.sent(conn.ReplyWithError(ctx, request.ID, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: request.Method}))
 		return
