Compare and tell evidence on crashes in messages of a bounded size

Seen: a front that is to learn from a peer which parts of prompts crash engines never does over a slow link, and sends them on.

Cause: the same: 400 ms for all that a peer knows, up to 48 failures besides those that bans rest on, with 64 parts each, and a success of each part.

Change: a comparison takes the answer in pieces, as of the time when its first came, as ages count from there. What is told goes in batches of 512 fingerprints, with its failures last: no batch makes a part suspect that the next one clears.

--- a/internal/policy/suspect/tracker.go
+++ b/internal/policy/suspect/tracker.go
@@ -119,6 +119,35 @@
 	return len(e.Failures) == 0 && len(e.Successes) == 0 && len(e.Trials) == 0
 }
 
+// batchSize bounds the fingerprints of a batch: a message of some 20 KB.
+const batchSize = 512
+
+// Batches cuts the evidence into messages of a bounded size. Failures come last, so that none
+// makes a subject suspect that a later message clears.
+func (e *Evidence) Batches() []Evidence {
+	var batches []Evidence
+	size := batchSize
+	next := func(fingerprints int) *Evidence {
+		if size += fingerprints; size > batchSize {
+			batches, size = append(batches, Evidence{}), fingerprints
+		}
+		return &batches[len(batches)-1]
+	}
+	for _, success := range e.Successes {
+		batch := next(1)
+		batch.Successes = append(batch.Successes, success)
+	}
+	for _, trial := range e.Trials {
+		batch := next(1 + len(trial.Subjects))
+		batch.Trials = append(batch.Trials, trial)
+	}
+	for i := range e.Failures {
+		batch := next(1 + len(e.Failures[i].Parts))
+		batch.Failures = append(batch.Failures, e.Failures[i])
+	}
+	return batches
+}
+
 // Tracker infers from the failures and successes of all processes which requests, and
 // which parts of prompts, crash the servers that run them, and refuses these. It is for
 // processes that see broken connections; Registry is for those that get the reports of an
--- a/internal/policy/suspect/tracker_test.go
+++ b/internal/policy/suspect/tracker_test.go
@@ -369,3 +369,33 @@
 	one.RecordSuccess(after(6), &Candidate{Request: crashing})
 	require.Equal(t, crashing, one.News(after(6)).Successes[0].Subject)
 }
+
+func TestBatchesHoldAllEvidenceAndFailuresLast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var evidence Evidence
+		for i := range rapid.IntRange(0, 60).Draw(t, "failures") {
+			parts := make([]Fingerprint, rapid.IntRange(0, maxParts).Draw(t, "parts"))
+			evidence.Failures = append(evidence.Failures, Failure{ID: fmt.Sprint(i), Parts: parts})
+		}
+		evidence.Successes = make([]Success, rapid.IntRange(0, 3*batchSize).Draw(t, "successes"))
+		for i := range rapid.IntRange(0, maxTrialRecords).Draw(t, "trials") {
+			evidence.Trials = append(evidence.Trials, Trial{ID: fmt.Sprint(i), Subjects: make([]Fingerprint, 4)})
+		}
+		var all Evidence
+		for _, batch := range evidence.Batches() {
+			size := len(batch.Successes) + 5*len(batch.Trials)
+			for i := range batch.Failures {
+				size += 1 + len(batch.Failures[i].Parts)
+			}
+			require.LessOrEqual(t, size, batchSize)
+			require.False(t, batch.Empty())
+			require.False(t, len(batch.Successes) > 0 && len(all.Failures) > 0)
+			all.Failures = append(all.Failures, batch.Failures...)
+			all.Successes = append(all.Successes, batch.Successes...)
+			all.Trials = append(all.Trials, batch.Trials...)
+		}
+		require.Len(t, all.Successes, len(evidence.Successes))
+		require.Equal(t, evidence.Failures, all.Failures)
+		require.Equal(t, evidence.Trials, all.Trials)
+	})
+}
--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -115,18 +115,11 @@
 			continue
 		}
 		// Encoded once for all.
-		params, err := json.Marshal(crashParams{Evidence: evidence})
+		batches, err := encodeCrashes(evidence)
 		if err != nil {
-			return errors.WithStack(err)
+			return err
 		}
-		p.eachPeer(time.Now(), func(process string) error {
-			var reply crashResult
-			if err := p.peers.call(ctx, process, callCrashes, json.RawMessage(params), &reply); err != nil {
-				return err
-			}
-			p.front.Told(time.Now(), reply.Evidence)
-			return nil
-		})
+		p.eachPeer(time.Now(), func(process string) error { return p.sendCrashes(ctx, process, batches) })
 	}
 	return nil
 }
@@ -155,17 +148,45 @@
 
 func (p *Front) compareWith(ctx context.Context, other string, digest uint64) error {
 	var known crashResult
-	err := p.peers.call(ctx, other, callCrashes, crashParams{Compare: true, Digest: digest}, &known)
+	asOf, err := p.peers.callInPieces(ctx, other, callCrashes, crashParams{Compare: true, Digest: digest}, &known)
 	if err != nil || known.Digest == digest {
 		return err
 	}
-	now := time.Now()
-	p.front.Told(now, known.Evidence)
+	p.front.Told(asOf, known.Evidence)
 	if digest == 0 {
 		return nil // nothing that the other one might lack
 	}
-	own, _ := p.front.Evidence(now)
-	return p.peers.call(ctx, other, callCrashes, crashParams{Evidence: own}, &known)
+	own, _ := p.front.Evidence(time.Now())
+	batches, err := encodeCrashes(own)
+	if err != nil {
+		return err
+	}
+	return p.sendCrashes(ctx, other, batches)
+}
+
+// encodeCrashes returns the calls that tell of evidence.
+func encodeCrashes(evidence suspect.Evidence) ([]json.RawMessage, error) {
+	var encoded []json.RawMessage
+	for _, batch := range evidence.Batches() {
+		params, err := json.Marshal(crashParams{Evidence: batch})
+		if err != nil {
+			return nil, errors.WithStack(err)
+		}
+		encoded = append(encoded, params)
+	}
+	return encoded, nil
+}
+
+// sendCrashes makes calls that tell of evidence, and takes in what is known to their contrary.
+func (p *Front) sendCrashes(ctx context.Context, process string, batches []json.RawMessage) error {
+	for _, params := range batches {
+		var reply crashResult
+		if err := p.peers.call(ctx, process, callCrashes, params, &reply); err != nil {
+			return err
+		}
+		p.front.Told(time.Now(), reply.Evidence)
+	}
+	return nil
 }
 
 // askTrial asks for a trial of a ban.
