--- a/internal/serve/assembly/evacuation.go
+++ b/internal/serve/assembly/evacuation.go
@@ -76,7 +76,7 @@
 	p.operator = watchState{answered: now}
 }
 
-func (p *Front) lostOperator(time.Time) {
+func (p *Front) failedOperator(time.Time) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.operator.failed = true
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -363,8 +363,8 @@
 			Changed: p.changeOperator,
 			Resume:  true,
 			Heard:   p.heardOperator,
-			Cut:     p.lostOperator,
-			Lost:    p.lostOperator,
+			Cut:     p.failedOperator,
+			Lost:    p.failedOperator,
 		},
 		{
 			Store: p.store, Prefix: platform.ServerPrefix, Log: p.Log, Settled: p.settled, Rest: p.rests, Patient: p.leaves,
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -46,12 +46,14 @@
 	}
 	version, err := c.front.Verify(c.ctx, replica.Name)
 	switch {
-	case err == nil && version == c.request.Version, err != nil && c.began && !errors.Is(err, chicoryrock.ErrNotFound):
+	case err == nil && version == c.request.Version:
 		return true, nil
-	case err == nil || errors.Is(err, chicoryrock.ErrNotFound):
+	case err == nil || errors.Is(err, chicoryrock.ErrNotFound): // it started again, or has gone
 		if c.turned++; c.turned < maxTurns {
 			return false, nil
 		}
+	case c.began: // the store can't be read, but this process served the stream
+		return true, nil
 	}
 	c.front.Log.Write(event.OriginUnread, zap.String("ref", c.ask.ID), zap.String("key", replica.Name), event.Cause(err))
 	return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
