Turn away only long answers when a peer keeps too many of them

In a large fleet a hundred fronts may ask one peer for a short change at the same moment. Those being made counted against the bound of 64, so that some were turned away. Only long answers count now, and only they are refused. TestKeptAnswersAreBounded covers it.

--- a/internal/serve/peer/pieces.go
+++ b/internal/serve/peer/pieces.go
@@ -20,8 +20,8 @@
 	// pieceBytes is the size of a piece: at 400 ms for each, an answer of any size arrives over
 	// 40 KB/s.
 	pieceBytes = 16 << 10
-	// maxAnswers bounds the answers that are kept for those who take them in pieces. While
-	// there are so many, others are turned away, so that those that have begun come to an end.
+	// maxAnswers bounds the long answers that are kept. While there are so many, others are
+	// turned away, so that those that have begun come to an end.
 	maxAnswers = 64
 	// answerTime is how long an answer is kept of which no piece is asked for.
 	answerTime = 5 * time.Second
@@ -135,51 +135,62 @@
 // answers are those that callers take in pieces.
 type answers struct {
 	mutex sync.Mutex
-	kept  map[uint64]*answer
+	byID  map[uint64]*answer
 }
 
 // answer is one that is being made, or has been made and is too long for one piece.
 type answer struct {
 	used   time.Time
 	made   chan struct{} // closed when it has been
+	kept   bool
 	whole  json.RawMessage
 	packed []byte
 	err    error
 }
 
-// get returns the answer that a caller asks a piece of, and whether it is to be made. Errors:
-// chicoryrock.ErrNotFound for one that isn't kept any more, chicoryrock.ErrUnavailable when too
-// many are.
+// get returns the answer that a caller asks a piece of, and whether it is to be made. Error:
+// chicoryrock.ErrNotFound for one that isn't kept any more.
 func (a *answers) get(now time.Time, asked *pieceParams) (found *answer, isNew bool, err error) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	if known := a.kept[asked.Answer]; known != nil {
+	if known := a.byID[asked.Answer]; known != nil {
 		known.used = now
 		return known, false, nil
 	}
 	if asked.From > 0 {
 		return nil, false, errors.Wrapf(chicoryrock.ErrNotFound, "answer of %s", asked.Method)
 	}
-	for id, one := range a.kept {
-		if now.Sub(one.used) > answerTime {
-			delete(a.kept, id)
-		}
-	}
-	if len(a.kept) >= maxAnswers {
-		return nil, false, errors.Wrapf(chicoryrock.ErrUnavailable, "%d answers are being taken", len(a.kept))
-	}
-	if a.kept == nil {
-		a.kept = make(map[uint64]*answer)
+	if a.byID == nil {
+		a.byID = make(map[uint64]*answer)
 	}
-	made := &answer{used: now, made: make(chan struct{})}
-	a.kept[asked.Answer] = made
-	return made, true, nil
+	begun := &answer{used: now, made: make(chan struct{})}
+	a.byID[asked.Answer] = begun
+	return begun, true, nil
 }
 
-func (a *answers) drop(id uint64) {
+// keep keeps an answer that has been made, if it is long. Error: chicoryrock.ErrUnavailable
+// while there are too many.
+func (a *answers) keep(now time.Time, id uint64, made *answer) error {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
-	delete(a.kept, id)
+	kept := 0
+	for other, one := range a.byID {
+		switch {
+		case one.kept && now.Sub(one.used) > answerTime:
+			delete(a.byID, other)
+		case one.kept:
+			kept++
+		}
+	}
+	made.kept = made.packed != nil && kept < maxAnswers
+	if made.kept {
+		return nil
+	}
+	delete(a.byID, id)
+	if made.packed != nil {
+		return errors.Wrapf(chicoryrock.ErrUnavailable, "%d long answers are being taken", kept)
+	}
+	return nil
 }
 
 // answerPiece answers CallInPieces.
@@ -197,10 +208,7 @@
 		return nil, err
 	}
 	if isNew {
-		answer.make(ctx, handler, asked.Params)
-		if answer.packed == nil {
-			s.answers.drop(asked.Answer)
-		}
+		s.prepare(ctx, &asked, answer, handler)
 	}
 	select {
 	case <-answer.made:
@@ -219,17 +227,22 @@
 	return pieceResult{Size: len(answer.packed), Data: answer.packed[asked.From:to]}, nil
 }
 
-// make has a handler make the answer. One that is too long for a piece is compressed.
-func (a *answer) make(ctx context.Context, handler Handler, params json.RawMessage) {
-	defer close(a.made)
-	a.err = errors.New("the handler panicked")
-	result, err := handler(ctx, params)
+// prepare has a handler make an answer. One that is too long for a piece is compressed and kept.
+func (s *Server) prepare(ctx context.Context, asked *pieceParams, made *answer, handler Handler) {
+	defer close(made.made)
+	made.err = errors.Errorf("%s panicked", asked.Method)
+	defer func() {
+		if err := s.answers.keep(time.Now(), asked.Answer, made); err != nil {
+			made.err = err
+		}
+	}()
+	result, err := handler(ctx, asked.Params)
 	if err == nil {
-		a.whole, err = json.Marshal(result)
+		made.whole, err = json.Marshal(result)
 	}
-	if err == nil && len(a.whole) > pieceBytes {
-		a.packed, err = Pack(a.whole)
-		a.whole = nil
+	if err == nil && len(made.whole) > pieceBytes {
+		made.packed, err = Pack(made.whole)
+		made.whole = nil
 	}
-	a.err = err
+	made.err = err
 }
