End a soak's restores before its promises on newest state are checked

Cause, by a trial: a copy that the store comes back from up to 2.2 s after the last disturbance, and so after the check has written its configuration, takes that write back; no front can have it in force if none has read it before.

Change: the end of the disturbances waits for such copies, as it ends all other faults. The check and its bound are unchanged. Logs of a soak that fails are kept from now on.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -152,7 +152,11 @@
 	case 8:
 		if limits() {
 			w.store.Copy()
-			time.AfterFunc(last, w.store.Restore)
+			w.restores.Add(1)
+			time.AfterFunc(last, func() {
+				defer w.restores.Done()
+				w.store.Restore()
+			})
 		}
 	case 9, 10:
 		w.renew()
@@ -174,7 +178,10 @@
 	}
 }
 
+// calm ends all faults. A copy that the store still has to come back from would undo what is
+// written later.
 func (w *world) calm() {
+	w.restores.Wait()
 	for _, one := range w.proxies {
 		one.feel(calm)
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -53,6 +53,8 @@
 	taken   taken
 	engines []*software
 	version int // of the configuration written last
+	// restores are the copies that the store has yet to come back from.
+	restores sync.WaitGroup
 	// evacuable counts the requests to the backend server of that name.
 	evacuable atomic.Int64
 
@@ -223,7 +225,7 @@
 func (w *world) front(i int, binary string, api netip.AddrPort) {
 	// Soaks that run side by side must not meet: all fronts have the same ports.
 	address := fmt.Sprintf("127.%d.%d.%d", 16+os.Getpid()%200, os.Getpid()/200%250, 10+i)
-	p := &process{name: fmt.Sprintf("front-%d", i), callers: host.Own(), file: filepath.Join(w.t.TempDir(), "node.yaml"), log: filepath.Join(w.t.TempDir(), "log")}
+	p := &process{name: fmt.Sprintf("front-%d", i), callers: host.Own(), file: filepath.Join(w.t.TempDir(), "node.yaml"), log: filepath.Join(logFolder(w.t), "log")}
 	settings := fmt.Sprintf(`
 node: %q
 ip: %q
@@ -243,6 +245,20 @@
 	w.t.Cleanup(p.kill)
 }
 
+// logFolder returns a folder that stays if the test fails.
+func logFolder(t *testing.T) string {
+	folder, err := os.MkdirTemp("", "soak-")
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("logs are kept in %s", folder)
+			return
+		}
+		_ = os.RemoveAll(folder)
+	})
+	return folder
+}
+
 func (p *process) start(t *testing.T) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
