Count ages in answers that come in pieces from when they were made

A call that is cut before its first piece comes may find the answer of the cut call, up to 5 s old, so that crashes and successes in it would count from a later time than they were. Read in the code, not seen. Each piece states the age of the answer. TestSlowAnswerIsMadeOnce holds it.

--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -148,11 +148,11 @@
 
 func (p *Front) compareWith(ctx context.Context, other string, digest uint64) error {
 	var known crashResult
-	asOf, err := p.peers.callInPieces(ctx, other, callCrashes, crashParams{Compare: true, Digest: digest}, &known)
+	made, err := p.peers.callInPieces(ctx, other, callCrashes, crashParams{Compare: true, Digest: digest}, &known)
 	if err != nil || known.Digest == digest {
 		return err
 	}
-	p.front.Told(asOf, known.Evidence)
+	p.front.Told(made, known.Evidence)
 	if digest == 0 {
 		return nil // nothing that the other one might lack
 	}
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -292,8 +292,8 @@
 	return client.Call(ctx, method, params, result)
 }
 
-// callInPieces is call for a method whose answer grows with the deployment. It also returns
-// from when the answer is.
+// callInPieces is call for a method whose answer grows with the deployment. It returns when the
+// answer was made.
 func (p *peers) callInPieces(ctx context.Context, process, method string, params, result any) (time.Time, error) {
 	client := p.client(process)
 	if client == nil {
--- a/internal/serve/peer/pieces.go
+++ b/internal/serve/peer/pieces.go
@@ -40,29 +40,29 @@
 	Whole json.RawMessage `json:"whole,omitempty"`
 	Size  int             `json:"size,omitempty"` // of the compressed answer
 	Data  []byte          `json:"data,omitempty"`
+	AgeMs int64           `json:"ageMs,omitempty"` // how long ago the answer was made
 }
 
 // partial is an answer of which pieces have come.
 type partial struct {
 	params pieceParams
 	packed []byte
-	begun  time.Time // when the first piece came
 }
 
 // CallInPieces is Call for answers of any size. The limit is that of each piece, and the pieces
 // that have come are kept for the next call with the same parameters. The method's handler may
-// run more than once. The answer is as of the time that is returned, when its first piece came.
+// run more than once. It returns when the answer was made.
 func (c *Client) CallInPieces(ctx context.Context, limit time.Duration, method string, params, result any) (time.Time, error) {
 	encoded, err := json.Marshal(params)
 	if err != nil {
 		return time.Time{}, errors.WithStack(err)
 	}
 	p := c.takePartial(method, encoded)
-	data, err := c.takePieces(ctx, limit, p)
+	data, made, err := c.takePieces(ctx, limit, p)
 	var answered *jsonrpc2.Error
 	switch {
 	case err == nil:
-		return p.begun, errors.WithStack(json.Unmarshal(data, result))
+		return made, errors.WithStack(json.Unmarshal(data, result))
 	case errors.As(err, &answered) && answered.Code == jsonrpc2.CodeMethodNotFound: // a former build
 		err = c.callWithin(ctx, limit, method, params, result)
 		return time.Now(), err
@@ -72,26 +72,25 @@
 	return time.Time{}, err
 }
 
-// takePieces returns an answer once all of it has come.
-func (c *Client) takePieces(ctx context.Context, limit time.Duration, p *partial) ([]byte, error) {
+// takePieces returns an answer once all of it has come, and when it was made.
+func (c *Client) takePieces(ctx context.Context, limit time.Duration, p *partial) ([]byte, time.Time, error) {
 	for {
 		p.params.From = len(p.packed)
 		var piece pieceResult
 		if err := c.callWithin(ctx, limit, pieceMethod, &p.params, &piece); err != nil {
-			return nil, err
-		}
-		if p.params.From == 0 {
-			p.begun = time.Now()
+			return nil, time.Time{}, err
 		}
+		made := time.Now().Add(-time.Duration(piece.AgeMs) * time.Millisecond)
 		if piece.Whole != nil {
-			return piece.Whole, nil
+			return piece.Whole, made, nil
 		}
 		whole, err := p.add(&piece)
 		if err != nil {
-			return nil, err
+			return nil, time.Time{}, err
 		}
 		if whole {
-			return Unpack(p.packed)
+			data, err := Unpack(p.packed)
+			return data, made, err
 		}
 	}
 }
@@ -142,6 +141,7 @@
 type answer struct {
 	used   time.Time
 	made   chan struct{} // closed when it has been
+	madeAt time.Time
 	kept   bool
 	whole  json.RawMessage
 	packed []byte
@@ -215,16 +215,17 @@
 	case <-ctx.Done():
 		return nil, errors.WithStack(ctx.Err())
 	}
+	age := time.Since(answer.madeAt).Milliseconds()
 	switch {
 	case answer.err != nil:
 		return nil, answer.err
 	case answer.packed == nil:
-		return pieceResult{Whole: answer.whole}, nil
+		return pieceResult{Whole: answer.whole, AgeMs: age}, nil
 	case asked.From < 0 || asked.From >= len(answer.packed):
 		return nil, errors.Wrapf(chicoryrock.ErrInvalid, "byte %d of %d", asked.From, len(answer.packed))
 	}
 	to := min(asked.From+pieceBytes, len(answer.packed))
-	return pieceResult{Size: len(answer.packed), Data: answer.packed[asked.From:to]}, nil
+	return pieceResult{Size: len(answer.packed), Data: answer.packed[asked.From:to], AgeMs: age}, nil
 }
 
 // prepare has a handler make an answer. One that is too long for a piece is compressed and kept.
@@ -236,6 +237,7 @@
 			made.err = err
 		}
 	}()
+	made.madeAt = time.Now()
 	result, err := handler(ctx, asked.Params)
 	if err == nil {
 		made.whole, err = json.Marshal(result)
--- a/internal/serve/peer/pieces_test.go
+++ b/internal/serve/peer/pieces_test.go
@@ -96,19 +96,24 @@
 // Guards against an answer that is made anew for each call that its making outlasts.
 func TestSlowAnswerIsMadeOnce(t *testing.T) {
 	var runs atomic.Int32
+	var ended atomic.Int64
 	server := serving(t, func(context.Context, json.RawMessage) (any, error) {
 		runs.Add(1)
 		time.Sleep(300 * time.Millisecond)
+		ended.Store(time.Now().UnixNano())
 		return rubbish(40 << 10), nil
 	})
 	client := &Client{Address: server.Listen}
 	defer client.Close()
 	var got string
+	var made time.Time
 	require.Eventually(t, func() bool {
-		_, err := client.CallInPieces(t.Context(), 100*time.Millisecond, "long", 7, &got)
+		var err error
+		made, err = client.CallInPieces(t.Context(), 100*time.Millisecond, "long", 7, &got)
 		return err == nil
 	}, 10*time.Second, time.Millisecond)
 	require.EqualValues(t, 1, runs.Load())
+	require.Less(t, made.UnixNano(), ended.Load(), "its ages count from before it was sent")
 }
 
 func TestFormerBuildAnswersAtOnce(t *testing.T) {
