Have both fronts follow the store before one list is made wrong

Trace: the removal that is forced upon the second front's list, at revision 6, is what the second front tells of. While the first front's watch has not answered through revision 6 yet, it asks the second one, as that has the newer list, and takes the removal over: both state the same list as of revision 6 (digest 0, no servers), so that nothing differs. That is the case which docs/design/server-list.md names under 'Not found', an update that all fronts which watch have missed, and not the one that the test is for.

Change: the test waits until the first front is through that revision.

--- a/internal/serve/assembly/servers_test.go
+++ b/internal/serve/assembly/servers_test.go
@@ -25,6 +25,12 @@
 	front := all[1].front
 	front.mutex.Lock()
 	revision, _ := all[0].store.Commit(t.Context(), []chicoryrock.Change{{Key: "other", Value: []byte("1"), Unconditional: true}})
+	// The first front would take the removal over if it were behind.
+	require.Eventually(t, func() bool {
+		all[0].front.mutex.Lock()
+		defer all[0].front.mutex.Unlock()
+		return all[0].front.servers.Version() >= servers.VersionOf(revision)
+	}, waitTime, time.Millisecond)
 	gone := servers.Update{Version: servers.VersionOf(revision), Server: chicoryrock.Server{ID: "i-1"}, Removed: true}
 	notices, _ := front.servers.ApplyWatch(time.Now(), 0, revision, []servers.Update{gone})
 	front.publish(notices)
