Read a server's version before a broken stream goes on there

Only take-ups were checked against the server's entry; a front that has missed the restart trusts its own list for the rest.

Change: what goes on is verified wherever it came from: the request's version, which a stream has from its first event on, decides, not that its caller took it up. Where the store can't be read, a stream that this process has served goes on as before.

--- a/internal/serve/assembly/out_of_step_test.go
+++ b/internal/serve/assembly/out_of_step_test.go
@@ -7,12 +7,14 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/platform"
 )
 
 // stalled passes calls on to the store. Of those that come while it stalls, the answers that
@@ -23,6 +25,7 @@
 
 	mutex sync.Mutex
 	goes  chan struct{} // nil while it does not stall
+	held  atomic.Int64  // answers
 }
 
 func (s *stalled) stall(match string) (goOn func()) {
@@ -45,6 +48,7 @@
 	answer := httptest.NewRecorder()
 	(&doorway{store: s.store, shut: r.Context()}).ServeHTTP(answer, r)
 	if held {
+		s.held.Add(1)
 		select {
 		case <-goes:
 		case <-r.Context().Done():
@@ -124,3 +128,41 @@
 		})
 	}
 }
+
+// Guards against a front that missed the restart of a server and goes on there with a stream that another version began.
+func TestFrontOutOfStepGoesOnAtNoOtherVersion(t *testing.T) {
+	const streams, events = 24, 6
+	first := deploy(t)
+	door := &stalled{store: first.node.Store}
+	entrance := httptest.NewServer(door)
+	t.Cleanup(entrance.Close)
+	node := *first.node
+	node.Name, node.Callers, node.Ready = "front-a-2", host.Own(), host.Own()
+	node.Store = netip.MustParseAddrPort(entrance.Listener.Addr().String())
+	behind := first.startAnother(&node)
+	first.configure(2, "k1")
+	breaks := versioned("v1", events, func() bool { return true })
+	first.addVersion("i-0", "v1", breaks)
+	restarts := first.addVersion("i-1", "v1", func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last-Event-Id") == "" {
+			breaks(w, r)
+		}
+		versioned("v2", events, never)(w, r)
+	})
+	behind.settle(2, 2)
+	require.Eventually(t, func() bool { return behind.front.origins.MayBegin("llm", "v1") }, waitTime, time.Millisecond)
+	defer door.stall(platform.PrefixParameter + "=servers%2F")()
+	require.Eventually(t, func() bool { return door.held.Load() > 0 }, waitTime, time.Millisecond) // the watch that waited has ended
+	first.enterVersion(restarts, "v2", "ready")
+	first.settle(2, 2)
+	whole := 0
+	for i := range streams {
+		got := behind.do(behind.promptOf(t.Context(), fmt.Sprintf("b%d", i)))
+		versions, held := versionsOf(got.body)
+		require.LessOrEqual(t, len(versions), 1, "stream %d", i)
+		if held == events {
+			whole++
+		}
+	}
+	require.Positive(t, whole, "some go on at the server that has not restarted")
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -81,7 +81,7 @@
 	settled  bool            // it has run for suspect.Probation
 	software origin.Software // of the attempt's backend server
 	origin   origin.Software // that began the stream; zero before its first event
-	began    bool            // the stream that is taken up began at this process
+	began    bool            // this process has served the stream, in this call or before
 	trial    bool            // it is the trial of a ban
 	attempts int             // that were begun, for their names
 	// answeredBy is where answers to the request have come from. One of them may be written
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -37,11 +37,11 @@
 	return nil
 }
 
-// verify reports whether a backend server has the version that began the stream which its
-// caller takes up. What this process knows of the server may be from before its last start.
-// Error: *gate.RefusedError where that can't be found out.
+// verify reports whether a backend server has the version that began the stream which goes on
+// there. What this process knows of the server may be from before its last start. Error:
+// *gate.RefusedError where that can't be found out.
 func (c *call) verify(replica *chicoryrock.Replica) (bool, error) {
-	if !c.takesUp() || c.front.Verify == nil {
+	if c.request.Version == "" || c.front.Verify == nil {
 		return true, nil
 	}
 	version, err := c.front.Verify(c.ctx, replica.Name)
@@ -52,7 +52,7 @@
 		if c.turned++; c.turned < maxTurns {
 			return false, nil
 		}
-	case c.began: // the store can't be read, but this process served the stream
+	case c.began: // the store can't be read, but this process has served the stream
 		return true, nil
 	}
 	c.front.Log.Write(event.OriginUnread, zap.String("ref", c.ask.ID), zap.String("key", replica.Name), event.Cause(err))
@@ -66,7 +66,7 @@
 		return
 	}
 	c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
-	c.origin = c.software
+	c.origin, c.began = c.software, true
 	c.request.Version = c.origin.Version
 }
 
