Send no request that waited if it can't end within the grace

What callers would see: a request that may not be repeated waits for a server, is given one shortly before the end of the grace, runs, and gets 504 of an unknown outcome at its end, where another front could have taken it. New requests were held against the time that is left, waiting ones weren't.

Change: the check that a waiting call goes through before it is sent asks for that too, unless something of it has been sent already.

--- a/internal/serve/assembly/front_grace_test.go
+++ b/internal/serve/assembly/front_grace_test.go
@@ -111,3 +111,29 @@
 	}
 	require.Equal(t, map[int]int{http.StatusServiceUnavailable: waiting, http.StatusGatewayTimeout: running}, counts, "zero for no answer")
 }
+
+// Guards against requests that wait, are sent late in the grace and cut off at its end.
+func TestRequestsThatWaitAreNotSentTooLateInTheGrace(t *testing.T) {
+	const grace, rest, waiting = 3 * time.Second, 1500 * time.Millisecond, 4
+	d := deploy(t, func(node *platform.Node) { node.Bounds.Grace = grace })
+	d.configureWith(1, sample.Unhurried)
+	b := d.add("i-1", "app", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+	d.settle(1, 1)
+	listed := d.front.front.Gate.Replicas("app")[0]
+	start := servers.Start{ID: listed.Name, Address: listed.Address, StartedMs: listed.StartedMs}
+	d.front.observeServer(time.Now(), start, servers.Statement{Rest: rest})
+	statuses := make(chan int, waiting)
+	for i := range waiting {
+		go func() {
+			request := d.request(t.Context(), http.MethodPost, "/book/x", fmt.Sprint("waits", i), "k1", "x")
+			request.Header.Set(sample.Patience, "30000")
+			statuses <- d.do(request).status
+		}()
+	}
+	require.Eventually(t, func() bool { return d.front.front.Gate.Waiting("app") == waiting }, rest, time.Millisecond)
+	d.stop()
+	for range waiting {
+		require.Equal(t, http.StatusServiceUnavailable, <-statuses)
+	}
+	require.Zero(t, b.total())
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -201,7 +201,8 @@
 
 // current checks a call that has waited against the configuration in force now: its
 // key may have been withdrawn or given to another workspace. It returns errMoved where
-// its route leads to other services.
+// its route leads to other services. In a shutdown, what has not been sent yet isn't if it can't
+// end before the process does.
 func (c *call) current() error {
 	table := c.front.Table()
 	route, workspace, reason := admit(table, c.r, c.ask.Key)
@@ -210,6 +211,9 @@
 	}
 	c.route, c.workspace = route, workspace
 	c.bind()
+	if now := time.Now(); c.sent == 0 && !c.front.takes(now, route, c.until.Sub(now)) {
+		return &gate.RefusedError{Reason: chicoryrock.ReasonShutdown}
+	}
 	switch {
 	case route.HasService(c.request.Pool):
 	case c.request.Only != "":
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -359,8 +359,8 @@
 	}
 }
 
-// takes reports whether a request that has just come can be expected to end before the process
-// does.
+// takes reports whether a request that has not been sent yet can be expected to end before the
+// process does.
 func (f *Front) takes(now time.Time, route *routing.Route, limit time.Duration) bool {
 	endsAt := f.endsAt.Load()
 	return endsAt == nil || f.runs.Takes(now, *endsAt, route.Name, limit)
