Keep that a front shuts down, and that a peer is of a former build, in one place

Reading the change: whether a front drains was a flag beside the time when its open requests end, which is set with it; the test for a method that a former build lacks, and a call with a limit of its own, stood in two packages each.

Nothing else changes. Tests of serve/peer, serve/front and those of serve/assembly on transfers, the grace and fronts out of step pass.

--- a/internal/serve/assembly/configurations.go
+++ b/internal/serve/assembly/configurations.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -143,9 +142,8 @@
 	collector := &p.configurations.collector
 	if newer {
 		var manifest transfer.Manifest
-		err := p.peers.call(ctx, from, callManifest, nil, &manifest)
-		var answered *jsonrpc2.Error
-		if errors.As(err, &answered) && answered.Code == jsonrpc2.CodeMethodNotFound {
+		_, err := p.peers.callInPieces(ctx, from, callManifest, nil, &manifest)
+		if peer.UnknownMethod(err) {
 			return p.fetchConfig(ctx, from)
 		}
 		if err != nil {
--- a/internal/serve/assembly/peers.go
+++ b/internal/serve/assembly/peers.go
@@ -287,9 +287,7 @@
 	if client == nil {
 		return errors.Wrapf(chicoryrock.ErrUnavailable, "no address of %s", process)
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return client.Call(ctx, method, params, result)
+	return client.CallWithin(ctx, limit, method, params, result)
 }
 
 // callInPieces is call for a method whose answer grows with the deployment. It returns when the
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -105,7 +105,6 @@
 	bounds   atomic.Pointer[platform.Bounds]
 	table    atomic.Pointer[routing.Table]
 	known    atomic.Bool // a list of backend servers has been read, and which of them are evacuated
-	draining atomic.Bool
 	open     atomic.Int64
 	placing  sync.Mutex
 	suspects suspects
@@ -138,7 +137,7 @@
 func (f *Front) Table() *routing.Table { return f.table.Load() }
 
 // Draining says whether the process is shutting down.
-func (f *Front) Draining() bool { return f.draining.Load() }
+func (f *Front) Draining() bool { return f.endsAt.Load() != nil }
 
 // Loads returns what this process has open, for its peers.
 func (f *Front) Loads(now time.Time) []chicoryrock.OpenLoad {
@@ -260,7 +259,7 @@
 // Ready says whether the process can serve.
 func (f *Front) Ready() bool {
 	sound := f.Sound == nil || f.Sound(time.Now())
-	return f.table.Load() != nil && f.known.Load() && !f.draining.Load() && sound
+	return f.table.Load() != nil && f.known.Load() && !f.Draining() && sound
 }
 
 // Run serves until the context ends, then drains within the platform's grace.
@@ -343,7 +342,6 @@
 	grace := f.Bounds().Grace
 	endsAt := begin.Add(grace - min(exitMargin+finalTime, grace/8))
 	f.endsAt.Store(&endsAt)
-	f.draining.Store(true)
 	f.Log.Write(event.Draining, zap.Int64("open", f.open.Load()))
 	time.Sleep(min(noticeTime, grace/3))
 	ctx, cancel := context.WithDeadline(context.Background(), endsAt)
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -76,7 +76,7 @@
 	}
 	f.open.Add(1)
 	defer f.open.Add(-1)
-	if f.draining.Load() {
+	if f.Draining() {
 		w.Header().Set("Connection", "close")
 	}
 	ask := platform.ReadAsk(r.Header)
--- a/internal/serve/front/limits.go
+++ b/internal/serve/front/limits.go
@@ -57,7 +57,7 @@
 func (f *Front) SetLimitMembers(peers []string, members int) {
 	f.placing.Lock()
 	defer f.placing.Unlock()
-	f.Placer.Quota.SetMembers(peers, !f.draining.Load(), members)
+	f.Placer.Quota.SetMembers(peers, !f.Draining(), members)
 }
 
 // Members returns how many processes send requests to the backend servers, this one
--- a/internal/serve/peer/client.go
+++ b/internal/serve/peer/client.go
@@ -49,6 +49,19 @@
 	}
 }
 
+// CallWithin is Call with a limit of time.
+func (c *Client) CallWithin(ctx context.Context, limit time.Duration, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	return c.Call(ctx, method, params, result)
+}
+
+// UnknownMethod reports whether a call failed as the peer, of a former build, has no such method.
+func UnknownMethod(err error) bool {
+	var answered *jsonrpc2.Error
+	return errors.As(err, &answered) && answered.Code == jsonrpc2.CodeMethodNotFound
+}
+
 // Close ends the connection, if one stands.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/serve/peer/pieces.go
+++ b/internal/serve/peer/pieces.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/chicoryrock/chicoryrock"
 )
@@ -59,12 +58,11 @@
 	}
 	p := c.takePartial(method, encoded)
 	data, made, err := c.takePieces(ctx, limit, p)
-	var answered *jsonrpc2.Error
 	switch {
 	case err == nil:
 		return made, errors.WithStack(json.Unmarshal(data, result))
-	case errors.As(err, &answered) && answered.Code == jsonrpc2.CodeMethodNotFound: // a former build
-		err = c.callWithin(ctx, limit, method, params, result)
+	case UnknownMethod(err):
+		err = c.CallWithin(ctx, limit, method, params, result)
 		return time.Now(), err
 	case errors.Is(err, chicoryrock.ErrUnavailable), errors.Is(err, chicoryrock.ErrUnknownOutcome):
 		c.keepPartial(p)
@@ -77,7 +75,7 @@
 	for {
 		p.params.From = len(p.packed)
 		var piece pieceResult
-		if err := c.callWithin(ctx, limit, pieceMethod, &p.params, &piece); err != nil {
+		if err := c.CallWithin(ctx, limit, pieceMethod, &p.params, &piece); err != nil {
 			return nil, time.Time{}, err
 		}
 		made := time.Now().Add(-time.Duration(piece.AgeMs) * time.Millisecond)
@@ -104,12 +102,6 @@
 	return len(p.packed) == piece.Size, nil
 }
 
-func (c *Client) callWithin(ctx context.Context, limit time.Duration, method string, params, result any) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	return c.Call(ctx, method, params, result)
-}
-
 // takePartial returns what has come of a call's answer.
 func (c *Client) takePartial(method string, params json.RawMessage) *partial {
 	c.mu.Lock()
