Read what a follower heard once in its test

TestLostStoreIsToldAndAskedAgain panicked once in make race on (index 2 of length 2): it called heard() for the list and again for its length, and the list grew between the two calls. It now reads the list once; the check is the same. 20 runs with -race passed.

--- a/internal/serve/follow/follow_test.go
+++ b/internal/serve/follow/follow_test.go
@@ -157,7 +157,7 @@
 	j.mutex.Lock()
 	j.down, j.entries = false, []chicoryrock.KeyValue{{Key: "p/a"}}
 	j.mutex.Unlock()
-	require.Eventually(t, func() bool { return heard()[len(heard())-1] == "=p/a" }, waitTime, time.Millisecond)
+	require.Eventually(t, func() bool { all := heard(); return all[len(all)-1] == "=p/a" }, waitTime, time.Millisecond)
 }
 
 // A process that leaves the watching to others reads once, and again when nobody
