Log what each answer of a stream was

The lines of an attempt name server, software version and count of events, but not what the answer was. Streams that hold foreign bytes or end too early can't be told from streams of two versions or from a late answer on a kept connection. Line 324 states type, seal, framing, the caller's last event and the IDs of each answer that goes on with a stream or breaks off; ordinary streams of one answer write none. No logic changes.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -51,6 +51,7 @@
 	Hedged         = Event{320, zapcore.InfoLevel, "request is sent to a second backend server, as the first has not answered"}
 	HedgeEnded     = Event{321, zapcore.InfoLevel, "one of two attempts cancelled, as the other has been answered"}
 	OriginFound    = Event{318, zapcore.InfoLevel, "software version that began a stream is known"}
+	StreamAnswer   = Event{324, zapcore.InfoLevel, "answer of a stream ended"}
 	CallerEnded    = Event{322, zapcore.InfoLevel, "connections of callers ended by a rule"}
 	NoRoom         = Event{323, zapcore.WarnLevel, "callers found no room since the last such line"}
 	OriginUnread   = Event{317, zapcore.WarnLevel, "which software version began a stream could not be read"}
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -31,7 +31,13 @@
 	c.begun = true
 	c.count()
 	if c.route.Kind == routing.Stream && answer.Status == http.StatusOK {
-		return c.relayStream(answer)
+		after, events := c.lastID, c.events
+		if after == "" {
+			after = c.ask.LastEvent
+		}
+		err := c.relayStream(answer)
+		c.answered(time.Now(), answer, after, events, err)
+		return err
 	}
 	if c.started {
 		return errors.Wrapf(errFailed, "status %d", answer.Status)
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -63,19 +63,20 @@
 	ctx       context.Context
 	stop      context.CancelCauseFunc // of ctx
 
-	sent     int           // attempts that reached a backend server and were not turned away
-	turned   int           // attempts that were turned away or could not be sent
-	begun    bool          // an attempt may have run
-	counted  bool          // the request stands in the workspace's usage
-	started  bool          // the answer's header has gone out
-	events   int           // events that the caller has
-	status   int           // of the answer that the caller got
-	first    time.Duration // from its arrival to the first token, or the answer
-	longest  time.Duration // between two events, as the caller saw them
-	got      bool          // the attempt under way has had an event
-	last     time.Time     // when its last event came
-	pause    time.Duration // the longest between two of its events
-	lastID   string
+	sent     int             // attempts that reached a backend server and were not turned away
+	turned   int             // attempts that were turned away or could not be sent
+	begun    bool            // an attempt may have run
+	counted  bool            // the request stands in the workspace's usage
+	started  bool            // the answer's header has gone out
+	events   int             // events that the caller has
+	status   int             // of the answer that the caller got
+	first    time.Duration   // from its arrival to the first token, or the answer
+	longest  time.Duration   // between two events, as the caller saw them
+	got      bool            // the attempt under way has had an event
+	last     time.Time       // when its last event came
+	pause    time.Duration   // the longest between two of its events
+	lastID   string          // of the last event that the caller has
+	firstID  string          // of the first event of the attempt under way
 	gotAt    time.Time       // when its first event came
 	endKnown bool            // its answer stated where it ends
 	settled  bool            // it has run for suspect.Probation
@@ -324,7 +325,7 @@
 
 // take takes in what came of an attempt, and relays its answer.
 func (c *call) take(sent time.Time, replica *chicoryrock.Replica, answer *upstream.Answer, err error) error {
-	c.got, c.pause = false, 0
+	c.got, c.pause, c.firstID = false, 0, ""
 	c.endKnown, c.settled = false, false
 	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
 	if errors.Is(err, chicoryrock.ErrNotRun) {
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -7,8 +7,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/platform"
@@ -58,6 +60,16 @@
 	}
 }
 
+// answered notes what an answer was to the stream: where it began and ended, and how.
+func (c *call) answered(now time.Time, answer *upstream.Answer, after string, events int, err error) {
+	if err == nil && after == "" {
+		return
+	}
+	c.trail.Write(event.StreamAnswer, now, zap.String("server", c.granted), zap.String("type", answer.Header.Get("Content-Type")),
+		zap.Bool("sealed", platform.Sealed(answer.Header)), zap.Bool("framed", answer.Framed), zap.String("after", after),
+		zap.String("from", c.firstID), zap.String("to", c.lastID), zap.Int("events", c.events-events))
+}
+
 // truncated returns the error of an answer that broke off.
 func truncated(cause error) error {
 	return upstream.MarkClosed(errors.Wrapf(chicoryrock.ErrTruncated, "%v", cause), cause)
@@ -66,7 +78,7 @@
 func blank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
 // event passes one event on.
-func (c *call) event(answer *upstream.Answer, event []byte) error {
+func (c *call) event(answer *upstream.Answer, text []byte) error {
 	now := time.Now()
 	if !c.got {
 		c.got = true
@@ -95,19 +107,22 @@
 		c.w.WriteHeader(answer.Status)
 		c.dropBody(answer)
 	}
-	if err := c.deliver(event, memory.Stream); err != nil {
+	if err := c.deliver(text, memory.Stream); err != nil {
 		return err
 	}
 	c.events++
-	if id := eventID(event); id != "" {
+	if id := eventID(text); id != "" {
 		c.lastID = id
+		if c.firstID == "" {
+			c.firstID = id
+		}
 	}
 	return nil
 }
 
 // eventID returns the ID that an event states, or nothing.
-func eventID(event []byte) string {
-	for line := range bytes.Lines(event) {
+func eventID(text []byte) string {
+	for line := range bytes.Lines(text) {
 		if value, found := bytes.CutPrefix(line, idField); found {
 			return string(bytes.TrimSpace(value))
 		}
