Hold each answer of a stream against what the caller has of it

Cause: what goes into a stream was believed for where it came from. A front passed on whatever stood between blank lines of a 200 from the server that it had chosen, took an ID from it but compared it with nothing, and ended the stream where any answer ended. Each answer was judged alone, while the promise is about the stream over all of its answers. A stream without IDs was even begun anew in the middle, as there was no ID to go on from.

policy/sequence is one machine for a stream over all of its answers: the first one, one that goes on after a break or from a copy, and that of a caller that takes the stream up, whose Last-Event-Id is where its numbers start. It is asked for each answer's head, each block and each end. An answer that goes on has the type and seal of the first, begins with a number above the last one, holds nothing but fields and comments, and is the end of the stream only if it brought an event and states where it ends. Numbers may jump, and events without IDs and comments pass behind an event whose place is known. What isn't a part of the stream is a failed attempt of that server, so that the rest may come from another one. Comments before an answer's first event wait for it. A 200 of another type passes as a plain answer where the caller has nothing of a stream yet. A hedged attempt wins with a sound event only.

--- /dev/null
+++ b/internal/policy/sequence/event.go
@@ -0,0 +1,73 @@
+package sequence
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Event is what a block of an event stream, the lines up to a blank one, says of its place
+// in the stream.
+type Event struct {
+	ID   string // empty without one
+	Data bool   // the block has data
+}
+
+// Passes reports whether callers see the block as an event. Others hold comments and
+// settings of the connection only.
+func (e Event) Passes() bool { return e.Data || e.ID != "" }
+
+// number returns the event's number, if its ID is one.
+func (e Event) number() (uint64, bool) { return parseNumber(e.ID) }
+
+// parseNumber reads an ID of decimal digits.
+func parseNumber(id string) (uint64, bool) {
+	number, err := strconv.ParseUint(id, 10, 64)
+	return number, err == nil
+}
+
+// byteOrderMark may begin a stream.
+var byteOrderMark = []byte("\ufeff")
+
+// Parse reads one block, with or without the blank line at its end. Lines hold comments, the
+// fields id, data, event and retry, and, beside an ID or data, fields that servers add: a
+// name in lowercase, a colon and a value. Error: ErrMalformed.
+func Parse(block []byte) (Event, error) {
+	var event Event
+	extended := false
+	for line := range bytes.Lines(bytes.TrimPrefix(block, byteOrderMark)) {
+		line = bytes.TrimSuffix(bytes.TrimSuffix(line, []byte("\n")), []byte("\r"))
+		if bytes.IndexByte(line, '\r') >= 0 {
+			return Event{}, errors.Wrap(ErrMalformed, "a carriage return within a line")
+		}
+		name, value, found := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "":
+		case "id":
+			event.ID = string(bytes.TrimSpace(value))
+		case "data":
+			event.Data = true
+		case "event", "retry":
+		default:
+			if !found || !isFieldName(name) {
+				return Event{}, errors.Wrapf(ErrMalformed, "a line that is no field: %.40q", line)
+			}
+			extended = true
+		}
+	}
+	if extended && !event.Passes() {
+		return Event{}, errors.Wrap(ErrMalformed, "fields without an event")
+	}
+	return event, nil
+}
+
+// isFieldName reports whether a name is one that servers may add.
+func isFieldName(name []byte) bool {
+	for _, c := range name {
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' && c != '_' {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -31,13 +31,13 @@
 	c.begun = true
 	c.count()
 	if c.route.Kind == routing.Stream && answer.Status == http.StatusOK {
-		after, events := c.lastID, c.events
-		if after == "" {
-			after = c.ask.LastEvent
+		head := headOf(answer)
+		// What isn't a stream may be passed on only where a stream could begin.
+		if head.Streams() || c.started || c.takesUp() {
+			err := c.relayStream(answer, head)
+			c.answered(time.Now(), head, err)
+			return err
 		}
-		err := c.relayStream(answer)
-		c.answered(time.Now(), answer, after, events, err)
-		return err
 	}
 	if c.started {
 		return errors.Wrapf(errFailed, "status %d", answer.Status)
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -16,6 +16,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/ops/trail"
 	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
+	"github.com/chicoryrock/chicoryrock/internal/policy/sequence"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
 	"github.com/chicoryrock/chicoryrock/internal/serve/reserve"
@@ -68,15 +69,13 @@
 	begun    bool            // an attempt may have run
 	counted  bool            // the request stands in the workspace's usage
 	started  bool            // the answer's header has gone out
-	events   int             // events that the caller has
 	status   int             // of the answer that the caller got
 	first    time.Duration   // from its arrival to the first token, or the answer
 	longest  time.Duration   // between two events, as the caller saw them
 	got      bool            // the attempt under way has had an event
 	last     time.Time       // when its last event came
 	pause    time.Duration   // the longest between two of its events
-	lastID   string          // of the last event that the caller has
-	firstID  string          // of the first event of the attempt under way
+	stream   sequence.Stream // what the caller has of a stream
 	gotAt    time.Time       // when its first event came
 	endKnown bool            // its answer stated where it ends
 	settled  bool            // it has run for suspect.Probation
@@ -267,7 +266,7 @@
 		NoCapacity: errors.Is(failure, errUnsent),
 		Sent:       c.sent,
 		Rejections: c.turned,
-		Tokens:     c.events,
+		Tokens:     c.stream.Events(),
 		Started:    c.started,
 		Resumable:  c.route.Resumable,
 	})
@@ -277,7 +276,7 @@
 	c.front.served.repeated.Add(1)
 	c.front.Metrics.Retry(c.route.Name)
 	if verdict.Action == retry.Resume {
-		c.trail.Write(event.Resumed, now, zap.String("after", c.lastID))
+		c.trail.Write(event.Resumed, now, zap.String("after", c.stream.Last()))
 	}
 	return true
 }
@@ -301,7 +300,7 @@
 		Left:   c.until.Sub(sent),
 		Rank:   c.request.Tier - 1,
 		Ranks:  c.ranks,
-		Resume: c.lastID,
+		Resume: c.stream.Last(),
 		Fetch:  c.front.address(replica.Pool, c.source),
 	}
 	stamp.Backup, stamp.FromCopy = c.nextCopy(sent, replica)
@@ -325,7 +324,7 @@
 
 // take takes in what came of an attempt, and relays its answer.
 func (c *call) take(sent time.Time, replica *chicoryrock.Replica, answer *upstream.Answer, err error) error {
-	c.got, c.pause, c.firstID = false, 0, ""
+	c.got, c.pause = false, 0
 	c.endKnown, c.settled = false, false
 	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
 	if errors.Is(err, chicoryrock.ErrNotRun) {
@@ -362,11 +361,11 @@
 		c.front.runs.Record(now, c.route.Name, now.Sub(c.begin))
 		late := c.late()
 		c.trail.Write(event.Answered, now, zap.Int("status", c.status), zap.Duration("first", c.first), zap.Duration("pause", c.longest),
-			zap.Int("events", c.events), zap.Int("sent", c.sent+1), zap.Bool("late", late))
+			zap.Int("events", c.stream.Events()), zap.Int("sent", c.sent+1), zap.Bool("late", late))
 		c.close(now, chicoryrock.OutcomeServed, chicoryrock.ReasonNone, late || c.sent > 0 || c.waited || c.ask.LastEvent != "")
 	case c.r.Context().Err() != nil || errors.Is(err, errCallerGone):
 		c.front.served.left.Add(1)
-		c.trail.Write(event.Cancelled, now, zap.Int("sent", c.sent), zap.Int("events", c.events), event.Cause(err))
+		c.trail.Write(event.Cancelled, now, zap.Int("sent", c.sent), zap.Int("events", c.stream.Events()), event.Cause(err))
 		c.close(now, chicoryrock.OutcomeCancelled, chicoryrock.ReasonNone, true)
 		// A caller that has only closed its sending side still reads: without this, the
 		// server would complete the answer, which is none.
@@ -401,7 +400,7 @@
 func (c *call) failed(now time.Time, reason chicoryrock.Reason, err error) {
 	c.front.served.failed.Add(1)
 	c.trail.Write(event.Failed, now, zap.Stringer("reason", reason), zap.Int("sent", c.sent), zap.Int("turned", c.turned),
-		zap.Int("events", c.events), event.Cause(err))
+		zap.Int("events", c.stream.Events()), event.Cause(err))
 	c.close(now, chicoryrock.OutcomeFailed, reason, true)
 }
 
--- a/internal/serve/front/copies.go
+++ b/internal/serve/front/copies.go
@@ -60,7 +60,7 @@
 // prepares the next attempt.
 func (c *call) takeOver(now time.Time, replica *chicoryrock.Replica, failure error) bool {
 	broken := errors.Is(failure, chicoryrock.ErrTruncated) || errors.Is(failure, chicoryrock.ErrUnknownOutcome)
-	if c.copies.server == "" || !broken {
+	if c.copies.server == "" || !broken || c.started && !c.stream.GoesOn() {
 		return false
 	}
 	takeover := backup.Takeover{
@@ -78,7 +78,7 @@
 	c.request.Deadline = c.until
 	c.front.served.repeated.Add(1)
 	c.front.Metrics.Retry(c.route.Name)
-	c.trail.Write(event.TakenOver, now, zap.String("server", c.copies.server), zap.Int("events", c.events), zap.String("after", c.lastID))
+	c.trail.Write(event.TakenOver, now, zap.String("server", c.copies.server), zap.Int("events", c.stream.Events()), zap.String("after", c.stream.Last()))
 	return true
 }
 
--- a/internal/serve/front/hedge.go
+++ b/internal/serve/front/hedge.go
@@ -335,5 +335,5 @@
 	} else {
 		c.sent++
 	}
-	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.events), zap.Bool("began", c.got), event.Cause(failure))
+	c.trail.Write(event.AttemptEnded, now, zap.String("server", replica.Name), zap.Int("sent", c.sent), zap.Int("turned", c.turned), zap.Int("events", c.stream.Events()), zap.Bool("began", c.got), event.Cause(failure))
 }
--- a/internal/serve/front/hold.go
+++ b/internal/serve/front/hold.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chicoryrock/chicoryrock/internal/policy/sequence"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
@@ -31,7 +32,7 @@
 	if platform.NotRun(answer.Status, answer.Header) {
 		return false
 	}
-	if stream && answer.Status == http.StatusOK {
+	if stream && answer.Status == http.StatusOK && headOf(answer).Streams() {
 		return holdEvent(answer)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
@@ -43,26 +44,34 @@
 	return err == nil && answer.Status < http.StatusInternalServerError && !platform.Promises(answer.Status)
 }
 
-// holdEvent reads a stream up to the end of its first event.
+// holdEvent reads a stream up to the end of its first event, and reports whether that is one
+// that can be passed on.
 func holdEvent(answer *upstream.Answer) bool {
 	reader := bufio.NewReaderSize(answer.Body, 4<<10)
 	var held []byte
+	block := 0 // where the block under way begins in held
 	for {
 		line, err := reader.ReadSlice('\n')
 		held = append(held, line...)
-		rest := io.Reader(reader)
-		whole := err == nil && blank(line)
+		rest, good := io.Reader(reader), false
 		switch {
-		case whole || len(held) > maxEvent:
-		case err == nil || errors.Is(err, bufio.ErrBufferFull):
+		case len(held) > maxEvent:
+		case errors.Is(err, bufio.ErrBufferFull) || err == nil && !blank(line):
 			continue
+		case err == nil:
+			event, malformed := sequence.Parse(held[block:])
+			if malformed == nil && !event.Passes() {
+				block = len(held)
+				continue
+			}
+			good = malformed == nil
 		case errors.Is(err, io.EOF):
-			whole = answer.Framed && len(bytes.TrimSpace(held)) == 0
+			good = answer.Framed && len(bytes.TrimSpace(held[block:])) == 0
 			rest = failedReader{io.EOF}
 		default:
 			rest = failedReader{err}
 		}
 		answer.Body = heldBody{io.MultiReader(bytes.NewReader(held), rest), answer.Body}
-		return whole && len(held) <= maxEvent
+		return good
 	}
 }
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -22,6 +22,7 @@
 		return nil
 	}
 	f := c.front
+	c.stream.After = c.ask.LastEvent
 	c.began = f.Origins.Began(c.begin, c.request.Workspace, c.ask.Resumes)
 	software, err := f.Origins.Find(c.ctx, c.request.Workspace, c.ask.Resumes, c.request.Pool)
 	if err != nil {
@@ -79,5 +80,5 @@
 
 // mayGoOn reports whether a stream that broke off may go on at a backend server.
 func (c *call) mayGoOn(now time.Time) bool {
-	return c.origin.Version != "" && c.front.Gate.Servable(now, c.request)
+	return c.stream.GoesOn() && c.origin.Version != "" && c.front.Gate.Servable(now, c.request)
 }
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+	"mime"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -12,6 +14,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
+	"github.com/chicoryrock/chicoryrock/internal/policy/sequence"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
@@ -19,14 +22,33 @@
 // maxEvent is the longest event that is relayed, bytes, with all its lines.
 const maxEvent = 128 << 10
 
-// idField begins the line with an event's ID.
-var idField = []byte("id:")
+// headOf returns what the head of an answer says of the events in its body.
+func headOf(answer *upstream.Answer) sequence.Head {
+	stated := answer.Header.Get("Content-Type")
+	mediaType, _, err := mime.ParseMediaType(stated)
+	if err != nil {
+		mediaType = stated
+	}
+	encoding := answer.Header.Get("Content-Encoding")
+	return sequence.Head{
+		Type:    mediaType,
+		Encoded: encoding != "" && !strings.EqualFold(encoding, "identity"),
+		Sealed:  platform.Sealed(answer.Header),
+		Framed:  answer.Framed,
+	}
+}
 
 // relayStream passes events on as they come, each whole. The answer's header goes
 // out with the first one, so that a stream that breaks before can start elsewhere.
-func (c *call) relayStream(answer *upstream.Answer) error {
+func (c *call) relayStream(answer *upstream.Answer, head sequence.Head) error {
+	if err := c.stream.Begin(head); err != nil {
+		return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+	}
 	reader := bufio.NewReaderSize(answer.Body, 4<<10)
+	// pending is what came since the last event that was passed on. The block under way
+	// begins at block.
 	var pending []byte
+	block := 0
 	held := int64(firstKept) // is part of each request's room
 	defer func() { c.hold.Shrink(held - firstKept) }()
 	for {
@@ -45,7 +67,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) {
-			return c.endStream(answer, pending)
+			return c.endStream(answer, pending[:block], pending[block:])
 		}
 		if err != nil {
 			return truncated(err)
@@ -53,21 +75,31 @@
 		if !blank(line) {
 			continue
 		}
-		if err := c.event(answer, pending); err != nil {
+		next, err := c.stream.Next(pending[block:])
+		if err != nil {
+			return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+		}
+		if !next.Passes() && !c.got {
+			// Comments wait for the event that shows that the answer is a part of the stream.
+			block = len(pending)
+			continue
+		}
+		if err := c.event(answer, pending, next); err != nil {
 			return err
 		}
-		pending = pending[:0]
+		pending, block = pending[:0], 0
 	}
 }
 
 // answered notes what an answer was to the stream: where it began and ended, and how.
-func (c *call) answered(now time.Time, answer *upstream.Answer, after string, events int, err error) {
-	if err == nil && after == "" {
+func (c *call) answered(now time.Time, head sequence.Head, err error) {
+	part := c.stream.Part()
+	if err == nil && part.After == "" {
 		return
 	}
-	c.trail.Write(event.StreamAnswer, now, zap.String("server", c.granted), zap.String("type", answer.Header.Get("Content-Type")),
-		zap.Bool("sealed", platform.Sealed(answer.Header)), zap.Bool("framed", answer.Framed), zap.String("after", after),
-		zap.String("from", c.firstID), zap.String("to", c.lastID), zap.Int("events", c.events-events))
+	c.trail.Write(event.StreamAnswer, now, zap.String("server", c.granted), zap.String("type", head.Type), zap.Bool("sealed", head.Sealed),
+		zap.Bool("framed", head.Framed), zap.String("after", part.After), zap.String("from", part.From), zap.String("to", part.To),
+		zap.Int("events", part.Events))
 }
 
 // truncated returns the error of an answer that broke off.
@@ -77,8 +109,16 @@
 
 func blank(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
-// event passes one event on.
-func (c *call) event(answer *upstream.Answer, text []byte) error {
+// event passes one event on, or a comment, with what came before it.
+func (c *call) event(answer *upstream.Answer, text []byte, next sequence.Event) error {
+	if next.Passes() {
+		c.eventCame(answer)
+	}
+	return c.deliver(text, memory.Stream)
+}
+
+// eventCame takes in that an event has come, and sends the answer's header before the first one.
+func (c *call) eventCame(answer *upstream.Answer) {
 	now := time.Now()
 	if !c.got {
 		c.got = true
@@ -107,42 +147,22 @@
 		c.w.WriteHeader(answer.Status)
 		c.dropBody(answer)
 	}
-	if err := c.deliver(text, memory.Stream); err != nil {
-		return err
-	}
-	c.events++
-	if id := eventID(text); id != "" {
-		c.lastID = id
-		if c.firstID == "" {
-			c.firstID = id
-		}
-	}
-	return nil
-}
-
-// eventID returns the ID that an event states, or nothing.
-func eventID(text []byte) string {
-	for line := range bytes.Lines(text) {
-		if value, found := bytes.CutPrefix(line, idField); found {
-			return string(bytes.TrimSpace(value))
-		}
-	}
-	return ""
 }
 
-// endStream takes in the end of a stream. What follows the last whole event is
-// part of one that the backend server did not finish.
-func (c *call) endStream(answer *upstream.Answer, rest []byte) error {
-	if len(bytes.TrimSpace(rest)) > 0 {
-		return upstream.MarkClosed(errors.Wrap(chicoryrock.ErrTruncated, "the stream ends within an event"), io.ErrUnexpectedEOF)
-	}
-	if !answer.Framed && !c.got {
-		return upstream.MarkClosed(errors.Wrap(chicoryrock.ErrTruncated, "the connection ends before the first event"), io.ErrUnexpectedEOF)
+// endStream takes in the end of a stream: comments that have not been passed on, and what
+// follows the last whole block.
+func (c *call) endStream(answer *upstream.Answer, comments, rest []byte) error {
+	err := c.stream.End(len(bytes.TrimSpace(rest)) > 0)
+	switch {
+	case errors.Is(err, sequence.ErrForeign):
+		return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+	case err != nil:
+		return upstream.MarkClosed(errors.Wrap(chicoryrock.ErrTruncated, err.Error()), io.ErrUnexpectedEOF)
 	}
 	c.endKnown = answer.Framed
 	if !c.started {
 		c.front.first(time.Now(), c.request)
-		return c.write(answer.Status, answer.Header, nil)
+		return c.write(answer.Status, answer.Header, comments)
 	}
 	return nil
 }
