Take a 200 that is no stream only with its server's seal on streaming routes

A page or an error text of something before a backend server, with status 200, would have been passed on as a plain answer where a stream was to begin, since the answers of streams are checked. Without a server's proof it is a failed attempt now, also as the second one of a hedge; a server's own plain answer still passes.

--- /dev/null
+++ b/internal/serve/assembly/foreign_doors_test.go
@@ -0,0 +1,141 @@
+package assembly
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/platform/sample"
+)
+
+// Guards against a caller that takes a stream up getting anything but the events after its last.
+func TestTakenUpStreamIsNotJoinedWithForeignAnswer(t *testing.T) {
+	const failure = `{"error":{"message":"overloaded"}}` + "\n\n"
+	cases := []struct {
+		name, answer string
+		status       int
+		body         string // passed on, if the status is 200
+		whole        bool
+	}{
+		{"the rest", headOf(eventsType, inChunks) + chunked(numbered(3, 4)), http.StatusOK, numbered(3, 4), true},
+		{"nothing more", headOf(eventsType, inChunks) + lastChunk, http.StatusOK, "", true},
+		{"nothing more, by length", headOf(eventsType, "Content-Length: 0"), http.StatusOK, "", true},
+		{"comments only", headOf(eventsType, inChunks) + chunked(": x\n\n"), http.StatusOK, ": x\n\n", true},
+		{"no body", headOf(eventsType, unframed), http.StatusBadGateway, "", true},
+		{"no type", headOf("", "Content-Length: 0"), http.StatusBadGateway, "", true},
+		{"another type", headOf("application/json", sized(failure)) + failure, http.StatusBadGateway, "", true},
+		{"text", headOf(eventsType, inChunks) + chunked("upstream connect error\n\n"), http.StatusBadGateway, "", true},
+		{"an error as an event", headOf(eventsType, inChunks) + chunked("event: error\ndata: x\n\n"), http.StatusBadGateway, "", true},
+		{"all events again", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3, 4)), http.StatusBadGateway, "", true},
+		{"events that go back", headOf(eventsType, inChunks) + chunked(numbered(3, 1)), http.StatusOK, numbered(3), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t)
+			d.configure(1, "k1")
+			answer := raw(c.answer, closes)
+			d.add("i-1", "llm", answer)
+			d.add("i-2", "llm", answer)
+			d.settle(1, 2)
+			got := d.takeUp("t1", "b1", 2)
+			require.Equal(t, c.status, got.status, got.body)
+			require.Equal(t, c.whole, got.err == nil)
+			if c.status == http.StatusOK {
+				require.Equal(t, c.body, got.body)
+			}
+		})
+	}
+}
+
+// Guards against foreign bytes in streams of one answer, and against streams whose place isn't
+// known beginning anew within themselves.
+func TestForeignBytesEndFirstAnswer(t *testing.T) {
+	const nameless = "data: a\n\ndata: b\n\n"
+	again := headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3))
+	rest := headOf(eventsType, inChunks) + chunked(numbered(3))
+	cases := []struct {
+		name, first, second string // second is any later answer
+		body                string
+		whole               bool
+		runs                int
+	}{
+		{"text amid events", headOf(eventsType, inChunks) + chunked(numbered(1, 2)+"{\"error\":1}\n\n"), rest, numbered(1, 2, 3), true, 2},
+		{"numbers that go back", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 1)), rest, numbered(1, 2, 3), true, 2},
+		{"text before events", headOf(eventsType, inChunks) + chunked("oops\n\n"), again, numbered(1, 2, 3), true, 2},
+		{"a break behind comments", headOf(eventsType, inChunks) + open(": x\n\n"), again, numbered(1, 2, 3), true, 2},
+		{"a break without IDs", headOf(eventsType, inChunks) + open(nameless), again, nameless, false, 1},
+		{"a break behind an event without an ID", headOf(eventsType, inChunks) + open(numbered(1, 2)+"data: x\n\n"), again, numbered(1, 2) + "data: x\n\n", false, 1},
+		{"a break behind a name", headOf(eventsType, inChunks) + open("id: x\ndata: x\n\n"), again, "id: x\ndata: x\n\n", false, 1},
+		{"no stream", headOf("application/json", sized("{}")) + "{}", again, "{}", true, 1},
+		{"no stream and no seal", "HTTP/1.1 200 OK\r\n" + sample.ID + ": %s\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nno", again, numbered(1, 2, 3), true, 2},
+		{"no stream, broken", headOf("application/json", "Content-Length: 3") + "{}", again, numbered(1, 2, 3), true, 2},
+		{"comments first", headOf(eventsType, inChunks) + chunked(": x\n\n"+numbered(1)), again, ": x\n\n" + numbered(1), true, 1},
+		{"comments only", headOf(eventsType, inChunks) + chunked(": x\n\n"), again, ": x\n\n", true, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int32
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) == 1 {
+					raw(c.first, closes)(w, r)
+					return
+				}
+				raw(c.second, closes)(w, r)
+			}
+			d := deploy(t)
+			d.configure(1, "k1")
+			d.add("i-1", "llm", answer)
+			d.add("i-2", "llm", answer)
+			d.settle(1, 2)
+			got := d.send(http.MethodPost, "/long/x", "s1", "k1", "x")
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, c.body, got.body)
+			require.Equal(t, c.whole, got.err == nil)
+			require.EqualValues(t, c.runs, runs.Load())
+		})
+	}
+}
+
+// Guards against a copy whose answer doesn't go on with the run being joined with it.
+func TestRunIsNotJoinedWithForeignAnswerOfItsCopy(t *testing.T) {
+	cases := []struct {
+		name, answer, body string
+		whole              bool
+	}{
+		{"the rest", headOf(eventsType, inChunks) + chunked(numbered(3, 4)), numbered(1, 2, 3, 4), true},
+		{"all events again", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3, 4)), numbered(1, 2), false},
+		{"text", headOf(eventsType, inChunks) + chunked("oops\n\n"), numbered(1, 2), false},
+		{"another type", headOf("application/json", sized("{}")) + "{}", numbered(1, 2), false},
+		{"no event", headOf(eventsType, inChunks) + lastChunk, numbered(1, 2), false},
+		{"the end of a connection", headOf(eventsType, unframed) + numbered(3), numbered(1, 2, 3), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t)
+			d.configureWith(1, sample.Copied)
+			answer := func(w http.ResponseWriter, r *http.Request, crash func()) {
+				if r.Header.Get(sample.FromCopy) != "" {
+					raw(c.answer, closes)(w, r)
+					return
+				}
+				w.Header().Set("Content-Type", eventsType)
+				w.Header().Set(sample.Seal, "s")
+				_, _ = fmt.Fprint(w, numbered(1, 2))
+				_ = http.NewResponseController(w).Flush()
+				crash()
+			}
+			d.addMortal("i-1", answer)
+			d.addMortal("i-2", answer)
+			d.settle(1, 2)
+			request := d.request(t.Context(), http.MethodPost, "/short/", "x1", "k1", "x")
+			request.Header.Set(sample.Tokens, "600,300")
+			got := d.do(request)
+			require.Equal(t, http.StatusOK, got.status)
+			require.Equal(t, c.body, got.body)
+			require.Equal(t, c.whole, got.err == nil)
+		})
+	}
+}
--- a/internal/serve/assembly/hedge_test.go
+++ b/internal/serve/assembly/hedge_test.go
@@ -34,6 +34,11 @@
 	}
 	breaks := func(http.ResponseWriter, *http.Request, string) { panic(http.ErrAbortHandler) }
 	fails := func(w http.ResponseWriter, _ *http.Request, _ string) { w.WriteHeader(http.StatusInternalServerError) }
+	foreign := func(w http.ResponseWriter, _ *http.Request, self string) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		w.Header().Set(sample.Seal, self)
+		_, _ = fmt.Fprint(w, ": hello\n\nupstream connect error\n\n")
+	}
 	late := func(w http.ResponseWriter, r *http.Request, self string) {
 		time.Sleep(slowTime)
 		whole(w, r, self)
@@ -59,6 +64,7 @@
 		{"the second breaks", "/read/", 0.2, learned, whole, breaks, 2, true, false, false},
 		{"the second fails", "/read/", 0.2, learned, whole, fails, 2, true, false, false},
 		{"the second turns it away", "/read/", 0.2, learned, whole, func(w http.ResponseWriter, r *http.Request, _ string) { notRun(w, r) }, 2, true, false, false},
+		{"the second's event is none", "/long/", 0.2, learned, events, foreign, 2, true, false, false},
 		{"the first breaks", "/read/", 0.2, learned, whole, late, 2, false, false, true},
 	}
 	for _, c := range cases {
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -32,8 +32,8 @@
 	c.count()
 	if c.route.Kind == routing.Stream && answer.Status == http.StatusOK {
 		head := headOf(answer)
-		// What isn't a stream may be passed on only where a stream could begin.
-		if head.Streams() || c.started || c.takesUp() {
+		// A server's own answer that is no stream may be passed on where a stream could begin.
+		if head.Streams() || !head.Sealed || c.started || c.takesUp() {
 			err := c.relayStream(answer, head)
 			c.answered(time.Now(), head, err)
 			return err
--- a/internal/serve/front/hold.go
+++ b/internal/serve/front/hold.go
@@ -32,8 +32,8 @@
 	if platform.NotRun(answer.Status, answer.Header) {
 		return false
 	}
-	if stream && answer.Status == http.StatusOK && headOf(answer).Streams() {
-		return holdEvent(answer)
+	if head := headOf(answer); stream && answer.Status == http.StatusOK && (head.Streams() || !head.Sealed) {
+		return head.Streams() && holdEvent(answer)
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
 	rest := io.Reader(answer.Body)
