--- a/internal/ops/metrics/define.go
+++ b/internal/ops/metrics/define.go
@@ -31,6 +31,7 @@
 	m.tokens = counter("tokens_total", "Tokens of requests; wasted ones are part of the output.", labelClass, "kind")
 	m.across = counter("region_bytes_total", "Bytes sent over the link between regions.", "from", "to")
 	m.retries = counter("retries_total", "Requests sent to another backend server after a failure.", labelClass)
+	m.foreign = counter("foreign_answers_total", "Answers of backend servers that were no part of the stream that they were to begin or to go on with.", labelClass)
 	m.hedges = counter("hedges_total", "Requests sent to a second backend server while the first had not answered.", labelClass)
 	m.hedgesWon = counter("hedges_won_total", "Hedged requests that the second backend server answered.", labelClass)
 	m.held = gauge("duty_held", "1 while this process holds the control duty.", "duty")
--- a/internal/ops/metrics/metrics.go
+++ b/internal/ops/metrics/metrics.go
@@ -65,6 +65,7 @@
 	tokens    *prometheus.CounterVec
 	across    *prometheus.CounterVec
 	retries   *prometheus.CounterVec
+	foreign   *prometheus.CounterVec
 	hedges    *prometheus.CounterVec
 	hedgesWon *prometheus.CounterVec
 	held      *prometheus.GaugeVec
@@ -97,7 +98,7 @@
 	m.define()
 	m.registry.MustRegister(
 		m.requests, m.incidents, m.verdicts, m.goals, m.first, m.gap, m.queue, m.running,
-		m.tokens, m.across, m.retries, m.hedges, m.hedgesWon, m.held, m.wait, m.budget, m.prompts, m.calls, m.windows, m.reserved, m.noRoom, m.servers, m.callers, m.revision,
+		m.tokens, m.across, m.retries, m.foreign, m.hedges, m.hedgesWon, m.held, m.wait, m.budget, m.prompts, m.calls, m.windows, m.reserved, m.noRoom, m.servers, m.callers, m.revision,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Namespace: namespace,
 			Name:      "configuration_age_seconds",
@@ -180,6 +181,11 @@
 	m.retries.WithLabelValues(m.classes.value(class)).Inc()
 }
 
+// Foreign counts an answer that is no part of its stream.
+func (m *Metrics) Foreign(class string) {
+	m.foreign.WithLabelValues(m.classes.value(class)).Inc()
+}
+
 // Hedge counts a request that is sent to a second backend server before the first has
 // answered.
 func (m *Metrics) Hedge(class string) {
--- a/internal/ops/metrics/metrics_test.go
+++ b/internal/ops/metrics/metrics_test.go
@@ -65,6 +65,7 @@
 		{func(m *Metrics) { m.Across("hanoi", "saigon", 9) }, `region_bytes_total{from="hanoi",to="saigon"} 9`},
 		{func(m *Metrics) { m.Retry("quote") }, `retries_total{class="quote"} 1`},
 		{func(m *Metrics) { m.Hedge("quote") }, `hedges_total{class="quote"} 1`},
+		{func(m *Metrics) { m.Foreign("quote") }, `foreign_answers_total{class="quote"} 1`},
 		{func(m *Metrics) { m.HedgeWon("quote") }, `hedges_won_total{class="quote"} 1`},
 		{func(m *Metrics) { m.Wait("quote", 250*time.Millisecond) }, `wait_seconds_bucket{class="quote",le="0.3"} 1`},
 		{func(m *Metrics) { m.Budget("lens", 4.5) }, `retry_budget_left{pool="lens"} 4.5`},
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -42,7 +42,7 @@
 // out with the first one, so that a stream that breaks before can start elsewhere.
 func (c *call) relayStream(answer *upstream.Answer, head sequence.Head) error {
 	if err := c.stream.Begin(head); err != nil {
-		return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+		return c.foreign(err)
 	}
 	reader := bufio.NewReaderSize(answer.Body, 4<<10)
 	// pending is what came since the last event that was passed on. The block under way
@@ -77,7 +77,7 @@
 		}
 		next, err := c.stream.Next(pending[block:])
 		if err != nil {
-			return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+			return c.foreign(err)
 		}
 		if !next.Passes() && !c.got {
 			// Comments wait for the event that shows that the answer is a part of the stream.
@@ -102,6 +102,12 @@
 		zap.Int("events", part.Events))
 }
 
+// foreign returns the error of an answer that is no part of the stream.
+func (c *call) foreign(err error) error {
+	c.front.Metrics.Foreign(c.route.Name)
+	return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+}
+
 // truncated returns the error of an answer that broke off.
 func truncated(cause error) error {
 	return upstream.MarkClosed(errors.Wrapf(chicoryrock.ErrTruncated, "%v", cause), cause)
@@ -155,7 +161,7 @@
 	err := c.stream.End(len(bytes.TrimSpace(rest)) > 0)
 	switch {
 	case errors.Is(err, sequence.ErrForeign):
-		return errors.Wrap(upstream.ErrBadAnswer, err.Error())
+		return c.foreign(err)
 	case err != nil:
 		return upstream.MarkClosed(errors.Wrap(chicoryrock.ErrTruncated, err.Error()), io.ErrUnexpectedEOF)
 	}
