Count a stream that is taken up for the front that takes it up

The soak told the front of a request by its caller's number. A caller takes a stream up at any front, so what a server said to that front (a limit, that it leaves, a rest) was held against another one, which had not heard it, and its requests were counted there. The ID of a take-up names its front now. The checks are the same.

--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -95,6 +95,10 @@
 	if len(parts) != 3 {
 		return 0, false // asked before or after the run
 	}
+	if taken := strings.Split(id, "/"); len(taken) == 3 { // a stream is taken up at any front
+		front, err := strconv.Atoi(taken[2])
+		return front, err == nil
+	}
 	caller, err := strconv.Atoi(parts[1])
 	return caller % len(w.fronts), err == nil
 }
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -133,14 +133,15 @@
 		if one.body = wholeEvents(one.body); one.body == "" {
 			return
 		}
-		request, err := http.NewRequest(http.MethodPost, "http://"+w.fronts[rand.IntN(len(w.fronts))].callers.String()+"/long/", strings.NewReader("body"))
+		front := rand.IntN(len(w.fronts))
+		request, err := http.NewRequest(http.MethodPost, "http://"+w.fronts[front].callers.String()+"/long/", strings.NewReader("body"))
 		if err != nil {
 			return
 		}
 		request.GetBody = nil
 		request.Host = sample.Host
 		for name, value := range map[string]string{
-			sample.ID: fmt.Sprintf("%s/%d", one.id, try), "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40",
+			sample.ID: fmt.Sprintf("%s/%d/%d", one.id, try, front), "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40",
 			sample.Parts: "a1:200,b2:400", "Last-Event-Id": fmt.Sprint(strings.Count(one.body, "\n\n")), sample.Resumes: one.id,
 		} {
 			request.Header.Set(name, value)
