Pass on a success only with its server's proof

The protocol counts a 2xx only with the proof. The front asked for it where a stream went on, and nowhere else.

Cause, the same as with streams: an answer is believed for where it comes from. The stand-in of TestCrashingRequestIsKeptFromServersByAllFronts seals the answer that it breaks off, as servers do; its checks are unchanged.

TestSuccessWithoutProofIsNotPassedOn failed for /read/ and /book/ before, and passes.

--- a/internal/policy/sequence/sequence.go
+++ b/internal/policy/sequence/sequence.go
@@ -34,7 +34,6 @@
 type Head struct {
 	Type    string // media type, without parameters; empty if it isn't stated
 	Encoded bool   // the body has a content encoding
-	Sealed  bool   // it bears a server's proof
 	Framed  bool   // it states where the body ends, by a length or in chunks
 }
 
@@ -56,7 +55,7 @@
 	counted bool   // an event had a number
 	number  uint64 // the last one
 	placed  bool   // the last event had a number
-	head    Head   // of the first answer of which an event passed
+	typed   bool   // the first answer of which an event passed stated its type
 	answer  answer
 }
 
@@ -81,8 +80,8 @@
 	switch {
 	case !head.Streams() || s.After != "" && head.Type == "":
 		return errors.Wrapf(ErrHead, "type %q, encoded %t", head.Type, head.Encoded)
-	case s.begun && (head.Type == "" && s.head.Type != "" || s.head.Sealed && !head.Sealed):
-		return errors.Wrapf(ErrHead, "type %q, sealed %t, after %q", head.Type, head.Sealed, s.head.Type)
+	case s.begun && head.Type == "" && s.typed:
+		return errors.Wrap(ErrHead, "no type")
 	}
 	return nil
 }
@@ -98,7 +97,7 @@
 		return event, err
 	}
 	if !s.begun {
-		s.begun, s.head = true, s.answer.head
+		s.begun, s.typed = true, s.answer.head.Type != ""
 	}
 	s.events++
 	s.answer.Events++
--- a/internal/policy/sequence/sequence_test.go
+++ b/internal/policy/sequence/sequence_test.go
@@ -9,7 +9,7 @@
 	"pgregory.net/rapid"
 )
 
-var events = Head{Type: mediaType, Sealed: true, Framed: true}
+var events = Head{Type: mediaType, Framed: true}
 
 // play feeds blocks to a stream, and returns those that pass up to the first error.
 func play(s *Stream, blocks ...string) (passed []string, err error) {
@@ -52,8 +52,8 @@
 }
 
 func TestStreamOfSeveralAnswers(t *testing.T) {
-	broken, unsealed, unframed, typeless, plain := events, events, events, events, events
-	broken.Framed, unframed.Framed, unsealed.Sealed, typeless.Type, plain.Type = true, false, false, "", "text/plain"
+	unframed, typeless, plain := events, events, events
+	unframed.Framed, typeless.Type, plain.Type = false, "", "text/plain"
 	encoded := events
 	encoded.Encoded = true
 	none := []string{}
@@ -76,8 +76,6 @@
 		{"a number again", "", nil, events, []string{"id: 2\n", "id: 2\n"}, 1, ErrOrder},
 		{"a name again", "", nil, events, []string{"id: a\n", "id: a\n"}, 1, ErrOrder},
 		{"the rest", "", []string{"id: 1\n"}, events, []string{": x\n", "id: 3\n", "data: x\n"}, 3, nil},
-		{"the rest, sealed only now", "", []string{"id: 1\n"}, events, []string{"id: 2\n"}, 1, nil},
-		{"the rest without a seal", "", []string{"id: 1\n"}, unsealed, none, 0, ErrHead},
 		{"the rest without a type", "", []string{"id: 1\n"}, typeless, none, 0, ErrHead},
 		{"the rest, encoded", "", []string{"id: 1\n"}, encoded, none, 0, ErrHead},
 		{"the rest begins without an ID", "", []string{"id: 1\n"}, events, []string{"data: x\n"}, 0, ErrUnplaced},
@@ -99,7 +97,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := &Stream{After: c.after}
 			if c.first != nil {
-				require.NoError(t, s.Begin(broken))
+				require.NoError(t, s.Begin(events))
 				_, err := play(s, c.first...)
 				require.NoError(t, err)
 				require.True(t, s.GoesOn())
@@ -163,7 +161,7 @@
 			head, next, passed := events, last+1, 0
 			if !sound {
 				head.Type = rapid.SampledFrom([]string{mediaType, mediaType, "", "application/json"}).Draw(t, "type")
-				head.Framed, head.Sealed = rapid.Bool().Draw(t, "framed"), rapid.Bool().Draw(t, "sealed")
+				head.Framed = rapid.Bool().Draw(t, "framed")
 				next = rapid.IntRange(0, last+3).Draw(t, "next")
 			}
 			err := s.Begin(head)
--- a/internal/serve/assembly/crashing_request_test.go
+++ b/internal/serve/assembly/crashing_request_test.go
@@ -92,6 +92,7 @@
 		{"within the answer", func(*deployment) func(*fragile, http.ResponseWriter) {
 			return func(f *fragile, w http.ResponseWriter) {
 				w.Header().Set("Content-Length", "100")
+				w.Header().Set(sample.Seal, "s")
 				_, _ = io.WriteString(w, "begun")
 				_ = http.NewResponseController(w).Flush()
 				f.Crash(1500 * time.Millisecond)
--- a/internal/serve/assembly/foreign_doors_test.go
+++ b/internal/serve/assembly/foreign_doors_test.go
@@ -139,3 +139,41 @@
 		})
 	}
 }
+
+// Guards against a success being passed on that something before the backend server has made.
+func TestSuccessWithoutProofIsNotPassedOn(t *testing.T) {
+	page := "HTTP/1.1 200 OK\r\n" + sample.ID + ": %s\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nno"
+	cases := []struct {
+		path, service string
+		status, runs  int
+	}{
+		{"/read/x", "app", http.StatusOK, 2},
+		{"/long/x", "llm", http.StatusOK, 2},
+		{"/book/x", "app", http.StatusBadGateway, 1},
+		{"/short/x", "llm", http.StatusBadGateway, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.path, func(t *testing.T) {
+			var runs atomic.Int32
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) == 1 {
+					raw(page, closes)(w, r)
+					return
+				}
+				raw(headOf(eventsType, sized(numbered(1)))+numbered(1), closes)(w, r)
+			}
+			d := deploy(t)
+			d.configure(1, "k1")
+			d.add("i-1", c.service, answer)
+			d.add("i-2", c.service, answer)
+			d.settle(1, 2)
+			got := d.send(http.MethodPost, c.path, "s1", "k1", "x")
+			require.NoError(t, got.err)
+			require.Equal(t, c.status, got.status)
+			require.EqualValues(t, c.runs, runs.Load())
+			if c.status == http.StatusOK {
+				require.Equal(t, numbered(1), got.body)
+			}
+		})
+	}
+}
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -30,10 +30,13 @@
 	}
 	c.begun = true
 	c.count()
+	if !platform.Proven(answer.Status, answer.Header) {
+		return errors.Wrap(upstream.ErrBadAnswer, "a success without the server's proof")
+	}
 	if c.route.Kind == routing.Stream && answer.Status == http.StatusOK {
 		head := headOf(answer)
-		// A server's own answer that is no stream may be passed on where a stream could begin.
-		if head.Streams() || !head.Sealed || c.started || c.takesUp() {
+		// A plain answer may be passed on where a stream could begin.
+		if head.Streams() || c.started || c.takesUp() {
 			err := c.relayStream(answer, head)
 			c.answered(time.Now(), head, err)
 			return err
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -33,7 +33,6 @@
 	return sequence.Head{
 		Type:    mediaType,
 		Encoded: encoding != "" && !strings.EqualFold(encoding, "identity"),
-		Sealed:  platform.Sealed(answer.Header),
 		Framed:  answer.Framed,
 	}
 }
@@ -97,9 +96,8 @@
 	if err == nil && part.After == "" {
 		return
 	}
-	c.trail.Write(event.StreamAnswer, now, zap.String("server", c.granted), zap.String("type", head.Type), zap.Bool("sealed", head.Sealed),
-		zap.Bool("framed", head.Framed), zap.String("after", part.After), zap.String("from", part.From), zap.String("to", part.To),
-		zap.Int("events", part.Events))
+	c.trail.Write(event.StreamAnswer, now, zap.String("server", c.granted), zap.String("type", head.Type), zap.Bool("framed", head.Framed),
+		zap.String("after", part.After), zap.String("from", part.From), zap.String("to", part.To), zap.Int("events", part.Events))
 }
 
 // foreign returns the error of an answer that is no part of the stream.
