--- a/internal/serve/assembly/foreign_answer_test.go
+++ b/internal/serve/assembly/foreign_answer_test.go
@@ -27,10 +27,11 @@
 	}
 }
 
-func closes(*net.TCPConn) {}
+// withFIN ends a connection as a close does.
+func withFIN(*net.TCPConn) {}
 
-// resets has the peer see a reset instead of the connection's end.
-func resets(conn *net.TCPConn) { _ = conn.SetLinger(0) }
+// withReset has the peer see a reset instead of the connection's end.
+func withReset(conn *net.TCPConn) { _ = conn.SetLinger(0) }
 
 // headOf returns the head of a 200 with a type and more lines.
 func headOf(mediaType string, more ...string) string {
@@ -60,15 +61,15 @@
 }
 
 const (
-	eventsType = "text/event-stream"
-	inChunks   = "Transfer-Encoding: chunked"
-	unframed   = "Connection: close"
+	eventsType      = "text/event-stream"
+	inChunkedCoding = "Transfer-Encoding: chunked"
+	unframed        = "Connection: close"
 )
 
-func sized(body string) string { return fmt.Sprintf("Content-Length: %d", len(body)) }
+func ofLength(body string) string { return fmt.Sprintf("Content-Length: %d", len(body)) }
 
 // broken is the first answer of a stream that breaks off after two events.
-var broken = headOf(eventsType, inChunks) + open(numbered(1, 2))
+var broken = headOf(eventsType, inChunkedCoding) + open(numbered(1, 2))
 
 // Guards against bytes of another answer than the stream's next events in a stream that broke
 // off, and against its end being taken from an answer that doesn't go on with it.
@@ -77,47 +78,47 @@
 	second := "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\noops\n"
 	type answerCase struct{ name, answer, got string }
 	cases := []answerCase{
-		{"500", "HTTP/1.1 500 Internal Server Error\r\n" + sample.ID + ": %s\r\n" + sized(failure) + "\r\n\r\n" + failure, ""},
+		{"500", "HTTP/1.1 500 Internal Server Error\r\n" + sample.ID + ": %s\r\n" + ofLength(failure) + "\r\n\r\n" + failure, ""},
 		{"500 that ends with its connection", "HTTP/1.1 500 Internal Server Error\r\n" + sample.ID + ": %s\r\n\r\n" + failure, ""},
-		{"404", "HTTP/1.1 404 Not Found\r\n" + sample.ID + ": %s\r\n" + sized(failure) + "\r\n\r\n" + failure, ""},
-		{"another type", headOf("application/json", sized(failure)) + failure, ""},
-		{"another type in chunks", headOf("application/json", inChunks) + chunked(failure), ""},
-		{"plain text", headOf("text/plain", sized(numbered(3, 4))) + numbered(3, 4), ""},
-		{"no type", headOf("", sized(numbered(3, 4))) + numbered(3, 4), ""},
-		{"no seal", strings.Replace(headOf(eventsType, inChunks), sample.Seal+": s\r\n", "", 1) + chunked(numbered(3, 4)), ""},
-		{"encoded", headOf(eventsType, inChunks, "Content-Encoding: gzip") + chunked("\x1f\x8b\n\n"), ""},
-		{"text instead of events", headOf(eventsType, inChunks) + chunked("upstream connect error\n\n"), ""},
+		{"404", "HTTP/1.1 404 Not Found\r\n" + sample.ID + ": %s\r\n" + ofLength(failure) + "\r\n\r\n" + failure, ""},
+		{"another type", headOf("application/json", ofLength(failure)) + failure, ""},
+		{"another type in chunks", headOf("application/json", inChunkedCoding) + chunked(failure), ""},
+		{"plain text", headOf("text/plain", ofLength(numbered(3, 4))) + numbered(3, 4), ""},
+		{"no type", headOf("", ofLength(numbered(3, 4))) + numbered(3, 4), ""},
+		{"no seal", strings.Replace(headOf(eventsType, inChunkedCoding), sample.Seal+": s\r\n", "", 1) + chunked(numbered(3, 4)), ""},
+		{"encoded", headOf(eventsType, inChunkedCoding, "Content-Encoding: gzip") + chunked("\x1f\x8b\n\n"), ""},
+		{"text instead of events", headOf(eventsType, inChunkedCoding) + chunked("upstream connect error\n\n"), ""},
 		{"text that ends with its connection", headOf(eventsType, unframed) + "upstream connect error\n\n", ""},
-		{"a page", headOf(eventsType, inChunks) + chunked("<html>\n<body>502 Bad Gateway</body>\n\n</html>\n\n"), ""},
-		{"an error's text", headOf(eventsType, inChunks) + chunked(failure), ""},
-		{"an error's field", headOf(eventsType, inChunks) + chunked("error: overloaded\n\n"), ""},
-		{"an error as an event", headOf(eventsType, inChunks) + chunked("event: error\ndata: overloaded\n\n"), ""},
+		{"a page", headOf(eventsType, inChunkedCoding) + chunked("<html>\n<body>502 Bad Gateway</body>\n\n</html>\n\n"), ""},
+		{"an error's text", headOf(eventsType, inChunkedCoding) + chunked(failure), ""},
+		{"an error's field", headOf(eventsType, inChunkedCoding) + chunked("error: overloaded\n\n"), ""},
+		{"an error as an event", headOf(eventsType, inChunkedCoding) + chunked("event: error\ndata: overloaded\n\n"), ""},
 		{"length 0", headOf(eventsType, "Content-Length: 0"), ""},
 		{"length 0 of no type", "HTTP/1.1 200 OK\r\n" + sample.ID + ": %s\r\nContent-Length: 0\r\n\r\n", ""},
-		{"chunks that end at once", headOf(eventsType, inChunks) + lastChunk, ""},
-		{"comments only", headOf(eventsType, inChunks) + chunked(": still here\n\n"), ""},
+		{"chunks that end at once", headOf(eventsType, inChunkedCoding) + lastChunk, ""},
+		{"comments only", headOf(eventsType, inChunkedCoding) + chunked(": still here\n\n"), ""},
 		{"no body", headOf(eventsType, unframed), ""},
-		{"half a head", headOf(eventsType, inChunks)[:40], ""},
+		{"half a head", headOf(eventsType, inChunkedCoding)[:40], ""},
 		{"another answer behind an event", headOf(eventsType, unframed) + numbered(3) + second, numbered(3)},
-		{"another answer in a chunk", headOf(eventsType, inChunks) + chunked(numbered(3)+second), numbered(3)},
+		{"another answer in a chunk", headOf(eventsType, inChunkedCoding) + chunked(numbered(3)+second), numbered(3)},
 		{"the end of a connection behind an event", headOf(eventsType, unframed) + numbered(3), numbered(3)},
-		{"all events again", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3, 4)), ""},
-		{"the last event again", headOf(eventsType, inChunks) + chunked(numbered(2, 3, 4)), ""},
-		{"events that go back", headOf(eventsType, inChunks) + chunked(numbered(3, 2)), numbered(3)},
-		{"events that repeat", headOf(eventsType, inChunks) + chunked(numbered(3, 3)), numbered(3)},
+		{"all events again", headOf(eventsType, inChunkedCoding) + chunked(numbered(1, 2, 3, 4)), ""},
+		{"the last event again", headOf(eventsType, inChunkedCoding) + chunked(numbered(2, 3, 4)), ""},
+		{"events that go back", headOf(eventsType, inChunkedCoding) + chunked(numbered(3, 2)), numbered(3)},
+		{"events that repeat", headOf(eventsType, inChunkedCoding) + chunked(numbered(3, 3)), numbered(3)},
 	}
 	breaks := []struct {
 		name, answer string
 		end          func(*net.TCPConn)
 	}{
-		{"closed", broken, closes},
-		{"closed within an event", headOf(eventsType, inChunks) + open(numbered(1, 2)+"id: 3\nda"), closes},
-		{"reset", broken, resets},
+		{"closed", broken, withFIN},
+		{"closed within an event", headOf(eventsType, inChunkedCoding) + open(numbered(1, 2)+"id: 3\nda"), withFIN},
+		{"reset", broken, withReset},
 	}
 	for _, b := range breaks {
 		for _, c := range cases {
 			t.Run(b.name+"/"+c.name, func(t *testing.T) {
-				got, runs := secondAnswer(t, raw(b.answer, b.end), raw(c.answer, closes))
+				got, runs := secondAnswer(t, raw(b.answer, b.end), raw(c.answer, withFIN))
 				require.LessOrEqual(t, runs, 2)
 				if got.err != nil && got.status == 0 {
 					return // reset before the caller read anything
@@ -136,17 +137,17 @@
 // Guards against sound answers being refused as a part of a stream that broke off.
 func TestBrokenStreamGoesOnWithItsNextEvents(t *testing.T) {
 	cases := []struct{ name, head, body string }{
-		{"the next ones", headOf(eventsType, inChunks), numbered(3, 4)},
-		{"parameters of the type", headOf(eventsType+"; charset=utf-8", inChunks), numbered(3, 4)},
-		{"numbers that jump", headOf(eventsType, inChunks), numbered(7, 40)},
-		{"comments and a pause for reconnecting", headOf(eventsType, inChunks), ": hello\n\nretry: 100\n\n" + numbered(3) + ": more\n\n" + numbered(4)},
-		{"a field of the server's", headOf(eventsType, inChunks), "weight-versions: 2\nid: 3\ndata: x\n\n" + numbered(4)},
-		{"events without IDs behind the next one", headOf(eventsType, inChunks), numbered(3) + "data: x\n\nevent: done\ndata: y\n\n"},
-		{"lines that end with CR LF", headOf(eventsType, inChunks), strings.ReplaceAll(numbered(3, 4), "\n", "\r\n")},
+		{"the next ones", headOf(eventsType, inChunkedCoding), numbered(3, 4)},
+		{"parameters of the type", headOf(eventsType+"; charset=utf-8", inChunkedCoding), numbered(3, 4)},
+		{"numbers that jump", headOf(eventsType, inChunkedCoding), numbered(7, 40)},
+		{"comments and a pause for reconnecting", headOf(eventsType, inChunkedCoding), ": hello\n\nretry: 100\n\n" + numbered(3) + ": more\n\n" + numbered(4)},
+		{"a field of the server's", headOf(eventsType, inChunkedCoding), "weight-versions: 2\nid: 3\ndata: x\n\n" + numbered(4)},
+		{"events without IDs behind the next one", headOf(eventsType, inChunkedCoding), numbered(3) + "data: x\n\nevent: done\ndata: y\n\n"},
+		{"lines that end with CR LF", headOf(eventsType, inChunkedCoding), strings.ReplaceAll(numbered(3, 4), "\n", "\r\n")},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			got, runs := secondAnswer(t, raw(broken, closes), raw(c.head+chunked(c.body), closes))
+			got, runs := secondAnswer(t, raw(broken, withFIN), raw(c.head+chunked(c.body), withFIN))
 			require.NoError(t, got.err)
 			require.Equal(t, 2, runs)
 			require.Equal(t, numbered(1, 2)+c.body, got.body)
--- a/internal/serve/assembly/foreign_doors_test.go
+++ b/internal/serve/assembly/foreign_doors_test.go
@@ -20,23 +20,23 @@
 		body         string // passed on, if the status is 200
 		whole        bool
 	}{
-		{"the rest", headOf(eventsType, inChunks) + chunked(numbered(3, 4)), http.StatusOK, numbered(3, 4), true},
-		{"nothing more", headOf(eventsType, inChunks) + lastChunk, http.StatusOK, "", true},
+		{"the rest", headOf(eventsType, inChunkedCoding) + chunked(numbered(3, 4)), http.StatusOK, numbered(3, 4), true},
+		{"nothing more", headOf(eventsType, inChunkedCoding) + lastChunk, http.StatusOK, "", true},
 		{"nothing more, by length", headOf(eventsType, "Content-Length: 0"), http.StatusOK, "", true},
-		{"comments only", headOf(eventsType, inChunks) + chunked(": x\n\n"), http.StatusOK, ": x\n\n", true},
+		{"comments only", headOf(eventsType, inChunkedCoding) + chunked(": x\n\n"), http.StatusOK, ": x\n\n", true},
 		{"no body", headOf(eventsType, unframed), http.StatusBadGateway, "", true},
 		{"no type", headOf("", "Content-Length: 0"), http.StatusBadGateway, "", true},
-		{"another type", headOf("application/json", sized(failure)) + failure, http.StatusBadGateway, "", true},
-		{"text", headOf(eventsType, inChunks) + chunked("upstream connect error\n\n"), http.StatusBadGateway, "", true},
-		{"an error as an event", headOf(eventsType, inChunks) + chunked("event: error\ndata: x\n\n"), http.StatusBadGateway, "", true},
-		{"all events again", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3, 4)), http.StatusBadGateway, "", true},
-		{"events that go back", headOf(eventsType, inChunks) + chunked(numbered(3, 1)), http.StatusOK, numbered(3), false},
+		{"another type", headOf("application/json", ofLength(failure)) + failure, http.StatusBadGateway, "", true},
+		{"text", headOf(eventsType, inChunkedCoding) + chunked("upstream connect error\n\n"), http.StatusBadGateway, "", true},
+		{"an error as an event", headOf(eventsType, inChunkedCoding) + chunked("event: error\ndata: x\n\n"), http.StatusBadGateway, "", true},
+		{"all events again", headOf(eventsType, inChunkedCoding) + chunked(numbered(1, 2, 3, 4)), http.StatusBadGateway, "", true},
+		{"events that go back", headOf(eventsType, inChunkedCoding) + chunked(numbered(3, 1)), http.StatusOK, numbered(3), false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			d := deploy(t)
 			d.configure(1, "k1")
-			answer := raw(c.answer, closes)
+			answer := raw(c.answer, withFIN)
 			d.add("i-1", "llm", answer)
 			d.add("i-2", "llm", answer)
 			d.settle(1, 2)
@@ -54,36 +54,36 @@
 // known beginning anew within themselves.
 func TestForeignBytesEndFirstAnswer(t *testing.T) {
 	const nameless = "data: a\n\ndata: b\n\n"
-	again := headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3))
-	rest := headOf(eventsType, inChunks) + chunked(numbered(3))
+	again := headOf(eventsType, inChunkedCoding) + chunked(numbered(1, 2, 3))
+	rest := headOf(eventsType, inChunkedCoding) + chunked(numbered(3))
 	cases := []struct {
 		name, first, second string // second is any later answer
 		body                string
 		whole               bool
 		runs                int
 	}{
-		{"text amid events", headOf(eventsType, inChunks) + chunked(numbered(1, 2)+"{\"error\":1}\n\n"), rest, numbered(1, 2, 3), true, 2},
-		{"numbers that go back", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 1)), rest, numbered(1, 2, 3), true, 2},
-		{"text before events", headOf(eventsType, inChunks) + chunked("oops\n\n"), again, numbered(1, 2, 3), true, 2},
-		{"a break behind comments", headOf(eventsType, inChunks) + open(": x\n\n"), again, numbered(1, 2, 3), true, 2},
-		{"a break without IDs", headOf(eventsType, inChunks) + open(nameless), again, nameless, false, 1},
-		{"a break behind an event without an ID", headOf(eventsType, inChunks) + open(numbered(1, 2)+"data: x\n\n"), again, numbered(1, 2) + "data: x\n\n", false, 1},
-		{"a break behind a name", headOf(eventsType, inChunks) + open("id: x\ndata: x\n\n"), again, "id: x\ndata: x\n\n", false, 1},
-		{"no stream", headOf("application/json", sized("{}")) + "{}", again, "{}", true, 1},
+		{"text amid events", headOf(eventsType, inChunkedCoding) + chunked(numbered(1, 2)+"{\"error\":1}\n\n"), rest, numbered(1, 2, 3), true, 2},
+		{"numbers that go back", headOf(eventsType, inChunkedCoding) + chunked(numbered(1, 2, 1)), rest, numbered(1, 2, 3), true, 2},
+		{"text before events", headOf(eventsType, inChunkedCoding) + chunked("oops\n\n"), again, numbered(1, 2, 3), true, 2},
+		{"a break behind comments", headOf(eventsType, inChunkedCoding) + open(": x\n\n"), again, numbered(1, 2, 3), true, 2},
+		{"a break without IDs", headOf(eventsType, inChunkedCoding) + open(nameless), again, nameless, false, 1},
+		{"a break behind an event without an ID", headOf(eventsType, inChunkedCoding) + open(numbered(1, 2)+"data: x\n\n"), again, numbered(1, 2) + "data: x\n\n", false, 1},
+		{"a break behind a name", headOf(eventsType, inChunkedCoding) + open("id: x\ndata: x\n\n"), again, "id: x\ndata: x\n\n", false, 1},
+		{"no stream", headOf("application/json", ofLength("{}")) + "{}", again, "{}", true, 1},
 		{"no stream and no seal", "HTTP/1.1 200 OK\r\n" + sample.ID + ": %s\r\nContent-Type: text/html\r\nContent-Length: 2\r\n\r\nno", again, numbered(1, 2, 3), true, 2},
 		{"no stream, broken", headOf("application/json", "Content-Length: 3") + "{}", again, numbered(1, 2, 3), true, 2},
-		{"comments first", headOf(eventsType, inChunks) + chunked(": x\n\n"+numbered(1)), again, ": x\n\n" + numbered(1), true, 1},
-		{"comments only", headOf(eventsType, inChunks) + chunked(": x\n\n"), again, ": x\n\n", true, 1},
+		{"comments first", headOf(eventsType, inChunkedCoding) + chunked(": x\n\n"+numbered(1)), again, ": x\n\n" + numbered(1), true, 1},
+		{"comments only", headOf(eventsType, inChunkedCoding) + chunked(": x\n\n"), again, ": x\n\n", true, 1},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			var runs atomic.Int32
 			answer := func(w http.ResponseWriter, r *http.Request) {
 				if runs.Add(1) == 1 {
-					raw(c.first, closes)(w, r)
+					raw(c.first, withFIN)(w, r)
 					return
 				}
-				raw(c.second, closes)(w, r)
+				raw(c.second, withFIN)(w, r)
 			}
 			d := deploy(t)
 			d.configure(1, "k1")
@@ -105,11 +105,11 @@
 		name, answer, body string
 		whole              bool
 	}{
-		{"the rest", headOf(eventsType, inChunks) + chunked(numbered(3, 4)), numbered(1, 2, 3, 4), true},
-		{"all events again", headOf(eventsType, inChunks) + chunked(numbered(1, 2, 3, 4)), numbered(1, 2), false},
-		{"text", headOf(eventsType, inChunks) + chunked("oops\n\n"), numbered(1, 2), false},
-		{"another type", headOf("application/json", sized("{}")) + "{}", numbered(1, 2), false},
-		{"no event", headOf(eventsType, inChunks) + lastChunk, numbered(1, 2), false},
+		{"the rest", headOf(eventsType, inChunkedCoding) + chunked(numbered(3, 4)), numbered(1, 2, 3, 4), true},
+		{"all events again", headOf(eventsType, inChunkedCoding) + chunked(numbered(1, 2, 3, 4)), numbered(1, 2), false},
+		{"text", headOf(eventsType, inChunkedCoding) + chunked("oops\n\n"), numbered(1, 2), false},
+		{"another type", headOf("application/json", ofLength("{}")) + "{}", numbered(1, 2), false},
+		{"no event", headOf(eventsType, inChunkedCoding) + lastChunk, numbered(1, 2), false},
 		{"the end of a connection", headOf(eventsType, unframed) + numbered(3), numbered(1, 2, 3), false},
 	}
 	for _, c := range cases {
@@ -118,7 +118,7 @@
 			d.configureWith(1, sample.Copied)
 			answer := func(w http.ResponseWriter, r *http.Request, crash func()) {
 				if r.Header.Get(sample.FromCopy) != "" {
-					raw(c.answer, closes)(w, r)
+					raw(c.answer, withFIN)(w, r)
 					return
 				}
 				w.Header().Set("Content-Type", eventsType)
@@ -157,10 +157,10 @@
 			var runs atomic.Int32
 			answer := func(w http.ResponseWriter, r *http.Request) {
 				if runs.Add(1) == 1 {
-					raw(page, closes)(w, r)
+					raw(page, withFIN)(w, r)
 					return
 				}
-				raw(headOf(eventsType, sized(numbered(1)))+numbered(1), closes)(w, r)
+				raw(headOf(eventsType, ofLength(numbered(1)))+numbered(1), withFIN)(w, r)
 			}
 			d := deploy(t)
 			d.configure(1, "k1")
