List a head without a body that reaches callers as an empty answer

Nothing tells this from a server that stopped before its body; callers get a 200 or 201 with length 0, which looks whole, also on an idempotent route whose other server could answer, hedged or not.

--- a/internal/serve/assembly/cut_answers_test.go
+++ b/internal/serve/assembly/cut_answers_test.go
@@ -205,6 +205,17 @@
 	}
 }
 
+// Guards against a head that states no end, and a close, that reach the caller as an empty answer.
+func TestHeadAloneIsNoSuccess(t *testing.T) {
+	for _, hedge := range []float64{0, 0.2} {
+		expectEndless(t, hedge, []endless{
+			{"idempotent", "GET", "/read/", "200 OK", "", closes, http.StatusBadGateway},
+			{"idempotent, created", "POST", "/read/", "201 Created", "", closes, http.StatusBadGateway},
+			{"once", "POST", "/book/", "200 OK", "", closes, http.StatusBadGateway},
+		})
+	}
+}
+
 // Guards against answers that are whole, though they state no end, and count as cut, and the
 // other way round.
 func TestAnswersThatStateNoEnd(t *testing.T) {
