Take no head without a length and a body for a success

What callers saw: a backend server wrote a head that states neither a length nor chunks, and the connection ended there. They got a 200 with Content-Length: 0, framed as whole, also without the server's proof, and also where another server could have answered.

Cause: such an answer ends with its connection, so that its end and a break look alike, and the end was believed without a byte before it. Streams had a check of their own for this; plain and hedged answers had none.

Change: the body of a 2xx that states no end fails with io.ErrUnexpectedEOF where the connection ends before its first byte, and matches ErrClosed like other closes by the server. So it is a failed attempt on each path that reads answers: tried again where the route allows, else a 502. An answer without a length that has a body still ends with its connection. Failures, refusals and redirects without a body are passed on as they are: their heads say what became of the request. Answers to HEAD, 204 and 304 have no body by their kind and count as framed; the first didn't when they state no length, so that their connections weren't used again either.

--- a/internal/serve/upstream/errors.go
+++ b/internal/serve/upstream/errors.go
@@ -10,6 +10,9 @@
 // errLongHead says that the head of an answer does not end within its bound.
 var errLongHead = errors.Errorf("the head is longer than %d bytes", maxHead)
 
+// errNoBody says that the connection has ended after a head that states no length.
+var errNoBody = errors.WithMessage(io.ErrUnexpectedEOF, "no length and no body")
+
 // ErrClosed says that the backend server's side has closed the connection before the end of
 // an answer. It comes with ErrUnknownOutcome, or by the error of an answer's body.
 var ErrClosed = errors.New("connection closed by the backend server")
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -102,8 +102,9 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
-	// Framed says that the answer states where it ends, by a length or in chunks. Else it
-	// ends with its connection, and nothing tells its end from a break.
+	// Framed says that the answer states where it ends, by a length or in chunks, or has no
+	// body by its kind. Else it ends with its connection, and nothing tells its end from a
+	// break. A success without a byte of a body counts as broken off then.
 	Framed bool
 }
 
@@ -388,6 +389,7 @@
 	response *http.Response
 	stop     func() bool
 	clean    bool
+	begun    bool // a byte of it has been read
 	whole    bool
 	closed   bool
 }
@@ -395,7 +397,10 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.response.Body.Read(p)
+	b.begun = b.begun || n > 0
 	switch {
+	case errors.Is(err, io.EOF) && !b.begun && !framed(b.response) && b.response.StatusCode < http.StatusMultipleChoices:
+		return n, MarkClosed(errNoBody, io.EOF)
 	case errors.Is(err, io.EOF):
 		b.whole = true
 	case err != nil:
@@ -440,7 +445,7 @@
 
 // framed says whether an answer states where it ends.
 func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Body == http.NoBody
 }
 
 // idleTime returns how long a connection may stay idle, by the server's word.
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -249,6 +249,40 @@
 	require.Equal(t, "fine", body)
 }
 
+// Guards against a head that states no end, and a close, that pass for an empty answer; and
+// against answers without a body by their kind that count as broken off.
+func TestHeadAlone(t *testing.T) {
+	cases := []struct {
+		method, status string
+		whole          bool
+	}{
+		{"GET", "200 OK", false},
+		{"POST", "201 Created", false},
+		{"POST", "206 Partial Content", false},
+		{"HEAD", "200 OK", true},
+		{"GET", "204 No Content", true},
+		{"GET", "304 Not Modified", true},
+		{"GET", "303 See Other", true},
+		{"GET", "404 Not Found", true},
+		{"GET", "500 Internal Server Error", true},
+	}
+	for _, c := range cases {
+		s := start(t, func(_ *http.Request, _ []byte, conn net.Conn) bool {
+			_, _ = io.WriteString(conn, "HTTP/1.1 "+c.status+"\r\nRequest-Id: 1\r\n\r\n")
+			return false
+		})
+		call := s.call("1")
+		call.Method = c.method
+		_, err := do(t, &Client{}, call)
+		if c.whole {
+			require.NoError(t, err, c.method+" "+c.status)
+			continue
+		}
+		require.ErrorIs(t, err, ErrClosed, c.status)
+		require.ErrorIs(t, err, io.ErrUnexpectedEOF, c.status)
+	}
+}
+
 // A server may answer before it has read a long request. The rest of the request
 // must not be taken for another one.
 func TestEarlyAnswerEndsTheConnection(t *testing.T) {
