Go on from copies at servers of the run's software version only

Cause: which software began a stream was noted for streams that may be resumed only. The server that keeps the copy of another run was chosen among servers of any version, and the run went on there without a look at it.

Now the first event of each stream binds it to the software that wrote it, whichever way it goes on. A copy is kept at a server of the same version, none where the server states no version. Before the run goes on, the entry of the copy's server is read from the store, as for resumed streams: it may have started again as another version since. One that no longer fits isn't asked again.

--- a/internal/serve/front/copies.go
+++ b/internal/serve/front/copies.go
@@ -28,19 +28,20 @@
 		from = replica.Address
 	}
 	c.copies = copies{from: from}
-	if server := c.front.chooseCopy(now, c.request); server != "" {
+	if server := c.front.chooseCopy(now, c.request, replica.Version); server != "" {
 		c.copies.server, c.copies.address = server, c.front.address(c.request.Pool, server)
 	}
 	return c.copies.address, from
 }
 
-// chooseCopy returns the backend server that is to keep a copy of a request's run.
-func (f *Front) chooseCopy(now time.Time, request *chicoryrock.Request) string {
-	if request.MaxTokenGap <= 0 || request.Resumable || f.copyTime(request.Pool) <= 0 {
+// chooseCopy returns the backend server that is to keep a copy of a request's run at a server
+// of a software version: one of the same version, as no other may go on with the run.
+func (f *Front) chooseCopy(now time.Time, request *chicoryrock.Request, version string) string {
+	if version == "" || request.MaxTokenGap <= 0 || request.Resumable || f.copyTime(request.Pool) <= 0 {
 		return ""
 	}
 	anywhere := *request
-	anywhere.Only = ""
+	anywhere.Only, anywhere.Version = "", version
 	replicas := f.Gate.ReplicasFor(now, &anywhere)
 	f.placing.Lock()
 	defer f.placing.Unlock()
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -50,7 +50,7 @@
 	case err == nil && version == c.request.Version:
 		return true, nil
 	case err == nil || errors.Is(err, chicoryrock.ErrNotFound): // it started again, or has gone
-		if c.turned++; c.turned < maxTurns {
+		if c.turned++; c.turned < maxTurns && c.request.Only == "" {
 			return false, nil
 		}
 	case c.began: // the store can't be read, but this process has served the stream
@@ -60,15 +60,14 @@
 	return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
 }
 
-// streamBegan records which software wrote the first event that the caller gets. From here
-// on the stream goes on only there.
+// streamBegan notes which software wrote the first event that the caller gets. From here on
+// the stream goes on only there, whichever way. Callers may take it up if it may be resumed.
 func (c *call) streamBegan(now time.Time) {
-	if !c.request.Resumable && !c.takesUp() {
-		return
-	}
-	c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
 	c.origin, c.began = c.software, true
 	c.request.Version = c.origin.Version
+	if c.request.Resumable || c.takesUp() {
+		c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
+	}
 }
 
 // streamEnded records that the caller has got the whole stream.
