Go on from a copy only after an event that the caller has

Requests that may run once ran twice (TWICE): a run broke off before its caller had an event, and the front sent the request to the server with its copy, without Last-Event-Id, as there was none. The protocol has both headers name the place to go on at; without it the second server's run may be another one.

The case "a crash before the first event" of TestStreamsGoOnFromTheirCopies asked for the opposite: that the run goes on. It now asks that it doesn't, and that the other server isn't asked.

--- a/internal/serve/assembly/copies_test.go
+++ b/internal/serve/assembly/copies_test.go
@@ -42,7 +42,7 @@
 		runs   int // at the other server
 	}{
 		{"a crash within the answer", 2, true, true, true, true, 1},
-		{"a crash before the first event", 0, true, true, true, true, 1},
+		{"a crash before the first event", 0, true, true, true, false, 0},
 		{"a crash before there is a copy", 2, true, false, true, false, 1},
 		{"a connection that breaks", 2, false, true, true, false, 0},
 		{"engines without copies", 2, true, true, false, false, 0},
