Keep the body of a run that may go on from its copy

A run with a body of 64 KiB or more that went on from its copy got an empty body there (UNASKED: a request that nobody sent). The body was dropped with the first event, as what may not be resumed is not sent again; a run that has a copy may be. It is kept as long as there is a copy.

TestRunGoesOnFromItsCopyWithItsBody (71,680 bytes expected, 0 sent) failed before and passes.

--- a/internal/serve/front/room.go
+++ b/internal/serve/front/room.go
@@ -138,7 +138,7 @@
 // dropBody lets go of a long body that has been sent whole and can't be sent again, as the
 // answer has begun.
 func (c *call) dropBody(answer *upstream.Answer) {
-	if len(c.body) < droppedFrom || c.route.Resumable || !answer.Sent() {
+	if len(c.body) < droppedFrom || c.route.Resumable || c.copies.server != "" || !answer.Sent() {
 		return
 	}
 	c.fingerprint()
