Take null for no result of a call to a peer

What it does: a process whose call to another one is answered with null went on with what it had put there before, without an error: counts that nobody wrote counted as written, and a configuration's age and the store's last outage as zero, so that it counted as confirmed that moment.

Cause: encoding/json reads null into anything, and no method of ours returns it.

Change: the outcome of such a call is unknown, as of one whose result is of another type. A call that expects no result passes over what comes, as before.

Evidence: TestAnswersOfPeersWithoutAResult/null and /a_whole_null_in_pieces failed and pass.

--- a/internal/serve/peer/client.go
+++ b/internal/serve/peer/client.go
@@ -1,8 +1,10 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"net"
 	"net/netip"
 	"sync"
@@ -36,7 +38,10 @@
 	if err != nil {
 		return err
 	}
-	err = conn.Call(ctx, method, params, result)
+	var data json.RawMessage
+	if err = conn.Call(ctx, method, params, &data); err == nil {
+		err = decode(data, result)
+	}
 	var answered *jsonrpc2.Error
 	switch {
 	case err == nil:
@@ -49,6 +54,17 @@
 	}
 }
 
+// decode reads a result, which may be nil where a call has none.
+func decode(data json.RawMessage, result any) error {
+	switch {
+	case result == nil:
+		return nil
+	case string(bytes.TrimSpace(data)) == "null":
+		return errors.Wrap(chicoryrock.ErrInvalid, "null for a result")
+	}
+	return errors.WithStack(json.Unmarshal(data, result))
+}
+
 // CallWithin is Call with a limit of time.
 func (c *Client) CallWithin(ctx context.Context, limit time.Duration, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/serve/peer/pieces.go
+++ b/internal/serve/peer/pieces.go
@@ -60,7 +60,7 @@
 	data, made, err := c.takePieces(ctx, limit, p)
 	switch {
 	case err == nil:
-		return made, errors.WithStack(json.Unmarshal(data, result))
+		return made, decode(data, result)
 	case UnknownMethod(err):
 		err = c.CallWithin(ctx, limit, method, params, result)
 		return time.Now(), err
