Take no answer without ages for a configuration confirmed just now

What it does: an entry or an agent whose peer answers the question for a newer configuration with an object that states no ages took it as confirmed by the store, and the store as out, that moment. It goes on serving by what it has for as long as such answers come, though it may be cut off and a key withdrawn.

Cause: a missing age was read as zero, which is the best there is.

Change: both ages begin as none, which they are unless the answer states them.

Evidence: TestReplyWithoutAgesConfirmsNothing failed without the change and passes with it.

--- a/internal/serve/feed/feed_test.go
+++ b/internal/serve/feed/feed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/netip"
 	"testing"
 	"time"
@@ -60,6 +61,12 @@
 		Log:      event.NewNop(),
 		Handlers: map[string]peer.Handler{MethodWatch: peer.Typed(feed.HandleWatch)},
 	}
+	return run(t, server)
+}
+
+// run runs a server until the test ends, and returns its address.
+func run(t *testing.T, server *peer.Server) netip.AddrPort {
+	t.Helper()
 	address, err := server.Open()
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -166,3 +173,16 @@
 	require.ErrorIs(t, follower.step(t.Context()), chicoryrock.ErrInvalid)
 	expectRevision(t, follower, 0)
 }
+
+// Guards against a peer's answer that states no ages and passes for one of just now.
+func TestReplyWithoutAgesConfirmsNothing(t *testing.T) {
+	server := &peer.Server{
+		Listen:   host.Loopback(),
+		Log:      event.NewNop(),
+		Handlers: map[string]peer.Handler{MethodWatch: func(context.Context, json.RawMessage) (any, error) { return struct{}{}, nil }},
+	}
+	follower := newFeed(nil, false, run(t, server))
+	follower.set = set(1)
+	require.NoError(t, follower.step(t.Context()))
+	require.False(t, follower.Safe(time.Now()))
+}
--- a/internal/serve/feed/peers.go
+++ b/internal/serve/feed/peers.go
@@ -114,7 +114,7 @@
 	defer cancel()
 	known := f.known()
 	params := WatchParams{Revision: known.Revision, ID: known.ID, Wait: watchWait}
-	reply := &WatchReply{}
+	reply := &WatchReply{Age: none, Outage: none}
 	if err := f.client(source).Call(ctx, MethodWatch, params, reply); err != nil {
 		return err
 	}
