Take no report that is longer than what is read of it

What it does: a datagram of more than 16 KB, from a process with some 1,300 loads or more, was cut to that by the read. Where the cut fell between two loads, one length in twelve, the rest counted as the whole report, and the loads that weren't read as none.

Cause: reading a datagram into a buffer drops what has no room, without an error.

Change: one byte more is read than a report may have, and a report that fills it is refused with a line, as those are that are cut within a load.

--- a/internal/serve/gossip/gossip.go
+++ b/internal/serve/gossip/gossip.go
@@ -97,7 +97,7 @@
 			})
 		}()
 	}
-	buffer := make([]byte, maxReport)
+	buffer := make([]byte, maxReport+1)
 	for {
 		n, from, err := socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
@@ -108,6 +108,10 @@
 			g.fault(err)
 			continue
 		}
+		if n > maxReport {
+			g.Log.Write(event.PeerFailed, zap.Stringer("from", from), zap.Error(errors.Wrapf(chicoryrock.ErrInvalid, "more than %d bytes", maxReport)))
+			continue
+		}
 		if g.HeardLimits != nil && n > 0 && buffer[0] == quota.FormatVersion {
 			g.heardLimits(ctx, time.Now(), socket, from, buffer[:n])
 			continue
--- a/internal/serve/gossip/gossip_test.go
+++ b/internal/serve/gossip/gossip_test.go
@@ -115,3 +115,29 @@
 	}, waitTime, time.Millisecond)
 	require.Equal(t, "other", first.report.Process)
 }
+
+// Guards against a report that is longer than what is read of it, and counts with the loads
+// that were read.
+func TestLongReportsAreNotCut(t *testing.T) {
+	to := host.Own()
+	got := start(t, "reader", to, nil, nil)
+	sender, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(to))
+	require.NoError(t, err)
+	defer func() { _ = sender.Close() }()
+	const loadSize = 12
+	cut := fleet.Report{Process: "long"}
+	for (maxReport-len(cut.Append(nil)))%loadSize != 0 {
+		cut.Process += "-"
+	}
+	cut.Loads = make([]chicoryrock.OpenLoad, maxReport/loadSize)
+	whole := fleet.Report{Process: "whole", Loads: make([]chicoryrock.OpenLoad, maxReport/loadSize-10)}
+	require.Eventually(t, func() bool {
+		// Nothing arrives before the reader has its socket.
+		_, _ = sender.Write(cut.Append(nil))
+		_, _ = sender.Write(whole.Append(nil))
+		return len(got) > 0
+	}, waitTime, time.Millisecond)
+	first := <-got
+	require.Equal(t, "whole", first.report.Process)
+	require.Len(t, first.report.Loads, len(whole.Loads))
+}
