State rests in the soak to the millisecond

Trace: the server asked for 1.832 s in an answer at 50.026 but wrote 1.83 (two decimals); the front logged (line 419) that it would send nothing until 51.856417, 1.83 s later, and sent the four from 51.857647 on. It kept what it was told. The header has all decimals now; the check and its bound are the same.

--- a/soak/statement_test.go
+++ b/soak/statement_test.go
@@ -68,7 +68,7 @@
 	if st.rest == 0 {
 		return false
 	}
-	header.Set("Retry-After", strconv.FormatFloat(st.rest.Seconds(), 'f', 2, 64))
+	header.Set("Retry-After", strconv.FormatFloat(st.rest.Seconds(), 'f', -1, 64))
 	if r := st.rests[front]; now.After(r.end) || !r.begin.After(disturbed) {
 		st.rests[front] = rest{begin: now.Add(restNotice), end: now.Add(st.rest)}
 	}
