Reset the connection of a caller of HTTP/1.0 whose answer breaks off

Its connection is reset now, which doesn't look like an end.

Callers of HTTP/1.1 are cut off within the chunks, as before.

--- a/internal/serve/assembly/odd_framing_test.go
+++ b/internal/serve/assembly/odd_framing_test.go
@@ -1,6 +1,8 @@
 package assembly
 
 import (
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -67,3 +69,20 @@
 	require.NoError(t, got.err)
 	require.Equal(t, body, got.body)
 }
+
+// Guards against a part of a stream that looks whole to a caller of HTTP/1.0.
+func TestBrokenStreamDoesNotLookWholeToOldCaller(t *testing.T) {
+	d := deploy(t)
+	d.configure(1, "k1")
+	d.add("i-1", "llm", raw(broken, withFIN))
+	d.settle(1, 1)
+	conn, err := net.Dial("tcp", d.node.Callers.String())
+	require.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	require.NoError(t, conn.SetDeadline(time.Now().Add(waitTime)))
+	_, err = io.WriteString(conn, "POST /short/ HTTP/1.0\r\nHost: h.example\r\nRequest-Id: x1\r\nAuthorization: Bearer k1\r\n"+
+		sample.Tokens+": 600,40\r\nContent-Length: 2\r\n\r\nhi")
+	require.NoError(t, err)
+	got, err := io.ReadAll(conn)
+	require.Error(t, err, "%q", got)
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -369,12 +369,10 @@
 		c.close(now, chicoryrock.OutcomeCancelled, chicoryrock.ReasonNone, true)
 		// A caller that has only closed its sending side still reads: without this, the
 		// server would complete the answer, which is none.
-		panic(http.ErrAbortHandler)
+		c.abort()
 	case c.started:
 		c.failed(now, chicoryrock.ReasonBroken, err)
-		// The connection ends without the end of the answer, so that it does not
-		// look whole.
-		panic(http.ErrAbortHandler)
+		c.abort()
 	default:
 		c.refuseOrFail(now, err)
 	}
--- a/internal/serve/front/room.go
+++ b/internal/serve/front/room.go
@@ -135,6 +135,15 @@
 	}
 }
 
+// abort ends the connection without the end of the answer, so that it does not look whole. A
+// caller of HTTP/1.0 sees no chunks: only a reset tells it.
+func (c *call) abort() {
+	if conn, found := callerOf(c.r).(interface{ SetLinger(seconds int) error }); found && c.started && !c.r.ProtoAtLeast(1, 1) {
+		_ = conn.SetLinger(0) // the connection ends either way
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // dropBody lets go of a long body that has been sent whole and can't be sent again, as the
 // answer has begun.
 func (c *call) dropBody(answer *upstream.Answer) {
--- a/internal/serve/inbound/limits.go
+++ b/internal/serve/inbound/limits.go
@@ -137,6 +137,16 @@
 // NetConn returns the connection that was accepted.
 func (c *conn) NetConn() net.Conn { return c.Conn }
 
+// SetLinger sets what a close does with data that has not been sent, as that of a
+// net.TCPConn does.
+func (c *conn) SetLinger(seconds int) error {
+	inner, found := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !found {
+		return errors.New("the connection has no time to linger")
+	}
+	return errors.WithStack(inner.SetLinger(seconds))
+}
+
 // CloseWrite ends the sending side, so that a caller that still sends can read its answer.
 func (c *conn) CloseWrite() error {
 	half, found := c.Conn.(interface{ CloseWrite() error })
--- a/internal/serve/reserve/listener.go
+++ b/internal/serve/reserve/listener.go
@@ -72,6 +72,16 @@
 	return raw, errors.WithStack(err)
 }
 
+// SetLinger sets what a close does with data that has not been sent, as that of a
+// net.TCPConn does.
+func (c *Conn) SetLinger(seconds int) error {
+	inner, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.New("the connection has no time to linger")
+	}
+	return errors.WithStack(inner.SetLinger(seconds))
+}
+
 // CloseWrite ends the sending side, as that of a net.TCPConn does.
 func (c *Conn) CloseWrite() error {
 	half, ok := c.Conn.(interface{ CloseWrite() error })
