Believe what an answer says of its server only if the server made it

What an answer says of its server was taken in before anything showed that the answer was the server's. Limit, rest and leaving count now only in answers with the server's proof, or that state that the request has not run.

TestForeignAnswerSaysNothingOfItsServer failed in both cases before and passes; the tests of limits, rests and leaving pass.

--- a/internal/serve/assembly/foreign_doors_test.go
+++ b/internal/serve/assembly/foreign_doors_test.go
@@ -177,3 +177,24 @@
 		})
 	}
 }
+
+// Guards against what an answer says of its server being believed of one that the server hasn't made.
+func TestForeignAnswerSaysNothingOfItsServer(t *testing.T) {
+	for _, status := range []string{"200 OK", "502 Bad Gateway"} {
+		t.Run(status, func(t *testing.T) {
+			var runs atomic.Int32
+			d := deploy(t)
+			d.configure(1, "k1")
+			d.add("i-1", "app", func(w http.ResponseWriter, r *http.Request) {
+				if runs.Add(1) > 1 {
+					fine(w, r)
+					return
+				}
+				raw("HTTP/1.1 "+status+"\r\n"+sample.ID+": %s\r\n"+sample.Leaving+": 1\r\n"+sample.Limit+": 0.01\r\nContent-Length: 0\r\n\r\n", withFIN)(w, r)
+			})
+			d.settle(1, 1)
+			require.Equal(t, http.StatusBadGateway, d.send(http.MethodPost, "/book/x", "s1", "k1", "x").status)
+			require.Equal(t, http.StatusOK, d.send(http.MethodPost, "/book/x", "s2", "k1", "x").status)
+		})
+	}
+}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -337,8 +337,10 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	c.answeredBy = append(c.answeredBy, replica.Address)
-	c.observe(replica, answer)
-	c.limited(sent, replica.Name, answer)
+	if platform.Identified(answer.Status, answer.Header) {
+		c.observe(replica, answer)
+		c.limited(sent, replica.Name, answer)
+	}
 	return c.relay(answer)
 }
 
