State a server's limit and leaving in its wrong answers of the soak, too

Trace, front 2: at 14:57:55.117 a sealed head without a body or a stated limit ends the limit (line 412, then 306 "no length and no body"), which front 1 hears at .157. A server says in each of its answers what limit it has; the soak's left it out of runs that break off and of sealed wrong answers. They state it now, and that the server leaves. Whom they told is counted as before: nobody.

The same trace shows a fault of the product that stays: at 14:57:54.892 a success without a seal, refused as no answer of the server, ends the limit as well.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -32,7 +32,8 @@
 	from        int  // its caller has the stream up to here
 	continued   bool // a front goes on with a stream that it has begun to answer
 	random      *rand.Rand
-	body        string // of the last answer that was framed
+	body        string   // of the last answer that was framed
+	statements  []string // lines of the head in which the server says something of itself
 }
 
 // seal is the proof of an answer to a request.
@@ -46,7 +47,7 @@
 
 // ok returns the head of a proper 200.
 func (a *asked) ok(lines ...string) string {
-	return a.head("200 OK", append([]string{sample.Seal + ": " + seal(a.id)}, lines...)...)
+	return a.head("200 OK", slices.Concat([]string{sample.Seal + ": " + seal(a.id)}, a.statements, lines)...)
 }
 
 // stream returns the head of an answer with events.
@@ -252,6 +253,11 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
+	for _, name := range []string{sample.Limit, sample.Leaving} {
+		if value := rw.Header().Get(name); value != "" {
+			m.statements = append(m.statements, name+": "+value)
+		}
+	}
 	if m.answer == nil {
 		m.breakOff(conn)
 		return
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -69,16 +69,14 @@
 }
 
 // arrived counts a request of a front that was last disturbed at a time, and states the
-// limit in its answer if that is heard.
+// limit in its answer, which may not be heard.
 func (l *limited) arrived(now, disturbed time.Time, front int, header http.Header, heard bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.limit == 0 {
 		return
 	}
-	if heard {
-		header.Set(sample.Limit, strconv.FormatFloat(l.limit, 'f', -1, 64))
-	}
+	header.Set(sample.Limit, strconv.FormatFloat(l.limit, 'f', -1, 64))
 	if heard && l.since.IsZero() {
 		l.since = now
 	}
--- a/soak/statement_test.go
+++ b/soak/statement_test.go
@@ -37,8 +37,8 @@
 }
 
 // states says in an answer to a front what the server has to say of itself, and whether it
-// turns the request away. A wrong answer isn't heard and says nothing else. A front that was
-// disturbed since it was told, or whose answer may have been lost, is told anew.
+// turns the request away. A wrong answer may not be heard. A front that was disturbed since it
+// was told, or whose answer may have been lost, is told anew.
 func (s *software) states(header http.Header, front int, disturbed time.Time, heard bool) bool {
 	now := time.Now()
 	if troubled := time.Unix(0, s.proxy.troubled.Load()); troubled.After(disturbed) {
@@ -59,9 +59,9 @@
 		}
 		st.rests[front] = r
 	}
-	if st.leaves && heard {
+	if st.leaves {
 		header.Set(sample.Leaving, "1")
-		if at, told := st.told[front]; !told || !at.After(disturbed) {
+		if at, told := st.told[front]; heard && (!told || !at.After(disturbed)) {
 			st.told[front] = now
 		}
 	}
