Ask for a rest again in the soak of a front that started since it was asked

Trace, front 0: line 419 at 14:59:35.632 (it keeps the rest until 38.002), line 101 at 35.838 (it was killed and started, and knows nothing of it), requests to llm-2 from 36.403 on. A front that was disturbed since it was told is told anew, as the soak says of itself; but it compared the disturbance with the rest's beginning, half a second after the telling, and held a front to it that started in between. It compares with the telling now; bounds and notice are the same.

--- a/soak/statement_test.go
+++ b/soak/statement_test.go
@@ -32,8 +32,8 @@
 
 // rest is the time in which a front was asked to send nothing.
 type rest struct {
-	begin, end time.Time
-	got        int
+	told, begin, end time.Time
+	got              int
 }
 
 // states says in an answer to a front what the server has to say of itself, and whether it
@@ -53,7 +53,7 @@
 	if at, told := st.told[front]; told && at.After(disturbed) && now.Sub(disturbed) > leaveNotice && now.Sub(at) > leaveNotice {
 		st.broken = append(st.broken, fmt.Sprintf("%s got a request of front %d %v after it had said that it leaves", s.id, front, now.Sub(at)))
 	}
-	if r := st.rests[front]; r.begin.After(disturbed) && now.After(r.begin) && now.Before(r.end) {
+	if r := st.rests[front]; r.told.After(disturbed) && now.After(r.begin) && now.Before(r.end) {
 		if r.got++; r.got > restExtra {
 			st.broken = append(st.broken, fmt.Sprintf("%s got %d requests of front %d in a rest until %v", s.id, r.got, front, r.end))
 		}
@@ -69,8 +69,8 @@
 		return false
 	}
 	header.Set("Retry-After", strconv.FormatFloat(st.rest.Seconds(), 'f', -1, 64))
-	if r := st.rests[front]; now.After(r.end) || !r.begin.After(disturbed) {
-		st.rests[front] = rest{begin: now.Add(restNotice), end: now.Add(st.rest)}
+	if r := st.rests[front]; now.After(r.end) || !r.told.After(disturbed) {
+		st.rests[front] = rest{told: now, begin: now.Add(restNotice), end: now.Add(st.rest)}
 	}
 	return true
 }
