--- /dev/null
+++ b/internal/serve/local/cut_answer_test.go
@@ -0,0 +1,71 @@
+package local
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Guards against a 200 that looks whole although its backend server stopped within it.
+func TestCutAnswerNeverLooksWhole(t *testing.T) {
+	const (
+		json  = `{"lot":4}`
+		whole = `{"choices":[{"text":"ab","finish_reason":"stop"}]}`
+	)
+	pieces := []string{"a", "b", ".", "!"}
+	stream := completionChunks(pieces...)
+	cases := []struct {
+		name   string
+		path   string
+		body   string // of the request
+		answer string
+		want   string
+		shows  bool // the answer shows where it ends
+	}{
+		{"service, length", "/svc/status/a", "", answerOf(framed, ok, "application/json", json), json, true},
+		{"service, chunks", "/svc/status/a", "", answerOf(chunked, ok, "text/plain", "lot 4"), "lot 4", true},
+		{"service, JSON to the end of the connection", "/svc/status/a", "", answerOf(unframed, ok, "application/vnd.lot+json; charset=utf-8", json), json, true},
+		{"service, text to the end of the connection", "/svc/status/a", "", answerOf(unframed, ok, "text/plain", "lot 4"), "lot 4", false},
+		{"service, HTTP 1.0", "/svc/status/a", "", "HTTP/1.0" + strings.TrimPrefix(answerOf(unframed, ok, "", "lot 4"), "HTTP/1.1"), "lot 4", false},
+		{"service, events", "/svc/status/a", "", answerOf(chunked, ok, events, "data: lot 4"), "data: lot 4", true},
+		{"completion, length", "/v1/completions", `{"model":"garland"}`, answerOf(framed, ok, "application/json", whole), whole, true},
+		{"completion, chunks", "/v1/completions", `{"model":"garland"}`, answerOf(chunked, ok, "application/json", whole), whole, true},
+		{"completion, to the end of the connection", "/v1/completions", `{"model":"garland"}`, answerOf(unframed, ok, "", whole), whole, true},
+		{"stream, length", "/v1/completions", asStream, answerOf(framed, ok, events, stream), stream, true},
+		{"stream, chunks", "/v1/completions", asStream, answerOf(chunked, ok, events, stream), stream, true},
+		{"stream, to the end of the connection", "/v1/completions", asStream, answerOf(unframed, ok, events, stream), stream, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			head := strings.Index(c.answer, "\r\n\r\n") + 4
+			for size := range len(c.answer) + 1 {
+				t.Run(strconv.Itoa(size), func(t *testing.T) {
+					system, script := startScripted(t, 2)
+					script.set(c.answer[:size], c.answer)
+					if c.body == asStream {
+						lines := strings.Count(c.answer[min(head, size):size], "}\n")
+						script.set(c.answer[:size], streamed(chunked, pieces[lines:]...))
+					}
+					response := system.send(t, 0, hawkerKey, http.MethodPost, c.path, c.body)
+					got, err := io.ReadAll(response.Body)
+					require.NoError(t, err)
+					require.Equal(t, http.StatusOK, response.StatusCode)
+					want := c.want
+					if !c.shows {
+						require.Negative(t, response.ContentLength)
+						require.Empty(t, response.TransferEncoding)
+						if size > head {
+							want = c.answer[head:size]
+						}
+					}
+					require.Equal(t, want, string(got))
+				})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/serve/local/scripted_test.go
@@ -0,0 +1,139 @@
+package local
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+)
+
+// script is what some backend servers answer: the next one that is asked sends the next
+// answer, byte for byte, and closes the connection. The last one is sent again and again.
+type script struct {
+	mu      sync.Mutex
+	answers []string
+	asked   int
+}
+
+func (s *script) set(answers ...string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers, s.asked = answers, 0
+}
+
+func (s *script) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.asked++
+	return s.answers[min(s.asked, len(s.answers))-1]
+}
+
+func (s *script) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.asked
+}
+
+// listen starts a backend server with the script.
+func (s *script) listen(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", host.Own().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func (s *script) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return // a probe
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err == nil {
+		_, _ = io.WriteString(conn, s.next())
+	}
+}
+
+// startScripted starts one entry, and backend servers with one script in both pools.
+func startScripted(t *testing.T, backends int) (*System, *script) {
+	t.Helper()
+	system := startSystem(t, twoWorkspaces(), Centre{Name: "hoan-kiem", Region: "hanoi"})
+	script := &script{}
+	for n := range backends {
+		for _, pool := range []string{system.Pool, system.Service} {
+			require.NoError(t, system.startAgent(&system.Centres[0], fmt.Sprint(pool, "-", n), pool, script.listen(t)))
+		}
+	}
+	require.NoError(t, system.StartEntry(&system.Centres[0]))
+	require.Eventually(t, func() bool {
+		return system.Entries[0].Ready() && system.Entries[0].Sees() >= 2*backends
+	}, safetyLimit, time.Millisecond)
+	return system, script
+}
+
+// Kinds of a scripted answer's framing.
+const (
+	framed   = iota // by its length
+	chunked         // by chunks
+	unframed        // by the end of the connection
+	broken          // by a chunk that doesn't come
+)
+
+// answerOf returns an answer of software version 1.
+func answerOf(framing int, status, kind, body string) string {
+	head := "HTTP/1.1 " + status + "\r\n" + wire.Version + ": 1\r\n"
+	if kind != "" {
+		head += "Content-Type: " + kind + "\r\n"
+	}
+	switch framing {
+	case framed:
+		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	case chunked, broken:
+		head += "Transfer-Encoding: chunked\r\n"
+		if body != "" {
+			body = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+		}
+		if framing == chunked {
+			body += "0\r\n\r\n"
+		}
+	}
+	return head + "\r\n" + body
+}
+
+// completionChunks returns the events of a streamed completion: of each text of choice 0, its
+// end for ".", the end of the stream for "!", and other data as it is.
+func completionChunks(pieces ...string) string {
+	var events strings.Builder
+	for _, piece := range pieces {
+		switch {
+		case piece == "!":
+			piece = "[DONE]"
+		case piece == ".":
+			piece = `{"id":"c","choices":[{"index":0,"text":"","finish_reason":"stop"}]}`
+		case !strings.HasPrefix(piece, "{"):
+			piece = fmt.Sprintf(`{"id":"c","choices":[{"index":0,"text":%q,"finish_reason":null}]}`, piece)
+		}
+		events.WriteString("data: " + piece + "\n\n")
+	}
+	return events.String()
+}
