Log at an entry why an attempt failed

An entry logged only that a request failed in the end (302), so a continuation that was refused, and one that was taken although it was none, left no trace. Line 306, which fronts write, is written by entries too, but not for servers that had no room.

--- a/internal/serve/entry/retries.go
+++ b/internal/serve/entry/retries.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/explain"
 	"github.com/chicoryrock/chicoryrock/internal/policy/retry"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
@@ -52,6 +54,8 @@
 		c.tries.turned++
 	} else {
 		c.tries.sent++
+		c.entry.Log.Write(event.AttemptEnded, zap.String("ref", c.request.ID), zap.String("server", replica.Name),
+			zap.Int("sent", c.tries.sent), zap.Int("turned", c.tries.turned), zap.Int("tokens", c.sent), event.Cause(failure))
 	}
 	if err := c.learnCrash(now, failure); err != nil {
 		return err
