Go on with a stream only by an answer that is one

Seen by callers: a stream broke off, the next engine answered with status 500 or 404, and its body stood in the middle of the stream, which then ended as if it were complete. 204 ended it at once. A 200 of any type was read as events.

Cause: the entry took each answer but a 200 for the whole answer of the request, also when the caller had the beginning of a stream, and didn't look at the type.

Now the head decides first: within a stream only a 200 of type text/event-stream goes on; a completion's answer with another 2xx is none. What doesn't fit is a failed attempt (truncated, no crash), so that the rest may come from elsewhere. Entry and agent read the type by the same function. An engine that states no type for its stream is refused, as the agent couldn't tell its comments from its own.

--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -18,9 +17,6 @@
 // relayBuffer is how much of an answer is passed on at once, in bytes.
 const relayBuffer = 16 << 10
 
-// eventStream is the content type of streamed answers.
-const eventStream = "text/event-stream"
-
 // loadInterval is how often a stream tells its entry the agent's load.
 const loadInterval = 100 * time.Millisecond
 
@@ -37,7 +33,7 @@
 	v.stampUsage(header)
 	header.Set("Trailer", wire.Load)
 	v.w.WriteHeader(response.StatusCode)
-	streamed := strings.HasPrefix(response.Header.Get("Content-Type"), eventStream)
+	streamed := wire.IsEventStream(response.Header)
 	meter := &meter{path: v.r.URL.Path, status: response.StatusCode}
 	err := v.copy(response.Body, streamed, meter)
 	v.countUsage(meter.counts(streamed))
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -179,12 +179,31 @@
 	if err := c.keepVersion(response.Header); err != nil {
 		return err
 	}
+	if err := c.fits(response); err != nil {
+		return err
+	}
 	if c.stream && response.StatusCode == http.StatusOK {
 		return c.relayStream(replica, response.Body)
 	}
 	return c.relayWhole(response)
 }
 
+// fits checks that an answer's head is that of a completion, or of a stream of one. An error
+// may be passed on instead, unless the caller has the beginning of a stream. Errors:
+// chicoryrock.ErrTruncated, chicoryrock.ErrUnknownOutcome.
+func (c *call) fits(response *http.Response) error {
+	status := response.StatusCode
+	switch {
+	case c.started && status != http.StatusOK:
+		return errors.Wrapf(chicoryrock.ErrTruncated, "status %d within a stream", status)
+	case c.model && status != http.StatusOK && status < http.StatusMultipleChoices:
+		return errors.Wrapf(chicoryrock.ErrUnknownOutcome, "status %d for a completion", status)
+	case c.stream && status == http.StatusOK && !wire.IsEventStream(response.Header):
+		return errors.Wrapf(chicoryrock.ErrTruncated, "type %q for a stream", response.Header.Get("Content-Type"))
+	}
+	return nil
+}
+
 // keepVersion takes in which software version answers. What it writes doesn't fit to what
 // another one has begun. Error: chicoryrock.ErrUnknownOutcome.
 func (c *call) keepVersion(header http.Header) error {
--- a/internal/serve/wire/events.go
+++ b/internal/serve/wire/events.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"mime"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -20,6 +22,16 @@
 	commentPrefix = []byte(":")
 )
 
+// eventStream is the media type of streamed answers.
+const eventStream = "text/event-stream"
+
+// IsEventStream says whether an answer's header states that its body is a stream of events.
+func IsEventStream(header http.Header) bool {
+	// Parameters say nothing of it, whether or not they make sense.
+	kind, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
+	return kind == eventStream
+}
+
 // EventReader reads the data of server-sent events, one event at a time.
 type EventReader struct {
 	// Heard is told of the loads that an agent states between events; may be nil.
