Believe a completion's end once all of its choices have finished

Seen by callers: an error object or another answer's head in the middle of a stream, chunks behind it, and streams that ended as complete after half of their text, as the next engine said [DONE] without a chunk, with its usage or a role only.

Cause: the entry passed on whatever JSON stood behind "data:", left out lines that are no fields of an event stream, and took [DONE] from any answer for the end. Each answer was looked at alone, while the promise is about the stream.

policy/sequence.Completion now follows a stream over all of its answers. A chunk is a part of it if it has choices or usage and states no error; a line has to be a field or a comment; text for a choice that an earlier answer has finished is out of order. [DONE] is the end once each choice of which the caller has a part has given a finish_reason, in whichever answer. Chunks with usage, filter results or a role only, several choices, and text beside or after a reason pass as before; a byte order mark no longer hides the first event.

--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/policy/sequence"
 	"github.com/chicoryrock/chicoryrock/internal/policy/suspect"
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
@@ -34,21 +35,22 @@
 	stream     bool
 	wantsUsage bool
 
-	ctx     context.Context // ends when the caller goes or its key is withdrawn
-	granted bool            // a replica was given the request
-	begun   bool            // an attempt may have run
-	done    bool            // the answer has gone out whole
-	tries   tries
-	print   *suspect.Fingerprint  // once it has been taken
-	parts   []suspect.Fingerprint // messages that other calls may share
-	trial   bool                  // it is the trial of a ban
-	sent    int                   // output tokens that the caller has
-	version string                // of the software that answers the attempt under way
-	timing  timing                // of the attempt under way
-	started bool                  // the answer's header has gone out
-	status  int                   // of the answer
-	claimed *claimed              // nil for a call that needs no claim
-	used    used                  // by the attempt under way
+	ctx        context.Context // ends when the caller goes or its key is withdrawn
+	granted    bool            // a replica was given the request
+	begun      bool            // an attempt may have run
+	done       bool            // the answer has gone out whole
+	tries      tries
+	print      *suspect.Fingerprint  // once it has been taken
+	parts      []suspect.Fingerprint // messages that other calls may share
+	trial      bool                  // it is the trial of a ban
+	sent       int                   // output tokens that the caller has
+	version    string                // of the software that answers the attempt under way
+	timing     timing                // of the attempt under way
+	started    bool                  // the answer's header has gone out
+	completion sequence.Completion   // what the caller has of a stream
+	status     int                   // of the answer
+	claimed    *claimed              // nil for a call that needs no claim
+	used       used                  // by the attempt under way
 }
 
 // run serves the call under its key's watch: it ends when the key is withdrawn,
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -15,6 +15,7 @@
 // relayStream passes events on as they come. The answer's header goes out with
 // the first event, so that a stream that breaks before it can start elsewhere.
 func (c *call) relayStream(replica *chicoryrock.Replica, stream io.Reader) error {
+	c.completion.Begin()
 	events := wire.NewEventReader(stream)
 	events.Heard = func(load chicoryrock.Load) {
 		c.entry.gate.Heard(time.Now(), replica.Pool, replica.Name, load)
@@ -22,6 +23,9 @@
 	for {
 		data, err := events.Next()
 		if errors.Is(err, io.EOF) {
+			if err := c.completion.End(); err != nil {
+				return errors.Wrap(chicoryrock.ErrTruncated, err.Error())
+			}
 			return c.endStream()
 		}
 		if err != nil {
@@ -41,6 +45,9 @@
 	if err != nil {
 		return errors.Wrap(chicoryrock.ErrTruncated, err.Error())
 	}
+	if err := c.completion.Next(chunk.Place()); err != nil {
+		return errors.Wrapf(chicoryrock.ErrTruncated, "%s: %.200q", err, data)
+	}
 	moves := false
 	if tokens := chunk.Tokens(); tokens > 0 {
 		now := time.Now()
--- a/internal/serve/wire/events.go
+++ b/internal/serve/wire/events.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/policy/sequence"
 )
 
 // maxEvent is the longest server-sent event that is relayed, in bytes.
@@ -20,6 +21,7 @@
 	dataPrefix    = []byte("data:")
 	doneData      = []byte("[DONE]")
 	commentPrefix = []byte(":")
+	byteOrderMark = []byte("\ufeff") // may begin a stream
 )
 
 // eventStream is the media type of streamed answers.
@@ -38,6 +40,7 @@
 	Heard func(load chicoryrock.Load)
 
 	scanner *bufio.Scanner
+	begun   bool // a line has been read
 }
 
 // NewEventReader reads events from a stream.
@@ -48,17 +51,26 @@
 }
 
 // Next returns the data of the next event; the slice is valid until the next
-// call. The end marker gives io.EOF; a stream that ends or breaks before it
-// gives chicoryrock.ErrTruncated.
+// call. The end marker gives io.EOF; a stream that ends or breaks before it, or has
+// lines that are no part of one, gives chicoryrock.ErrTruncated.
 func (r *EventReader) Next() ([]byte, error) {
 	for r.scanner.Scan() {
 		line := r.scanner.Bytes()
+		if !r.begun {
+			line, r.begun = bytes.TrimPrefix(line, byteOrderMark), true
+		}
+		if len(line) == 0 {
+			continue
+		}
 		if bytes.HasPrefix(line, commentPrefix) {
 			if err := r.comment(string(line)); err != nil {
 				return nil, err
 			}
 			continue
 		}
+		if err := sequence.CheckLine(line); err != nil {
+			return nil, errors.Wrap(chicoryrock.ErrTruncated, err.Error())
+		}
 		if !bytes.HasPrefix(line, dataPrefix) {
 			continue
 		}
@@ -76,8 +88,11 @@
 
 // Chunk is the part of a streamed chunk or a whole answer that the router reads.
 type Chunk struct {
-	ID      string `json:"id"`
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Error   json.RawMessage `json:"error"`
 	Choices []struct {
+		Index int    `json:"index"`
 		Text  string `json:"text"`
 		Delta struct {
 			Content string `json:"content"`
@@ -102,6 +117,21 @@
 	return chunk, nil
 }
 
+// Place returns what the chunk says of its place in a streamed completion.
+func (c Chunk) Place() sequence.Chunk {
+	failed := c.Object == "error" || len(c.Error) > 0 && string(c.Error) != "null" && string(c.Error) != `""`
+	place := sequence.Chunk{Failed: failed, Body: c.Choices != nil || c.Usage != nil}
+	for i := range c.Choices {
+		choice := &c.Choices[i]
+		place.Choices = append(place.Choices, sequence.Choice{
+			Index:    choice.Index,
+			Text:     choice.Text != "" || choice.Delta.Content != "",
+			Finished: choice.FinishReason != nil && *choice.FinishReason != "",
+		})
+	}
+	return place
+}
+
 // Tokens returns how many output tokens the chunk carries: engines send one
 // token in each chunk that has text.
 func (c Chunk) Tokens() int {
