Pass on an engine's stream without the length that it states

Seen by callers: an engine that streams with a Content-Length got no stream through, only 502; of one that broke off within its last bytes, the pieces before the break were lost, and the continuation began without them.

Cause: the agent passed the length on, but leaves the engine's comments out of a stream and adds its own, so its server refused the piece that went over the length, or cut the answer that was short of it.

TestSoundStreamsPassUnchanged and TestCutAnswerNeverLooksWhole/stream,_length failed before and pass now.

--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -24,7 +24,13 @@
 // connection, so that the entry sees it is not whole.
 func (v *visit) relay(response *http.Response) {
 	header := v.w.Header()
-	for _, name := range []string{"Content-Type", "Content-Length", "Content-Language"} {
+	streamed := wire.IsEventStream(response.Header)
+	names := []string{"Content-Type", "Content-Language"}
+	if !streamed {
+		// A stream gets other comments on its way.
+		names = append(names, "Content-Length")
+	}
+	for _, name := range names {
 		if value := response.Header.Get(name); value != "" {
 			header.Set(name, value)
 		}
@@ -33,7 +39,6 @@
 	v.stampUsage(header)
 	header.Set("Trailer", wire.Load)
 	v.w.WriteHeader(response.StatusCode)
-	streamed := wire.IsEventStream(response.Header)
 	meter := &meter{path: v.r.URL.Path, status: response.StatusCode}
 	err := v.copy(response.Body, streamed, meter)
 	v.countUsage(meter.counts(streamed))
