Pass on a plain service's events byte for byte

Seen by callers: a plain service that answers with an event stream whose last line has no end got through without that line, as a 200 framed as whole and empty if it was the only one. The agent's load stood among the events, and the service's own comments were missing.

Cause: the agent treated each event stream as an engine's tokens: whole lines only, comments left out, its own put in. The entry reads these only from streams of completions.

TestCutAnswerNeverLooksWhole/service,_events failed before and passes now.

--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -24,7 +24,7 @@
 // connection, so that the entry sees it is not whole.
 func (v *visit) relay(response *http.Response) {
 	header := v.w.Header()
-	streamed := wire.IsEventStream(response.Header)
+	streamed := wire.IsModelPath(v.r.URL.Path) && wire.IsEventStream(response.Header)
 	names := []string{"Content-Type", "Content-Language"}
 	if !streamed {
 		// A stream gets other comments on its way.
@@ -48,7 +48,7 @@
 	wire.SetLoad(header, v.others())
 }
 
-// copy passes on the body. Of a stream only whole lines go on, and their tokens
+// copy passes on the body. Of a stream of tokens only whole lines go on, and their tokens
 // are counted.
 func (v *visit) copy(body io.Reader, streamed bool, meter *meter) error {
 	controller := http.NewResponseController(v.w)
