Frame no answer as whole that its backend server didn't

Seen by callers: a service that states neither length nor chunks and stopped behind the head of its answer, or within the body, came as 200 with an empty or short body and a Content-Length.

Cause: the agent reads such an answer to the end of the connection and sends it on in chunks with their proper end, and the entry with its length, so nobody behind the agent can tell a break from an end.

The agent now states that the answer had no frame (X-Chicory-Unframed), and breaks off one that shows that it isn't whole: a success without a body, or JSON that doesn't parse. The entry tries these again as any that break off, or says that the outcome is unknown. What shows neither way, such as text, is sent to the caller as it came, up to the end of the connection: it is legal and may be whole (RFC 9112, section 6.3). Completions prove themselves. Processes of a build before this one pass such answers on as before.

TestSoundAnswersWithoutAFramePass keeps that HEAD, answers without a body and JSON lines pass.

--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net/http"
 	"time"
@@ -35,12 +36,19 @@
 			header.Set(name, value)
 		}
 	}
+	if !framed(response) {
+		header.Set(wire.Unframed, "1")
+	}
 	wire.SetLoad(header, v.agent.room.load())
 	v.stampUsage(header)
 	header.Set("Trailer", wire.Load)
 	v.w.WriteHeader(response.StatusCode)
 	meter := &meter{path: v.r.URL.Path, status: response.StatusCode}
 	err := v.copy(response.Body, streamed, meter)
+	if err == nil && !streamed && !framed(response) {
+		err = checkUnframed(response, meter.body)
+	}
+	meter.whole = err == nil
 	v.countUsage(meter.counts(streamed))
 	if err != nil {
 		v.cut(err, streamed)
@@ -48,6 +56,27 @@
 	wire.SetLoad(header, v.others())
 }
 
+// framed says whether an answer states where it ends.
+func framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
+}
+
+// errCut is for the end of a connection that isn't the end of its answer.
+var errCut = errors.New("the connection ends within the answer")
+
+// checkUnframed checks a body that ended with its connection, as far as it shows whether it
+// is whole. Error: errCut.
+func checkUnframed(response *http.Response, body []byte) error {
+	success := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+	switch {
+	case len(body) == 0 && success:
+		return errors.Wrap(errCut, "no body")
+	case len(body) > 0 && len(body) <= maxCounted && wire.IsJSON(response.Header) && !json.Valid(body):
+		return errors.Wrap(errCut, "a part of JSON")
+	}
+	return nil
+}
+
 // copy passes on the body. Of a stream of tokens only whole lines go on, and their tokens
 // are counted.
 func (v *visit) copy(body io.Reader, streamed bool, meter *meter) error {
@@ -73,7 +102,6 @@
 			_ = controller.Flush()
 		}
 		if errors.Is(err, io.EOF) {
-			meter.whole = true
 			return nil
 		}
 		if err != nil {
--- a/internal/serve/entry/whole.go
+++ b/internal/serve/entry/whole.go
@@ -33,7 +33,12 @@
 	c.noteWhole(response.StatusCode, data)
 	header := c.w.Header()
 	header.Set("Content-Type", response.Header.Get("Content-Type"))
-	header.Set("Content-Length", strconv.Itoa(len(data)))
+	if response.Header.Get(wire.Unframed) == "" || c.model && response.StatusCode == http.StatusOK {
+		header.Set("Content-Length", strconv.Itoa(len(data)))
+	} else {
+		// Nothing shows that it is whole, so it ends with the caller's connection, too.
+		header.Set("Transfer-Encoding", "identity") //nolint:gosec // the length is not set beside it
+	}
 	c.started = true
 	c.status = response.StatusCode
 	c.w.WriteHeader(response.StatusCode)
--- a/internal/serve/local/cut_answer_test.go
+++ b/internal/serve/local/cut_answer_test.go
@@ -69,3 +69,27 @@
 		})
 	}
 }
+
+// Guards against rules that cut the answers of sound services.
+func TestSoundAnswersWithoutAFramePass(t *testing.T) {
+	system, script := startScripted(t, 1)
+	cases := []struct {
+		method, answer, body string
+	}{
+		{http.MethodHead, answerOf(unframed, ok, "application/json", ""), ""},
+		{http.MethodGet, answerOf(unframed, "204 No Content", "", ""), ""},
+		{http.MethodGet, answerOf(unframed, "304 Not Modified", "", ""), ""},
+		{http.MethodGet, answerOf(unframed, "404 Not Found", "text/plain", ""), ""},
+		{http.MethodGet, answerOf(unframed, "404 Not Found", "application/json", ""), ""},
+		{http.MethodGet, answerOf(unframed, ok, "application/json", `{"lot":4}`+"\n"), `{"lot":4}` + "\n"},
+		{http.MethodGet, answerOf(unframed, ok, "application/x-ndjson", "{}\n{}\n"), "{}\n{}\n"},
+		{http.MethodGet, answerOf(unframed, "302 Found", "text/html", "<a>"), "<a>"},
+	}
+	for _, c := range cases {
+		script.set(c.answer)
+		response := system.send(t, 0, hawkerKey, c.method, "/svc/status/a", "")
+		require.Contains(t, c.answer, " "+response.Status+"\r\n")
+		require.Equal(t, c.body, readAll(t, response), c.answer)
+		require.Equal(t, 1, script.requests(), c.answer)
+	}
+}
--- a/internal/serve/wire/events.go
+++ b/internal/serve/wire/events.go
@@ -7,6 +7,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -29,9 +30,19 @@
 
 // IsEventStream says whether an answer's header states that its body is a stream of events.
 func IsEventStream(header http.Header) bool {
+	return mediaType(header) == eventStream
+}
+
+// IsJSON says whether an answer's header states that its body is JSON.
+func IsJSON(header http.Header) bool {
+	kind := mediaType(header)
+	return kind == "application/json" || strings.HasSuffix(kind, "+json")
+}
+
+func mediaType(header http.Header) string {
 	// Parameters say nothing of it, whether or not they make sense.
 	kind, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
-	return kind == eventStream
+	return kind
 }
 
 // EventReader reads the data of server-sent events, one event at a time.
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -27,18 +27,19 @@
 	Workspace = "X-Chicory-Workspace"
 	Class     = "X-Chicory-Class"
 	Tier      = "X-Chicory-Tier"
-	Limit     = "X-Chicory-Limit"   // requests a second that the backend server takes, in its answers; missing for any number
-	Load      = "X-Chicory-Load"    // JSON of chicoryrock.Load
-	Resume    = "X-Chicory-Resume"  // output tokens that the caller already has
-	Version   = "X-Chicory-Version" // of an engine's software, in its answers; on a call that resumes, the version that began it
-	Prompt    = "X-Chicory-Prompt"  // estimated prompt length, tokens
-	Due       = "X-Chicory-Due"     // milliseconds until the first token is due
-	Suspect   = "X-Chicory-Suspect" // "1" on a call that was in flight at a crash
-	CrashName = "X-Chicory-Crash"   // the crash that ended a call before its answer began
-	Once      = "X-Chicory-Once"    // "1" on a call that may not be repeated
-	Claim     = "X-Chicory-Claim"   // digest of its idempotency key, when it has one
-	Process   = "X-Chicory-Process" // the sending process, by a name that none had before
-	Window    = "X-Chicory-Window"  // number of the usage window that the call counts in
+	Limit     = "X-Chicory-Limit"    // requests a second that the backend server takes, in its answers; missing for any number
+	Load      = "X-Chicory-Load"     // JSON of chicoryrock.Load
+	Resume    = "X-Chicory-Resume"   // output tokens that the caller already has
+	Version   = "X-Chicory-Version"  // of an engine's software, in its answers; on a call that resumes, the version that began it
+	Prompt    = "X-Chicory-Prompt"   // estimated prompt length, tokens
+	Due       = "X-Chicory-Due"      // milliseconds until the first token is due
+	Suspect   = "X-Chicory-Suspect"  // "1" on a call that was in flight at a crash
+	CrashName = "X-Chicory-Crash"    // the crash that ended a call before its answer began
+	Once      = "X-Chicory-Once"     // "1" on a call that may not be repeated
+	Claim     = "X-Chicory-Claim"    // digest of its idempotency key, when it has one
+	Process   = "X-Chicory-Process"  // the sending process, by a name that none had before
+	Window    = "X-Chicory-Window"   // number of the usage window that the call counts in
+	Unframed  = "X-Chicory-Unframed" // "1" on an answer whose end the backend server showed only by the end of its connection
 )
 
 // Values of the Outcome header.
