Pass on the length that a backend server states in its answer to HEAD

What callers saw: each answer to a HEAD request stated Content-Length: 0, framed as an empty whole, whatever the server had stated.

Cause: a plain answer states the length of the body that was held, and an answer to HEAD has none.

Change: it states the server's own length, or none where the server does.

Evidence: TestAnswerToHeadStatesItsServersLength failed before and passes.

--- a/internal/serve/assembly/cut_answers_test.go
+++ b/internal/serve/assembly/cut_answers_test.go
@@ -238,3 +238,26 @@
 		})
 	}
 }
+
+// Guards against an answer to HEAD that states another length than its server's.
+func TestAnswerToHeadStatesItsServersLength(t *testing.T) {
+	cases := []struct {
+		name, field string
+		want        int64
+	}{{"a length", sized("fine"), 4}, {"no bytes", sized(""), 0}, {"no length", "", -1}, {"chunks", inChunks, -1}}
+	d := deploy(t)
+	d.configure(1, "k1")
+	d.addWriter("i-1", "app", func(request, _ string) written {
+		return written{strings.ReplaceAll(head("200 OK", cases[request[0]-'a'].field)+"\r\n", "ID", request), keeps}
+	})
+	d.settle(1, 1)
+	for i, c := range cases {
+		request := d.request(t.Context(), http.MethodHead, "/read/", fmt.Sprintf("%chead", 'a'+i), "k1", "")
+		transport := &http.Transport{DisableKeepAlives: true}
+		response, err := transport.RoundTrip(request)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		require.Equal(t, http.StatusOK, response.StatusCode, c.name)
+		require.Equal(t, c.want, response.ContentLength, c.name)
+	}
+}
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -120,7 +120,14 @@
 	c.status = status
 	c.first = time.Since(c.begin)
 	platform.Answered(c.w.Header(), header)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	length := strconv.Itoa(len(body))
+	if c.r.Method == http.MethodHead {
+		// It is that of the body which isn't sent.
+		length = header.Get("Content-Length")
+	}
+	if length != "" {
+		c.w.Header().Set("Content-Length", length)
+	}
 	c.w.WriteHeader(status)
 	return c.deliver(body, memory.Running)
 }
