Give whole systems in tests addresses of their own

TestCutAnswerNeverLooksWhole starts and stops hundreds of systems on free ports, and a free port may be one that another test's crashed engine takes again, or whose closed server a client still calls.

--- a/internal/serve/local/helper_test.go
+++ b/internal/serve/local/helper_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 	"github.com/chicoryrock/chicoryrock/internal/state/object"
 )
 
@@ -55,6 +56,7 @@
 		Service: "bookings",
 		Slots:   set.Pools[0].Slots,
 		Token:   2 * time.Millisecond,
+		Address: host.Own, // what calls a free port may belong to another test
 	}
 	t.Cleanup(system.Close)
 	require.NoError(t, system.Start(context.Background()))
--- a/internal/serve/local/local.go
+++ b/internal/serve/local/local.go
@@ -54,12 +54,13 @@
 // The store stands in the first data centre's region.
 type System struct {
 	Centres []Centre
-	Set     *object.Set   // published at the start
-	Pool    string        // pool of the model engines
-	Service string        // pool of the plain services
-	Slots   int           // streams of one backend server
-	Token   time.Duration // time of one token
-	Prefill time.Duration // time of one prompt token
+	Set     *object.Set           // published at the start
+	Pool    string                // pool of the model engines
+	Service string                // pool of the plain services
+	Slots   int                   // streams of one backend server
+	Token   time.Duration         // time of one token
+	Prefill time.Duration         // time of one prompt token
+	Address func() netip.AddrPort // where each process listens next; nil for any free port
 
 	Store   *store.Server
 	VMs     *vms.Server
@@ -133,12 +134,19 @@
 	s.showList()
 }
 
+func (s *System) listen() netip.AddrPort {
+	if s.Address != nil {
+		return s.Address()
+	}
+	return host.Loopback()
+}
+
 func (s *System) startPlatform() error {
-	s.Store = &store.Server{Listen: host.Loopback()}
+	s.Store = &store.Server{Listen: s.listen()}
 	if err := s.Store.Start(); err != nil {
 		return err
 	}
-	s.VMs = &vms.Server{Listen: host.Loopback()}
+	s.VMs = &vms.Server{Listen: s.listen()}
 	return s.VMs.Start()
 }
 
@@ -163,7 +171,7 @@
 
 func (s *System) startEngine(centre *Centre) error {
 	server := &engine.Server{
-		Listen:  host.Loopback(),
+		Listen:  s.listen(),
 		Model:   s.modelOf(s.Pool),
 		Slots:   s.Slots,
 		Token:   s.Token,
@@ -177,7 +185,7 @@
 }
 
 func (s *System) startPlain(centre *Centre) error {
-	server := &plain.Server{Listen: host.Loopback()}
+	server := &plain.Server{Listen: s.listen()}
 	if err := server.Start(); err != nil {
 		return err
 	}
@@ -199,7 +207,7 @@
 	agent := &assembly.Agent{
 		Settings: &settings.Agent{
 			Common: s.common(name, centre),
-			Listen: host.Loopback(),
+			Listen: s.listen(),
 			Engine: backend,
 			Pool:   pool,
 			Slots:  s.Slots,
@@ -220,7 +228,7 @@
 	name := fmt.Sprintf("entry-%d", len(s.Entries)+1)
 	opened := make(chan netip.AddrPort, 1)
 	entry := &assembly.Entry{
-		Settings: &settings.Entry{Common: s.common(name, centre), Listen: host.Loopback(), MaxBody: maxBody},
+		Settings: &settings.Entry{Common: s.common(name, centre), Listen: s.listen(), MaxBody: maxBody},
 		Log:      event.NewNop(),
 		Opened:   func(address netip.AddrPort) { opened <- address },
 	}
@@ -254,8 +262,8 @@
 		Centre: centre.Name,
 		Region: centre.Region,
 		Home:   s.Centres[0].Region,
-		Peer:   host.Loopback(),
-		Admin:  host.Loopback(),
+		Peer:   s.listen(),
+		Admin:  s.listen(),
 		Store:  s.Store.Addr(),
 		VMs:    s.VMs.Addr(),
 		Plain:  true,
