Send each request to an engine on a connection of its own

Seen by callers: an answer that belongs to nobody, such as a late one or an error page behind an answer, came as the whole answer of the next request.

Cause: the agent kept connections to its backend server, and the HTTP library only finds what stands on an idle one if no request has taken it yet. Whether an answer is the request's is checked by X-Request-Id, which only engines that know the header send back.

The agent now closes the connection behind each answer.

--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -183,6 +183,8 @@
 	// sends the call twice on its own.
 	request.GetBody = nil
 	request.ContentLength = v.r.ContentLength
+	// What comes behind an answer would be read as the next request's.
+	request.Close = true
 	for _, name := range forwarded {
 		if value := v.r.Header.Get(name); value != "" {
 			request.Header.Set(name, value)
--- a/internal/serve/local/scripted_test.go
+++ b/internal/serve/local/scripted_test.go
@@ -45,8 +45,8 @@
 	return s.asked
 }
 
-// listen starts a backend server with the script.
-func (s *script) listen(t *testing.T) netip.AddrPort {
+// listen starts a backend server.
+func listen(t *testing.T, serve func(net.Conn)) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", host.Own().String())
 	require.NoError(t, err)
@@ -57,7 +57,7 @@
 			if err != nil {
 				return
 			}
-			go s.serve(conn)
+			go serve(conn)
 		}
 	}()
 	return netip.MustParseAddrPort(listener.Addr().String())
@@ -81,7 +81,7 @@
 	script := &script{}
 	for n := range backends {
 		for _, pool := range []string{system.Pool, system.Service} {
-			require.NoError(t, system.startAgent(&system.Centres[0], fmt.Sprint(pool, "-", n), pool, script.listen(t)))
+			require.NoError(t, system.startAgent(&system.Centres[0], fmt.Sprint(pool, "-", n), pool, listen(t, script.serve)))
 		}
 	}
 	require.NoError(t, system.StartEntry(&system.Centres[0]))
