Check lines and types of streams in one place for both doors

The front's check of a block and the entry's of a line each had the field names, and the two doors read media types in their own ways (a type with a parameter twice was none at the entry). Both ask sequence.CheckLine and wire.MediaType now. Tests of both doors pass.

--- a/internal/policy/sequence/chunks.go
+++ b/internal/policy/sequence/chunks.go
@@ -1,10 +1,6 @@
 package sequence
 
-import (
-	"bytes"
-
-	"github.com/pkg/errors"
-)
+import "github.com/pkg/errors"
 
 // maxChoices bounds what is kept of a completion.
 const maxChoices = 1 << 14
@@ -88,17 +84,3 @@
 	}
 	return nil
 }
-
-// CheckLine checks that a line that is not blank may stand in a stream of events, whose
-// readers leave out fields that they don't know. Error: ErrMalformed.
-func CheckLine(line []byte) error {
-	name, _, found := bytes.Cut(line, []byte(":"))
-	switch string(name) {
-	case "id", "data", "event", "retry":
-		return nil
-	}
-	if !found || !isFieldName(name) {
-		return errors.Wrapf(ErrMalformed, "a line that is no field: %.40q", line)
-	}
-	return nil
-}
--- a/internal/policy/sequence/chunks_test.go
+++ b/internal/policy/sequence/chunks_test.go
@@ -54,8 +54,8 @@
 }
 
 func TestCheckLine(t *testing.T) {
-	sound := []string{"data: x", "data", "id:1", "event: y", "retry: 5", "weight-versions: 2"}
-	for _, line := range append(sound, "HTTP/1.1 200 OK", "Content-Type: text/plain", `{"error":1}`, "<p>", "oops", "da ta: x") {
+	sound := []string{"data: x", "data", "id:1", "event: y", "retry: 5", "weight-versions: 2", "X-Trace: 9", ": x", ""}
+	for _, line := range append(sound, "HTTP/1.1 200 OK", "Internal Server Error: x", `{"error":1}`, "<p>", "oops", "da ta: x") {
 		err := CheckLine([]byte(line))
 		if slices.Contains(sound, line) {
 			require.NoError(t, err)
--- a/internal/policy/sequence/event.go
+++ b/internal/policy/sequence/event.go
@@ -39,18 +39,17 @@
 		if bytes.IndexByte(line, '\r') >= 0 {
 			return Event{}, errors.Wrap(ErrMalformed, "a carriage return within a line")
 		}
-		name, value, found := bytes.Cut(line, []byte(":"))
+		if err := CheckLine(line); err != nil {
+			return Event{}, err
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
 		switch string(name) {
-		case "":
 		case "id":
 			event.ID = string(bytes.TrimSpace(value))
 		case "data":
 			event.Data = true
-		case "event", "retry":
+		case "", "event", "retry":
 		default:
-			if !found || !isFieldName(name) {
-				return Event{}, errors.Wrapf(ErrMalformed, "a line that is no field: %.40q", line)
-			}
 			extended = true
 		}
 	}
@@ -60,6 +59,20 @@
 	return event, nil
 }
 
+// CheckLine checks that a line may stand in a stream of events: a blank one, a comment, a
+// field of events, or one that servers add. Error: ErrMalformed.
+func CheckLine(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	switch string(name) {
+	case "", "id", "data", "event", "retry":
+		return nil
+	}
+	if !found || !isFieldName(name) {
+		return errors.Wrapf(ErrMalformed, "a line that is no field: %.40q", line)
+	}
+	return nil
+}
+
 // isFieldName reports whether a name is one that servers may add.
 func isFieldName(name []byte) bool {
 	for _, c := range name {
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,6 +13,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/policy/memory"
 	"github.com/chicoryrock/chicoryrock/internal/policy/sequence"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
@@ -22,8 +22,7 @@
 
 // headOf returns what the head of an answer says of the events in its body.
 func headOf(answer *upstream.Answer) sequence.Head {
-	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
-	return sequence.Head{Type: strings.ToLower(strings.TrimSpace(mediaType)), Framed: answer.Framed}
+	return sequence.Head{Type: wire.MediaType(answer.Header), Framed: answer.Framed}
 }
 
 // relayStream passes events on as they come, each whole. The answer's header goes
--- a/internal/serve/wire/events.go
+++ b/internal/serve/wire/events.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"io"
-	"mime"
 	"net/http"
 	"strings"
 
@@ -30,19 +29,20 @@
 
 // IsEventStream says whether an answer's header states that its body is a stream of events.
 func IsEventStream(header http.Header) bool {
-	return mediaType(header) == eventStream
+	return MediaType(header) == eventStream
 }
 
 // IsJSON says whether an answer's header states that its body is JSON.
 func IsJSON(header http.Header) bool {
-	kind := mediaType(header)
+	kind := MediaType(header)
 	return kind == "application/json" || strings.HasSuffix(kind, "+json")
 }
 
-func mediaType(header http.Header) string {
-	// Parameters say nothing of it, whether or not they make sense.
-	kind, _, _ := mime.ParseMediaType(header.Get("Content-Type"))
-	return kind
+// MediaType returns the type that an answer's header states, in lowercase and without its
+// parameters, whether or not these make sense; empty for none.
+func MediaType(header http.Header) string {
+	kind, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(kind))
 }
 
 // EventReader reads the data of server-sent events, one event at a time.
