--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -27,7 +27,7 @@
 
 // relayStream passes events on as they come, each whole. The answer's header goes
 // out with the first one, so that a stream that breaks before can start elsewhere.
-func (c *call) relayStream(answer *upstream.Answer, head sequence.Head) (err error) {
+func (c *call) relayStream(answer *upstream.Answer, head sequence.Head) error {
 	if err := c.stream.Begin(head); err != nil {
 		return c.foreign(err)
 	}
@@ -39,8 +39,8 @@
 	held := int64(firstKept) // is part of each request's room
 	defer func() { c.hold.Shrink(held - firstKept) }()
 	for {
-		var whole bool
-		pending, whole, err = blocks.read(pending)
+		read, whole, err := blocks.read(pending)
+		pending = read
 		if len(pending) > maxEvent {
 			return errors.Wrapf(upstream.ErrBadAnswer, "an event of more than %d bytes", maxEvent)
 		}
