Count no answer of the soak as heard that was cut with its connection

Trace: a request with the bad part crashes llm-3 at 15:11:48.414, which cuts its connections; the answer that said so, to short-3-0 or long-6-0, was written at 48.4144 and lost: front 0 logs 306 "connection reset by peer" for its three requests there at 48.4147, and no 406 (it leaves). The soak noted the time of the cut before it cut, so an answer in between counted as heard. Answers within 100 ms of a cut don't count as heard now; a server tells a front anew.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -26,12 +26,16 @@
 	moods
 )
 
+// inFlight is how long after its connections were cut a server may still answer requests that
+// it had got before.
+const inFlight = 100 * time.Millisecond
+
 // proxy stands before one address and can be put into a mood, or reset.
 type proxy struct {
 	target   netip.AddrPort
 	listener net.Listener
 	mood     atomic.Int32
-	troubled atomic.Int64 // when its mood last changed or it was reset, in Unix nanoseconds
+	troubled atomic.Int64 // when its mood last changed or answers were last lost to a reset, in Unix nanoseconds
 
 	mutex sync.Mutex
 	conns map[net.Conn]struct{}
@@ -56,7 +60,7 @@
 
 // feel puts the proxy into a mood.
 func (p *proxy) feel(m mood) {
-	p.troubled.Store(time.Now().UnixNano())
+	p.troubled.Store(max(p.troubled.Load(), time.Now().UnixNano()))
 	p.mood.Store(int32(m))
 }
 
@@ -137,7 +141,7 @@
 
 // reset cuts all connections at once.
 func (p *proxy) reset() {
-	p.troubled.Store(time.Now().UnixNano())
+	p.troubled.Store(time.Now().Add(inFlight).UnixNano())
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for conn := range p.conns {
