Try elsewhere what nothing shows to be a backend server's refusal

A 404, 400 or redirect of something before a backend server went to the caller as its final answer, where another server could answer; a 502 or 200 of the same did not. It also counted as the server's first token and as an answer in time, so that a page that fails fast drew requests to its server, and won a hedge.

An answer without the server's proof, that doesn't state either that the request has not run, is a failed attempt whatever its status, held like a server's own failure while another one is tried, and passed on if none answers. A hedge is not won by a plain answer on a streaming route that states no end, which is refused afterwards.

--- a/internal/serve/assembly/foreign_doors_test.go
+++ b/internal/serve/assembly/foreign_doors_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -198,3 +199,37 @@
 		})
 	}
 }
+
+// Guards against a final answer that something before a backend server has made, where another
+// server could answer.
+func TestForeignRefusalIsTriedElsewhere(t *testing.T) {
+	for _, status := range []string{"302 Found", "400 Bad Request", "404 Not Found", "502 Bad Gateway"} {
+		for _, sealed := range []bool{false, true} {
+			t.Run(fmt.Sprint(status, sealed), func(t *testing.T) {
+				var runs atomic.Int32
+				proof := ""
+				if sealed {
+					proof = sample.Seal + ": s\r\n"
+				}
+				answer := func(w http.ResponseWriter, r *http.Request) {
+					if runs.Add(1) > 1 {
+						fine(w, r)
+						return
+					}
+					raw("HTTP/1.1 "+status+"\r\n"+sample.ID+": %s\r\n"+proof+"Content-Length: 0\r\n\r\n", withFIN)(w, r)
+				}
+				d := deploy(t)
+				d.configure(1, "k1")
+				d.add("i-1", "app", answer)
+				d.add("i-2", "app", answer)
+				d.settle(1, 2)
+				got := d.send(http.MethodPost, "/read/x", "s1", "k1", "x")
+				want := http.StatusOK
+				if sealed && !strings.HasPrefix(status, "5") {
+					_, _ = fmt.Sscan(status, &want)
+				}
+				require.Equal(t, want, got.status)
+			})
+		}
+	}
+}
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -56,11 +56,14 @@
 		return truncated(err)
 	}
 	c.endKnown = answer.Framed
-	failed := answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status)
+	identified := platform.Identified(answer.Status, answer.Header)
+	failed := !identified || answer.Status >= http.StatusInternalServerError || platform.Promises(answer.Status)
 	if failed && !whole {
 		return errors.Wrapf(upstream.ErrBadAnswer, "a failure of more than %d bytes", len(body))
 	}
-	c.front.first(time.Now(), c.request)
+	if identified {
+		c.front.first(time.Now(), c.request)
+	}
 	if failed {
 		c.failure = &failure{answer.Status, answer.Header, body}
 		return errors.Wrapf(errFailed, "status %d", answer.Status)
--- a/internal/serve/front/hold.go
+++ b/internal/serve/front/hold.go
@@ -28,11 +28,16 @@
 // stream's first event, or the whole of what is held. It reports whether it can. The body
 // begins anew afterwards.
 func hold(answer *upstream.Answer, stream bool) bool {
-	if platform.NotRun(answer.Status, answer.Header) || !platform.Proven(answer.Status, answer.Header) {
+	if platform.NotRun(answer.Status, answer.Header) || !platform.Identified(answer.Status, answer.Header) || !platform.Proven(answer.Status, answer.Header) {
 		return false
 	}
-	if head := headOf(answer); stream && answer.Status == http.StatusOK && head.Streams() {
-		return holdEvent(answer, head)
+	if head := headOf(answer); stream && answer.Status < http.StatusMultipleChoices {
+		switch {
+		case answer.Status == http.StatusOK && head.Streams():
+			return holdEvent(answer, head)
+		case !head.Framed:
+			return false
+		}
 	}
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxHeld+1))
 	rest := io.Reader(answer.Body)
