--- a/internal/policy/sequence/sequence.go
+++ b/internal/policy/sequence/sequence.go
@@ -4,7 +4,8 @@
 //
 // A stream may consist of several answers: the first one, and others that go on after it
 // broke off. Each is held against what the caller has, whichever server it comes from. An
-// answer that is no part of the stream is a failed attempt.
+// answer that is no part of the stream is a failed attempt. Stream is for numbered events,
+// Completion for the chunks of streamed completions, which bear no numbers.
 package sequence
 
 import (
@@ -52,12 +53,12 @@
 	// After is the ID of the last event that the caller had before; empty for none.
 	After string
 
-	begun   bool // an event has passed
-	events  int
+	begun   bool   // an event has passed
+	events  int    // that have passed
 	last    string // ID of the last event that had one; empty for none
 	counted bool   // an event had a number
 	number  uint64 // the last one
-	placed  bool   // the last event had a number
+	placed  bool   // the last event had a number, so that the place of the next one can be checked
 	cut     bool   // an answer broke off within an event
 	typed   bool   // the first answer of which an event passed stated its type
 	answer  answer
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -36,7 +36,7 @@
 	}
 	if c.route.Kind == routing.Stream && answer.Status < http.StatusMultipleChoices {
 		head := headOf(answer)
-		joins := c.started || c.stream.After != ""
+		joins := c.started || c.stream.After != "" // the caller has a part of the stream
 		switch {
 		case joins && answer.Status != http.StatusOK:
 			return c.foreign(errors.Wrapf(sequence.ErrHead, "status %d", answer.Status))
