--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -201,7 +201,7 @@
 	case c.model && status != http.StatusOK && status < http.StatusMultipleChoices:
 		return errors.Wrapf(chicoryrock.ErrUnknownOutcome, "status %d for a completion", status)
 	case c.stream && status == http.StatusOK && !wire.IsEventStream(response.Header):
-		return errors.Wrapf(chicoryrock.ErrTruncated, "type %q for a stream", response.Header.Get("Content-Type"))
+		return errors.Wrapf(chicoryrock.ErrTruncated, "type %.40q for a stream", response.Header.Get("Content-Type"))
 	}
 	return nil
 }
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -32,7 +32,7 @@
 	c.begun = true
 	c.count()
 	if !platform.Proven(answer.Status, answer.Header) {
-		return errors.Wrap(upstream.ErrBadAnswer, "a success without the server's proof")
+		return errors.Wrap(upstream.ErrBadAnswer, "a success without the server's proof, or with a content encoding")
 	}
 	if c.route.Kind == routing.Stream && answer.Status < http.StatusMultipleChoices {
 		head := headOf(answer)
