Record a stream's version as its request is sent, not after its first event

What callers saw: after fronts are killed while two versions of a back end serve, the youngest streams are refused wherever they are taken up (version-unknown), though a server of their version is there.

Cause: a stream's record was queued at its first event and written up to 250 ms later, so that a front took with it what it had begun in that time.

Change: the version is handed to the store when the request is sent to a server, at once where nothing was written for 100 ms, and the first event comes after it in most cases. A record that has been handed out never changes, so that a write which is carried out late can't join two versions: a request whose first attempt failed then begins its stream at the recorded version only, and a hedge goes to the version of the first attempt.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -147,6 +147,9 @@
 		if err = c.current(); err == nil {
 			matches, err = c.verify(&replica)
 		}
+		if err == nil && matches {
+			matches, err = c.mayBegin(time.Now(), &replica)
+		}
 		if err != nil {
 			now := time.Now()
 			f.done(now, c.request, 0, false)
--- a/internal/serve/front/hedge.go
+++ b/internal/serve/front/hedge.go
@@ -172,7 +172,7 @@
 // finish makes an attempt that has ended the call's only one, and relays its answer.
 func (c *call) finish(t *try, got *result) error {
 	t.open = false
-	t.request.Not = ""
+	t.request.Not, t.request.Version = "", c.origin.Version
 	c.request, c.granted = t.request, t.replica.Name
 	return c.take(t.sent, &t.replica, got.answer, got.err)
 }
@@ -244,6 +244,9 @@
 	}
 	request := *c.request
 	request.Not, request.Deadline = first.replica.Name, c.until
+	if request.Resumable {
+		request.Version = first.replica.Version // its stream is recorded with
+	}
 	replica, granted := f.Gate.TryAcquire(now, &request)
 	if !granted {
 		return nil
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -9,6 +9,7 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 )
 
@@ -44,7 +45,7 @@
 // there. What this process knows of servers may be from before their last starts, also of the
 // one that began the stream. Error: *gate.RefusedError where the version can't be found out.
 func (c *call) verify(replica *chicoryrock.Replica) (bool, error) {
-	if c.request.Version == "" || c.front.Verify == nil {
+	if c.origin.Version == "" || c.front.Verify == nil {
 		return true, nil
 	}
 	if c.beganAt != "" && c.beganAt != replica.Name {
@@ -67,6 +68,25 @@
 	return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
 }
 
+// mayBegin reports whether a stream that callers may take up may begin at a backend server, and
+// has its software recorded before the request is sent. A request that was recorded for another
+// version goes to servers of that one. Error: *gate.RefusedError where its service has changed.
+func (c *call) mayBegin(now time.Time, replica *chicoryrock.Replica) (bool, error) {
+	if c.started || !c.request.Resumable && !c.takesUp() {
+		return true, nil
+	}
+	software := origin.Software{Service: replica.Pool, Version: replica.Version}
+	recorded := c.front.Origins.Send(now, c.request.Workspace, c.ask.ID, software)
+	switch {
+	case recorded == software:
+		return true, nil
+	case recorded.Service != software.Service:
+		return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
+	}
+	c.request.Version = recorded.Version
+	return false, nil
+}
+
 // streamBegan notes which software wrote the first event that the caller gets. From here on
 // the stream goes on only there, whichever way. Callers may take it up if it may be resumed.
 func (c *call) streamBegan(now time.Time) {
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -22,8 +22,9 @@
 	registerKey = "software"
 	// recordPrefix begins the keys of the streams' records.
 	recordPrefix = "stream/"
-	// saveInterval is how often records are written.
-	saveInterval = 250 * time.Millisecond
+	// saveInterval is how often records are written at most; one that comes later than that
+	// after the last write is written at once.
+	saveInterval = 100 * time.Millisecond
 	// savePerProcess stretches that with the number of processes, so that the calls of all
 	// of them are a small part of what the store takes.
 	savePerProcess = 5 * time.Millisecond
@@ -63,6 +64,7 @@
 	mutex sync.Mutex
 	wake  chan struct{}
 	book  origin.Book
+	saved time.Time // when records were last written
 }
 
 // New returns what a process knows at its start.
@@ -110,6 +112,21 @@
 	return o.book.MayBegin(origin.Software{Service: service, Version: version})
 }
 
+// Send records that a request is sent to a server of some software, which may begin its stream,
+// and returns the software at which the stream may begin.
+func (o *Origins) Send(now time.Time, workspace, id string, software origin.Software) origin.Software {
+	if id == "" {
+		return software
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	software = o.book.Send(now, origin.KeyOf(workspace, id), software)
+	if now.Sub(o.saved) >= o.interval() && o.book.Waits(software.Service) {
+		o.signal()
+	}
+	return software
+}
+
 // Begin records that a stream has its first event.
 func (o *Origins) Begin(now time.Time, workspace, id string, software origin.Software) {
 	if id == "" {
@@ -311,6 +328,9 @@
 		now := time.Now()
 		o.mutex.Lock()
 		records := o.book.Unsaved(now, batch)
+		if len(records) > 0 {
+			o.saved = now
+		}
 		o.mutex.Unlock()
 		if len(records) == 0 {
 			return nil
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -4,7 +4,9 @@
 //
 // While a service has one version, that one began every stream, and a register in the
 // store, which outlives all processes, says so. While it has several, each stream has a
-// record in the store.
+// record in the store, written from when its request is sent: by its first event the record
+// is mostly there, and outlives the process. A record never changes, so that no order of
+// writes matters; a request that has one begins its stream at the recorded version only.
 //
 // The package does no I/O and takes the present time as an argument. It is not safe for
 // concurrent use.
@@ -22,7 +24,7 @@
 )
 
 const (
-	// Retention is how long after its first event a stream may be taken up, and for how
+	// Retention is how long after its request was sent a stream may be taken up, and for how
 	// long a version without servers stays in the register.
 	Retention = 4 * time.Minute
 	// unfinished is how long after its end a stream that was passed on whole still counts
@@ -48,8 +50,9 @@
 // stream is what is known of one stream.
 type stream struct {
 	software Software
-	began    time.Time
+	began    time.Time // when its request was sent
 	ended    time.Time // when it was passed on whole; zero before
+	fixed    bool      // others may know its software: from its record, or by its first event
 	saved    bool      // the store has it
 }
 
@@ -61,13 +64,31 @@
 	unsaved   []Key // those that the store lacks, by their age
 }
 
-// Begin records that a stream of this process has its first event.
+// Send records that a request is sent to a server of some software, which may begin its stream,
+// and returns the software at which the stream may begin. That is another one if an attempt
+// before was recorded.
+func (b *Book) Send(now time.Time, key Key, software Software) Software {
+	known := b.streams[key]
+	switch {
+	case known == nil && software.Version != "":
+		b.add(now, key, &stream{software: software, began: now})
+		b.unsaved = append(b.unsaved, key)
+	case known == nil:
+	case known.fixed:
+		return known.software
+	default:
+		known.software = software
+	}
+	return software
+}
+
+// Begin records that a stream of this process has its first event, from software that Send has
+// returned.
 func (b *Book) Begin(now time.Time, key Key, software Software) {
-	if software.Version == "" || b.streams[key] != nil {
-		return
+	b.Send(now, key, software)
+	if known := b.streams[key]; known != nil {
+		known.fixed = true
 	}
-	b.add(now, key, &stream{software: software, began: now})
-	b.unsaved = append(b.unsaved, key)
 }
 
 // End records that a stream was passed on whole.
@@ -80,7 +101,7 @@
 // Learn records what the store says of a stream.
 func (b *Book) Learn(now time.Time, key Key, software Software) {
 	if b.streams[key] == nil {
-		b.add(now, key, &stream{software: software, began: now, saved: true})
+		b.add(now, key, &stream{software: software, began: now, fixed: true, saved: true})
 	}
 }
 
@@ -109,7 +130,7 @@
 // Find returns the software that began a stream, if this process knows it.
 func (b *Book) Find(now time.Time, key Key) (Software, bool) {
 	known := b.streams[key]
-	if known == nil || now.Sub(known.began) >= Retention {
+	if known == nil || !known.fixed || known.software.Version == "" || now.Sub(known.began) >= Retention {
 		return Software{}, false
 	}
 	return known.software, true
@@ -122,7 +143,8 @@
 }
 
 // Unsaved returns up to a number of streams that the store should have and lacks: those of
-// services with several versions. It returns the same ones until they are Saved.
+// services with several versions. It returns the same ones until they are Saved, and their
+// software is fixed from then on, as a write that fails may still be carried out.
 func (b *Book) Unsaved(now time.Time, most int) []Record {
 	b.expire(now)
 	kept := b.unsaved[:0]
@@ -133,18 +155,28 @@
 			continue
 		}
 		kept = append(kept, key)
-		if _, only := b.registrar.known.Only(known.software.Service); only || len(records) == most {
+		if known.software.Version == "" || !b.recorded(known.software.Service) || len(records) == most {
 			continue
 		}
 		if !known.ended.IsZero() && now.Sub(known.ended) >= unfinished {
 			continue
 		}
+		known.fixed = true
 		records = append(records, Record{key, known.software})
 	}
 	b.unsaved = kept
 	return records
 }
 
+// recorded reports whether the streams of a service have records.
+func (b *Book) recorded(service string) bool {
+	_, only := b.registrar.known.Only(service)
+	return !only
+}
+
+// Waits reports whether streams of a service wait to be saved as they are sent.
+func (b *Book) Waits(service string) bool { return b.recorded(service) && len(b.unsaved) > 0 }
+
 // Saved records that the store has streams.
 func (b *Book) Saved(records []Record) {
 	for i := range records {
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -30,6 +30,9 @@
 	copied    *world // of the store alone
 	serving   map[origin.Software]bool
 	processes []*process
+	requests  int
+	sent      []stream        // requests whose streams have not begun
+	late      []origin.Record // whose writes are carried out later
 	streams   []stream
 }
 
@@ -104,11 +107,24 @@
 	}
 }
 
-func (w *world) save(p *process, lost bool) {
+// save has a process write its records. Where the answer is lost, the store may carry the
+// write out later.
+func (w *world) save(p *process, lost, late bool) {
 	if p.cut {
 		return
 	}
 	records := p.book.Unsaved(w.now, 8)
+	if late {
+		w.late = append(w.late, records...)
+		return
+	}
+	w.write(records)
+	if !lost {
+		p.book.Saved(records)
+	}
+}
+
+func (w *world) write(records []origin.Record) {
 	for i := range records {
 		value, err := records[i].Value()
 		if err != nil {
@@ -118,9 +134,37 @@
 			panic(err)
 		}
 	}
-	if !lost {
-		p.book.Saved(records)
+}
+
+// send has a process send a request to a server of some software, or to one at which its
+// stream was recorded; false if there is none of the latter.
+func (w *world) send(p *process, key origin.Key, at origin.Software) bool {
+	if recorded := p.book.Send(w.now, key, at); recorded != at {
+		if !slices.Contains(p.listed, recorded) {
+			return false
+		}
+		at = recorded
 	}
+	w.sent = append(w.sent, stream{key, at, w.now, p})
+	return true
+}
+
+// open returns the software at which a process may begin streams.
+func (p *process) open() []origin.Software {
+	var open []origin.Software
+	for _, listed := range p.listed {
+		if p.book.MayBegin(listed) {
+			open = append(open, listed)
+		}
+	}
+	slices.SortFunc(open, compareSoftware)
+	return open
+}
+
+// kill has a process begin anew.
+func (w *world) kill(p *process) {
+	w.sent = slices.DeleteFunc(w.sent, func(s stream) bool { return s.by == p })
+	*p = process{}
 }
 
 // lookup plays a lookup of a process for a service; during the wait others save.
@@ -180,7 +224,7 @@
 		turn := func() {
 			p := one("turn of")
 			w.complete(p, func() {}, rapid.Bool().Draw(t, "lost"))
-			w.save(p, rapid.Bool().Draw(t, "lost"))
+			w.save(p, rapid.Bool().Draw(t, "lost"), rapid.Bool().Draw(t, "late"))
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"a version starts": func(t *rapid.T) { w.serving[software.Draw(t, "software")] = true },
@@ -199,7 +243,13 @@
 				}
 				w.complete(one("writer"), between, rapid.Bool().Draw(t, "lost"))
 			},
-			"records are saved": func(t *rapid.T) { w.save(one("writer"), rapid.Bool().Draw(t, "lost")) },
+			"records are saved": func(t *rapid.T) {
+				w.save(one("writer"), rapid.Bool().Draw(t, "lost"), rapid.Bool().Draw(t, "late"))
+			},
+			"late writes are carried out": func(*rapid.T) {
+				w.write(w.late)
+				w.late = nil
+			},
 			"a process is cut": func(*rapid.T) {
 				p := one("process")
 				if p.cut = !p.cut; p.cut {
@@ -219,11 +269,11 @@
 				one("hearer").book.Hear(one("teller").book.Begins())
 			},
 			"one is killed": func(*rapid.T) {
-				*one("killed") = process{}
+				w.kill(one("killed"))
 			},
 			"all are killed": func(*rapid.T) {
-				for i := range w.processes {
-					w.processes[i] = &process{}
+				for _, p := range w.processes {
+					w.kill(p)
 				}
 			},
 			"the store is copied": func(*rapid.T) {
@@ -240,26 +290,39 @@
 					}
 				}
 			},
-			"a stream begins": func(t *rapid.T) {
+			"a request is sent": func(t *rapid.T) {
 				tick()
 				p := one("at")
-				var open []origin.Software
-				for _, listed := range p.listed {
-					if p.book.MayBegin(listed) {
-						open = append(open, listed)
-					}
+				if open := p.open(); len(open) > 0 {
+					w.requests++
+					w.send(p, origin.KeyOf("w", fmt.Sprint(w.requests)), rapid.SampledFrom(open).Draw(t, "server"))
 				}
-				if len(open) == 0 {
+			},
+			"an attempt fails": func(t *rapid.T) {
+				tick()
+				if len(w.sent) == 0 {
 					return
 				}
-				slices.SortFunc(open, compareSoftware)
-				at := rapid.SampledFrom(open).Draw(t, "server")
-				key := origin.KeyOf("w", fmt.Sprint(len(w.streams)))
-				p.book.Begin(w.now, key, at)
+				n := rapid.IntRange(0, len(w.sent)-1).Draw(t, "request")
+				s := w.sent[n]
+				w.sent = slices.Delete(w.sent, n, n+1)
+				if open := s.by.open(); len(open) > 0 {
+					w.send(s.by, s.key, rapid.SampledFrom(open).Draw(t, "server"))
+				}
+			},
+			"a stream begins": func(t *rapid.T) {
+				tick()
+				if len(w.sent) == 0 {
+					return
+				}
+				n := rapid.IntRange(0, len(w.sent)-1).Draw(t, "request")
+				s := w.sent[n]
+				w.sent = slices.Delete(w.sent, n, n+1)
+				s.by.book.Begin(w.now, s.key, s.software)
 				if rapid.Bool().Draw(t, "whole") {
-					p.book.End(w.now, key)
+					s.by.book.End(w.now, s.key)
 				}
-				w.streams = append(w.streams, stream{key, at, w.now, p})
+				w.streams = append(w.streams, s)
 			},
 			"a stream is taken up": func(t *rapid.T) {
 				tick()
@@ -326,7 +389,7 @@
 			save := func() {
 				for _, p := range w.processes {
 					for range 10 {
-						w.save(p, false)
+						w.save(p, false, false)
 					}
 				}
 			}
@@ -368,7 +431,7 @@
 	first.book.Begin(w.now, open, v1)
 	first.book.Begin(w.now, ended, v1)
 	first.book.End(w.now, ended)
-	w.save(first, false)
+	w.save(first, false, false)
 	require.Empty(t, w.records, "one version needs no records")
 	w.now = w.now.Add(time.Minute)
 	w.serving[origin.Software{Service: "s", Version: "v2"}] = true
@@ -377,7 +440,7 @@
 		require.False(t, p.book.MayBegin(origin.Software{Service: "s", Version: "v2"}), "not before others know of it")
 		w.complete(p, func() {}, false)
 	}
-	w.save(first, false)
+	w.save(first, false, false)
 	require.Len(t, w.records, 1, "not those that ended long ago")
 	got, goes := w.lookup(second, open, "s", func() {})
 	require.True(t, goes)
