Go on with a stream only at the weights that wrote it

What callers saw: where engines of a service have different weights of a model, as while they are replaced one by one, a stream that broke off went on at other weights, within its answer, from its copy and when its caller took it up, and the prompt's memory was fetched from engines of other weights and software. Nothing read the weights that entries and answers state.

Change: a server's build is its software and its weights, as its entry states them. It takes the place of the software version wherever that is compared: register, records, dispatch, copies, the look at entries, hedges. Entries may be late, as weights are replaced in place: a request whose stream others may go on with, or have begun, names the weights that it expects, so that its server turns it away if it has others, and what an answer states is compared as well. A stream within which the weights change goes on nowhere. Memory is fetched from servers of the same build only.

TestPartsAreFetchedFromTheSameBuildOnly is new with the change.

--- a/internal/policy/place/fetch_test.go
+++ b/internal/policy/place/fetch_test.go
@@ -45,6 +45,33 @@
 	require.Equal(t, home, placement.FetchFrom)
 }
 
+// Guards against memory of a prompt that other software or weights have computed.
+func TestPartsAreFetchedFromTheSameBuildOnly(t *testing.T) {
+	builds := []string{"v1 m=1", "v1 m=2", "v1 m=1"}
+	replicas := replicasNamed("a", "b", "c")
+	for i := range replicas {
+		replicas[i].Version = builds[i]
+	}
+	p := linkedPlacer()
+	p.SetReplicas("llm", replicas)
+	fetched := 0
+	for i := range uint64(20) {
+		request := document(10, 100+i)
+		at, placed := p.Pick(epoch, request, replicas)
+		if !placed {
+			break // all are busy
+		}
+		placement, _ := p.Placement(request)
+		for j := range replicas {
+			if replicas[j].Name == placement.FetchFrom {
+				require.Equal(t, replicas[at].Version, replicas[j].Version)
+				fetched++
+			}
+		}
+	}
+	require.Positive(t, fetched)
+}
+
 func TestNothingIsFetched(t *testing.T) {
 	cases := []struct {
 		name    string
@@ -120,7 +147,7 @@
 	now := epoch.Add(time.Second)
 	affinity = pool.affinity(now, document(10, 21))
 	require.Greater(t, affinity.cachedShare(other), firstHomeCachedShare)
-	require.Equal(t, other, pool.likelySources(now, &chicoryrock.Request{}, &affinity)[0].replica)
+	require.Equal(t, other, pool.likelySources(now, &chicoryrock.Request{}, other.build, &affinity)[0].replica)
 	later := epoch.Add(10 * cachedShareDecay)
 	affinity = pool.affinity(later, document(10, 22))
 	require.Less(t, affinity.cachedShare(other), secondHomeCachedShare)
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// softwareOf reads from the store which software version a backend server has.
+// softwareOf reads from the store which build a backend server has.
 func (p *Front) softwareOf(ctx context.Context, server string) (string, error) {
 	entry, err := p.store.Get(ctx, platform.ServerPrefix+server)
 	if err != nil {
@@ -138,7 +138,7 @@
 	if !ok {
 		return "", errors.WithStack(chicoryrock.ErrInvalid)
 	}
-	return read.Version, nil
+	return read.Build(), nil
 }
 
 func (p *Front) readServer(entry chicoryrock.KeyValue) (chicoryrock.Server, bool) {
@@ -164,7 +164,7 @@
 	for _, notice := range notices {
 		if told, found := serverEvents[notice.Kind]; found {
 			p.Log.Write(told, zap.String("server", notice.Server.ID), zap.String("service", notice.Server.Service),
-				zap.Stringer("address", notice.Server.Address), zap.String("centre", notice.Server.Centre), zap.String("software", notice.Server.Version))
+				zap.Stringer("address", notice.Server.Address), zap.String("centre", notice.Server.Centre), zap.String("software", notice.Server.Build()))
 		}
 		if notice.Kind == servers.Removed || notice.Kind == servers.Restarted {
 			p.front.Upstream.Forget(notice.Server.Address)
--- a/internal/serve/front/answer.go
+++ b/internal/serve/front/answer.go
@@ -42,7 +42,7 @@
 			return c.foreign(errors.Wrapf(sequence.ErrHead, "status %d", answer.Status))
 		case joins || answer.Status == http.StatusOK && head.Streams():
 			err := c.relayStream(answer, head)
-			c.logAnswer(time.Now(), head, err)
+			c.logAnswer(time.Now(), answer, head, err)
 			return err
 		case !head.Framed:
 			return errors.Wrap(upstream.ErrBadAnswer, "neither a stream nor an answer that states its end")
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -80,6 +80,9 @@
 	endKnown bool            // its answer stated where it ends
 	settled  bool            // it has run for suspect.Probation
 	software origin.Software // of the attempt's backend server
+	expected string          // the version of the weights that the attempt's answer is to be of; empty for any
+	weights  string          // the version that wrote the stream, as its first answer states it
+	mixed    bool            // the version of the weights has changed within the stream
 	origin   origin.Software // that began the stream; zero before its first event
 	began    bool            // this process has served the stream, in this call or before
 	beganAt  string          // the server that began the stream in this call
@@ -308,6 +311,9 @@
 		Fetch:  c.front.address(replica.Pool, c.source),
 	}
 	stamp.Backup, stamp.FromCopy = c.nextCopy(sent, replica)
+	if c.boundToBuild() {
+		stamp.Weights = replica.Weights
+	}
 	if c.workspace != nil {
 		stamp.Workspace = c.workspace.Name
 	}
@@ -331,6 +337,10 @@
 	c.got, c.pause = false, 0
 	c.endKnown, c.settled = false, false
 	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
+	c.expected = ""
+	if c.boundToBuild() {
+		c.expected = platform.ExpectedWeights(c.r.Header, replica.Weights)
+	}
 	if errors.Is(err, chicoryrock.ErrNotRun) {
 		return errors.Wrap(errUnsent, err.Error())
 	}
--- a/internal/serve/front/copies.go
+++ b/internal/serve/front/copies.go
@@ -61,7 +61,7 @@
 // prepares the next attempt.
 func (c *call) takeOver(now time.Time, replica *chicoryrock.Replica, failure error) bool {
 	broken := errors.Is(failure, chicoryrock.ErrTruncated) || errors.Is(failure, chicoryrock.ErrUnknownOutcome)
-	if c.copies.server == "" || !broken || !c.stream.GoesOn() {
+	if c.copies.server == "" || !broken || c.mixed || !c.stream.GoesOn() {
 		return false
 	}
 	takeover := backup.Takeover{
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -239,8 +239,9 @@
 			Leaving:   s.Leaving,
 			Evacuated: f.evacuated[s.Centre],
 			ColdUntil: coldUntil,
-			Version:   s.Version,
-			Unlisted:  !f.Origins.MayBegin(s.Service, s.Version),
+			Version:   s.Build(),
+			Weights:   s.Weights,
+			Unlisted:  !f.Origins.MayBegin(s.Service, s.Build()),
 		})
 	}
 	f.limitCold(now, list, pools)
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -9,8 +9,10 @@
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/gate"
+	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
+	"github.com/chicoryrock/chicoryrock/platform"
 )
 
 // takesUp reports whether the caller has a part of the stream that it asks for.
@@ -87,10 +89,31 @@
 	return false, nil
 }
 
+// boundToBuild reports whether the next attempt's answer has to be of the build that its server
+// is believed to have: it is a part of a stream that others may go on with, or have begun.
+func (c *call) boundToBuild() bool {
+	return c.request.Resumable || c.takesUp() || c.started || c.request.Only != ""
+}
+
+// checkWeights checks which weights an answer states, as a server may have replaced its weights
+// since it was listed. Error: upstream.ErrBadAnswer.
+func (c *call) checkWeights(answer *upstream.Answer) error {
+	stated, expected := platform.Weights(answer.Header), c.expected
+	if c.started && c.weights != "" {
+		expected = c.weights
+	}
+	if stated == "" || expected == "" || stated == expected {
+		return nil
+	}
+	c.front.Metrics.Foreign(c.route.Name)
+	return errors.Wrapf(upstream.ErrBadAnswer, "weights %.40q answer for %.40q", stated, expected)
+}
+
 // streamBegan notes which software wrote the first event that the caller gets. From here on
 // the stream goes on only there, whichever way. Callers may take it up if it may be resumed.
-func (c *call) streamBegan(now time.Time) {
+func (c *call) streamBegan(now time.Time, answer *upstream.Answer) {
 	c.origin, c.began, c.beganAt = c.software, true, c.granted
+	c.weights = platform.Weights(answer.Header)
 	c.request.Version = c.origin.Version
 	if c.request.Resumable || c.takesUp() {
 		c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
@@ -106,5 +129,5 @@
 
 // mayGoOn reports whether a stream that broke off may go on at a backend server.
 func (c *call) mayGoOn(now time.Time) bool {
-	return c.stream.GoesOn() && c.origin.Version != "" && c.front.Gate.Servable(now, c.request)
+	return c.stream.GoesOn() && !c.mixed && c.origin.Version != "" && c.front.Gate.Servable(now, c.request)
 }
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -28,6 +28,9 @@
 // relayStream passes events on as they come, each whole. The answer's header goes
 // out with the first one, so that a stream that breaks before can start elsewhere.
 func (c *call) relayStream(answer *upstream.Answer, head sequence.Head) error {
+	if err := c.checkWeights(answer); err != nil {
+		return err
+	}
 	if err := c.stream.Begin(head); err != nil {
 		return c.foreign(err)
 	}
@@ -77,12 +80,13 @@
 }
 
 // logAnswer logs what an answer was to its stream, unless it is all of it.
-func (c *call) logAnswer(now time.Time, head sequence.Head, err error) {
+func (c *call) logAnswer(now time.Time, answer *upstream.Answer, head sequence.Head, err error) {
 	part := c.stream.Part()
 	if err == nil && part.After == "" {
 		return
 	}
 	c.trail.Write(event.StreamAnswer, now, zap.String("server", c.granted), zap.String("type", clip(head.Type)), zap.Bool("framed", head.Framed),
+		zap.String("weights", clip(platform.Weights(answer.Header))),
 		zap.String("after", clip(part.After)), zap.String("from", clip(part.From)), zap.String("to", clip(part.To)), zap.Int("events", part.Events))
 }
 
@@ -108,6 +112,7 @@
 func (c *call) event(answer *upstream.Answer, text []byte, next sequence.Event) error {
 	if next.IsEvent() {
 		c.eventCame(answer)
+		c.mixed = c.mixed || platform.ChangesWeights(text)
 	}
 	return c.deliver(text, memory.Stream)
 }
@@ -134,7 +139,7 @@
 	c.last = now
 	c.ranOn(now)
 	if !c.started {
-		c.streamBegan(now)
+		c.streamBegan(now, answer)
 		c.started = true
 		c.status = answer.Status
 		c.first = now.Sub(c.begin)
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -74,7 +74,7 @@
 func (o *Origins) SetServers(now time.Time, servers []chicoryrock.Server) {
 	listed := make([]origin.Software, len(servers))
 	for i := range servers {
-		listed[i] = origin.Software{Service: servers[i].Service, Version: servers[i].Version}
+		listed[i] = origin.Software{Service: servers[i].Service, Version: servers[i].Build()}
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
--- a/platform.go
+++ b/platform.go
@@ -154,7 +154,19 @@
 	StartedMs int64          `json:"Born"`    // start time, milliseconds since 1970; zero if not stated
 	Heartbeat uint64         `json:"Beat"`    // grows while the server is alive
 	Version   string         `json:"Version"` // of its software; empty if not stated
+	// Weights are the versions of its models' weights, NAME=VERSION with commas between; empty
+	// if not stated.
+	Weights string `json:"Weights,omitempty"`
 	// RestUntil is until when it wants no requests from this process, as it has said in an
 	// answer; no part of its entry.
 	RestUntil time.Time `json:"-"`
 }
+
+// Build names what decides on the text that a server writes: its software and its weights. It
+// is empty where the software isn't stated.
+func (s *Server) Build() string {
+	if s.Version == "" || s.Weights == "" {
+		return s.Version
+	}
+	return s.Version + " " + s.Weights
+}
--- a/request.go
+++ b/request.go
@@ -28,7 +28,7 @@
 	PrefixHash   uint64    // hash of the prompt's beginning; zero if unknown
 	Idempotent   bool      // the call may run more than once
 	Suspect      bool      // the call may crash an engine and never runs beside another suspect
-	Version      string    // the software version that began the stream, the only one that may go on with it; empty for any
+	Version      string    // the build that began the stream (Server.Build), the only one that may go on with it; empty for any
 	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
 	Only         string    // the replica that keeps a copy of its memory, the only one that may go on with it; empty for any
 	Regions      []string  // whose replicas may serve it; nil for any
@@ -62,7 +62,8 @@
 	SlowStart   bool      // joined while this entry was running; its share of the work ramps up
 	ColdUntil   time.Time // slow until then, by its own report; zero if not cold
 	ColdLimited bool      // while it is cold, all processes together keep to a rate that it bears
-	Version     string    // of its software; empty if not known
+	Version     string    // its build (Server.Build); empty if not known
+	Weights     string    // of its models; see Server
 	RestUntil   time.Time // gets no requests until then; zero for none
 	Unheard     bool      // its version isn't known here; its agent keeps to the one that a request names
 	Unlisted    bool      // no resumable stream may begin there: other processes don't know of its version yet
