Place a stream that its caller has the beginning of though it will be late

What callers saw: a stream that they took up was refused (late) while a server of its build served, as the next event would have come after the target of a first one, or after two fifths of it in the queue. It was refused at each of their tries, and lost.

Cause: a request that takes a stream up was admitted as one that begins. While a newer build is released, servers of the former one are few and busy, and no other may go on.

Change: such a request is held for its caller's time, as a stream that goes on within its answer is, and placed where an engine has room, on time or not.

Evidence: TestStreamsGoOnThoughTheirNextEventIsLate fails without the rule.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -202,8 +202,9 @@
 			allowed = !hard
 			f.penaltyMs += milliseconds(request.FirstTokenTarget)
 		}
-		// A request that can go on only here waits in vain for a better time.
-		onTime := allowed && f.firstTokenMs+confidence*f.interferenceMs <= limitMs || request.Only != ""
+		// A request that can go on only here waits in vain for a better time, and a stream that
+		// its caller has the beginning of is better late than never.
+		onTime := allowed && (f.firstTokenMs+confidence*f.interferenceMs <= limitMs || request.Continues) || request.Only != ""
 		oversized := allowed && !onTime && ps.oversize.allows(f.idleFirstTokenMs) && f.firstTokenMs+confidence*f.interferenceMs <= f.idleFirstTokenMs+oversizeWaitMs
 		if !onTime && !oversized {
 			return
--- a/internal/policy/place/place_test.go
+++ b/internal/policy/place/place_test.go
@@ -145,6 +145,24 @@
 	require.True(t, placed)
 }
 
+// Guards against streams that are refused in their midst as their next event would be late.
+func TestStreamsGoOnThoughTheirNextEventIsLate(t *testing.T) {
+	p := newPlacer()
+	replicas := replicasNamed("a", "b")
+	next := func(id uint64, continues bool) bool {
+		request := document(10, id)
+		request.Continues = continues
+		_, placed := p.Pick(epoch, request, replicas)
+		return placed
+	}
+	id := uint64(100)
+	for next(id, false) {
+		id++
+	}
+	require.True(t, next(id+1, true), "after %d", id-100)
+	require.False(t, next(id+2, false))
+}
+
 // A prompt whose prefill takes longer than its target allows is late on any replica. It
 // is served all the same, as long as such prompts take a small part of all prefill.
 func TestLargestPromptsAreServed(t *testing.T) {
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -264,6 +264,12 @@
 	if target <= 0 {
 		target = defaultTarget
 	}
+	// A stream that its caller has the beginning of waits for servers of its build.
+	continues := c.origin.Version != ""
+	patience := c.until.Sub(now)
+	if !continues {
+		patience = min(time.Duration(holdShare*float64(target)), patience)
+	}
 	request := &chicoryrock.Request{
 		ID:               c.ask.ID,
 		Class:            c.route.Name,
@@ -271,10 +277,11 @@
 		Pool:             service,
 		Tier:             table.EffectivePriority(c.route, c.workspace, service) + 1,
 		Arrived:          now,
-		Deadline:         now.Add(min(time.Duration(holdShare*float64(target)), c.until.Sub(now))),
+		Deadline:         now.Add(patience),
 		PromptTokens:     c.ask.PromptTokens,
 		Idempotent:       c.route.Retryable(),
 		Version:          c.origin.Version,
+		Continues:        continues,
 		Resumable:        c.route.Kind == routing.Stream && c.route.Resumable,
 		Regions:          routing.AllowedRegions(c.route, c.workspace),
 		Parts:            c.ask.Parts,
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -114,7 +114,7 @@
 func (c *call) streamBegan(now time.Time, answer *upstream.Answer) {
 	c.origin, c.began, c.beganAt = c.software, true, c.granted
 	c.weights = platform.Weights(answer.Header)
-	c.request.Version = c.origin.Version
+	c.request.Version, c.request.Continues = c.origin.Version, true
 	if c.request.Resumable || c.takesUp() {
 		c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
 	}
--- a/request.go
+++ b/request.go
@@ -29,6 +29,7 @@
 	Idempotent   bool      // the call may run more than once
 	Suspect      bool      // the call may crash an engine and never runs beside another suspect
 	Version      string    // the build that began the stream (Server.Build), the only one that may go on with it; empty for any
+	Continues    bool      // its caller has the beginning of the stream
 	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
 	Only         string    // the replica that keeps a copy of its memory, the only one that may go on with it; empty for any
 	Regions      []string  // whose replicas may serve it; nil for any
