Fetch a prompt's memory by weights, whatever the software of its server

What callers saw: while a newer build is released, prompts were read again that an engine of the other build had in memory: later answers, and a price.

Cause: the comparison of builds for what is fetched.

Change: a source of memory has the same weights; its software isn't compared.

--- a/internal/policy/place/fetch.go
+++ b/internal/policy/place/fetch.go
@@ -103,15 +103,15 @@
 	ps.prefixHolders[prefix.SessionHash] = holders
 }
 
-// likelySources returns the replicas of a build that probably have a request's shared parts
-// cached. What other software or weights have computed doesn't fit.
-func (ps *poolState) likelySources(now time.Time, request *chicoryrock.Request, build string, affinity *sessionAffinity) (best fetchSources) {
+// likelySources returns the replicas with some weights that probably have a request's shared
+// parts cached. What other weights have computed doesn't fit.
+func (ps *poolState) likelySources(now time.Time, request *chicoryrock.Request, weights string, affinity *sessionAffinity) (best fetchSources) {
 	if ps.fetchMsPerToken <= 0 {
 		return best
 	}
 	consider := func(r *replica, cachedShare float64) {
 		switch {
-		case r == nil || r.build != build || r.leaving || !request.AllowsRegion(r.region) || now.Before(r.avoidUntil) || r == best[0].replica:
+		case r == nil || r.weights != weights || r.leaving || !request.AllowsRegion(r.region) || now.Before(r.avoidUntil) || r == best[0].replica:
 		case cachedShare > best[0].cachedShare:
 			best[0], best[1] = fetchSource{r, cachedShare}, best[0]
 		case cachedShare > best[1].cachedShare:
@@ -126,8 +126,8 @@
 	return best
 }
 
-// chooseSource returns the likeliest replica of r's build from which it may fetch the parts of
-// a prompt that it lacks, or nil where that saves little. It does so even where r is
+// chooseSource returns the likeliest replica with r's weights from which it may fetch the parts
+// of a prompt that it lacks, or nil where that saves little. It does so even where r is
 // expected to have all parts: they may have been evicted by now. Predicted times don't
 // count on the fetch: if requests were placed as if every replica had all parts,
 // sessions would spread over all replicas, and none would keep their parts for long.
@@ -135,7 +135,7 @@
 	if savedMs := float64(request.PromptTokens) * (ps.prefill.msPerToken() - ps.fetchMsPerToken); savedMs < minFetchSavingMs {
 		return nil
 	}
-	for _, source := range ps.likelySources(now, request, r.build, &affinity) {
+	for _, source := range ps.likelySources(now, request, r.weights, &affinity) {
 		if source.replica != nil && source.replica != r {
 			return source.replica
 		}
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -88,7 +88,7 @@
 	avoidUntil    time.Time
 	leaving       bool // it gets no new work, or its data centre is being evacuated
 	region        string
-	build         string    // what wrote the memory of prompts that it has
+	weights       string    // that computed the memory of prompts that it has
 	coldUntil     time.Time // it is slow until then
 	coldLimited   bool      // until then it has a limit under coldKey
 	coldKey       uint64    // see ColdKey
--- a/internal/policy/place/replicas.go
+++ b/internal/policy/place/replicas.go
@@ -35,7 +35,7 @@
 		ps.byKeyHash[r.keyHash] = r
 		r.leaving = replicas[i].Leaving || replicas[i].Evacuated
 		r.region = replicas[i].Region
-		r.build = replicas[i].Version
+		r.weights = replicas[i].Weights
 		r.coldUntil = replicas[i].ColdUntil
 		r.coldLimited = replicas[i].ColdLimited
 		present[r.name] = true
