Keep a request that takes minutes to begin to its recorded version

What callers would see: a stream whose first attempt was recorded, failed after four minutes and was sent to another version would have been joined when taken up, as the process forgets the record before the store's has gone.

Cause: the process that recorded the request asked its book alone.

Change: the request remembers its record, and changes it for two minutes only.

--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -78,14 +78,21 @@
 		return true, nil
 	}
 	software := origin.Software{Service: replica.Pool, Version: replica.Version}
-	recorded := c.front.Origins.Send(now, c.request.Workspace, c.ask.ID, software)
+	if c.sentAs.Version == "" {
+		c.sentAt = now
+	}
+	// The record of a request that takes minutes to begin may be forgotten here before the
+	// store's has gone.
+	if c.sentAs.Version == "" || now.Sub(c.sentAt) < origin.Retention/2 {
+		c.sentAs = c.front.Origins.Send(now, c.request.Workspace, c.ask.ID, software)
+	}
 	switch {
-	case recorded == software:
+	case c.sentAs == software:
 		return true, nil
-	case recorded.Service != software.Service:
+	case c.sentAs.Service != software.Service:
 		return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
 	}
-	c.request.Version = recorded.Version
+	c.request.Version = c.sentAs.Version
 	return false, nil
 }
 
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -137,16 +137,14 @@
 }
 
 // send has a process send a request to a server of some software, or to one at which its
-// stream was recorded; false if there is none of the latter.
-func (w *world) send(p *process, key origin.Key, at origin.Software) bool {
-	if recorded := p.book.Send(w.now, key, at); recorded != at {
-		if !slices.Contains(p.listed, recorded) {
-			return false
-		}
-		at = recorded
+// stream was recorded if there is one.
+func (w *world) send(s stream, at origin.Software) {
+	if s.software.Version == "" || w.now.Sub(s.at) < origin.Retention/2 {
+		s.software = s.by.book.Send(w.now, s.key, at)
+	}
+	if s.software == at || slices.Contains(s.by.listed, s.software) {
+		w.sent = append(w.sent, s)
 	}
-	w.sent = append(w.sent, stream{key, at, w.now, p})
-	return true
 }
 
 // open returns the software at which a process may begin streams.
@@ -295,7 +293,8 @@
 				p := one("at")
 				if open := p.open(); len(open) > 0 {
 					w.requests++
-					w.send(p, origin.KeyOf("w", fmt.Sprint(w.requests)), rapid.SampledFrom(open).Draw(t, "server"))
+					s := stream{key: origin.KeyOf("w", fmt.Sprint(w.requests)), at: w.now, by: p}
+					w.send(s, rapid.SampledFrom(open).Draw(t, "server"))
 				}
 			},
 			"an attempt fails": func(t *rapid.T) {
@@ -307,7 +306,7 @@
 				s := w.sent[n]
 				w.sent = slices.Delete(w.sent, n, n+1)
 				if open := s.by.open(); len(open) > 0 {
-					w.send(s.by, s.key, rapid.SampledFrom(open).Draw(t, "server"))
+					w.send(s, rapid.SampledFrom(open).Draw(t, "server"))
 				}
 			},
 			"a stream begins": func(t *rapid.T) {
@@ -417,6 +416,39 @@
 	}
 }
 
+// Guards against a record that names another version than the one that began its stream.
+func TestRecordedRequestsBeginAtTheirVersion(t *testing.T) {
+	v1, v2 := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	cases := []struct {
+		name   string
+		handed bool // the first attempt's version has been handed out to be written
+		begins origin.Software
+	}{
+		{"recorded", true, v1},
+		{"not yet", false, v2},
+	}
+	for _, c := range cases {
+		w := newWorld(2)
+		w.serving[v2] = true
+		for _, p := range w.processes {
+			w.list(p)
+			w.complete(p, func() {}, false)
+		}
+		first, key := w.processes[0], origin.KeyOf("w", "r")
+		require.Equal(t, v1, first.book.Send(w.now, key, v1))
+		if c.handed {
+			w.save(first, true, true)
+		}
+		require.Equal(t, c.begins, first.book.Send(w.now, key, v2), c.name)
+		first.book.Begin(w.now, key, c.begins)
+		w.save(first, false, false)
+		w.write(w.late)
+		got, goes := w.lookup(w.processes[1], key, "s", func() {})
+		require.True(t, goes, c.name)
+		require.Equal(t, c.begins, got, c.name)
+	}
+}
+
 // Streams that began before a second version came are known too: those under way, and those
 // that broke off.
 func TestSecondVersionHasEarlierStreamsSaved(t *testing.T) {
