Count the processes that write records without holding the lock

What callers saw: a front that took requests in and placed none any more, until it was started again.

Change: the processes are counted once the lock is released.

--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -54,7 +54,8 @@
 type Origins struct {
 	Store Store
 	Log   *event.Log
-	// Members returns how many processes write records.
+	// Members returns how many processes write records. It may lock what is held where other
+	// methods are called.
 	Members func() int
 	// Changed is told that streams may begin at other versions than before.
 	Changed func()
@@ -118,10 +119,12 @@
 	if id == "" {
 		return software
 	}
+	key := origin.KeyOf(workspace, id)
 	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	software = o.book.Send(now, origin.KeyOf(workspace, id), software)
-	if now.Sub(o.saved) >= o.interval() && o.book.Waits(software.Service) {
+	software = o.book.Send(now, key, software)
+	waits, saved := o.book.Waits(software.Service), o.saved
+	o.mutex.Unlock()
+	if waits && now.Sub(saved) >= o.interval() {
 		o.signal()
 	}
 	return software
