Go on with a stream behind agents only at the build that began it

What callers saw: where engines behind agents have other weights of a model, as while these are replaced one by one, a stream that broke off went on at other weights: the rest of another model's text.

Entries and agents compared the software version of engines; nothing said which weights an engine has.

Change: an engine states its weights (X-Chicory-Weights). Its agent tells the entry the build, software and weights, in a field of its own in place of the software version. A call that resumes names the build in a header of its own: an agent whose engine has another one turns it away, not run. Weights may be replaced in place after the last answer, so the engine is told which ones are expected and answers 421 if it has others; an answer of an engine that doesn't heed this is dropped. Entries and agents of before the change name software only and are refused by those after it, both ways. The stand-in engine has weights that can be replaced while it runs.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -271,7 +271,7 @@
 		r.FullReports = 0
 	}
 	r.Leaving = r.Leaving || load.Leaving
-	r.Version, r.Unheard = load.Version, load.Version == ""
+	r.Version, r.Unheard = load.Build, load.Build == ""
 	r.LastSeen = now
 }
 
--- a/internal/policy/replay/engine.go
+++ b/internal/policy/replay/engine.go
@@ -42,7 +42,7 @@
 
 // load returns the load that the agent reports: its load of LoadReportAge ago.
 func (e *engine) load() chicoryrock.Load {
-	load := chicoryrock.Load{Slots: e.Slots, Version: e.Version}
+	load := chicoryrock.Load{Slots: e.Slots, Build: e.Version}
 	if e.sim.scenario.LoadReportAge == 0 {
 		load.Running = len(e.streams)
 		load.Waiting = e.agent.queueLength()
--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -119,7 +119,7 @@
 
 func (v *visit) forward() {
 	a := v.agent
-	if !v.fits(a.room.load().Version, true) {
+	if !v.fits(a.room.load().Build, true) {
 		a.once.forget(v.r.Header)
 		a.refuse(v.w, chicoryrock.ReasonVersionGone, 0)
 		return
@@ -139,10 +139,15 @@
 	defer func() { _ = response.Body.Close() }()
 	a.crashes.answered()
 	v.limited(sent, response)
-	version := response.Header.Get(wire.Version)
-	a.room.versioned(version)
-	if !v.fits(version, false) {
-		a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("software", version))
+	build := wire.BuildOf(response.Header)
+	a.room.built(build)
+	if response.StatusCode == http.StatusMisdirectedRequest && request.Header.Get(wire.Weights) != "" {
+		a.once.forget(v.r.Header)
+		a.refuse(v.w, chicoryrock.ReasonVersionGone, 0)
+		return
+	}
+	if !v.fits(build, false) {
+		a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("software", build))
 		v.refuseUnknown(wire.OutcomeUnknown)
 		return
 	}
@@ -153,14 +158,20 @@
 	v.relay(response)
 }
 
-// fits reports whether software of a version may answer: a stream that another process has
-// begun goes on only at the version that began it.
-func (v *visit) fits(version string, unknown bool) bool {
-	began := v.r.Header.Get(wire.Version)
-	if v.r.Header.Get(wire.Resume) == "" || version == "" && unknown {
+// resumes reports whether the caller has the beginning of the answer.
+func (v *visit) resumes() bool { return v.r.Header.Get(wire.Resume) != "" }
+
+// fits reports whether a build may answer: a stream goes on only at the build that began it.
+// Entries that name none go by the software alone.
+func (v *visit) fits(build string, unknown bool) bool {
+	began := v.r.Header.Get(wire.Build)
+	switch {
+	case !v.resumes():
 		return true
+	case build == "" && unknown:
+		return began != ""
 	}
-	return version == began
+	return build != "" && build == began
 }
 
 // limited takes in the limit that an answer to a request states that was sent at a time.
@@ -190,6 +201,10 @@
 			request.Header.Set(name, value)
 		}
 	}
+	// The engine may have replaced its weights since its last answer.
+	if weights := wire.WeightsOf(v.r.Header.Get(wire.Build)); v.resumes() && weights != "" {
+		request.Header.Set(wire.Weights, weights)
+	}
 	return request, nil
 }
 
--- a/internal/serve/agent/room.go
+++ b/internal/serve/agent/room.go
@@ -33,7 +33,7 @@
 	mu      sync.Mutex
 	core    admit.Controller
 	seats   map[*chicoryrock.Request]*seat
-	version string // of the backend server's software; empty if not known
+	build   string // of the backend server (chicoryrock.Server.Build); empty if not known
 	suspect bool   // a request that was in flight at a crash has been let in
 }
 
@@ -164,15 +164,15 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	load := r.core.Load(time.Now())
-	load.Version = r.version
+	load.Build = r.build
 	return load
 }
 
-// versioned takes in which software version the backend server's last answer states.
-func (r *room) versioned(version string) {
+// built takes in which build the backend server's last answer states.
+func (r *room) built(build string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.version = version
+	r.build = build
 }
 
 // apply carries out the core's actions. The lock is held.
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -44,7 +44,7 @@
 	parts      []suspect.Fingerprint // messages that other calls may share
 	trial      bool                  // it is the trial of a ban
 	sent       int                   // output tokens that the caller has
-	version    string                // of the software that answers the attempt under way
+	build      string                // that answers the attempt under way
 	timing     timing                // of the attempt under way
 	started    bool                  // the answer's header has gone out
 	completion sequence.Completion   // what the caller has of a stream
@@ -178,7 +178,7 @@
 	if err := agentError(response.Header); err != nil {
 		return err
 	}
-	if err := c.keepVersion(response.Header); err != nil {
+	if err := c.keepBuild(response.Header); err != nil {
 		return err
 	}
 	if err := c.fits(response); err != nil {
@@ -206,17 +206,17 @@
 	return nil
 }
 
-// keepVersion takes in which software version answers. What it writes doesn't fit to what
-// another one has begun. Error: chicoryrock.ErrUnknownOutcome.
-func (c *call) keepVersion(header http.Header) error {
-	load, _ := wire.ReadLoad(header) // without it no version is stated
+// keepBuild takes in which build answers. What it writes doesn't fit to what another one has
+// begun. Error: chicoryrock.ErrUnknownOutcome.
+func (c *call) keepBuild(header http.Header) error {
+	load, _ := wire.ReadLoad(header) // without it no build is stated
 	if c.sent == 0 {
 		c.request.Version = ""
-		c.version = load.Version
+		c.build = load.Build
 		return nil
 	}
-	if load.Version == "" || load.Version != c.request.Version {
-		return errors.Wrapf(chicoryrock.ErrUnknownOutcome, "software version %q answers for %q", load.Version, c.request.Version)
+	if load.Build == "" || load.Build != c.request.Version {
+		return errors.Wrapf(chicoryrock.ErrUnknownOutcome, "build %q answers for %q", load.Build, c.request.Version)
 	}
 	return nil
 }
@@ -264,7 +264,7 @@
 	c.stampUsage(time.Now(), request.Header)
 	if c.sent > 0 {
 		request.Header.Set(wire.Resume, strconv.Itoa(c.sent))
-		request.Header.Set(wire.Version, c.request.Version)
+		request.Header.Set(wire.Build, c.request.Version)
 	}
 	return request, nil
 }
--- a/internal/serve/entry/retries.go
+++ b/internal/serve/entry/retries.go
@@ -70,7 +70,7 @@
 		Started:             c.started,
 		FirstTokenAt:        c.progress.first,
 		TokenIntervalTarget: c.progress.class.Token,
-		Resumable:           c.pool.Save && c.version != "" && c.entry.gate.Servable(now, c.request),
+		Resumable:           c.pool.Save && c.build != "" && c.entry.gate.Servable(now, c.request),
 	})
 	if verdict.Action == retry.Fail {
 		return c.refusedBy(verdict, failure)
--- a/internal/serve/entry/stream.go
+++ b/internal/serve/entry/stream.go
@@ -71,7 +71,7 @@
 		return nil
 	}
 	if c.sent > 0 {
-		c.request.Version = c.version
+		c.request.Version = c.build
 	}
 	c.startStream()
 	if err := wire.WriteEvent(c.w, data); err != nil {
@@ -92,7 +92,7 @@
 			return false
 		}
 	}
-	return c.pool.Save && c.version != "" && c.entry.gate.Moves(now, c.request, replica.Name)
+	return c.pool.Save && c.build != "" && c.entry.gate.Moves(now, c.request, replica.Name)
 }
 
 // isUsageOnly says whether a chunk only carries the usage that the entry itself
--- a/internal/serve/wire/wire.go
+++ b/internal/serve/wire/wire.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"math"
 	"net/http"
+	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock"
@@ -30,7 +32,9 @@
 	Limit     = "X-Chicory-Limit"    // requests a second that the backend server takes, in its answers; missing for any number
 	Load      = "X-Chicory-Load"     // JSON of chicoryrock.Load
 	Resume    = "X-Chicory-Resume"   // output tokens that the caller already has
-	Version   = "X-Chicory-Version"  // of an engine's software, in its answers; on a call that resumes, the version that began it
+	Version   = "X-Chicory-Version"  // of an engine's software, in its answers
+	Weights   = "X-Chicory-Weights"  // versions of an engine's weights, in its answers; on a call that resumes, those that an engine without them answers 421 for
+	Build     = "X-Chicory-Build"    // on a call that resumes, the build that began it, as chicoryrock.Load states it
 	Prompt    = "X-Chicory-Prompt"   // estimated prompt length, tokens
 	Due       = "X-Chicory-Due"      // milliseconds until the first token is due
 	Suspect   = "X-Chicory-Suspect"  // "1" on a call that was in flight at a crash
@@ -132,3 +136,17 @@
 	err := json.Unmarshal([]byte(text), &load)
 	return load, err == nil
 }
+
+// BuildOf returns the build that an engine's answer states (chicoryrock.Server.Build); empty
+// where it doesn't state its software.
+func BuildOf(header http.Header) string {
+	// A space separates the two.
+	server := chicoryrock.Server{Version: url.PathEscape(header.Get(Version)), Weights: header.Get(Weights)}
+	return server.Build()
+}
+
+// WeightsOf returns the weights that a build of BuildOf names; empty for none.
+func WeightsOf(build string) string {
+	_, weights, _ := strings.Cut(build, " ")
+	return weights
+}
--- a/internal/standin/engine/serve.go
+++ b/internal/standin/engine/serve.go
@@ -32,6 +32,9 @@
 		return
 	}
 	defer leave()
+	if !s.expected(w, r) {
+		return
+	}
 	s.started(work)
 	if !s.meet(r.Context(), work) || !s.pause(r.Context(), s.Prefill*time.Duration(work.prompt+work.first)) {
 		s.cancelled()
@@ -62,6 +65,7 @@
 		version = s.switches.Version
 	}
 	w.Header().Set(wire.Version, version)
+	w.Header().Set(wire.Weights, s.weights())
 	if s.switches.Limit > 0 {
 		w.Header().Set(wire.Limit, strconv.FormatFloat(s.switches.Limit, 'f', -1, 64))
 	}
@@ -75,6 +79,29 @@
 	return loaded
 }
 
+// weights returns the versions of the present weights. It runs with the mutex held.
+func (s *Server) weights() string {
+	if s.switches.Weights != "" {
+		return s.switches.Weights
+	}
+	return s.Weights
+}
+
+// expected states the weights that a request runs with, as it joins the batch. It returns false
+// when the request expects others and is turned away.
+func (s *Server) expected(w http.ResponseWriter, r *http.Request) bool {
+	s.mutex.Lock()
+	weights, heeds := s.weights(), !s.switches.Heedless
+	s.mutex.Unlock()
+	w.Header().Set(wire.Weights, weights)
+	expects := r.Header.Get(wire.Weights)
+	if heeds && expects != "" && expects != weights {
+		host.WriteError(w, http.StatusMisdirectedRequest, "the weights are "+weights)
+		return false
+	}
+	return true
+}
+
 // started counts the request and crashes the engine when its prompt is poison.
 func (s *Server) started(work *work) {
 	s.mutex.Lock()
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -21,6 +21,7 @@
 	DefaultToken   = 20 * time.Millisecond
 	DefaultOutput  = 64
 	DefaultVersion = "1"
+	DefaultWeights = "garland=1"
 )
 
 // Server is one engine. The exported fields are set before Start.
@@ -33,6 +34,7 @@
 	Prefill time.Duration // time of a prompt token at full speed
 	Output  int           // tokens of an answer whose request sets no limit
 	Version string        // of its software
+	Weights string        // versions of its weights
 
 	host.Host
 	mutex     sync.Mutex
@@ -72,6 +74,9 @@
 	if s.Version == "" {
 		s.Version = DefaultVersion
 	}
+	if s.Weights == "" {
+		s.Weights = DefaultWeights
+	}
 	if s.Output <= 0 {
 		s.Output = DefaultOutput
 	}
--- a/internal/standin/engine/switches.go
+++ b/internal/standin/engine/switches.go
@@ -22,6 +22,8 @@
 	Deaf     bool          `json:"deaf"`     // go on making tokens after the client has hung up
 	Limit    float64       `json:"limit"`    // state this limit in answers, requests a second; zero for none
 	Version  string        `json:"version"`  // state this software version; empty for the server's own
+	Weights  string        `json:"weights"`  // replace the weights by these versions; empty for the server's own
+	Heedless bool          `json:"heedless"` // run requests that expect other weights
 	Fence    bool          `json:"fence"`    // refuse orders with an old fencing number
 }
 
--- a/request.go
+++ b/request.go
@@ -88,8 +88,9 @@
 	Running int  `json:"running"`
 	Waiting int  `json:"waiting"`
 	Leaving bool `json:"leaving,omitempty"`
-	// Version is that of the engine's software; empty if it states none.
-	Version string `json:"version,omitempty"`
+	// Build names the engine's software and weights (Server.Build); empty if it doesn't state
+	// its software.
+	Build string `json:"build,omitempty"`
 }
 
 // Observation is what an entry measured on one replica. Fields that were not
