State in an agent's answer the build of that very answer

What callers saw: a stream could go on at a build that didn't begin it, where the engine replaced its weights or started as another version while answers came.

Cause: the head of an answer stated the build that the agent had last heard of, which another answer could have changed between reading and stating it.

Change: it states the build that this answer's own head names. Trailer and load comments go on with the last one heard, as they speak of the engine.

Evidence: TestAnswerStatesItsOwnBuild got the other answer's build before, for a whole answer and for a stream; it passes. Tests of serve/agent pass.

--- a/internal/serve/agent/build_test.go
+++ b/internal/serve/agent/build_test.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -74,3 +75,22 @@
 		}
 	}
 }
+
+// Guards against an answer under the build of another one that came at the same time.
+func TestAnswerStatesItsOwnBuild(t *testing.T) {
+	a := agentOf(netip.AddrPort{})
+	a.room.built("1 garland=2")
+	for _, kind := range []string{"application/json", "text/event-stream"} {
+		recorder := httptest.NewRecorder()
+		request := httptest.NewRequest(http.MethodPost, "/v1/completions", http.NoBody)
+		(&visit{agent: a, w: recorder, r: request, ctx: t.Context(), request: readRequest(time.Now(), request.Header)}).relay(&http.Response{
+			StatusCode:    http.StatusOK,
+			Header:        http.Header{"Content-Type": {kind}, wire.Version: {"1"}, wire.Weights: {"garland=1"}},
+			Body:          http.NoBody,
+			ContentLength: 0,
+			Request:       request,
+		})
+		load, _ := wire.ReadLoad(recorder.Result().Header)
+		require.Equal(t, "1 garland=1", load.Build, kind)
+	}
+}
--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -39,7 +39,9 @@
 	if !framed(response) {
 		header.Set(wire.Unframed, "1")
 	}
-	wire.SetLoad(header, v.agent.room.load())
+	load := v.agent.room.load()
+	load.Build = wire.BuildOf(response.Header) // another answer may have stated another one since
+	wire.SetLoad(header, load)
 	v.stampUsage(header)
 	header.Set("Trailer", wire.Load)
 	v.w.WriteHeader(response.StatusCode)
