Pass on the length that a service behind an agent states in its answer to HEAD

What callers saw: an answer to HEAD through an entry stated a length of 0.

Cause: the entry stated the length of the body that it had read; an answer to HEAD has none.

Change: the entry passes on what the answer states, and states none without it.

Evidence: TestAnswerToHeadStatesItsServersLength got 0 for 14; it passes, as does TestSoundAnswersWithoutAFramePass, three times each.

--- a/internal/serve/entry/whole.go
+++ b/internal/serve/entry/whole.go
@@ -33,9 +33,14 @@
 	c.noteWhole(response.StatusCode, data)
 	header := c.w.Header()
 	header.Set("Content-Type", response.Header.Get("Content-Type"))
-	if response.Header.Get(wire.Unframed) == "" || c.model && response.StatusCode == http.StatusOK {
+	switch stated := response.Header.Get("Content-Length"); {
+	case c.r.Method == http.MethodHead && stated != "":
+		// It is that of the body which isn't sent.
+		header.Set("Content-Length", stated)
+	case c.r.Method == http.MethodHead:
+	case response.Header.Get(wire.Unframed) == "" || c.model && response.StatusCode == http.StatusOK:
 		header.Set("Content-Length", strconv.Itoa(len(data)))
-	} else {
+	default:
 		// Nothing shows that it is whole, so it ends with the caller's connection, too.
 		header.Set("Transfer-Encoding", "identity") //nolint:gosec // the length is not set beside it
 	}
--- a/internal/serve/local/cut_answer_test.go
+++ b/internal/serve/local/cut_answer_test.go
@@ -70,6 +70,21 @@
 	}
 }
 
+// Guards against a length of 0 in answers to HEAD, whose bodies aren't sent.
+func TestAnswerToHeadStatesItsServersLength(t *testing.T) {
+	system, script := startScripted(t, 1)
+	for _, length := range []string{"14", "0", ""} {
+		answer := answerOf(unframed, ok, "text/plain", "")
+		if length != "" {
+			answer = strings.Replace(answer, "\r\n\r\n", "\r\nContent-Length: "+length+"\r\n\r\n", 1)
+		}
+		script.set(answer)
+		response := system.send(t, 0, hawkerKey, http.MethodHead, "/svc/status/a", "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, length, response.Header.Get("Content-Length"))
+	}
+}
+
 // Guards against rules that cut the answers of sound services.
 func TestSoundAnswersWithoutAFramePass(t *testing.T) {
 	system, script := startScripted(t, 1)
