Release newer builds in part in the soak, and replace weights in place

What: engines are replaced a few at a time by a newer build that enters the store first, while the old one drains and leaves, with or without saying so; releases overlap with each other and with all else. Spare engines take the newer builds in, so that their number is fixed. Engines state weights in entries and answers, replace them in place with a late entry, crash and start again under their ID, turn away what expects other weights, and keep copies of runs. Events name version and weights, so that a stream of two builds is found over all answers of its caller. A front's log ends with its goroutines if the run fails.

Why: the soak had one change of version, at one address and at once, and no weights or copies, which is where streams of two builds come from.

--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -78,10 +78,14 @@
 // down closes all connections and takes no new ones for a time.
 func (p *proxy) down(last time.Duration) {
 	p.mutex.Lock()
-	address := p.listener.Addr().String()
+	address, already := p.listener.Addr().String(), p.isDown
+	p.isDown = true
 	_ = p.listener.Close()
 	p.mutex.Unlock()
 	p.reset()
+	if already {
+		return
+	}
 	time.AfterFunc(last, func() { p.up(address) })
 }
 
@@ -97,6 +101,6 @@
 		time.AfterFunc(20*time.Millisecond, func() { p.up(address) })
 		return
 	}
-	p.listener = listener
+	p.listener, p.isDown = listener, false
 	go p.serve(listener)
 }
--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -253,7 +253,7 @@
 		return
 	}
 	defer func() { _ = conn.Close() }()
-	for _, name := range []string{sample.Limit, sample.Leaving} {
+	for _, name := range []string{sample.Limit, sample.Leaving, sample.Weights} {
 		if value := rw.Header().Get(name); value != "" {
 			m.statements = append(m.statements, name+": "+value)
 		}
@@ -319,8 +319,8 @@
 	at     time.Time
 }
 
-// ofOneStream says whether a piece fits a stream of some software version.
-func (p piece) ofOneStream() bool { return slices.ContainsFunc(softwareVersions, p.fits) }
+// ofOneStream says whether a piece fits a stream of some build.
+func (p piece) ofOneStream() bool { return slices.ContainsFunc(builds, p.fits) }
 
 // count returns how many whole events a piece has.
 func (p piece) count() int { return strings.Count(p.body, "\n\n") }
@@ -348,7 +348,7 @@
 	fits := func(version string) bool {
 		return !slices.ContainsFunc(one.pieces, func(p piece) bool { return p.status == http.StatusOK && !p.fits(version) })
 	}
-	if !slices.ContainsFunc(softwareVersions, fits) {
+	if !slices.ContainsFunc(builds, fits) {
 		w.t.Errorf("%s: not the events of one stream, or fewer in an answer that looks whole:\n%s", where, w.story(one))
 	}
 	for _, p := range one.pieces {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -37,9 +37,10 @@
 	mood     atomic.Int32
 	troubled atomic.Int64 // when its mood last changed or answers were last lost to a reset, in Unix nanoseconds
 
-	mutex sync.Mutex
-	conns map[net.Conn]struct{}
-	ended bool
+	mutex  sync.Mutex
+	conns  map[net.Conn]struct{}
+	ended  bool
+	isDown bool
 }
 
 func newProxy(t *testing.T, target netip.AddrPort) *proxy {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -105,7 +105,10 @@
 // ask sends one request on whatever connection its caller has.
 func (w *world) ask(client *http.Client, front int, kind, id string) got {
 	one := got{id: id, kind: kind}
-	path, parts := kind, "a1:200,b2:400"
+	path, parts, tokens := kind, "a1:200,b2:400", "600,40"
+	if kind == "short" {
+		tokens = "600,300" // enough of an answer to be copied
+	}
 	if kind == "bad" {
 		path, parts = "short", fmt.Sprintf("a1:200,%s:50,%x:400", badPart, len(id)<<32+rand.IntN(1<<30))
 	}
@@ -117,7 +120,7 @@
 	request.GetBody = nil
 	request.Host = sample.Host
 	for name, value := range map[string]string{
-		sample.ID: id, "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40", sample.Parts: parts,
+		sample.ID: id, "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: tokens, sample.Parts: parts, sample.Model: model,
 	} {
 		request.Header.Set(name, value)
 	}
@@ -137,7 +140,7 @@
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(21) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(29) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
@@ -165,6 +168,9 @@
 			time.AfterFunc(last, func() {
 				defer w.restores.Done()
 				w.store.Restore()
+				for _, s := range w.engines {
+					w.pending.Go(func() { w.enter(s) })
+				}
 			})
 		}
 	case 9, 10:
@@ -175,6 +181,12 @@
 		w.grow()
 	case 18, 19, 20:
 		w.makeFaulty(2 * last)
+	case 21, 22, 23:
+		w.release()
+	case 24, 25:
+		w.replaceWeights(last)
+	case 26, 27:
+		w.crashEngine(last / 2)
 	case 11:
 		for _, p := range w.fronts {
 			p.kill()
@@ -192,6 +204,7 @@
 // calm ends all faults. A copy that the store still has to come back from would undo what is
 // written later.
 func (w *world) calm() {
+	w.calming.Store(true)
 	w.restores.Wait()
 	for _, one := range w.proxies {
 		one.feel(calm)
@@ -200,6 +213,7 @@
 	for _, p := range w.fronts {
 		p.signal(syscall.SIGCONT)
 	}
+	w.pending.Wait()
 }
 
 // untilServing waits until each front serves each kind.
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -2,19 +2,15 @@
 
 import (
 	"bytes"
-	"context"
 	"fmt"
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/chicoryrock/chicoryrock"
-	"github.com/chicoryrock/chicoryrock/platform"
 	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
 
@@ -25,51 +21,11 @@
 	takeUps = 4
 )
 
-// softwareVersions are those that engines may have.
-var softwareVersions = []string{"v1", "v2", "v3"}
-
 // taken counts the streams that callers took up.
 type taken struct {
 	all, on atomic.Int64
 }
 
-// software is a backend server whose next start has another ID and may have another version.
-type software struct {
-	mutex       sync.Mutex
-	id, version string
-	service     string
-	starts      int
-	proxy       *proxy
-	statements  statements
-	// faultyUntil is a time in Unix nanoseconds.
-	faultyUntil atomic.Int64
-}
-
-func (s *software) get() (id, version string) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.id, s.version
-}
-
-func (w *world) newSoftware(id, service string) *software {
-	s := &software{id: id, version: "v1", service: service}
-	w.servers = append(w.servers, s)
-	if service == "llm" {
-		s.version = fmt.Sprintf("v%d", 1+len(w.engines)%2)
-		w.engines = append(w.engines, s)
-	}
-	return s
-}
-
-func (w *world) enter(s *software) {
-	id, version := s.get()
-	entry := sample.EntryOf(s.service, s.proxy.address(), "ready", version)
-	if id == evacuable {
-		entry = sample.In(entry, otherCentre)
-	}
-	w.put(platform.ServerPrefix+id, entry)
-}
-
 // versions says whether this run's fronts heed software versions: those of former builds
 // don't.
 func versions() bool { return limits() }
@@ -80,33 +36,13 @@
 	if !versions() {
 		return
 	}
-	s := w.engines[2+w.random.IntN(len(w.engines)-2)]
+	s, version := w.engines[2+w.random.IntN(len(w.engines)-2)], softwareVersions[w.random.IntN(firstNewer)]
+	if !s.mayChange() {
+		return
+	}
 	s.proxy.reset()
-	s.mutex.Lock()
-	before := s.id
-	s.starts++
-	s.id = fmt.Sprintf("%s+%d", strings.Split(before, "+")[0], s.starts)
-	s.version = softwareVersions[w.random.IntN(len(softwareVersions))]
-	s.statements = statements{broken: s.statements.broken}
-	s.mutex.Unlock()
-	go func() {
-		// The store may be out for a while.
-		for range 100 {
-			_, err := w.client.Commit(context.Background(), []chicoryrock.Change{{Key: platform.ServerPrefix + before, Delete: true, Unconditional: true}})
-			if err == nil {
-				break
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-		id, version := s.get()
-		value := []byte(sample.EntryOf(s.service, s.proxy.address(), "ready", version))
-		for range 100 {
-			if _, err := w.client.Commit(context.Background(), []chicoryrock.Change{{Key: platform.ServerPrefix + id, Value: value, Unconditional: true}}); err == nil {
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}()
+	s.start(version, s.get().weights)
+	w.pending.Go(func() { w.enter(s) })
 }
 
 // readSome reads an answer; every third stream that may be taken up only in part.
@@ -150,7 +86,7 @@
 		request.Host = sample.Host
 		for name, value := range map[string]string{
 			sample.ID: fmt.Sprintf("%s/%d/%d", one.id, try, front), "Authorization": "Bearer " + key, sample.Patience: "4000", sample.Tokens: "600,40",
-			sample.Parts: "a1:200,b2:400", "Last-Event-Id": fmt.Sprint(after), sample.Resumes: one.id,
+			sample.Parts: "a1:200,b2:400", sample.Model: model, "Last-Event-Id": fmt.Sprint(after), sample.Resumes: one.id,
 		} {
 			request.Header.Set(name, value)
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -16,6 +16,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -35,7 +36,7 @@
 
 const (
 	apps    = 2
-	engines = 4
+	engines = 6
 	events  = 12 // of a stream
 	key     = "key-of-w1"
 )
@@ -51,12 +52,17 @@
 	limited map[string]*limited // by backend server
 	crashed crashed
 	taken   taken
-	engines []*software
+	engines []*software // those that run, and spares
 	servers []*software // engines and others
+	newest  int         // index of the newest version that was released
 	seed    uint64
 	version int // of the configuration written last
 	// restores are the copies that the store has yet to come back from.
 	restores sync.WaitGroup
+	// pending are the changes of engines under way; calming says that no more are to begin.
+	pending  sync.WaitGroup
+	calming  atomic.Bool
+	claiming sync.Mutex
 	// evacuable counts the requests to the backend server of that name.
 	evacuable atomic.Int64
 
@@ -107,20 +113,21 @@
 	for i := range apps {
 		w.backend(fmt.Sprintf("app-%d", i), "app")
 	}
-	for i := range engines {
+	w.newest = firstNewer - 1
+	for i := range engines + spares {
 		w.backend(fmt.Sprintf("llm-%d", i), "llm")
 	}
 	api := w.serve(http.HandlerFunc(w.usage))
-	folders := builds(t)
+	folders := folders(t)
 	for i := range fronts {
 		w.front(i, filepath.Join(folders[i%len(folders)], "chicoryrock"), api)
 	}
 	return w
 }
 
-// builds returns the folders that fronts are started from in turn: those of
+// folders returns the folders that fronts are started from in turn: those of
 // TEST_BUILDS, separated by commas, or else one with a new build.
-func builds(t *testing.T) []string {
+func folders(t *testing.T) []string {
 	if folders := os.Getenv("TEST_BUILDS"); folders != "" {
 		return strings.Split(folders, ",")
 	}
@@ -152,7 +159,7 @@
 
 func (w *world) configure() {
 	w.version = 1
-	w.put(platform.ConfigKey, sample.Config(w.version, key))
+	w.put(platform.ConfigKey, sample.Copied(sample.Config(w.version, key)))
 }
 
 // backend starts a backend server behind a proxy and enters it in the store.
@@ -169,14 +176,22 @@
 		if _, err := io.ReadAll(r.Body); err != nil {
 			return
 		}
-		named, version := self.get()
-		if r.Header.Get(sample.Server) != named {
+		running := self.get()
+		if running.misdirected(r) {
 			rw.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
+		if self.lacksCopy(r) {
+			rw.Header().Set(sample.NotRun, "1")
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if running.weights > 0 {
+			rw.Header().Set(sample.Weights, strconv.Itoa(running.weights))
+		}
 		var wrongly *fault
 		if !isBad(r) {
-			wrongly = w.drawFault(self, asked, version, from)
+			wrongly = w.drawFault(self, asked, running.build(), from)
 		}
 		if front, found := w.frontOf(asked); found && self.states(rw.Header(), front, w.fronts[front].disturbedAt(), wrongly == nil) {
 			rw.Header().Set(sample.NotRun, "1")
@@ -187,9 +202,12 @@
 			w.evacuable.Add(1)
 		}
 		w.mutex.Lock()
-		w.runs[asked]++
-		w.note(named, asked, version, from, wrongly)
+		if r.Header.Get(sample.FromCopy) == "" {
+			w.runs[asked]++ // one that goes on from a copy counts as the same run
+		}
+		w.note(running.id, asked, running.build(), from, wrongly)
 		w.mutex.Unlock()
+		w.keepCopy(r)
 		if front, found := w.frontOf(asked); found {
 			limit.arrived(time.Now(), w.fronts[front].disturbedAt(), front, rw.Header(), wrongly == nil)
 		}
@@ -208,7 +226,7 @@
 			return
 		}
 		rw.Header().Set("Content-Type", "text/event-stream")
-		for _, event := range eventsOf(version, from, events) {
+		for _, event := range eventsOf(running.build(), from, events) {
 			_, _ = io.WriteString(rw, event)
 			if http.NewResponseController(rw).Flush() != nil || r.Context().Err() != nil {
 				return
@@ -264,7 +282,14 @@
 	p.command = exec.Command(binary, "front", "-settings", p.file)
 	w.fronts = append(w.fronts, p)
 	p.start(w.t)
-	w.t.Cleanup(p.kill)
+	w.t.Cleanup(func() {
+		if w.t.Failed() { // its log ends with what it was doing
+			p.signal(syscall.SIGCONT)
+			p.signal(syscall.SIGQUIT)
+			time.Sleep(200 * time.Millisecond)
+		}
+		p.kill()
+	})
 }
 
 // logFolder returns a folder that stays if the test fails.
