Take no chunks of HTTP/1.0 for an answer at a front

Cause: net/http drops Transfer-Encoding of an answer before HTTP/1.1, and reads the body up to the end of the connection.

Change: such an answer is a failed attempt, as nothing shows where it ends (RFC 9112, section 6.1). The bytes of a head are kept for that while it is read, only if it doesn't begin with HTTP/1.1.

Evidence: TestChunksOfAnOldVersionAreNoAnswer got "4\r\nfine\r\n0\r\n\r\n" as a sound answer before; its 8 cases, whole and a byte at a time, pass, as do the tests of serve/upstream and, in serve/assembly, those of oddly framed, foreign and cut answers and of heads alone.

--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -19,6 +20,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 )
 
 const (
@@ -322,6 +324,8 @@
 
 	bounded bool
 	left    int // bytes, while it is bounded
+	keeps   bool
+	kept    []byte // what has been read of the head, where it keeps that
 }
 
 // Read implements io.Reader.
@@ -334,6 +338,9 @@
 	}
 	n, err := r.Reader.Read(p[:min(len(p), r.left)])
 	r.left -= n
+	if r.keeps {
+		r.kept = append(r.kept, p[:n]...)
+	}
 	return n, err
 }
 
@@ -345,7 +352,7 @@
 	for {
 		response, err = c.readHead(call)
 		switch {
-		case errors.Is(err, errLongHead):
+		case errors.Is(err, errLongHead), errors.Is(err, errOldCoding):
 			return nil, false, errors.Wrap(ErrBadAnswer, err.Error())
 		case err != nil:
 			return nil, false, MarkClosed(errors.Wrapf(chicoryrock.ErrUnknownOutcome, "read the answer: %v", err), err)
@@ -364,11 +371,28 @@
 	}
 }
 
-// readHead reads one head, of bounded length.
+// errOldCoding is for an answer of which nothing shows where it ends.
+var errOldCoding = errors.New("a transfer coding before HTTP/1.1")
+
+// readHead reads one head, of bounded length. Errors: errLongHead, errOldCoding, or the
+// connection's.
 func (c *conn) readHead(call *Call) (*http.Response, error) {
 	c.head.bounded, c.head.left = true, maxHead
-	defer func() { c.head.bounded = false }()
-	return http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+	defer func() { c.head.bounded, c.head.keeps, c.head.kept = false, false, nil }()
+	if _, err := c.reader.Peek(1); errors.Is(err, io.EOF) {
+		return nil, errors.WithStack(io.ErrUnexpectedEOF)
+	} else if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	start, _ := c.reader.Peek(c.reader.Buffered()) // which is there
+	if c.head.keeps = web.MayBeOld(start); c.head.keeps {
+		c.head.kept = slices.Clone(start)
+	}
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
+	if err == nil && !response.ProtoAtLeast(1, 1) && web.StatesCoding(c.head.kept) {
+		return nil, errors.WithStack(errOldCoding)
+	}
+	return response, err
 }
 
 // skip reads an answer to another request to its end, and says whether another one
--- a/internal/serve/upstream/upstream_test.go
+++ b/internal/serve/upstream/upstream_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -249,6 +250,40 @@
 	require.Equal(t, "fine", body)
 }
 
+// Guards against chunks that are passed on with their framing, as HTTP/1.0 has none.
+func TestChunksOfAnOldVersionAreNoAnswer(t *testing.T) {
+	const mine, chunks = "Request-Id: 1\r\n", "\r\n4\r\nfine\r\n0\r\n\r\n"
+	cases := []struct {
+		name, answer string
+		sound        bool
+	}{
+		{"chunks", "HTTP/1.0 200 OK\r\n" + mine + "Transfer-Encoding: chunked\r\n" + chunks, false},
+		{"chunks, other letters", "HTTP/1.0 200 OK\ntransfer-encoding:chunked\n" + mine + "\n4\nfine\n0\n\n", false},
+		{"chunks and a length", "HTTP/1.0 200 OK\r\n" + mine + "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\nfine", false},
+		{"chunks after an interim head", "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.0 200 OK\r\n" + mine + "Transfer-Encoding: chunked\r\n" + chunks, false},
+		{"chunks behind a long head", "HTTP/1.0 200 OK\r\nX: " + strings.Repeat("x", 9000) + "\r\n" + mine + "Transfer-Encoding: chunked\r\n" + chunks, false},
+		{"a length", "HTTP/1.0 200 OK\r\n" + mine + "Content-Length: 4\r\n\r\nfine", true},
+		{"to the end, the field in the body", "HTTP/1.0 200 OK\r\n" + mine + "\r\nTransfer-Encoding: chunked\r\n\r\n", true},
+		{"chunks of HTTP/1.1", "HTTP/1.1 200 OK\r\n" + mine + "Transfer-Encoding: chunked\r\n" + chunks, true},
+	}
+	for _, c := range cases {
+		for _, piece := range []int{1, len(c.answer)} { // bytes at once
+			s := start(t, func(_ *http.Request, _ []byte, conn net.Conn) bool {
+				for rest := range slices.Chunk([]byte(c.answer), piece) {
+					_, _ = conn.Write(rest)
+				}
+				return false
+			})
+			body, err := do(t, &Client{}, s.call("1"))
+			if !c.sound {
+				require.ErrorIs(t, err, ErrBadAnswer, "%s: %q", c.name, body)
+				continue
+			}
+			require.NoError(t, err, c.name)
+		}
+	}
+}
+
 // Guards against a head that states no end, and a close, that pass for an empty answer; and
 // against answers without a body by their kind that count as broken off.
 func TestHeadAlone(t *testing.T) {
