Take no chunks of HTTP/1.0 for an answer behind agents

What callers saw: an answer of HTTP/1.0 that states chunks, of a service behind an agent, came with their framing in its text.

Cause: as at fronts. net/http drops Transfer-Encoding of an answer before HTTP/1.1.

Change: the agent's connection to its engine, which is for one request, fails at such a head before the client has all of it. The attempt may have run.

Evidence: TestChunksOfAnOldVersionAreNoAnswer (serve/local) got "5\r\nlot 4\r\n0\r\n\r\n" for "lot 4"; it passes, as do the tests of serve/agent and serve/upstream, and of serve/local those of sound, late and HEAD answers and of weights.

--- a/internal/serve/agent/agent.go
+++ b/internal/serve/agent/agent.go
@@ -47,7 +47,7 @@
 
 // Run serves until the context ends, then drains and returns. Prepare goes first.
 func (a *Agent) Run(ctx context.Context) error {
-	a.engine = web.NewService("engine", web.NewClient(nil))
+	a.engine = web.NewService("engine", newEngineClient())
 	server := &web.Server{
 		Name:     "agent",
 		Listen:   a.Settings.Listen,
--- a/internal/serve/agent/build_test.go
+++ b/internal/serve/agent/build_test.go
@@ -33,7 +33,7 @@
 
 // agentOf returns an agent of a backend server that isn't opened itself.
 func agentOf(address netip.AddrPort) *Agent {
-	a := &Agent{Settings: &settings.Agent{Engine: address, Slots: 4}, Log: event.NewNop(), engine: web.NewService("engine", web.NewClient(nil))}
+	a := &Agent{Settings: &settings.Agent{Engine: address, Slots: 4}, Log: event.NewNop(), engine: web.NewService("engine", newEngineClient())}
 	a.Prepare()
 	return a
 }
--- /dev/null
+++ b/internal/serve/agent/engine_conn.go
@@ -0,0 +1,60 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
+)
+
+// errOldCoding is for an answer of which nothing shows where it ends.
+var errOldCoding = errors.New("a transfer coding before HTTP/1.1")
+
+// maxHead is how much of an answer is searched for the end of its head, in bytes. The client
+// reads no longer heads.
+const maxHead = 1 << 20
+
+// newEngineClient returns the client for the engine.
+func newEngineClient() *http.Client {
+	client := web.NewClient(nil)
+	if transport, ok := client.Transport.(*http.Transport); ok {
+		dial := transport.DialContext
+		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &engineConn{Conn: conn}, nil
+		}
+	}
+	return client
+}
+
+// engineConn is a connection for one request. It fails at an answer of a version before
+// HTTP/1.1 that states a transfer coding, before the client has all of its head.
+type engineConn struct {
+	net.Conn
+
+	head    []byte // of the answer so far
+	checked bool
+}
+
+// Read implements net.Conn. Error: errOldCoding, or the connection's.
+func (c *engineConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.checked || n == 0 {
+		return n, err
+	}
+	c.head = append(c.head, p[:n]...)
+	states, whole := web.StatesCoding(c.head)
+	switch {
+	case !web.MayBeOld(c.head), whole && !states, len(c.head) > maxHead:
+		c.head, c.checked = nil, true
+	case states:
+		return 0, errors.WithStack(errOldCoding)
+	}
+	return n, err
+}
--- a/internal/serve/local/cut_answer_test.go
+++ b/internal/serve/local/cut_answer_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Guards against chunks that are passed on with their framing, as HTTP/1.0 has none.
+func TestChunksOfAnOldVersionAreNoAnswer(t *testing.T) {
+	system, script := startScripted(t, 1)
+	answer := answerOf(chunked, ok, "text/plain", "lot 4")
+	sound := answerOf(framed, ok, "text/plain", "lot 4")
+	old := func(answer string) string { return "HTTP/1.0" + strings.TrimPrefix(answer, "HTTP/1.1") }
+	for _, first := range []string{old(answer), old(strings.ReplaceAll(answer, "Transfer-Encoding", "transfer-encoding")), old(sound), answer} {
+		script.set(first, sound)
+		response := system.send(t, 0, hawkerKey, http.MethodGet, "/svc/status/a", "")
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		require.Equal(t, "lot 4", readAll(t, response), first)
+	}
+}
+
 // Guards against a length of 0 in answers to HEAD, whose bodies aren't sent.
 func TestAnswerToHeadStatesItsServersLength(t *testing.T) {
 	system, script := startScripted(t, 1)
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -389,10 +389,13 @@
 		c.head.kept = slices.Clone(start)
 	}
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: call.Method})
-	if err == nil && !response.ProtoAtLeast(1, 1) && web.StatesCoding(c.head.kept) {
+	if err != nil || response.ProtoAtLeast(1, 1) {
+		return response, err
+	}
+	if states, _ := web.StatesCoding(c.head.kept); states {
 		return nil, errors.WithStack(errOldCoding)
 	}
-	return response, err
+	return response, nil
 }
 
 // skip reads an answer to another request to its end, and says whether another one
--- a/internal/serve/web/framing.go
+++ b/internal/serve/web/framing.go
@@ -10,19 +10,16 @@
 // MayBeOld reports whether an answer that begins like this may be of a version before HTTP/1.1.
 func MayBeOld(start []byte) bool { return !bytes.HasPrefix(start, currentVersion) }
 
-// StatesCoding reports whether the head that some bytes begin with states a transfer coding. In
-// an answer of a version before HTTP/1.1 nothing shows where it ends then (RFC 9112, section
-// 6.1), and net/http drops the field.
-func StatesCoding(data []byte) bool {
+// StatesCoding reports whether the head that some bytes begin with states a transfer coding, and
+// whether all of the head is there. In an answer of a version before HTTP/1.1 nothing shows where
+// it ends then (RFC 9112, section 6.1), and net/http drops the field.
+func StatesCoding(data []byte) (states, whole bool) {
 	for line := range bytes.Lines(data) {
-		line = bytes.TrimRight(line, "\r\n")
-		if len(line) == 0 {
-			return false
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return states, bytes.HasSuffix(line, []byte("\n"))
 		}
 		name, _, found := bytes.Cut(line, []byte(":"))
-		if found && bytes.EqualFold(bytes.TrimSpace(name), codingField) {
-			return true
-		}
+		states = states || found && bytes.EqualFold(bytes.TrimSpace(name), codingField)
 	}
-	return false
+	return states, false
 }
