Count in the soak which streams of killed fronts go on

What: half of the fronts are killed at once as well as one and all; half of the streams that may be taken up are slow, so that some are older than 0.6 s. A run ends with how many streams of killed fronts went on as their callers took them up, by age and by how many fronts were killed, beside how many new streams begin within 1.2 s of a kill. The only bound stays that no stream is of two builds.

Why: what is lost by a kill showed in no figure.

--- a/soak/fault_test.go
+++ b/soak/fault_test.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// eventPause is the time between two events of a stream.
-	eventPause = 15 * time.Millisecond
+	// eventPause is the time between two events of a stream, slowPause that of a slow one.
+	eventPause, slowPause = 15 * time.Millisecond, 90 * time.Millisecond
 	// faultShare and breakShare are how often a server answers wrongly and breaks a stream
 	// off, faultyShare and faultyBreakShare how often a faulty one does, and
 	// continuedFaultShare how often a stream that broke off is continued wrongly.
@@ -279,6 +279,18 @@
 	}
 }
 
+// pauseOf returns the time between two events of a stream. Half of those that may be taken up are
+// slow, also then.
+func pauseOf(id string) time.Duration {
+	sum := fnv.New32()
+	id, _, _ = strings.Cut(id, "/")
+	_, _ = io.WriteString(sum, "slow"+id)
+	if strings.HasPrefix(id, "long") && sum.Sum32()%2 == 0 {
+		return slowPause
+	}
+	return eventPause
+}
+
 // breakOff sends a part of a stream.
 func (m *fault) breakOff(conn net.Conn) {
 	list := eventsOf(m.version, m.from, events)
@@ -291,7 +303,7 @@
 		if _, err := io.WriteString(conn, chunk(event)); err != nil {
 			return
 		}
-		time.Sleep(eventPause)
+		time.Sleep(pauseOf(m.id))
 	}
 	if strings.Contains(how, "within") {
 		event := strings.Join(eventsOf(m.version, m.from+m.count, m.from+m.count+1), "")
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,7 +28,8 @@
 	status   int // zero without an answer
 	body     string
 	whole    bool
-	pieces   []piece // its answers
+	began    time.Time // when it got the first bytes
+	pieces   []piece   // its answers
 }
 
 // TestSoak disturbs for SOAK_SECONDS with SOAK_SEED and so many SOAK_FRONTS; without
@@ -74,9 +75,11 @@
 			client := &http.Client{Transport: &http.Transport{}, Timeout: 8 * time.Second}
 			for n := 0; ctx.Err() == nil; n++ {
 				kind := []string{"book", "read", "long", "short"}[(caller+n)%4]
+				asked := time.Now()
 				one := w.ask(client, caller%len(w.fronts), kind, fmt.Sprintf("%s-%d-%d", kind, caller, n))
 				if kind == "long" && versions() {
-					w.takeUp(client, &one)
+					w.taken.begins(asked, one.status == http.StatusOK)
+					w.takeUp(client, caller%len(w.fronts), &one)
 				}
 				mutex.Lock()
 				results = append(results, one)
@@ -130,6 +133,7 @@
 		return one
 	}
 	defer func() { _ = response.Body.Close() }()
+	one.began = time.Now()
 	body, err := readSome(response, kind, id)
 	w.checkAnswer(response, id)
 	one.status, one.body, one.whole = response.StatusCode, body, err == nil
@@ -140,13 +144,12 @@
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(29) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(31) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
 	case 1:
-		p.kill()
-		p.start(w.t)
+		w.killFronts(killsOne, p)
 	case 2:
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGTERM)
@@ -188,12 +191,9 @@
 	case 26, 27:
 		w.crashEngine(last / 2)
 	case 11:
-		for _, p := range w.fronts {
-			p.kill()
-		}
-		for _, p := range w.fronts {
-			p.start(w.t)
-		}
+		w.killFronts(killsAll, w.fronts...)
+	case 29, 30:
+		w.killHalf(w.random.IntN(len(w.fronts)))
 	default:
 		one := w.proxies[w.random.IntN(len(w.proxies))]
 		one.feel(mood(1 + w.random.IntN(int(moods)-1)))
@@ -261,7 +261,7 @@
 	w.checkLimits(seed)
 	w.checkCrashes(seed)
 	w.checkStatements(seed)
-	w.t.Logf("seed %d: %d of %d streams that callers took up went on", seed, w.taken.on.Load(), w.taken.all.Load())
+	w.t.Logf("seed %d: %v", seed, &w.taken)
 	w.t.Logf("seed %d: %d of %d served, %d windows reported", seed, served, len(results), len(w.sheet))
 }
 
--- a/soak/version_test.go
+++ b/soak/version_test.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/chicoryrock/chicoryrock/platform/sample"
@@ -21,11 +20,6 @@
 	takeUps = 4
 )
 
-// taken counts the streams that callers took up.
-type taken struct {
-	all, on atomic.Int64
-}
-
 // versions says whether this run's fronts heed software versions: those of former builds
 // don't.
 func versions() bool { return limits() }
@@ -67,11 +61,18 @@
 	return body.String(), io.ErrUnexpectedEOF
 }
 
-// takeUp goes on with a stream that broke off, at any front, until it is whole.
-func (w *world) takeUp(client *http.Client, one *got) {
+// takeUp goes on with a stream that broke off at the front where it began, at any front, until it
+// is whole.
+func (w *world) takeUp(client *http.Client, began int, one *got) {
 	if one.status == http.StatusOK && !one.pieces[0].ofOneStream() {
 		return // checkStream finds it
 	}
+	tried, wentOn := false, false
+	defer func() {
+		if tried {
+			w.takenUp(began, *one, wentOn)
+		}
+	}()
 	for try := 0; try < takeUps && one.status == http.StatusOK && !one.whole; try++ {
 		if one.body = wholeEvents(one.body); one.body == "" {
 			return
@@ -91,9 +92,10 @@
 			request.Header.Set(name, value)
 		}
 		time.Sleep(rand.N(300 * time.Millisecond))
-		w.taken.all.Add(1)
+		tried = true
 		response, err := client.Do(request)
 		if err != nil {
+			w.taken.tried(false)
 			continue
 		}
 		body, err := io.ReadAll(response.Body)
@@ -101,13 +103,14 @@
 		w.checkAnswer(response, request.Header.Get(sample.ID))
 		next := piece{request.Header.Get(sample.ID), after, response.StatusCode, string(body), err == nil, time.Now()}
 		one.pieces = append(one.pieces, next)
+		w.taken.tried(next.status == http.StatusOK && next.ofOneStream())
 		if next.status != http.StatusOK {
 			continue
 		}
 		if !next.ofOneStream() {
 			return
 		}
-		w.taken.on.Add(1)
+		wentOn = true
 		one.body += next.body
 		one.whole = next.whole
 	}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -92,6 +92,7 @@
 	command *exec.Cmd
 	// disturbed is when it last got a signal or was started.
 	disturbed time.Time
+	killed    kill
 }
 
 func (p *process) disturbedAt() time.Time {
@@ -226,12 +227,13 @@
 			return
 		}
 		rw.Header().Set("Content-Type", "text/event-stream")
+		time.Sleep(pauseOf(asked)) // its prompt is read
 		for _, event := range eventsOf(running.build(), from, events) {
 			_, _ = io.WriteString(rw, event)
 			if http.NewResponseController(rw).Flush() != nil || r.Context().Err() != nil {
 				return
 			}
-			time.Sleep(eventPause)
+			time.Sleep(pauseOf(asked))
 		}
 	})
 	p = w.through(w.serve(handler))
