Don't end the request that asks for a trial by the ban it asks for

Callers saw: of many requests that came when the trial of a new ban was due, none was sent, and the trial counted all the same. TestOneTrialForFrontsThatDoNotReachEachOther failed so.

Cause: a trace of four fronts' grants (a print in a scratch copy) showed the condition's write end with "outcome unknown: a part of the prompt has been banned". A grant records the trial first, with which the ban refuses all others; the next enforcement of bans (20 ms) took the request that was asking for one of these and cancelled its context, with the write in it. The writes of rememberBans, which were suspected, came later in all traces.

Change: a request that asks for a trial isn't ended by bans until it has its answer.

--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -123,7 +123,7 @@
 	if !c.got {
 		c.got = true
 		c.gotAt = now
-		c.front.suspects.setSafe(c)
+		c.front.suspects.setSafe(c, true)
 		c.front.first(now, c.request)
 	} else {
 		pause := now.Sub(c.last)
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -37,7 +37,7 @@
 // openCall is a call under way. Its fields are used under the lock of suspects.
 type openCall struct {
 	candidate suspect.Candidate
-	safe      bool // its answer has begun, or it is a trial
+	safe      bool // its answer has begun, or it is a trial or asks for one
 }
 
 // Untold returns the evidence on crashes since it was last asked, for the other processes.
@@ -115,12 +115,12 @@
 	delete(s.calls, c)
 }
 
-// setSafe notes that a ban no longer ends a call.
-func (s *suspects) setSafe(c *call) {
+// setSafe notes whether a call outlives the bans that begin.
+func (s *suspects) setSafe(c *call, safe bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if open := s.calls[c]; open != nil {
-		open.safe = true
+		open.safe = safe
 	}
 }
 
@@ -195,10 +195,12 @@
 	}
 	candidate := c.candidate(false)
 	id := c.attemptID()
+	// The ban refuses all that it concerns once it has a trial under way, which this may be.
+	c.front.suspects.setSafe(c, true)
 	if c.trial = c.front.Trial(c.ctx, &verdict.Ban, id, &candidate); !c.trial {
+		c.front.suspects.setSafe(c, false)
 		return refusedBy(&verdict)
 	}
-	c.front.suspects.setSafe(c)
 	c.trail.Write(event.Trial, time.Now(), zap.String("trial", id))
 	return nil
 }
