Count no trial that another front's write to the store has refused

Cause: a grant recorded its trial before the conditional write to the store. On a conflict the trial was refused and stayed in the record, in the answer to the front that had asked, and in what this front wrote to the store next.

Change: a trial is offered, written with the bans, and recorded after the write. On a conflict it is dropped, and the next request asks again. Other failed writes count it as before: their outcome may be unknown.

--- a/internal/policy/suspect/verdict.go
+++ b/internal/policy/suspect/verdict.go
@@ -82,6 +82,13 @@
 // Grant lets a request be sent as the trial of a ban, if one is due. One process at a time
 // grants the trials of a ban, for all. The evidence is for the process that asked for it.
 func (t *Tracker) Grant(now time.Time, id string, c *Candidate) (Evidence, bool) {
+	evidence, granted := t.Offer(now, id, c)
+	t.RecordTrials(now, evidence)
+	return evidence, granted
+}
+
+// Offer is Grant without the record: the trial counts only once RecordTrials takes it in.
+func (t *Tracker) Offer(now time.Time, id string, c *Candidate) (Evidence, bool) {
 	verdict := t.Decide(now, c)
 	if verdict.State != Suspect {
 		return Evidence{}, verdict.State == Clean
@@ -94,8 +101,13 @@
 			}
 		})
 	}
-	evidence := Evidence{Trials: []Trial{trial}}
-	t.Merge(now, evidence)
-	note(&t.news.trials, id)
-	return evidence, true
+	return Evidence{Trials: []Trial{trial}}, true
+}
+
+// RecordTrials takes in trials that this process grants.
+func (t *Tracker) RecordTrials(now time.Time, granted Evidence) {
+	t.Merge(now, Evidence{Trials: granted.Trials})
+	for i := range granted.Trials {
+		note(&t.news.trials, granted.Trials[i].ID)
+	}
 }
--- a/internal/serve/assembly/bans_test.go
+++ b/internal/serve/assembly/bans_test.go
@@ -156,7 +156,8 @@
 }
 
 // Fronts that can't reach each other, each of which takes itself for the one that grants
-// trials, let through one request together.
+// trials, let through one request together. Trials that were refused don't count: a ban that
+// has had several pauses for up to a day.
 func TestOneTrialForFrontsThatDoNotReachEachOther(t *testing.T) {
 	const fronts = 4
 	all := []*deployment{deploy(t)}
@@ -185,4 +186,8 @@
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	require.Len(t, b.runs, 1)
+	for _, d := range all {
+		known, _ := d.front.front.Evidence(time.Now())
+		require.LessOrEqual(t, len(known.Trials), 1)
+	}
 }
--- a/internal/serve/assembly/crashes.go
+++ b/internal/serve/assembly/crashes.go
@@ -220,17 +220,22 @@
 	p.granting.Lock()
 	defer p.granting.Unlock()
 	revision, err := p.readBans(ctx)
-	evidence, granted := p.front.GrantTrial(time.Now(), id, candidate)
+	now := time.Now()
+	evidence, granted := p.front.OfferTrial(now, id, candidate)
 	if evidence.Empty() {
 		return evidence, granted
 	}
 	if err == nil {
-		err = p.writeBans(ctx, time.Now(), revision)
+		err = p.writeBans(ctx, now, revision, evidence.Trials...)
 	}
 	if err != nil {
 		granted = errors.Is(err, chicoryrock.ErrUnavailable) && 2*len(p.peers.alive(time.Now())) > p.peers.members(time.Now())
 	}
 	p.Log.Write(event.TrialGranted, zap.String("trial", id), zap.String("workspace", candidate.Workspace), zap.Bool("granted", granted))
+	if errors.Is(err, chicoryrock.ErrConflict) {
+		return suspect.Evidence{}, false // the store doesn't have it
+	}
+	p.front.RecordTrials(now, evidence)
 	return evidence, granted
 }
 
@@ -284,10 +289,12 @@
 	return entry.Revision, nil
 }
 
-// writeBans writes what is worth keeping to the store, unless another process has done so
-// since a revision.
-func (p *Front) writeBans(ctx context.Context, now time.Time, revision uint64) error {
-	value, err := json.Marshal(keptBans{p.clock.True(now), p.front.KeptEvidence(now)})
+// writeBans writes what is worth keeping to the store, with trials that are not recorded yet,
+// unless another process has written since a revision.
+func (p *Front) writeBans(ctx context.Context, now time.Time, revision uint64, offered ...suspect.Trial) error {
+	kept := p.front.KeptEvidence(now)
+	kept.Trials = append(kept.Trials, offered...)
+	value, err := json.Marshal(keptBans{p.clock.True(now), kept})
 	if err == nil {
 		_, err = p.store.Commit(ctx, []chicoryrock.Change{{Key: bansKey, Value: value, PriorRevision: revision}})
 	}
--- a/internal/serve/front/suspects.go
+++ b/internal/serve/front/suspects.go
@@ -78,12 +78,21 @@
 	return f.suspects.tracker.Keep(now)
 }
 
-// GrantTrial decides for all processes whether a request may be sent as the trial of a ban.
-func (f *Front) GrantTrial(now time.Time, id string, candidate *suspect.Candidate) (suspect.Evidence, bool) {
+// OfferTrial decides for all processes whether a request may be sent as the trial of a ban.
+// The trial, if any, is to be recorded by RecordTrials.
+func (f *Front) OfferTrial(now time.Time, id string, candidate *suspect.Candidate) (suspect.Evidence, bool) {
 	s := &f.suspects
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.tracker.Grant(now, id, candidate)
+	return s.tracker.Offer(now, id, candidate)
+}
+
+// RecordTrials takes in trials that OfferTrial returned.
+func (f *Front) RecordTrials(now time.Time, offered suspect.Evidence) {
+	s := &f.suspects
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.tracker.RecordTrials(now, offered)
 }
 
 // setKnown sets known. The lock is held.
--- a/internal/serve/front/suspects_test.go
+++ b/internal/serve/front/suspects_test.go
@@ -50,7 +50,8 @@
 				if !test.granted {
 					id = "another"
 				}
-				_, due := f.GrantTrial(time.Now(), id, candidate)
+				offered, due := f.OfferTrial(time.Now(), id, candidate)
+				f.RecordTrials(time.Now(), offered)
 				require.True(t, due)
 				f.enforceBans(time.Now())
 				require.NoError(t, ctx.Err(), "the request is ended while it asks")
