Give streams their replicas back at once as a pool shrinks

Cause: a newer build starts beside the former one, so the pool has 24 engines, and the part that reads long prompts grows to 12. Then the former build leaves within 0.1 s. The part for long prompts kept its 12 of 12, and gave one back each 0.7 s (line 410: readers 11, wanted 8 or 9): all streams of short prompts went to one engine, then to two. What had no first event when the power went was lost.

Ruled out: refusals and waits in the fronts (all 155 of that route were placed at once), and a choice by what is cached.

Change: when replicas have left, the part for long prompts gives up to its share of them at once, as far as the wanted number allows; steps hold for changes of load.

Evidence: TestStreamsKeepReplicasAsAPoolShrinks, four of nine cases fail before.

--- a/internal/policy/place/partition.go
+++ b/internal/policy/place/partition.go
@@ -84,6 +84,7 @@
 type partition struct {
 	order        []*replica // those that are not leaving, by nameHash
 	longReplicas int        // size of the part for long prompts
+	resizedFor   int        // size of order at the last resize
 	orderChanged bool       // since the last assignParts
 	resizedAt    time.Time
 	maxTokenGap  time.Duration // longest pause that streams of short prompts allow; zero for none seen
@@ -220,11 +221,21 @@
 }
 
 // resize moves the number of replicas for long prompts towards the wanted one, a few at
-// a time, and reports whether it has changed it.
+// a time, and reports whether it has changed it. When replicas have left, that part gives
+// up to its share of them at once: else the part for short prompts, which may have none left,
+// would get them back one by one.
 func (pt *partition) resize(now time.Time, wanted int) bool {
+	before := pt.resizedFor
+	pt.resizedFor = len(pt.order)
 	switch {
 	case pt.longReplicas == 0 || pt.longReplicas > len(pt.order):
 		pt.longReplicas = max(wanted, len(pt.order)/3)
+	case len(pt.order) < before && wanted < pt.longReplicas:
+		share := max(wanted, (pt.longReplicas*len(pt.order)+before/2)/before)
+		if share == pt.longReplicas {
+			return false
+		}
+		pt.longReplicas = share
 	case wanted > pt.longReplicas && now.Sub(pt.resizedAt) >= growInterval:
 		pt.longReplicas = min(wanted, pt.longReplicas+max(1, int(maxGrowthShare*float64(len(pt.order)))))
 	case wanted < pt.longReplicas-spareLongReplicas && now.Sub(pt.resizedAt) >= shrinkInterval:
