--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -144,11 +144,11 @@
 // disturb begins one fault that ends by itself.
 func (w *world) disturb() {
 	last := time.Duration(200+w.random.IntN(2000)) * time.Millisecond
-	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(31) {
+	switch p := w.fronts[w.random.IntN(len(w.fronts))]; w.random.IntN(33) {
 	case 0:
 		p.signal(syscall.SIGSTOP)
 		time.AfterFunc(last, func() { p.signal(syscall.SIGCONT) })
-	case 1:
+	case 1, 31:
 		w.killFronts(killsOne, p)
 	case 2:
 		p.signal(syscall.SIGCONT)
@@ -190,7 +190,7 @@
 		w.replaceWeights(last)
 	case 26, 27:
 		w.crashEngine(last / 2)
-	case 11:
+	case 11, 32:
 		w.killFronts(killsAll, w.fronts...)
 	case 29, 30:
 		w.killHalf(w.random.IntN(len(w.fronts)))
