--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -83,8 +83,7 @@
 	expected string          // the version of the weights that the attempt's answer is to be of; empty for any
 	weights  string          // the version that wrote the stream, as its first answer states it
 	mixed    bool            // the version of the weights has changed within the stream
-	sentAs   origin.Software // that its stream is recorded with before its first event
-	sentAt   time.Time       // when that was recorded first
+	recorded origin.Software // at which its stream is to begin, as recorded
 	origin   origin.Software // that began the stream; zero before its first event
 	began    bool            // this process has served the stream, in this call or before
 	beganAt  string          // the server that began the stream in this call
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -71,29 +71,28 @@
 }
 
 // mayBegin reports whether a stream that callers may take up may begin at a backend server, and
-// has its software recorded before the request is sent. A request that was recorded for another
-// version goes to servers of that one. Error: *gate.RefusedError where its service has changed.
+// has its build recorded before the request is sent. A request that was recorded for another
+// build goes to servers of that one while there are some. Error: *gate.RefusedError.
 func (c *call) mayBegin(now time.Time, replica *chicoryrock.Replica) (bool, error) {
 	if c.started || !c.request.Resumable && !c.takesUp() {
 		return true, nil
 	}
 	software := origin.Software{Service: replica.Pool, Version: replica.Version}
-	if c.sentAs.Version == "" {
-		c.sentAt = now
+	c.recorded = c.front.Origins.Send(now, c.request.Workspace, c.ask.ID, software, c.recorded)
+	if c.recorded == software {
+		return true, nil
 	}
-	// The record of a request that takes minutes to begin may be forgotten here before the
-	// store's has gone.
-	if c.sentAs.Version == "" || now.Sub(c.sentAt) < origin.Retention/2 {
-		c.sentAs = c.front.Origins.Send(now, c.request.Workspace, c.ask.ID, software)
+	request := *c.request
+	request.Version = c.recorded.Version
+	if c.recorded.Service == software.Service && c.front.Gate.Servable(now, &request) {
+		c.request.Version = c.recorded.Version
+		return false, nil
 	}
-	switch {
-	case c.sentAs == software:
-		return true, nil
-	case c.sentAs.Service != software.Service:
+	if err := c.front.Origins.Move(c.ctx, c.request.Workspace, c.ask.ID, software); err != nil {
 		return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
 	}
-	c.request.Version = c.sentAs.Version
-	return false, nil
+	c.recorded = software
+	return true, nil
 }
 
 // boundToBuild reports whether the next attempt's answer has to be of the build that its server
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -30,6 +30,8 @@
 	savePerProcess = 5 * time.Millisecond
 	// batch is how many records one call writes.
 	batch = 32
+	// recordWait is how long a lookup waits at least for records that are under way.
+	recordWait = 250 * time.Millisecond
 	// findTimeout bounds the time for one lookup, without the wait for records.
 	findTimeout = 600 * time.Millisecond
 	// findPause is kept between two tries of a read.
@@ -66,6 +68,7 @@
 	wake  chan struct{}
 	book  origin.Book
 	saved time.Time // when records were last written
+	fails bool      // the last write has failed, and the next one waits
 }
 
 // New returns what a process knows at its start.
@@ -115,14 +118,15 @@
 
 // Send records that a request is sent to a server of some software, which may begin its stream,
 // and returns the software at which the stream may begin.
-func (o *Origins) Send(now time.Time, workspace, id string, software origin.Software) origin.Software {
+// Before is what Send returned for the attempt before.
+func (o *Origins) Send(now time.Time, workspace, id string, software, before origin.Software) origin.Software {
 	if id == "" {
 		return software
 	}
 	key := origin.KeyOf(workspace, id)
 	o.mutex.Lock()
-	software = o.book.Send(now, key, software)
-	waits, saved := o.book.Waits(software.Service), o.saved
+	software = o.book.Send(now, key, software, before)
+	waits, saved := !o.fails && o.book.Waits(software.Service), o.saved
 	o.mutex.Unlock()
 	if waits && now.Sub(saved) >= o.interval() {
 		o.signal()
@@ -130,6 +134,41 @@
 	return software
 }
 
+// Move has a request that was recorded for some software, and whose stream has not begun, begin
+// it at other software. It returns once the store has the record. Error: ErrUnknown.
+func (o *Origins) Move(ctx context.Context, workspace, id string, software origin.Software) error {
+	key := origin.KeyOf(workspace, id)
+	o.mutex.Lock()
+	may := o.book.MayMove(key)
+	o.mutex.Unlock()
+	if !may || software.Version == "" {
+		return errors.WithStack(ErrUnknown)
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	if err := o.commit(ctx, []origin.Record{{Key: key, Software: software}}); err != nil {
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.book.Moved(key, software)
+	return nil
+}
+
+// commit writes records.
+func (o *Origins) commit(ctx context.Context, records []origin.Record) error {
+	changes := make([]chicoryrock.Change, len(records))
+	for i := range records {
+		value, err := records[i].Value()
+		if err != nil {
+			return err
+		}
+		changes[i] = chicoryrock.Change{Key: recordPrefix + records[i].Key.String(), Value: value, Unconditional: true, MinTTL: origin.Retention}
+	}
+	_, err := o.Store.Commit(ctx, changes)
+	return err
+}
+
 // Begin records that a stream has its first event.
 func (o *Origins) Begin(now time.Time, workspace, id string, software origin.Software) {
 	if id == "" {
@@ -191,7 +230,7 @@
 		case origin.Refuse:
 			return origin.Software{}, errors.WithStack(ErrUnknown)
 		case origin.AwaitRecords:
-			pause.For(ctx, o.interval()+saveSlack)
+			pause.For(ctx, max(o.interval(), recordWait)+saveSlack)
 			continue
 		}
 		if err := o.read(ctx, step, &lookup); err != nil {
@@ -294,7 +333,11 @@
 	failures := 0
 	for ctx.Err() == nil {
 		o.await(ctx, min(o.interval()<<min(failures, 2), longestPause))
-		if err := o.Write(ctx); err != nil {
+		err := o.Write(ctx)
+		o.mutex.Lock()
+		o.fails = err != nil
+		o.mutex.Unlock()
+		if err != nil {
 			failures++
 			if ctx.Err() == nil {
 				o.Log.Write(event.OriginUnsaved, zap.Int("failures", failures), zap.Error(err))
@@ -338,15 +381,7 @@
 		if len(records) == 0 {
 			return nil
 		}
-		changes := make([]chicoryrock.Change, len(records))
-		for i := range records {
-			value, err := records[i].Value()
-			if err != nil {
-				return err
-			}
-			changes[i] = chicoryrock.Change{Key: recordPrefix + records[i].Key.String(), Value: value, Unconditional: true, MinTTL: origin.Retention}
-		}
-		if _, err := o.Store.Commit(ctx, changes); err != nil {
+		if err := o.commit(ctx, records); err != nil {
 			return err
 		}
 		o.mutex.Lock()
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -1,11 +1,17 @@
 package origins
 
 import (
+	"context"
+	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 )
 
@@ -26,5 +32,41 @@
 		}
 		return 1
 	}
-	o.Send(time.Now(), "w", "r", software)
+	o.Send(time.Now(), "w", "r", software, origin.Software{})
+}
+
+// failingStore has a register of two versions, and takes no writes.
+type failingStore struct {
+	chicoryrock.TransactionalStore
+	commits atomic.Int64
+}
+
+func (f *failingStore) Era() uint64 { return 0 }
+
+func (f *failingStore) Get(context.Context, string) (chicoryrock.KeyValue, error) {
+	return chicoryrock.KeyValue{Key: registerKey, Value: []byte(`{"services":{"s":["v1","v2"]}}`), Revision: 1}, nil
+}
+
+func (f *failingStore) Commit(context.Context, []chicoryrock.Change) (uint64, error) {
+	f.commits.Add(1)
+	return 0, chicoryrock.ErrUnavailable
+}
+
+// Guards against requests that make a process write more often to a store that fails.
+func TestFailingStoreIsNotWrittenWithEachRequest(t *testing.T) {
+	const length = 3 * time.Second
+	store := &failingStore{}
+	o := New()
+	o.Store, o.Log, o.Members, o.Changed, o.Ask = store, event.NewNop(), func() int { return 6 }, func() {}, func(context.Context) {}
+	o.SetServers(time.Now(), []chicoryrock.Server{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}})
+	ctx, cancel := context.WithTimeout(t.Context(), length)
+	defer cancel()
+	ended := make(chan error)
+	go func() { ended <- o.Run(ctx) }()
+	for n := 0; ctx.Err() == nil; n++ {
+		o.Send(time.Now(), "w", fmt.Sprint(n), origin.Software{Service: "s", Version: "v1"}, origin.Software{})
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.NoError(t, <-ended)
+	require.LessOrEqual(t, store.commits.Load(), int64(length/(4*saveInterval))+3)
 }
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -5,8 +5,8 @@
 // While a service has one version, that one began every stream, and a register in the
 // store, which outlives all processes, says so. While it has several, each stream has a
 // record in the store, written from when its request is sent: by its first event the record
-// is mostly there, and outlives the process. A record never changes, so that no order of
-// writes matters; a request that has one begins its stream at the recorded version only.
+// is mostly there, and outlives the process. A request that has a record begins its stream at
+// the recorded version. The record changes only where no write of it can still be under way.
 //
 // The package does no I/O and takes the present time as an argument. It is not safe for
 // concurrent use.
@@ -54,6 +54,8 @@
 	ended    time.Time // when it was passed on whole; zero before
 	fixed    bool      // others may know its software: from its record, or by its first event
 	saved    bool      // the store has it
+	handed   int       // writes that were handed out and not acknowledged
+	begun    bool      // its first event has come
 }
 
 // Book is what one process knows. The zero value is empty and ready for use.
@@ -66,10 +68,15 @@
 
 // Send records that a request is sent to a server of some software, which may begin its stream,
 // and returns the software at which the stream may begin. That is another one if an attempt
-// before was recorded.
-func (b *Book) Send(now time.Time, key Key, software Software) Software {
+// before was recorded. Before is what Send returned for that attempt, if there was one: the book
+// may have forgotten it while the store has it still.
+func (b *Book) Send(now time.Time, key Key, software, before Software) Software {
 	known := b.streams[key]
 	switch {
+	case known == nil && before.Version != "":
+		b.add(now, key, &stream{software: before, began: now, fixed: true, handed: 1})
+		b.unsaved = append(b.unsaved, key)
+		return before
 	case known == nil && software.Version != "":
 		b.add(now, key, &stream{software: software, began: now})
 		b.unsaved = append(b.unsaved, key)
@@ -82,12 +89,26 @@
 	return software
 }
 
+// MayMove reports whether the record of a request whose stream has not begun may be written
+// anew, for other software: the store has acknowledged all writes of it.
+func (b *Book) MayMove(key Key) bool {
+	known := b.streams[key]
+	return known != nil && known.saved && known.handed == 0 && !known.begun
+}
+
+// Moved records that the store has acknowledged a record for other software.
+func (b *Book) Moved(key Key, software Software) {
+	if known := b.streams[key]; known != nil {
+		known.software = software
+	}
+}
+
 // Begin records that a stream of this process has its first event, from software that Send has
 // returned.
 func (b *Book) Begin(now time.Time, key Key, software Software) {
-	b.Send(now, key, software)
+	b.Send(now, key, software, Software{})
 	if known := b.streams[key]; known != nil {
-		known.fixed = true
+		known.fixed, known.begun = true, true
 	}
 }
 
@@ -101,7 +122,7 @@
 // Learn records what the store says of a stream.
 func (b *Book) Learn(now time.Time, key Key, software Software) {
 	if b.streams[key] == nil {
-		b.add(now, key, &stream{software: software, began: now, fixed: true, saved: true})
+		b.add(now, key, &stream{software: software, began: now, fixed: true, saved: true, begun: true})
 	}
 }
 
@@ -147,6 +168,9 @@
 // software is fixed from then on, as a write that fails may still be carried out.
 func (b *Book) Unsaved(now time.Time, most int) []Record {
 	b.expire(now)
+	if !b.anyRecorded() && len(b.unsaved) <= 2*len(b.streams) {
+		return nil
+	}
 	kept := b.unsaved[:0]
 	var records []Record
 	for _, key := range b.unsaved {
@@ -162,6 +186,7 @@
 			continue
 		}
 		known.fixed = true
+		known.handed++
 		records = append(records, Record{key, known.software})
 	}
 	b.unsaved = kept
@@ -174,6 +199,16 @@
 	return !only
 }
 
+// anyRecorded reports whether the streams of some service may have records.
+func (b *Book) anyRecorded() bool {
+	for service := range b.registrar.known.Services {
+		if b.recorded(service) {
+			return true
+		}
+	}
+	return len(b.registrar.known.Services) == 0
+}
+
 // Waits reports whether streams of a service wait to be saved as they are sent.
 func (b *Book) Waits(service string) bool { return b.recorded(service) && len(b.unsaved) > 0 }
 
@@ -182,6 +217,7 @@
 	for i := range records {
 		if known := b.streams[records[i].Key]; known != nil {
 			known.saved = true
+			known.handed--
 		}
 	}
 }
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -248,11 +248,11 @@
 			w.complete(p, func() {}, false)
 		}
 		first, key := w.processes[0], origin.KeyOf("w", "r")
-		require.Equal(t, v1, first.book.Send(w.now, key, v1))
+		require.Equal(t, v1, first.book.Send(w.now, key, v1, origin.Software{}))
 		if c.handed {
 			w.save(first, true, true)
 		}
-		require.Equal(t, c.begins, first.book.Send(w.now, key, v2), c.name)
+		require.Equal(t, c.begins, first.book.Send(w.now, key, v2, v1), c.name)
 		first.book.Begin(w.now, key, c.begins)
 		w.save(first, false, false)
 		w.write(w.late)
@@ -262,6 +262,20 @@
 	}
 }
 
+// Guards against a record that changes as a process forgets that it has handed it out.
+func TestFullBookChangesNoRecord(t *testing.T) {
+	var book origin.Book
+	v1, v2 := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	book.SetRegister(start, origin.Register{Services: map[string][]string{"s": {"v1", "v2"}}, Revision: 1}, 0)
+	key := origin.KeyOf("w", "r")
+	book.Send(start, key, v1, origin.Software{})
+	require.Len(t, book.Unsaved(start, 8), 1)
+	for i := range 1 << 16 {
+		book.Send(start.Add(time.Second), origin.KeyOf("w", fmt.Sprint(i)), v1, origin.Software{})
+	}
+	require.Equal(t, v1, book.Send(start.Add(2*time.Second), key, v2, v1))
+}
+
 // Streams that began before a second version came are known too: those under way, and those
 // that broke off.
 func TestSecondVersionHasEarlierStreamsSaved(t *testing.T) {
--- a/internal/state/origin/world_test.go
+++ b/internal/state/origin/world_test.go
@@ -130,12 +130,16 @@
 // send has a process send a request to a server of some software, or to one at which its
 // stream was recorded if there is one.
 func (w *world) send(s stream, at origin.Software) {
-	if s.software.Version == "" || w.now.Sub(s.at) < origin.Retention/2 {
-		s.software = s.by.book.Send(w.now, s.key, at)
-	}
-	if s.software == at || slices.Contains(s.by.listed, s.software) {
-		w.sent = append(w.sent, s)
+	s.software = s.by.book.Send(w.now, s.key, at, s.software)
+	if s.software != at && !slices.Contains(s.by.listed, s.software) {
+		if s.by.cut || !s.by.book.MayMove(s.key) {
+			return
+		}
+		w.write([]origin.Record{{Key: s.key, Software: at}})
+		s.by.book.Moved(s.key, at)
+		s.software = at
 	}
+	w.sent = append(w.sent, s)
 }
 
 // open returns the software at which a process may begin streams.
