--- /dev/null
+++ b/internal/serve/assembly/builds_test.go
@@ -0,0 +1,170 @@
+package assembly
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/platform"
+	"github.com/chicoryrock/chicoryrock/platform/sample"
+)
+
+func (d *deployment) putRaw(id, entry string) {
+	_, err := d.store.Commit(d.t.Context(), []chicoryrock.Change{{Key: platform.ServerPrefix + id, Value: []byte(entry), Unconditional: true}})
+	require.NoError(d.t, err)
+}
+
+func TestStreamOfTwoWeightsIsNotTakenUp(t *testing.T) {
+	all := deployMany(t, 2)
+	all[0].configure(2, "k1")
+	for i := range 2 {
+		b := all[0].add(fmt.Sprintf("i-%d", i), "llm", func(w http.ResponseWriter, r *http.Request) {
+			from := 0
+			_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
+			w.Header().Set("Content-Type", "text/event-stream")
+			w.Header().Set(sample.Seal, "s")
+			w.Header().Set(sample.Weights, "1")
+			if from > 0 {
+				for n := from + 1; n <= 4; n++ {
+					_, _ = fmt.Fprintf(w, "id: %d\ndata: 1\n\n", n)
+				}
+				return
+			}
+			_, _ = fmt.Fprint(w, "id: 1\ndata: 1\n\nweight-versions: 2\nid: 2\ndata: 2\n\n")
+			_ = http.NewResponseController(w).Flush()
+			panic(http.ErrAbortHandler)
+		})
+		all[0].putRaw(b.id, sample.WeightedOf(sample.EntryOf(b.service, b.address, "ready", "v1"), "m", 1))
+	}
+	for _, d := range all {
+		d.settle(2, 2)
+	}
+	for n, d := range all {
+		first := all[0].do(all[0].ofModel("/long/", fmt.Sprintf("b%d", n)))
+		require.Error(t, first.err, first.body)
+		request := d.ofModel("/long/", fmt.Sprintf("t%d", n))
+		request.Header.Set("Last-Event-Id", "2")
+		request.Header.Set(sample.Resumes, fmt.Sprintf("b%d", n))
+		rest := d.do(request)
+		t.Logf("front %d: begun %q then %d %q", n, first.body, rest.status, rest.body)
+		if rest.status == http.StatusOK {
+			t.Errorf("front %d: taken up", n)
+		}
+	}
+}
+
+func TestOtherModelsOfAServerDoNotMatter(t *testing.T) {
+	d := deploy(t)
+	d.configureWith(1, sample.Copied)
+	all := d.addWeighted([]weighted{{1, 1, true}, {1, 1, true}}, true)
+	b := all[1]
+	entry := sample.EntryOf(b.service, b.address, "ready", "v1")
+	d.putRaw(b.id, strings.Replace(entry, "{", `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]},{"name":"n","version":1,"adapters":[]}],`, 1))
+	d.settle(1, 2)
+	time.Sleep(500 * time.Millisecond)
+	got := d.do(d.ofModel("/long/", "x1"))
+	t.Logf("%d %v %q", got.status, got.err, got.body)
+	require.NoError(t, got.err)
+}
+
+// The server that began the stream loads another model while it runs.
+func TestStreamGoesOnThoughAnotherModelIsLoaded(t *testing.T) {
+	all := deployMany(t, 2)
+	all[0].configure(2, "k1")
+	servers := all[0].addWeighted([]weighted{{1, 1, true}, {1, 1, true}}, false)
+	for _, d := range all {
+		d.settle(2, 2)
+	}
+	first := all[0].do(all[0].ofModel("/long/", "b"))
+	require.Equal(t, 200, first.status)
+	for _, b := range servers {
+		entry := sample.EntryOf(b.service, b.address, "ready", "v1")
+		all[0].putRaw(b.id, strings.Replace(entry, "{", `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]},{"name":"n","version":1,"adapters":[]}],`, 1))
+	}
+	time.Sleep(time.Second)
+	request := all[1].ofModel("/long/", "t")
+	request.Header.Set("Last-Event-Id", "2")
+	request.Header.Set(sample.Resumes, "b")
+	rest := all[1].do(request)
+	t.Logf("%d %q", rest.status, rest.body)
+	require.Equal(t, 200, rest.status)
+}
+
+func TestStreamsBeginThoughWeightsAreListedLate(t *testing.T) {
+	d := deploy(t)
+	d.configureWith(1, sample.Copied)
+	d.addWeighted([]weighted{{1, 2, true}, {1, 2, true}}, false)
+	d.settle(1, 2)
+	for n := range 3 {
+		got := d.do(d.ofModel("/long/", fmt.Sprintf("x%d", n)))
+		t.Logf("%d %q", got.status, got.body)
+		if got.status != 200 {
+			t.Errorf("refused")
+		}
+	}
+}
+
+func TestRequestIsNotBoundToAVersionThatHasGone(t *testing.T) {
+	d := deploy(t)
+	d.configure(2, "k1")
+	var once sync.Once
+	d.addVersion("i-0", "v1", func(w http.ResponseWriter, r *http.Request) {
+		once.Do(func() {
+			_, err := d.store.Commit(t.Context(), []chicoryrock.Change{{Key: platform.ServerPrefix + "i-0", Delete: true, Unconditional: true}})
+			if err != nil {
+				t.Error(err)
+			}
+		})
+		time.Sleep(400 * time.Millisecond)
+		w.Header().Set(sample.NotRun, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	d.addVersion("i-1", "v2", versioned("v2", 4, never))
+	d.settle(2, 2)
+	require.Eventually(t, func() bool {
+		return d.front.origins.MayBegin("llm", "v1") && d.front.origins.MayBegin("llm", "v2")
+	}, waitTime, time.Millisecond)
+	for n := range 20 {
+		got := d.do(d.promptOf(t.Context(), fmt.Sprintf("p%d", n)))
+		if got.status != 200 {
+			t.Errorf("%d: %d %q", n, got.status, got.body)
+		}
+	}
+}
+
+func TestStreamsOfAServerThatIsListedLateAreNotJoined(t *testing.T) {
+	all := deployMany(t, 2)
+	all[0].configure(2, "k1")
+	fresh := all[0].addVersion("i-0", "v1", versioned("v2", 4, never)) // started again, its entry is late
+	all[0].addVersion("i-1", "v1", versioned("v1", 4, never))
+	all[0].addVersion("i-2", "v2", versioned("v2", 4, never))
+	for _, d := range all {
+		d.settle(2, 3)
+	}
+	for _, d := range all {
+		require.Eventually(t, func() bool {
+			return d.front.origins.MayBegin("llm", "v1") && d.front.origins.MayBegin("llm", "v2")
+		}, waitTime, time.Millisecond)
+	}
+	began := map[string]string{}
+	for n := range 8 {
+		id := fmt.Sprintf("s%d", n)
+		began[id] = all[0].begin(id, 1)
+	}
+	entry := sample.EntryOf(fresh.service, fresh.address, "ready", "v2")
+	all[0].putRaw("i-0", strings.Replace(entry, `"born":5`, `"born":9`, 1))
+	time.Sleep(time.Second)
+	for id, first := range began {
+		rest := all[1].takeUp("t"+id, id, 1)
+		versions, _ := versionsOf(first + rest.body)
+		if len(versions) > 1 {
+			t.Errorf("%s joined: %q %q", id, first, rest.body)
+		}
+	}
+}
