--- a/internal/serve/front/copies.go
+++ b/internal/serve/front/copies.go
@@ -35,7 +35,7 @@
 }
 
 // chooseCopy returns the backend server that is to keep a copy of a request's run at a server
-// of a software version: one of the same version, as no other may go on with the run.
+// of a build: one of the same build, as no other may go on with the run.
 func (f *Front) chooseCopy(now time.Time, request *chicoryrock.Request, version string) string {
 	if version == "" || request.MaxTokenGap <= 0 || request.Resumable || f.copyTime(request.Pool) <= 0 {
 		return ""
