--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -151,7 +151,9 @@
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.book.Moved(key, software)
+	if !o.book.Moved(key, software) {
+		return errors.WithStack(ErrUnknown)
+	}
 	return nil
 }
 
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -96,11 +96,14 @@
 	return known != nil && known.saved && known.handed == 0 && !known.begun
 }
 
-// Moved records that the store has acknowledged a record for other software.
-func (b *Book) Moved(key Key, software Software) {
-	if known := b.streams[key]; known != nil {
-		known.software = software
+// Moved records that the store has acknowledged a record for other software. It reports false
+// where a write of the former one may have been under way besides, as after a restore.
+func (b *Book) Moved(key Key, software Software) bool {
+	if !b.MayMove(key) {
+		return false
 	}
+	b.streams[key].software = software
+	return true
 }
 
 // Begin records that a stream of this process has its first event, from software that Send has
--- a/internal/state/origin/world_test.go
+++ b/internal/state/origin/world_test.go
@@ -136,7 +136,9 @@
 			return
 		}
 		w.write([]origin.Record{{Key: s.key, Software: at}})
-		s.by.book.Moved(s.key, at)
+		if !s.by.book.Moved(s.key, at) {
+			panic("a record that may be moved isn't")
+		}
 		s.software = at
 	}
 	w.sent = append(w.sent, s)
