Hold an engine's next start to nothing that the one before has said, in the soak

The soak's engine that crashes and starts again under its ID kept what it had asked for before; one that starts under another ID forgot it.

--- a/soak/release_test.go
+++ b/soak/release_test.go
@@ -257,6 +257,7 @@
 	s.change(func() {
 		s.starts++
 		s.copies = map[string]bool{}
+		s.statements = statements{broken: s.statements.broken}
 		if i >= 2 && weights <= weightsVersions {
 			s.weights = weights
 		}
