--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -15,11 +15,13 @@
 	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
 
+// putRaw writes the entry of a backend server.
 func (d *deployment) putRaw(id, entry string) {
 	_, err := d.store.Commit(d.t.Context(), []chicoryrock.Change{{Key: platform.ServerPrefix + id, Value: []byte(entry), Unconditional: true}})
 	require.NoError(d.t, err)
 }
 
+// Guards against a stream within which weights changed, and that goes on at the first ones.
 func TestStreamOfTwoWeightsIsNotTakenUp(t *testing.T) {
 	all := deployMany(t, 2)
 	all[0].configure(2, "k1")
@@ -59,6 +61,7 @@
 	}
 }
 
+// Guards against a stream that is lost as another server has one model more.
 func TestOtherModelsOfAServerDoNotMatter(t *testing.T) {
 	d := deploy(t)
 	d.configureWith(1, sample.Copied)
@@ -73,7 +76,7 @@
 	require.NoError(t, got.err)
 }
 
-// The server that began the stream loads another model while it runs.
+// Guards against a stream that is lost as its servers load another model.
 func TestStreamGoesOnThoughAnotherModelIsLoaded(t *testing.T) {
 	all := deployMany(t, 2)
 	all[0].configure(2, "k1")
@@ -96,6 +99,7 @@
 	require.Equal(t, 200, rest.status)
 }
 
+// Guards against requests that are refused as entries name weights that were replaced.
 func TestStreamsBeginThoughWeightsAreListedLate(t *testing.T) {
 	d := deploy(t)
 	d.configureWith(1, sample.Copied)
@@ -110,6 +114,7 @@
 	}
 }
 
+// Guards against a request that has not run and is refused with the last server of its version.
 func TestRequestIsNotBoundToAVersionThatHasGone(t *testing.T) {
 	d := deploy(t)
 	d.configure(2, "k1")
@@ -138,6 +143,7 @@
 	}
 }
 
+// Guards against streams of a server that has started again as another version than listed.
 func TestStreamsOfAServerThatIsListedLateAreNotJoined(t *testing.T) {
 	all := deployMany(t, 2)
 	all[0].configure(2, "k1")
