Define the error of an old transfer coding once

Fronts and agents had the same error each; it stands beside the check that both use. Tests of web, upstream, agent, origins and of chunks behind agents pass.

--- a/internal/serve/agent/engine_conn.go
+++ b/internal/serve/agent/engine_conn.go
@@ -10,9 +10,6 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 )
 
-// errOldCoding is for an answer of which nothing shows where it ends.
-var errOldCoding = errors.New("a transfer coding before HTTP/1.1")
-
 // maxHead is how much of an answer is searched for the end of its head, in bytes. The client
 // reads no longer heads.
 const maxHead = 1 << 20
@@ -42,7 +39,7 @@
 	checked bool
 }
 
-// Read implements net.Conn. Error: errOldCoding, or the connection's.
+// Read implements net.Conn. Error: web.ErrOldCoding, or the connection's.
 func (c *engineConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if c.checked || n == 0 {
@@ -54,7 +51,7 @@
 	case !web.MayBeOld(c.head), whole && !states, len(c.head) > maxHead:
 		c.head, c.checked = nil, true
 	case states:
-		return 0, errors.WithStack(errOldCoding)
+		return 0, errors.WithStack(web.ErrOldCoding)
 	}
 	return n, err
 }
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -117,8 +117,8 @@
 }
 
 // Send records that a request is sent to a server of some software, which may begin its stream,
-// and returns the software at which the stream may begin.
-// Before is what Send returned for the attempt before.
+// and returns the software at which the stream may begin. Before is what Send returned for the
+// attempt before.
 func (o *Origins) Send(now time.Time, workspace, id string, software, before origin.Software) origin.Software {
 	if id == "" {
 		return software
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -352,7 +352,7 @@
 	for {
 		response, err = c.readHead(call)
 		switch {
-		case errors.Is(err, errLongHead), errors.Is(err, errOldCoding):
+		case errors.Is(err, errLongHead), errors.Is(err, web.ErrOldCoding):
 			return nil, false, errors.Wrap(ErrBadAnswer, err.Error())
 		case err != nil:
 			return nil, false, MarkClosed(errors.Wrapf(chicoryrock.ErrUnknownOutcome, "read the answer: %v", err), err)
@@ -371,10 +371,7 @@
 	}
 }
 
-// errOldCoding is for an answer of which nothing shows where it ends.
-var errOldCoding = errors.New("a transfer coding before HTTP/1.1")
-
-// readHead reads one head, of bounded length. Errors: errLongHead, errOldCoding, or the
+// readHead reads one head, of bounded length. Errors: errLongHead, web.ErrOldCoding, or the
 // connection's.
 func (c *conn) readHead(call *Call) (*http.Response, error) {
 	c.head.bounded, c.head.left = true, maxHead
@@ -393,7 +390,7 @@
 		return response, err
 	}
 	if states, _ := web.StatesCoding(c.head.kept); states {
-		return nil, errors.WithStack(errOldCoding)
+		return nil, errors.WithStack(web.ErrOldCoding)
 	}
 	return response, nil
 }
--- a/internal/serve/web/framing.go
+++ b/internal/serve/web/framing.go
@@ -1,6 +1,14 @@
 package web
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/pkg/errors"
+)
+
+// ErrOldCoding is for an answer that states a transfer coding in a version before HTTP/1.1, so
+// that nothing shows where it ends.
+var ErrOldCoding = errors.New("a transfer coding before HTTP/1.1")
 
 var (
 	currentVersion = []byte("HTTP/1.1")
