--- a/internal/serve/assembly/hedge_test.go
+++ b/internal/serve/assembly/hedge_test.go
@@ -54,18 +54,20 @@
 		firstAnswers  bool
 		slowCancelled bool
 		firstBreaks   bool
+		other         string // version of the second server, if it has another one
 	}{
-		{"idempotent", "/read/", 0.2, learned, whole, whole, 2, false, true, false},
-		{"stream that may be resumed", "/long/", 0.2, learned, events, events, 2, false, true, false},
-		{"may run only once", "/book/", 0.2, learned, whole, whole, 1, true, false, false},
-		{"stream that may not be resumed", "/short/", 0.2, learned, events, events, 1, true, false, false},
-		{"share of 0", "/read/", 0, learned, whole, whole, 1, true, false, false},
-		{"times not known", "/read/", 0.2, learned / 2, whole, whole, 1, true, false, false},
-		{"the second breaks", "/read/", 0.2, learned, whole, breaks, 2, true, false, false},
-		{"the second fails", "/read/", 0.2, learned, whole, fails, 2, true, false, false},
-		{"the second turns it away", "/read/", 0.2, learned, whole, func(w http.ResponseWriter, r *http.Request, _ string) { notRun(w, r) }, 2, true, false, false},
-		{"the second's event is none", "/long/", 0.2, learned, events, foreign, 2, true, false, false},
-		{"the first breaks", "/read/", 0.2, learned, whole, late, 2, false, false, true},
+		{"idempotent", "/read/", 0.2, learned, whole, whole, 2, false, true, false, ""},
+		{"stream that may be resumed", "/long/", 0.2, learned, events, events, 2, false, true, false, ""},
+		{"stream that may be resumed, the other server has another version", "/long/", 0.2, learned, events, events, 1, true, false, false, "v2"},
+		{"may run only once", "/book/", 0.2, learned, whole, whole, 1, true, false, false, ""},
+		{"stream that may not be resumed", "/short/", 0.2, learned, events, events, 1, true, false, false, ""},
+		{"share of 0", "/read/", 0, learned, whole, whole, 1, true, false, false, ""},
+		{"times not known", "/read/", 0.2, learned / 2, whole, whole, 1, true, false, false, ""},
+		{"the second breaks", "/read/", 0.2, learned, whole, breaks, 2, true, false, false, ""},
+		{"the second fails", "/read/", 0.2, learned, whole, fails, 2, true, false, false, ""},
+		{"the second turns it away", "/read/", 0.2, learned, whole, func(w http.ResponseWriter, r *http.Request, _ string) { notRun(w, r) }, 2, true, false, false, ""},
+		{"the second's event is none", "/long/", 0.2, learned, events, foreign, 2, true, false, false, ""},
+		{"the first breaks", "/read/", 0.2, learned, whole, late, 2, false, false, true, ""},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -109,6 +111,10 @@
 			}
 			one, two := d.add("i-1", service, answer), d.add("i-2", service, answer)
 			d.settle(1, 2)
+			if c.other != "" {
+				d.enterVersion(two, c.other, "ready")
+				require.Eventually(t, func() bool { return d.front.origins.MayBegin(service, c.other) }, waitTime, time.Millisecond)
+			}
 			for i := range c.learn {
 				require.Equal(t, http.StatusOK, d.send("POST", c.path, fmt.Sprintf("w%d", i), "k1", "x").status)
 			}
