Compare a stream's build by the weights of its own model

Callers saw streams end that could have gone on: a server with one model more, or one that had loaded another model since, counted as another build (refused as version-gone, or cut). The cause is that a build named the weights of all models of a server, since "Go on with a stream only at the weights that wrote it".

A request now names its model, and a build is reduced to the software and that model's weights wherever it is compared: placement, records, the register's only version, copies, hedges and fetched memory. Where the model isn't named, or its weights aren't known, the whole build counts as before, so that no stream goes on at less than was compared until now.

TestOtherModelsOfAServerDoNotMatter and TestStreamGoesOnThoughAnotherModelIsLoaded failed each run before and pass; TestPartsAreFetchedFromTheSameWeightsOnly has a case with two models, which fails without the change of place/fetch.go.

--- a/internal/policy/dispatch/dispatch.go
+++ b/internal/policy/dispatch/dispatch.go
@@ -183,7 +183,7 @@
 		return false
 	}
 	if request.Version != "" {
-		return replica.Version == request.Version || replica.Unheard
+		return replica.Version == request.Version || replica.Unheard || request.BuildAt(replica) == request.Version
 	}
 	return !request.Resumable || !replica.Unlisted
 }
--- a/internal/policy/place/fetch.go
+++ b/internal/policy/place/fetch.go
@@ -103,6 +103,11 @@
 	ps.prefixHolders[prefix.SessionHash] = holders
 }
 
+// sameWeights reports whether two servers have the same weights of a model.
+func sameWeights(a, b, model string) bool {
+	return a == b || model != "" && chicoryrock.WeightsOf(a, model) != "" && chicoryrock.WeightsOf(a, model) == chicoryrock.WeightsOf(b, model)
+}
+
 // likelySources returns the replicas with some weights that probably have a request's shared
 // parts cached. What other weights have computed doesn't fit.
 func (ps *poolState) likelySources(now time.Time, request *chicoryrock.Request, weights string, affinity *sessionAffinity) (best fetchSources) {
@@ -111,7 +116,7 @@
 	}
 	consider := func(r *replica, cachedShare float64) {
 		switch {
-		case r == nil || r.weights != weights || r.leaving || !request.AllowsRegion(r.region) || now.Before(r.avoidUntil) || r == best[0].replica:
+		case r == nil || !sameWeights(r.weights, weights, request.Model) || r.leaving || !request.AllowsRegion(r.region) || now.Before(r.avoidUntil) || r == best[0].replica:
 		case cachedShare > best[0].cachedShare:
 			best[0], best[1] = fetchSource{r, cachedShare}, best[0]
 		case cachedShare > best[1].cachedShare:
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -337,10 +337,10 @@
 func (c *call) take(sent time.Time, replica *chicoryrock.Replica, answer *upstream.Answer, err error) error {
 	c.got, c.pause = false, 0
 	c.endKnown, c.settled = false, false
-	c.software = origin.Software{Service: replica.Pool, Version: replica.Version}
+	c.software = origin.Software{Service: replica.Pool, Version: c.request.BuildAt(replica)}
 	c.expected = ""
 	if c.boundToBuild() {
-		c.expected = platform.ExpectedWeights(c.r.Header, replica.Weights)
+		c.expected = chicoryrock.WeightsOf(replica.Weights, c.request.Model)
 	}
 	if errors.Is(err, chicoryrock.ErrNotRun) {
 		return errors.Wrap(errUnsent, err.Error())
--- a/internal/serve/front/copies.go
+++ b/internal/serve/front/copies.go
@@ -28,7 +28,7 @@
 		from = replica.Address
 	}
 	c.copies = copies{from: from}
-	if server := c.front.chooseCopy(now, c.request, replica.Version); server != "" {
+	if server := c.front.chooseCopy(now, c.request, c.request.BuildAt(replica)); server != "" {
 		c.copies.server, c.copies.address = server, c.front.address(c.request.Pool, server)
 	}
 	return c.copies.address, from
--- a/internal/serve/front/handler.go
+++ b/internal/serve/front/handler.go
@@ -280,6 +280,7 @@
 		Deadline:         now.Add(patience),
 		PromptTokens:     c.ask.PromptTokens,
 		Idempotent:       c.route.Retryable(),
+		Model:            c.ask.Model,
 		Version:          c.origin.Version,
 		Continues:        continues,
 		Resumable:        c.route.Kind == routing.Stream && c.route.Resumable,
--- a/internal/serve/front/hedge.go
+++ b/internal/serve/front/hedge.go
@@ -245,7 +245,7 @@
 	request := *c.request
 	request.Not, request.Deadline = first.replica.Name, c.until
 	if request.Resumable {
-		request.Version = first.replica.Version // which is recorded
+		request.Version = request.BuildAt(&first.replica) // which is recorded
 	}
 	replica, granted := f.Gate.TryAcquire(now, &request)
 	if !granted {
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -29,7 +29,7 @@
 		c.stream.After = c.ask.LastEvent
 	}
 	c.began = f.Origins.Began(c.begin, c.request.Workspace, c.ask.Resumes)
-	software, err := f.Origins.Find(c.ctx, c.request.Workspace, c.ask.Resumes, c.request.Pool)
+	software, err := f.Origins.Find(c.ctx, c.request.Workspace, c.ask.Resumes, c.request.Pool, c.request.Model)
 	if err != nil {
 		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
 	}
@@ -51,13 +51,13 @@
 		return true, nil
 	}
 	if c.beganAt != "" && c.beganAt != replica.Name {
-		if version, err := c.front.Verify(c.ctx, c.beganAt); err == nil && version != c.request.Version {
+		if version, err := c.front.Verify(c.ctx, c.beganAt); err == nil && chicoryrock.BuildFor(version, c.request.Model) != c.request.Version {
 			return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
 		}
 	}
 	version, err := c.front.Verify(c.ctx, replica.Name)
 	switch {
-	case err == nil && version == c.request.Version:
+	case err == nil && chicoryrock.BuildFor(version, c.request.Model) == c.request.Version:
 		return true, nil
 	case err == nil || errors.Is(err, chicoryrock.ErrNotFound): // it started again, or has gone
 		if c.turned++; c.turned < maxTurns && c.request.Only == "" {
@@ -77,7 +77,7 @@
 	if c.started || !c.request.Resumable && !c.takesUp() {
 		return true, nil
 	}
-	software := origin.Software{Service: replica.Pool, Version: replica.Version}
+	software := origin.Software{Service: replica.Pool, Version: c.request.BuildAt(replica)}
 	c.recorded = c.front.Origins.Send(now, c.request.Workspace, c.ask.ID, software, c.recorded)
 	if c.recorded == software {
 		return true, nil
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -221,9 +221,10 @@
 	return known
 }
 
-// Find returns the software that began a stream of a service. Error: ErrUnknown.
-func (o *Origins) Find(ctx context.Context, workspace, id, service string) (origin.Software, error) {
-	lookup := origin.Lookup{Book: &o.book, Key: origin.KeyOf(workspace, id), Service: service}
+// Find returns the software that began a stream of a model at a service; for an empty model, of
+// any of them. Error: ErrUnknown.
+func (o *Origins) Find(ctx context.Context, workspace, id, service, model string) (origin.Software, error) {
+	lookup := origin.Lookup{Book: &o.book, Key: origin.KeyOf(workspace, id), Service: service, Model: model}
 	for {
 		step := o.next(&lookup)
 		switch step {
--- a/internal/state/origin/lookup.go
+++ b/internal/state/origin/lookup.go
@@ -8,6 +8,7 @@
 	Book    *Book
 	Key     Key
 	Service string // that serves the stream's route
+	Model   string // that the stream is of; empty if not known
 
 	read       bool // the register was read since the lookup began
 	missed     bool // the store had no record
@@ -45,7 +46,7 @@
 	if l.unreadable {
 		return Refuse
 	}
-	only, single := l.Book.registrar.known.Only(l.Service)
+	only, single := l.Book.registrar.known.Only(l.Service, l.Model)
 	switch {
 	case single && !l.read:
 		// Another process may have begun streams at a version that is not known here.
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -198,7 +198,7 @@
 
 // recorded reports whether the streams of a service have records.
 func (b *Book) recorded(service string) bool {
-	_, only := b.registrar.known.Only(service)
+	_, only := b.registrar.known.Only(service, "")
 	return !only
 }
 
--- a/internal/state/origin/register.go
+++ b/internal/state/origin/register.go
@@ -53,14 +53,20 @@
 	return slices.Contains(r.Services[software.Service], software.Version)
 }
 
-// Only returns the one version of a service that may have begun streams; false if there
-// are several, or some aren't known.
-func (r *Register) Only(service string) (string, bool) {
+// Only returns the one version of a service that may have begun streams of a model; false if
+// there are several, or some aren't known. Without a model it is that of all their streams.
+func (r *Register) Only(service, model string) (string, bool) {
 	versions := r.Services[service]
-	if _, lacking := r.Services[anyService]; lacking || len(versions) != 1 || versions[0] == "" {
+	if _, lacking := r.Services[anyService]; lacking || len(versions) == 0 || versions[0] == "" {
 		return "", false
 	}
-	return versions[0], true
+	only := chicoryrock.BuildFor(versions[0], model)
+	for _, version := range versions[1:] {
+		if chicoryrock.BuildFor(version, model) != only {
+			return "", false
+		}
+	}
+	return only, true
 }
 
 // inEra returns the register as it is to be understood in an era of the store: it may lack
--- a/platform.go
+++ b/platform.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/netip"
+	"net/url"
+	"strings"
 	"time"
 )
 
@@ -170,3 +172,28 @@
 	}
 	return s.Version + " " + s.Weights
 }
+
+// WeightsOf returns the version of a model's weights among those of a server (Server.Weights);
+// empty if it isn't known.
+func WeightsOf(all, model string) string {
+	name := url.QueryEscape(model)
+	for one := range strings.SplitSeq(all, ",") {
+		if found, version, _ := strings.Cut(one, "="); found == name {
+			return version
+		}
+	}
+	return ""
+}
+
+// BuildFor returns the part of a build that decides on the text of one model: its software and
+// that model's weights. It is the whole build where these aren't known.
+func BuildFor(build, model string) string {
+	end := strings.LastIndexByte(build, ' ') + 1
+	if end == 0 || model == "" || !strings.Contains(build[end:], ",") {
+		return build
+	}
+	if version := WeightsOf(build[end:], model); version != "" {
+		return build[:end] + url.QueryEscape(model) + "=" + version
+	}
+	return build
+}
--- a/request.go
+++ b/request.go
@@ -28,7 +28,8 @@
 	PrefixHash   uint64    // hash of the prompt's beginning; zero if unknown
 	Idempotent   bool      // the call may run more than once
 	Suspect      bool      // the call may crash an engine and never runs beside another suspect
-	Version      string    // the build that began the stream (Server.Build), the only one that may go on with it; empty for any
+	Model        string    // that is to answer; empty if not known
+	Version      string    // the build that began the stream (BuildFor its model), the only one that may go on with it; empty for any
 	Continues    bool      // its caller has the beginning of the stream
 	Resumable    bool      // its stream may go on elsewhere, so that the version which begins it must be known to all
 	Only         string    // the replica that keeps a copy of its memory, the only one that may go on with it; empty for any
@@ -82,6 +83,9 @@
 	return r.Regions == nil || region != "" && slices.Contains(r.Regions, region)
 }
 
+// BuildAt returns the build of a replica as far as it decides on a request's answer.
+func (r *Request) BuildAt(replica *Replica) string { return BuildFor(replica.Version, r.Model) }
+
 // Load is the load that an agent reports with every answer.
 type Load struct {
 	Slots   int  `json:"slots"`
@@ -173,6 +177,7 @@
 	Parts            []Part
 	LastEvent        string // ID of the last event that the caller has of a stream that it takes up; empty for a new request
 	Resumes          string // ID of the request that brought the stream's first event; empty if not stated
+	Model            string // that is to answer; empty if not stated
 }
 
 // CachedPrefix states that a backend server has prefilled the parts that a
