Wait for the write of a record under way before it is moved

Callers could get 503 (version-gone) for a request that had not run, though another version was idle: a request that is recorded while it is sent to a server, which turns it away, had its record's write under way when it was to move to another version, and was refused at once. The write takes some milliseconds, so Move now waits for it within its time.

TestRequestMovesOnceItsRecordIsWritten fails without the wait ("written soon").

--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -36,6 +36,8 @@
 	findTimeout = 600 * time.Millisecond
 	// findPause is kept between two tries of a read.
 	findPause = 50 * time.Millisecond
+	// movePause is kept between two looks at whether a record may be written anew.
+	movePause = 10 * time.Millisecond
 	// saveSlack is how long the write of a record takes besides the wait for it.
 	saveSlack = 100 * time.Millisecond
 	// longestPause bounds the wait after failures in a row.
@@ -138,14 +140,11 @@
 // it at other software. It returns once the store has the record. Error: ErrUnknown.
 func (o *Origins) Move(ctx context.Context, workspace, id string, software origin.Software, attempt origin.Attempt) error {
 	record := origin.Record{Key: origin.KeyOf(workspace, id), Software: software, Attempts: []origin.Attempt{attempt}}
-	o.mutex.Lock()
-	may := o.book.MayMove(record.Key)
-	o.mutex.Unlock()
-	if !may || software.Version == "" {
-		return errors.WithStack(ErrUnknown)
-	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	if software.Version == "" || !o.awaitMove(ctx, record.Key) {
+		return errors.WithStack(ErrUnknown)
+	}
 	if err := o.commit(ctx, []origin.Record{record}); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
@@ -157,6 +156,20 @@
 	return nil
 }
 
+// awaitMove waits until a record may be written anew, and reports false where it may not. A
+// request can be recorded while it is sent to a server that turns it away.
+func (o *Origins) awaitMove(ctx context.Context, key origin.Key) bool {
+	for {
+		o.mutex.Lock()
+		may, later := o.book.MayMove(key), o.book.MayMoveLater(key)
+		o.mutex.Unlock()
+		if may || !later || ctx.Err() != nil {
+			return may
+		}
+		pause.For(ctx, movePause)
+	}
+}
+
 // commit writes records.
 func (o *Origins) commit(ctx context.Context, records []origin.Record) error {
 	changes := make([]chicoryrock.Change, len(records))
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -70,3 +70,52 @@
 	require.NoError(t, <-ended)
 	require.LessOrEqual(t, store.commits.Load(), int64(length/(4*saveInterval))+3)
 }
+
+// slowStore has a register of two versions, and takes its time to acknowledge writes.
+type slowStore struct {
+	failingStore
+	delay time.Duration
+}
+
+func (s *slowStore) Commit(ctx context.Context, _ []chicoryrock.Change) (uint64, error) {
+	s.commits.Add(1)
+	select {
+	case <-time.After(s.delay):
+		return 2, nil
+	case <-ctx.Done():
+		return 0, ctx.Err()
+	}
+}
+
+// Guards against a request that is refused as its record is still being written when it moves.
+func TestRequestMovesOnceItsRecordIsWritten(t *testing.T) {
+	v1, v2 := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	cases := []struct {
+		name  string
+		delay time.Duration
+		begun bool
+		moves bool
+	}{
+		{"written soon", findTimeout / 4, false, true},
+		{"not written in time", 2 * findTimeout, false, false},
+		{"its stream has begun", findTimeout / 4, true, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			store := &slowStore{delay: c.delay}
+			o := New()
+			o.Store, o.Log, o.Members, o.Changed, o.Ask = store, event.NewNop(), func() int { return 3 }, func() {}, func(context.Context) {}
+			o.SetServers(time.Now(), []chicoryrock.Server{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}})
+			require.NoError(t, o.complete(t.Context()))
+			o.Send(time.Now(), "w", "r", v1, origin.Software{}, origin.Attempt{Server: "a"})
+			written := make(chan error)
+			go func() { written <- o.Write(t.Context()) }()
+			require.Eventually(t, func() bool { return store.commits.Load() > 0 }, time.Second, time.Millisecond)
+			if c.begun {
+				o.Begin(time.Now(), "w", "r", v1)
+			}
+			require.Equal(t, c.moves, o.Move(t.Context(), "w", "r", v2, origin.Attempt{Server: "b"}) == nil)
+			require.NoError(t, <-written)
+		})
+	}
+}
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -143,6 +143,12 @@
 	return known != nil && known.saved && known.handed == 0 && !known.begun
 }
 
+// MayMoveLater reports whether MayMove may be true once the store has acknowledged more writes.
+func (b *Book) MayMoveLater(key Key) bool {
+	known := b.streams[key]
+	return known != nil && !known.begun
+}
+
 // Moved records that the store has acknowledged a record for other software. It reports false
 // where a write of the former one may have been under way besides, as after a restore.
 func (b *Book) Moved(record *Record) bool {
