Believe the weights that a server's answers state over its entry

While all servers of a service were listed with weights that they had replaced in place, callers' new resumable streams were refused (503): each attempt expected the listed weights, and each server turned it away (421). The cause is a belief that nothing could correct but the entry.

Where they differ from those listed for the request's model, the server is believed to have them until its entry states others than it does now, or it starts again. The list, the register and the expectation of the next attempt then agree, and the stream begins at the build that writes it. An answer with 421 counts if an expectation was sent: another server at the address may have answered, which the next answer corrects. Line 422 tells it.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -76,6 +76,7 @@
 	ServerRests    = Event{419, zapcore.InfoLevel, "backend server wants no requests for a while"}
 	RestBad        = Event{420, zapcore.WarnLevel, "pause that a backend server asks for makes no sense"}
 	ServersDiffer  = Event{421, zapcore.WarnLevel, "list of backend servers differs from that of other processes"}
+	WeightsStated  = Event{422, zapcore.InfoLevel, "backend server answers with other weights than it is listed with"}
 	ClaimFailed    = Event{501, zapcore.WarnLevel, "claims could not be written"}
 	DutyTaken      = Event{502, zapcore.InfoLevel, "duty taken"}
 	DutyLost       = Event{503, zapcore.InfoLevel, "duty given up or lost"}
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -128,7 +128,7 @@
 	return nil
 }
 
-// listedServer reads the entry of a backend server from the store.
+// listedServer reads the entry of a backend server from the store, and adds what its answers say.
 func (p *Front) listedServer(ctx context.Context, server string) (chicoryrock.Server, error) {
 	entry, err := p.store.Get(ctx, platform.ServerPrefix+server)
 	if err != nil {
@@ -138,7 +138,9 @@
 	if !ok {
 		return read, errors.WithStack(chicoryrock.ErrInvalid)
 	}
-	return read, nil
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.servers.View(read), nil
 }
 
 func (p *Front) readServer(entry chicoryrock.KeyValue) (chicoryrock.Server, bool) {
@@ -184,8 +186,11 @@
 	if !news {
 		return
 	}
-	if change.Kind == servers.Resting {
+	switch change.Kind {
+	case servers.Resting:
 		p.Log.Write(event.ServerRests, zap.String("server", start.ID), zap.Time("until", change.Server.RestUntil))
+	case servers.Reweighted:
+		p.Log.Write(event.WeightsStated, zap.String("server", start.ID), zap.String("software", change.Server.Build()))
 	}
 	p.publish([]servers.Change{change})
 }
--- a/internal/serve/assembly/weights_test.go
+++ b/internal/serve/assembly/weights_test.go
@@ -27,6 +27,7 @@
 	broken.Store(!breaks)
 	for i, engine := range engines {
 		b := d.addMortal(fmt.Sprintf("i-%d", i), func(w http.ResponseWriter, r *http.Request, crash func()) {
+			w.Header().Set(sample.Weights, strconv.Itoa(engine.weights)) // in each answer
 			expected := r.Header.Get(sample.ExpectWeights)
 			if engine.heeds && expected != "" && expected != strconv.Itoa(engine.weights) {
 				w.WriteHeader(http.StatusMisdirectedRequest)
@@ -34,7 +35,6 @@
 			}
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set(sample.Seal, "s")
-			w.Header().Set(sample.Weights, strconv.Itoa(engine.weights))
 			from := 0
 			_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
 			for n := from + 1; n <= 4; n++ {
--- a/internal/serve/front/stated.go
+++ b/internal/serve/front/stated.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.uber.org/zap"
@@ -15,13 +16,32 @@
 
 // observe takes in what a backend server says of itself in an answer.
 func (c *call) observe(replica *chicoryrock.Replica, answer *upstream.Answer) {
+	said := c.statedWeights(replica, platform.Weights(answer.Header))
 	if answer.Status == http.StatusMisdirectedRequest {
-		return // another server answered
+		// Another server may have answered, but not one that has just the weights that were expected.
+		if c.expected != "" {
+			c.front.Observe(time.Now(), startOf(replica), said)
+		}
+		return
 	}
-	start := servers.Start{ID: replica.Name, Address: replica.Address, StartedMs: replica.StartedMs}
 	rest, err := platform.ReadRest(answer.Status, answer.Header)
 	if err != nil {
 		c.front.Log.Write(event.RestBad, zap.String("server", replica.Name), zap.String("ref", c.ask.ID), zap.Error(err))
 	}
-	c.front.Observe(time.Now(), start, servers.Statement{Leaving: platform.Leaves(answer.Header), Rest: rest})
+	said.Leaving, said.Rest = platform.Leaves(answer.Header), rest
+	c.front.Observe(time.Now(), startOf(replica), said)
+}
+
+// statedWeights returns a statement of the weights of the request's model, if they aren't those
+// that a backend server is believed to have.
+func (c *call) statedWeights(replica *chicoryrock.Replica, stated string) servers.Statement {
+	believed := chicoryrock.WeightsOf(replica.Weights, c.request.Model)
+	if _, err := strconv.ParseUint(stated, 10, 64); err != nil || believed == "" || stated == believed {
+		return servers.Statement{}
+	}
+	return servers.Statement{Model: c.request.Model, Weights: stated}
+}
+
+func startOf(replica *chicoryrock.Replica) servers.Start {
+	return servers.Start{ID: replica.Name, Address: replica.Address, StartedMs: replica.StartedMs}
 }
--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -34,11 +34,12 @@
 const (
 	Unchanged ChangeKind = iota
 	Added
-	Leaving   // still serves, but takes no new work
-	Removed   // no longer on the list
-	Lapsed    // kept although its entry is missing after an outage of the store
-	Restarted // has another start time or address
-	Resting   // wants no requests for a while
+	Leaving    // still serves, but takes no new work
+	Removed    // no longer on the list
+	Lapsed     // kept although its entry is missing after an outage of the store
+	Restarted  // has another start time or address
+	Resting    // wants no requests for a while
+	Reweighted // has replaced weights in place
 )
 
 // Change is a change of one server.
@@ -274,7 +275,7 @@
 func (l *List) Servers() []chicoryrock.Server {
 	list := make([]chicoryrock.Server, 0, len(l.servers))
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
-		list = append(list, l.view(l.servers[id]))
+		list = append(list, l.View(l.servers[id].server))
 	}
 	return list
 }
--- a/internal/state/servers/stated.go
+++ b/internal/state/servers/stated.go
@@ -34,6 +34,8 @@
 type Statement struct {
 	Leaving bool          // it takes no new work
 	Rest    time.Duration // it wants no requests from this process for so long
+	Model   string        // whose weights it states to be of another version than listed; empty for none
+	Weights string        // their version
 }
 
 // stated is what a start has said.
@@ -41,6 +43,8 @@
 	leaving   bool
 	restUntil time.Time // the latest end of a rest that it has asked for
 	at        time.Time // of the last statement
+	weights   string    // as its answers have them, while its entry states listed; empty for no others
+	listed    string
 }
 
 // Observe takes in what a start of a server says of itself. It reports whether that changes
@@ -66,13 +70,24 @@
 		known.restUntil = until
 	}
 	e := l.servers[start.ID]
-	switch {
-	case e == nil || StartOf(&e.server) != start:
+	if e == nil || StartOf(&e.server) != start {
 		return Change{}, false
+	}
+	before := l.View(e.server).Weights
+	weights := before
+	if said.Model != "" {
+		weights = chicoryrock.WithWeights(before, said.Model, said.Weights)
+	}
+	if weights != before {
+		known.weights, known.listed = weights, e.server.Weights
+	}
+	switch {
 	case leaves && !e.server.Leaving:
-		return Change{l.view(e), Leaving}, true
+		return Change{l.View(e.server), Leaving}, true
+	case weights != before:
+		return Change{l.View(e.server), Reweighted}, true
 	}
-	return Change{l.view(e), Resting}, rests
+	return Change{l.View(e.server), Resting}, rests
 }
 
 // forgetStated forgets what was said long ago, and of too many all but what listed servers
@@ -87,12 +102,15 @@
 	}
 }
 
-// view returns a server as its entry and its own answers have it.
-func (l *List) view(e *entry) chicoryrock.Server {
-	server := e.server
+// View returns a server as its entry and its own answers have it. What these say of its weights
+// counts until the entry states others than it did then.
+func (l *List) View(server chicoryrock.Server) chicoryrock.Server {
 	if known := l.stated[StartOf(&server)]; known != nil {
 		server.Leaving = server.Leaving || known.leaving
 		server.RestUntil = known.restUntil
+		if known.weights != "" && known.listed == server.Weights {
+			server.Weights = known.weights
+		}
 	}
 	return server
 }
--- a/internal/state/servers/stated_test.go
+++ b/internal/state/servers/stated_test.go
@@ -109,3 +109,40 @@
 	l.Put(0, server)
 	require.Zero(t, l.Servers()[0].RestUntil, "the next start asks for itself")
 }
+
+// What a server's answers say of its weights counts until its entry says otherwise.
+func TestStatedWeightsHoldUntilTheEntryChanges(t *testing.T) {
+	now := time.Date(2026, 3, 2, 8, 0, 0, 0, time.UTC)
+	server := chicoryrock.Server{ID: "a", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), StartedMs: 5, Weights: "m=1,n=1"}
+	entry := func(weights string, startedMs int64) func(*servers.VersionedList) {
+		next := server
+		next.Weights, next.StartedMs = weights, startedMs
+		next.Heartbeat++
+		return func(l *servers.VersionedList) { watched(l, 9, next, false) }
+	}
+	cases := []struct {
+		name   string
+		said   servers.Statement
+		change func(l *servers.VersionedList)
+		kind   servers.ChangeKind
+		news   bool
+		want   string
+	}{
+		{"another version", servers.Statement{Model: "m", Weights: "2"}, func(*servers.VersionedList) {}, servers.Reweighted, true, "m=2,n=1"},
+		{"it leaves besides", servers.Statement{Model: "m", Weights: "2", Leaving: true}, func(*servers.VersionedList) {}, servers.Leaving, true, "m=2,n=1"},
+		{"the same version", servers.Statement{Model: "m", Weights: "1"}, func(*servers.VersionedList) {}, servers.Resting, false, "m=1,n=1"},
+		{"a model that it isn't listed with", servers.Statement{Model: "o", Weights: "2"}, func(*servers.VersionedList) {}, servers.Resting, false, "m=1,n=1"},
+		{"its entry is written again", servers.Statement{Model: "m", Weights: "2"}, entry("m=1,n=1", 5), servers.Reweighted, true, "m=2,n=1"},
+		{"its entry follows", servers.Statement{Model: "m", Weights: "2"}, entry("m=3,n=1", 5), servers.Reweighted, true, "m=3,n=1"},
+		{"its next start", servers.Statement{Model: "m", Weights: "2"}, entry("m=1,n=1", 6), servers.Reweighted, true, "m=1,n=1"},
+	}
+	for _, c := range cases {
+		var l servers.VersionedList
+		watched(&l, 3, server, false)
+		change, news := l.Observe(now, servers.StartOf(&server), c.said)
+		require.Equal(t, c.news, news, c.name)
+		require.Equal(t, c.kind, change.Kind, c.name)
+		c.change(&l)
+		require.Equal(t, c.want, l.Servers()[0].Weights, c.name)
+	}
+}
--- a/platform.go
+++ b/platform.go
@@ -185,6 +185,23 @@
 	return ""
 }
 
+// WithWeights returns the weights of a server with another version of a model's; the same where
+// the model isn't among them.
+func WithWeights(all, model, version string) string {
+	old := WeightsOf(all, model)
+	if old == "" {
+		return all
+	}
+	name := url.QueryEscape(model) + "="
+	models := strings.Split(all, ",")
+	for i, one := range models {
+		if one == name+old {
+			models[i] = name + version
+		}
+	}
+	return strings.Join(models, ",")
+}
+
 // BuildFor returns the part of a build that decides on the text of one model: its software and
 // that model's weights. It is the whole build where these aren't known.
 func BuildFor(build, model string) string {
