Don't take up a stream within which the weights have changed

Only the call under way knew of the change.

The record has a mark for that now. It is written before the event that states the change is passed on, for at most the time of a lookup, and again with the next records; a lookup that finds it refuses (version-unknown). The server is believed to have the stated weights besides, so that the register names several builds and lookups read records at all.

Not seen: a front killed while the store takes no writes, and servers listed without weights while only one build serves.

--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -64,32 +64,33 @@
 	ctx       context.Context
 	stop      context.CancelCauseFunc // of ctx
 
-	sent      int             // attempts that reached a backend server and were not turned away
-	turned    int             // attempts that were turned away or could not be sent
-	begun     bool            // an attempt may have run
-	counted   bool            // the request stands in the workspace's usage
-	started   bool            // the answer's header has gone out
-	status    int             // of the answer that the caller got
-	first     time.Duration   // from its arrival to the first token, or the answer
-	longest   time.Duration   // between two events, as the caller saw them
-	got       bool            // the attempt under way has had an event
-	last      time.Time       // when its last event came
-	pause     time.Duration   // the longest between two of its events
-	stream    sequence.Stream // what the caller has of a stream
-	gotAt     time.Time       // when its first event came
-	endKnown  bool            // its answer stated where it ends
-	settled   bool            // it has run for suspect.Probation
-	software  origin.Software // of the attempt's backend server
-	attempted origin.Attempt  // the attempt whose answer is taken in
-	expected  string          // the version of the weights that the attempt's answer is to be of; empty for any
-	weights   string          // the version that wrote the stream, as its first answer states it
-	mixed     bool            // the version of the weights has changed within the stream
-	recorded  origin.Software // at which its stream is to begin, as recorded
-	origin    origin.Software // that began the stream; zero before its first event
-	began     bool            // this process has served the stream, in this call or before
-	beganBy   origin.Attempt  // that began the stream in this call; zero for none
-	trial     bool            // it is the trial of a ban
-	attempts  int             // that were begun, for their names
+	sent      int                  // attempts that reached a backend server and were not turned away
+	turned    int                  // attempts that were turned away or could not be sent
+	begun     bool                 // an attempt may have run
+	counted   bool                 // the request stands in the workspace's usage
+	started   bool                 // the answer's header has gone out
+	status    int                  // of the answer that the caller got
+	first     time.Duration        // from its arrival to the first token, or the answer
+	longest   time.Duration        // between two events, as the caller saw them
+	got       bool                 // the attempt under way has had an event
+	last      time.Time            // when its last event came
+	pause     time.Duration        // the longest between two of its events
+	stream    sequence.Stream      // what the caller has of a stream
+	gotAt     time.Time            // when its first event came
+	endKnown  bool                 // its answer stated where it ends
+	settled   bool                 // it has run for suspect.Probation
+	software  origin.Software      // of the attempt's backend server
+	attempted origin.Attempt       // the attempt whose answer is taken in
+	replica   *chicoryrock.Replica // that the attempt was sent to
+	expected  string               // the version of the weights that the attempt's answer is to be of; empty for any
+	weights   string               // the version that wrote the stream, as its first answer states it
+	mixed     bool                 // the version of the weights has changed within the stream
+	recorded  origin.Software      // at which its stream is to begin, as recorded
+	origin    origin.Software      // that began the stream; zero before its first event
+	began     bool                 // this process has served the stream, in this call or before
+	beganBy   origin.Attempt       // that began the stream in this call; zero for none
+	trial     bool                 // it is the trial of a ban
+	attempts  int                  // that were begun, for their names
 	// answeredBy is where answers to the request have come from. One of them may be written
 	// again on its connection, where it would pass for the answer to a later attempt.
 	answeredBy []netip.AddrPort
@@ -339,7 +340,7 @@
 	c.got, c.pause = false, 0
 	c.endKnown, c.settled = false, false
 	c.software = origin.Software{Service: replica.Pool, Version: c.request.BuildAt(replica)}
-	c.attempted, c.expected = attemptAt(sent, replica), ""
+	c.replica, c.attempted, c.expected = replica, attemptAt(sent, replica), ""
 	if c.boundToBuild() {
 		c.expected = chicoryrock.WeightsOf(replica.Weights, c.request.Model)
 	}
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -160,6 +160,19 @@
 	}
 }
 
+// weightsChanged takes in that the weights have changed within the stream: from here on it goes on
+// nowhere else, also for whoever takes it up.
+func (c *call) weightsChanged(weights string) {
+	c.mixed = true
+	c.front.Observe(time.Now(), startOf(c.replica), c.statedWeights(c.replica, weights))
+	if c.request.Resumable || c.takesUp() {
+		c.front.Origins.Mix(c.ctx, c.request.Workspace, c.ask.ID, c.origin)
+	}
+	if c.takesUp() {
+		c.front.Origins.Mix(c.ctx, c.request.Workspace, c.ask.Resumes, c.origin)
+	}
+}
+
 // streamEnded records that the caller has got the whole stream.
 func (c *call) streamEnded(now time.Time) {
 	if c.origin.Version != "" {
--- a/internal/serve/front/stream.go
+++ b/internal/serve/front/stream.go
@@ -112,7 +112,9 @@
 func (c *call) event(answer *upstream.Answer, text []byte, next sequence.Event) error {
 	if next.IsEvent() {
 		c.eventCame(answer)
-		c.mixed = c.mixed || platform.ChangesWeights(text)
+		if weights, changes := platform.ChangedWeights(text); changes {
+			c.weightsChanged(weights)
+		}
 	}
 	return c.deliver(text, memory.Stream)
 }
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -194,6 +194,22 @@
 	o.book.Begin(now, origin.KeyOf(workspace, id), software)
 }
 
+// Mix records that the software which writes a stream has changed within it. It returns once the
+// store has the record, or can't be written in time; the record is written again later.
+func (o *Origins) Mix(ctx context.Context, workspace, id string, software origin.Software) {
+	if id == "" || software.Version == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	o.mutex.Lock()
+	record := o.book.Mix(time.Now(), origin.KeyOf(workspace, id), software)
+	o.mutex.Unlock()
+	if err := o.commit(ctx, []origin.Record{record}); err != nil {
+		o.Log.Write(event.OriginUnsaved, zap.Int("failures", 1), zap.Error(err))
+	}
+}
+
 // End records that a stream was passed on whole.
 func (o *Origins) End(now time.Time, workspace, id string) {
 	o.mutex.Lock()
--- a/internal/state/origin/lookup.go
+++ b/internal/state/origin/lookup.go
@@ -30,17 +30,19 @@
 	AwaitRecords
 	// GoOn is the end: the stream goes on at the software of Record.
 	GoOn
-	// Refuse is the end: it isn't known which version began the stream.
+	// Refuse is the end: it isn't known which version began the stream, or several wrote it.
 	Refuse
 )
 
 // Next returns the next step.
 func (l *Lookup) Next(now time.Time) Step {
-	if l.record.Version != "" {
-		return GoOn
+	if l.record.Version == "" {
+		l.record, _ = l.Book.Find(now, l.Key)
 	}
-	if record, known := l.Book.Find(now, l.Key); known {
-		l.record = record
+	switch {
+	case l.record.Mixed:
+		return Refuse
+	case l.record.Version != "":
 		return GoOn
 	}
 	if l.unreadable {
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -81,6 +81,7 @@
 	saved    bool      // the store has it
 	handed   int       // writes that were handed out and not acknowledged
 	begun    bool      // its first event has come
+	mixed    bool      // its software has changed within it
 }
 
 // Book is what one process knows. The zero value is empty and ready for use.
@@ -169,6 +170,22 @@
 	}
 }
 
+// Mix records that the software which writes a stream has changed within it, so that it goes on
+// nowhere else. It returns the record that says so.
+func (b *Book) Mix(now time.Time, key Key, software Software) Record {
+	known := b.streams[key]
+	if known == nil {
+		known = &stream{software: software, began: now, fixed: true, begun: true}
+		b.add(now, key, known)
+		b.unsaved = append(b.unsaved, key)
+	}
+	if known.saved && !known.changed {
+		b.unsaved = append(b.unsaved, key)
+	}
+	known.mixed, known.changed = true, true
+	return known.record(key)
+}
+
 // End records that a stream was passed on whole.
 func (b *Book) End(now time.Time, key Key) {
 	if known := b.streams[key]; known != nil && known.ended.IsZero() {
@@ -179,7 +196,7 @@
 // Learn records what the store says of a stream.
 func (b *Book) Learn(now time.Time, record *Record) {
 	if b.streams[record.Key] == nil {
-		b.add(now, record.Key, &stream{software: record.Software, attempts: record.Attempts, began: now, fixed: true, saved: true, begun: true})
+		b.add(now, record.Key, &stream{software: record.Software, attempts: record.Attempts, mixed: record.Mixed, began: now, fixed: true, saved: true, begun: true})
 	}
 }
 
@@ -219,9 +236,12 @@
 	Key Key `json:"-"`
 	Software
 	Attempts []Attempt `json:"attempts,omitempty"` // that may have begun it
+	Mixed    bool      `json:"mixed,omitempty"`    // its software has changed within it
 }
 
-func (s *stream) record(key Key) Record { return Record{key, s.software, slices.Clone(s.attempts)} }
+func (s *stream) record(key Key) Record {
+	return Record{Key: key, Software: s.software, Attempts: slices.Clone(s.attempts), Mixed: s.mixed}
+}
 
 // Unsaved returns up to a number of streams that the store should have and lacks: those of
 // services with several versions. It returns the same ones until they are Saved, and their
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -375,3 +375,48 @@
 		require.ErrorIs(t, err, chicoryrock.ErrInvalid, text)
 	}
 }
+
+// A stream that two versions wrote goes on nowhere, though earlier writes of its record are
+// carried out late or the store loses it for a while.
+func TestMixedStreamGoesOnNowhere(t *testing.T) {
+	v1, v2 := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	cases := []struct {
+		name   string
+		before func(w *world, p *process) // before it is mixed
+		after  func(w *world, p *process)
+	}{
+		{"its record is written already", func(w *world, p *process) { w.save(p, false, false) }, func(*world, *process) {}},
+		{"it has none yet", func(*world, *process) {}, func(*world, *process) {}},
+		{"an earlier write is late", func(w *world, p *process) { w.save(p, false, true) }, func(w *world, p *process) {
+			w.write(w.late)
+			w.save(p, false, false)
+		}},
+		{"the store has lost it", func(w *world, p *process) { w.save(p, false, false) }, func(w *world, p *process) {
+			clear(w.records)
+			p.book.Restored(w.now)
+			w.save(p, false, false)
+		}},
+	}
+	for _, c := range cases {
+		w := newWorld(3)
+		w.serving[v2] = true
+		for _, p := range w.processes {
+			w.list(p)
+			w.complete(p, func() {}, false)
+		}
+		first, key := w.processes[0], origin.KeyOf("w", "r")
+		first.book.Send(w.now, key, v1, origin.Software{}, origin.Attempt{Server: "a"})
+		c.before(w, first)
+		first.book.Begin(w.now, key, v1)
+		w.write([]origin.Record{first.book.Mix(w.now, key, v1)})
+		c.after(w, first)
+		for n, p := range w.processes {
+			_, goes := w.lookup(p, key, "s", func() {})
+			require.False(t, goes, "%s: process %d", c.name, n)
+		}
+	}
+	p := newWorld(1).processes[0]
+	p.book.Mix(start, origin.KeyOf("w", "taken up"), v1)
+	_, known := p.book.Find(start, origin.KeyOf("w", "taken up"))
+	require.True(t, known, "one that began elsewhere")
+}
