Trust no start of a server that is listed with other software than believed

The start counts only where the software is the one that began the stream: the server has replaced its weights, which its answers state. TestStreamsGoOnByEntriesOfBothServers has these cases; without the condition two of them fail.

--- a/internal/serve/assembly/copies_version_test.go
+++ b/internal/serve/assembly/copies_version_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -92,7 +93,7 @@
 	cases := []struct {
 		name         string
 		first, other string        // versions that the store states; empty for no entry
-		born         time.Duration // the start that it states of the first server, from now; zero if it states none
+		born         time.Duration // the start that it states of the first server, from now; zero for that of its entry
 		unread       bool
 		whole        bool
 	}{
@@ -102,7 +103,9 @@
 		{"the other one has gone", "v1", "", 0, false, false},
 		{"the first one had started again", "v2", "v1", -time.Second, false, false},
 		{"the first one had started again, by a clock that differs", "v2", "v1", time.Second / 2, false, false},
-		{"the first one has another version, of no known start", "v2", "v1", 0, false, false},
+		{"the first one has another version, of the same start", "v2", "v1", 0, false, false},
+		{"the first one has replaced its weights", "v1 m=2", "v1", 0, false, true},
+		{"the first one has replaced its weights and its software", "v2 m=2", "v1", 0, false, false},
 		{"the first one has started again since", "v2", "v1", time.Minute, false, true},
 		{"the store can't be read", "v2", "v2", 0, true, true},
 	}
@@ -116,7 +119,8 @@
 				d.front.front.Verify = func(_ context.Context, server string) (chicoryrock.Server, error) {
 					listed := chicoryrock.Server{Version: c.other}
 					if server == began.Load() {
-						listed.Version = c.first
+						listed.Version, listed.Weights, _ = strings.Cut(c.first, " ")
+						listed.StartedMs = 5
 						if c.born != 0 {
 							listed.StartedMs = time.Now().Add(c.born).UnixMilli()
 						}
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -65,8 +65,10 @@
 		if c.began { // the store can't be read, but this process has served the stream
 			return true
 		}
-	case chicoryrock.BuildFor(listed.Build(), c.request.Model) == c.origin.Version || !attempt.MayHaveReached(listed.StartedMs):
+	case chicoryrock.BuildFor(listed.Build(), c.request.Model) == c.origin.Version || attempt.Before(listed.StartedMs):
 		return true
+	case listed.StartedMs == attempt.StartedMs && listed.HasSoftware(c.origin.Version):
+		return true // it has replaced its weights since, and states in each answer which it has
 	default:
 		err = errRestarted
 	}
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -61,13 +61,10 @@
 	SentMs    int64  `json:"sent"`           // by the clock of the process
 }
 
-// MayHaveReached reports whether a start of the attempt's server, other than the one that was
-// listed, may have answered it.
-func (a *Attempt) MayHaveReached(startedMs int64) bool {
-	if startedMs != 0 && startedMs == a.StartedMs {
-		return false
-	}
-	return startedMs <= a.SentMs+clockTolerance.Milliseconds()
+// Before reports whether the attempt was sent before a server started, so that this start can't
+// have answered it; false if the start isn't known.
+func (a *Attempt) Before(startedMs int64) bool {
+	return startedMs > a.SentMs+clockTolerance.Milliseconds()
 }
 
 // stream is what is known of one stream.
--- a/internal/state/origin/world_test.go
+++ b/internal/state/origin/world_test.go
@@ -219,7 +219,7 @@
 func (w *world) doubts(record *origin.Record) bool {
 	return slices.ContainsFunc(record.Attempts, func(attempt origin.Attempt) bool {
 		server := w.restarted[attempt.Server]
-		return server != nil && server.listed && server.software != record.Software && attempt.MayHaveReached(server.startedMs)
+		return server != nil && server.listed && server.software != record.Software && !attempt.Before(server.startedMs)
 	})
 }
 
--- a/platform.go
+++ b/platform.go
@@ -173,6 +173,11 @@
 	return s.Version + " " + s.Weights
 }
 
+// HasSoftware reports whether a build is of the server's software, whatever its weights.
+func (s *Server) HasSoftware(build string) bool {
+	return build == s.Version || strings.HasPrefix(build, s.Version+" ")
+}
+
 // WeightsOf returns the version of a model's weights among those of a server (Server.Weights);
 // empty if it isn't known.
 func WeightsOf(all, model string) string {
