Expect the weights that wrote a stream from where it goes on

Callers saw a stream end that its copy could have gone on with: while all entries are late after weights were replaced in place, the keeper of the copy was asked for the weights of its entry, not for those that wrote the stream, and turned it away (421).

An attempt for a stream that has begun now expects the weights that its first answer stated; one that begins expects those of the entry as before. The same value is sent and compared.

--- a/internal/serve/assembly/weights_test.go
+++ b/internal/serve/assembly/weights_test.go
@@ -80,6 +80,7 @@
 		{"within an answer, other weights and deaf", "/long/", []weighted{{1, 1, true}, {1, 2, false}}, never},
 		{"from a copy, other weights", "/short/", []weighted{{1, 1, true}, {2, 2, true}}, never},
 		{"from a copy, the same weights", "/short/", []weighted{{1, 1, true}, {1, 1, true}}, always},
+		{"from a copy, the same weights, both other than listed", "/short/", []weighted{{1, 2, true}, {1, 2, true}}, always},
 		{"from a copy, other weights than listed", "/short/", []weighted{{1, 1, true}, {1, 2, true}}, never},
 		{"from a copy, other weights and deaf", "/short/", []weighted{{1, 1, true}, {1, 2, false}}, []bool{true, false}}, // whole where it begins at the second
 	}
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -306,17 +306,15 @@
 func (c *call) message(sent time.Time, replica *chicoryrock.Replica) *upstream.Call {
 	c.attempts++
 	stamp := platform.Stamp{
-		Server: replica.Name,
-		Left:   c.until.Sub(sent),
-		Rank:   c.request.Tier - 1,
-		Ranks:  c.ranks,
-		Resume: c.stream.Last(),
-		Fetch:  c.front.address(replica.Pool, c.source),
+		Server:  replica.Name,
+		Left:    c.until.Sub(sent),
+		Rank:    c.request.Tier - 1,
+		Ranks:   c.ranks,
+		Resume:  c.stream.Last(),
+		Fetch:   c.front.address(replica.Pool, c.source),
+		Weights: c.expects(replica),
 	}
 	stamp.Backup, stamp.FromCopy = c.nextCopy(sent, replica)
-	if c.boundToBuild() {
-		stamp.Weights = replica.Weights
-	}
 	if c.workspace != nil {
 		stamp.Workspace = c.workspace.Name
 	}
@@ -340,10 +338,7 @@
 	c.got, c.pause = false, 0
 	c.endKnown, c.settled = false, false
 	c.software = origin.Software{Service: replica.Pool, Version: c.request.BuildAt(replica)}
-	c.replica, c.attempted, c.expected = replica, attemptAt(sent, replica), ""
-	if c.boundToBuild() {
-		c.expected = chicoryrock.WeightsOf(replica.Weights, c.request.Model)
-	}
+	c.replica, c.attempted, c.expected = replica, attemptAt(sent, replica), c.expects(replica)
 	if errors.Is(err, chicoryrock.ErrNotRun) {
 		return errors.Wrap(errUnsent, err.Error())
 	}
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -137,18 +137,27 @@
 	return c.request.Resumable || c.takesUp() || c.started || c.request.Only != ""
 }
 
+// expects returns the version of the weights that a backend server's answer is to be of: those that
+// wrote the stream, or those of its entry; empty for any.
+func (c *call) expects(replica *chicoryrock.Replica) string {
+	switch {
+	case !c.boundToBuild():
+		return ""
+	case c.started && c.weights != "":
+		return c.weights
+	}
+	return chicoryrock.WeightsOf(replica.Weights, c.request.Model)
+}
+
 // checkWeights checks which weights an answer states, as a server may have replaced its weights
 // since it was listed. Error: upstream.ErrBadAnswer.
 func (c *call) checkWeights(answer *upstream.Answer) error {
-	stated, expected := platform.Weights(answer.Header), c.expected
-	if c.started && c.weights != "" {
-		expected = c.weights
-	}
-	if stated == "" || expected == "" || stated == expected {
+	stated := platform.Weights(answer.Header)
+	if stated == "" || c.expected == "" || stated == c.expected {
 		return nil
 	}
 	c.front.Metrics.Foreign(c.route.Name)
-	return errors.Wrapf(upstream.ErrBadAnswer, "weights %.40q answer for %.40q", stated, expected)
+	return errors.Wrapf(upstream.ErrBadAnswer, "weights %.40q answer for %.40q", stated, c.expected)
 }
 
 // streamBegan notes which software wrote the first event that the caller gets. From here on
