Free a waiting request from a recorded version that has no servers left

Callers could get 503 (version-gone) for a request that had not run, with another version idle: turned away by a server that wanted a rest, it waited for its recorded version, and was refused as the last server of that left.

A request whose stream hasn't begun now gives up its recorded version with that refusal, and asks again; its record is moved as before.

--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -143,6 +143,45 @@
 	}
 }
 
+// Guards against a request that has not run and waits for its recorded version when the last server
+// of that version goes.
+func TestWaitingRequestIsNotBoundToAVersionThatGoes(t *testing.T) {
+	d := deploy(t, func(node *platform.Node) { node.Bounds.RetrySlack = 60000 })
+	d.configureWith(2, sample.Unhurried)
+	turned := make(chan struct{})
+	var once sync.Once
+	d.addVersion("i-0", "v1", func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(300 * time.Millisecond) // the record is written
+		w.Header().Set(sample.NotRun, "1")
+		w.Header().Set("Retry-After", "2")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		once.Do(func() { close(turned) })
+	})
+	d.addVersion("i-1", "v2", versioned("v2", 4, never))
+	d.settle(2, 2)
+	require.Eventually(t, func() bool {
+		return d.front.origins.MayBegin("llm", "v1") && d.front.origins.MayBegin("llm", "v2")
+	}, waitTime, time.Millisecond)
+	go func() {
+		<-turned
+		time.Sleep(300 * time.Millisecond)
+		_, err := d.store.Commit(d.t.Context(), []chicoryrock.Change{{Key: platform.ServerPrefix + "i-0", Delete: true, Unconditional: true}})
+		if err != nil {
+			t.Error(err)
+		}
+	}()
+	var group sync.WaitGroup
+	for n := range 8 {
+		group.Go(func() {
+			if got := d.do(d.promptOf(t.Context(), fmt.Sprintf("p%d", n))); got.status != 200 {
+				t.Errorf("%d: %d %q", n, got.status, got.body)
+			}
+		})
+	}
+	group.Wait()
+	<-turned
+}
+
 // Guards against streams of a server that has started again as another version than listed.
 func TestStreamsOfAServerThatIsListedLateAreNotJoined(t *testing.T) {
 	all := deployMany(t, 2)
--- a/internal/serve/front/call.go
+++ b/internal/serve/front/call.go
@@ -173,7 +173,7 @@
 			// It has said so since, to another request, or is of another version.
 			f.done(sent, c.request, 0, false)
 			c.granted = ""
-			replica, err = f.Gate.Reacquire(c.ctx, sent, c.request, replica.Name)
+			replica, err = c.reacquire(sent, replica.Name)
 			continue
 		}
 		replica, err = c.attempt(replica)
@@ -187,11 +187,23 @@
 			break
 		}
 		c.granted = ""
-		replica, err = f.Gate.Reacquire(c.ctx, now, c.request, replica.Name)
+		replica, err = c.reacquire(now, replica.Name)
 	}
 	c.end(err)
 }
 
+// reacquire waits for another backend server after an attempt. A request whose stream has not
+// begun stays with its recorded build only while that has servers.
+func (c *call) reacquire(now time.Time, failed string) (chicoryrock.Replica, error) {
+	replica, err := c.front.Gate.Reacquire(c.ctx, now, c.request, failed)
+	var refused *gate.RefusedError
+	if errors.As(err, &refused) && refused.Reason == chicoryrock.ReasonVersionGone && c.origin.Version == "" {
+		c.request.Version = ""
+		replica, _, err = c.front.Gate.Acquire(c.ctx, time.Now(), c.request)
+	}
+	return replica, err
+}
+
 // placed notes which backend server was chosen, and by what.
 func (c *call) placed(replica *chicoryrock.Replica) {
 	now := time.Now()
