Name in a record the attempt that began its stream

The first event now settles which attempt began it, and the record is written anew if it names others; attempts at other software go when the record changes to that. A stream stands once among those to be written.

TestRecordNamesTheAttemptThatBeganItsStream fails without either part. The oracle checks that the process which began a stream doesn't doubt it for a failed attempt; 200,000 cases hold.

--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -167,7 +167,7 @@
 	c.weights = platform.Weights(answer.Header)
 	c.request.Version, c.request.Continues = c.origin.Version, true
 	if c.request.Resumable || c.takesUp() {
-		c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software)
+		c.front.Origins.Begin(now, c.request.Workspace, c.ask.ID, c.software, c.attempted)
 	}
 }
 
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -185,13 +185,13 @@
 }
 
 // Begin records that a stream has its first event.
-func (o *Origins) Begin(now time.Time, workspace, id string, software origin.Software) {
+func (o *Origins) Begin(now time.Time, workspace, id string, software origin.Software, attempt origin.Attempt) {
 	if id == "" {
 		return
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	o.book.Begin(now, origin.KeyOf(workspace, id), software)
+	o.book.Begin(now, origin.KeyOf(workspace, id), software, attempt)
 }
 
 // Mix records that the software which writes a stream has changed within it. It returns once the
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -112,7 +112,7 @@
 			go func() { written <- o.Write(t.Context()) }()
 			require.Eventually(t, func() bool { return store.commits.Load() > 0 }, time.Second, time.Millisecond)
 			if c.begun {
-				o.Begin(time.Now(), "w", "r", v1)
+				o.Begin(time.Now(), "w", "r", v1, origin.Attempt{Server: "a"})
 			}
 			require.Equal(t, c.moves, o.Move(t.Context(), "w", "r", v2, origin.Attempt{Server: "b"}) == nil)
 			require.NoError(t, <-written)
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -79,6 +79,7 @@
 	handed   int       // writes that were handed out and not acknowledged
 	begun    bool      // its first event has come
 	mixed    bool      // its software has changed within it
+	queued   bool      // it stands in Book.unsaved
 }
 
 // Book is what one process knows. The zero value is empty and ready for use.
@@ -86,7 +87,7 @@
 	registrar registrar
 	streams   map[Key]*stream
 	order     []Key // of streams, by their age
-	unsaved   []Key // those that the store lacks, by their age
+	unsaved   []Key // those that the store lacks, and some that it has since
 }
 
 // Send records that a request is sent to a server of some software, which may begin its stream,
@@ -109,10 +110,21 @@
 	if len(known.attempts) > maxAttempts {
 		known.attempts = slices.Clone(known.attempts[1:])
 	}
-	if known.saved && !known.changed {
+	b.change(key, known)
+}
+
+// change has the record of a stream written again.
+func (b *Book) change(key Key, known *stream) {
+	known.changed = true
+	b.queue(key)
+}
+
+// queue adds a stream to those whose records are to be written.
+func (b *Book) queue(key Key) {
+	if known := b.streams[key]; !known.queued {
+		known.queued = true
 		b.unsaved = append(b.unsaved, key)
 	}
-	known.changed = true
 }
 
 func (b *Book) send(now time.Time, key Key, software, before Software) Software {
@@ -120,16 +132,17 @@
 	switch {
 	case known == nil && before.Version != "":
 		b.add(now, key, &stream{software: before, began: now, fixed: true, handed: 1})
-		b.unsaved = append(b.unsaved, key)
+		b.queue(key)
 		return before
 	case known == nil && software.Version != "":
 		b.add(now, key, &stream{software: software, began: now})
-		b.unsaved = append(b.unsaved, key)
+		b.queue(key)
 	case known == nil:
 	case known.fixed:
 		return known.software
-	default:
-		known.software = software
+	case known.software != software:
+		// Attempts at the former one have not begun the stream.
+		known.software, known.attempts = software, nil
 	}
 	return software
 }
@@ -158,12 +171,18 @@
 	return true
 }
 
-// Begin records that a stream of this process has its first event, from software that Send has
-// returned.
-func (b *Book) Begin(now time.Time, key Key, software Software) {
+// Begin records that an attempt of this process has brought a stream's first event, from software
+// that Send has returned. The other attempts have not begun the stream.
+func (b *Book) Begin(now time.Time, key Key, software Software, attempt Attempt) {
 	b.send(now, key, software, Software{})
-	if known := b.streams[key]; known != nil {
-		known.fixed, known.begun = true, true
+	known := b.streams[key]
+	if known == nil {
+		return
+	}
+	known.fixed, known.begun = true, true
+	if len(known.attempts) != 1 {
+		known.attempts = []Attempt{attempt}
+		b.change(key, known)
 	}
 }
 
@@ -174,12 +193,9 @@
 	if known == nil {
 		known = &stream{software: software, began: now, fixed: true, begun: true}
 		b.add(now, key, known)
-		b.unsaved = append(b.unsaved, key)
 	}
-	if known.saved && !known.changed {
-		b.unsaved = append(b.unsaved, key)
-	}
-	known.mixed, known.changed = true, true
+	known.mixed = true
+	b.change(key, known)
 	return known.record(key)
 }
 
@@ -252,7 +268,11 @@
 	var records []Record
 	for _, key := range b.unsaved {
 		known := b.streams[key]
-		if known == nil || known.saved && !known.changed {
+		if known == nil {
+			continue
+		}
+		if known.saved && !known.changed {
+			known.queued = false
 			continue
 		}
 		kept = append(kept, key)
@@ -305,7 +325,8 @@
 	b.expire(now)
 	b.unsaved = b.unsaved[:0]
 	for _, key := range b.order {
-		b.streams[key].saved = false
+		known := b.streams[key]
+		known.saved, known.queued = false, true
 		b.unsaved = append(b.unsaved, key)
 	}
 }
--- a/internal/state/origin/origin_test.go
+++ b/internal/state/origin/origin_test.go
@@ -140,7 +140,7 @@
 				n := rapid.IntRange(0, len(w.sent)-1).Draw(t, "request")
 				s := w.sent[n]
 				w.sent = slices.Delete(w.sent, n, n+1)
-				s.by.book.Begin(w.now, s.key, s.software)
+				s.by.book.Begin(w.now, s.key, s.software, s.attempt)
 				if rapid.Bool().Draw(t, "whole") {
 					s.by.book.End(w.now, s.key)
 				}
@@ -220,7 +220,7 @@
 				at := origin.Software{Service: "s", Version: fmt.Sprintf("v%d", n%c.versions+1)}
 				require.True(t, p.book.MayBegin(at))
 				key := origin.KeyOf("w", fmt.Sprint(n))
-				p.book.Begin(w.now, key, at)
+				p.book.Begin(w.now, key, at, origin.Attempt{})
 				w.streams = append(w.streams, stream{key: key, software: at, at: w.now, by: p})
 			}
 			if !c.wait {
@@ -263,7 +263,7 @@
 			w.save(first, true, true)
 		}
 		require.Equal(t, c.begins, first.book.Send(w.now, key, v2, v1, origin.Attempt{}), c.name)
-		first.book.Begin(w.now, key, c.begins)
+		first.book.Begin(w.now, key, c.begins, origin.Attempt{})
 		w.save(first, false, false)
 		w.write(w.late)
 		got, goes := w.lookup(w.processes[1], key, "s", func() {})
@@ -297,8 +297,8 @@
 		w.complete(p, func() {}, false)
 	}
 	open, ended := origin.KeyOf("w", "open"), origin.KeyOf("w", "ended")
-	first.book.Begin(w.now, open, v1)
-	first.book.Begin(w.now, ended, v1)
+	first.book.Begin(w.now, open, v1, origin.Attempt{})
+	first.book.Begin(w.now, ended, v1, origin.Attempt{})
 	first.book.End(w.now, ended)
 	w.save(first, false, false)
 	require.Empty(t, w.records, "one version needs no records")
@@ -407,7 +407,7 @@
 		first, key := w.processes[0], origin.KeyOf("w", "r")
 		first.book.Send(w.now, key, v1, origin.Software{}, origin.Attempt{Server: "a"})
 		c.before(w, first)
-		first.book.Begin(w.now, key, v1)
+		first.book.Begin(w.now, key, v1, origin.Attempt{Server: "a"})
 		w.write([]origin.Record{first.book.Mix(w.now, key, v1)})
 		c.after(w, first)
 		for n, p := range w.processes {
@@ -420,3 +420,40 @@
 	_, known := p.book.Find(start, origin.KeyOf("w", "taken up"))
 	require.True(t, known, "one that began elsewhere")
 }
+
+// Guards against a stream that isn't taken up as a server at which it has not begun is doubted.
+func TestRecordNamesTheAttemptThatBeganItsStream(t *testing.T) {
+	v1, v2 := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	first, second := origin.Attempt{Server: "a", StartedMs: 5}, origin.Attempt{Server: "b", StartedMs: 6}
+	cases := []struct {
+		name     string
+		handed   bool // the record is handed out after the first attempt
+		software origin.Software
+		sent     []origin.Attempt // as the record has them before the stream begins
+	}{
+		{"at other software", false, v2, []origin.Attempt{second}},
+		{"at the same software", false, v1, []origin.Attempt{first, second}},
+		{"at the same software, recorded", true, v1, []origin.Attempt{first, second}},
+	}
+	for _, c := range cases {
+		book := known(start)
+		key := origin.KeyOf("w", "r")
+		book.Send(start, key, v1, origin.Software{}, first)
+		if c.handed {
+			book.Saved(book.Unsaved(start, 9))
+		}
+		require.Equal(t, c.software, book.Send(start, key, c.software, v1, second), c.name)
+		records := book.Unsaved(start, 9)
+		require.Len(t, records, 1, c.name)
+		require.Equal(t, c.sent, records[0].Attempts, c.name)
+		book.Saved(records)
+		book.Begin(start, key, c.software, second)
+		found, _ := book.Find(start, key)
+		require.Equal(t, []origin.Attempt{second}, found.Attempts, c.name)
+		rewritten := book.Unsaved(start, 9)
+		require.Len(t, rewritten, len(c.sent)-1, c.name)
+		for _, record := range rewritten {
+			require.Equal(t, found, record, c.name)
+		}
+	}
+}
--- a/internal/state/origin/register_test.go
+++ b/internal/state/origin/register_test.go
@@ -138,7 +138,7 @@
 func TestRecordsAreSavedAgainAndForgotten(t *testing.T) {
 	book := known(start)
 	key := origin.KeyOf("w", "a")
-	book.Begin(start, key, v1)
+	book.Begin(start, key, v1, origin.Attempt{})
 	records := book.Unsaved(start, 9)
 	require.Len(t, records, 1)
 	book.Saved(records)
--- a/internal/state/origin/world_test.go
+++ b/internal/state/origin/world_test.go
@@ -42,6 +42,7 @@
 	listed []origin.Software
 	cut    bool   // from the store
 	late   *reply // an answer of the store that has not been taken in yet
+	life   int    // how often it was killed
 }
 
 // reply is the register as the store answered it in an era.
@@ -63,6 +64,8 @@
 	software origin.Software // that its process believes to begin it
 	truth    origin.Software // that begins it; zero for software
 	server   string          // that has started again; empty for none
+	attempt  origin.Attempt  // the latest one
+	life     int             // of its process
 	at       time.Time
 	by       *process
 }
@@ -151,7 +154,10 @@
 	s.software = s.by.book.Send(w.now, s.key, at, s.software, attempt)
 	if s.software != at {
 		if slices.Contains(s.by.listed, s.software) {
-			s.truth, s.server = origin.Software{}, "" // it goes to a server of that version
+			// It goes to a server of that version.
+			s.truth, s.server = origin.Software{}, ""
+			attempt = origin.Attempt{Server: "steady", SentMs: w.now.UnixMilli()}
+			s.by.book.Send(w.now, s.key, s.software, s.software, attempt)
 		} else {
 			if s.by.cut || at.Version == "" || !s.by.book.MayMove(s.key) {
 				return
@@ -164,6 +170,7 @@
 			s.software = at
 		}
 	}
+	s.attempt, s.life = attempt, s.by.life
 	w.sent = append(w.sent, s)
 }
 
@@ -182,7 +189,7 @@
 // kill has a process begin anew.
 func (w *world) kill(p *process) {
 	w.sent = slices.DeleteFunc(w.sent, func(s stream) bool { return s.by == p })
-	*p = process{}
+	*p = process{life: p.life + 1}
 }
 
 // lookup plays a lookup of a process for a service; during the wait others save.
@@ -242,7 +249,11 @@
 		truth = s.truth
 	}
 	record, goes := w.lookup(p, s.key, s.software.Service, during)
-	if goes = goes && !w.doubts(&record); goes && w.knows(s, &record) {
+	if goes && w.doubts(&record) {
+		goes = false
+		require.False(t, p == s.by && p.life == s.life && s.server == "", "a stream is doubted for an attempt that failed")
+	}
+	if goes && w.knows(s, &record) {
 		require.Equal(t, truth, record.Software, "the stream began at another version")
 	}
 	if calm {
