--- a/internal/serve/front/stated.go
+++ b/internal/serve/front/stated.go
@@ -35,8 +35,10 @@
 // statedWeights returns a statement of the weights of the request's model, if they aren't those
 // that a backend server is believed to have.
 func (c *call) statedWeights(replica *chicoryrock.Replica, stated string) servers.Statement {
-	believed := chicoryrock.WeightsOf(replica.Weights, c.request.Model)
-	if _, err := strconv.ParseUint(stated, 10, 64); err != nil || believed == "" || stated == believed {
+	if _, err := strconv.ParseUint(stated, 10, 64); err != nil {
+		return servers.Statement{}
+	}
+	if believed := chicoryrock.WeightsOf(replica.Weights, c.request.Model); believed == "" || stated == believed {
 		return servers.Statement{}
 	}
 	return servers.Statement{Model: c.request.Model, Weights: stated}
