Hand out no record while it is moved to another version

Since records name attempts, a request with two attempts at one version and a third at another could leave a record of the former version: the second attempt's write was handed out while the move's answer was under way, was carried out behind it, and the acknowledged move then took the record for written. Whoever took the stream up went on at the former version.

A move now begins only when no write of the record is due or under way, and until it ends none is handed out. A move that fails counts as a write that may still be carried out. A request doesn't wait for its move where an earlier write has failed, as that one may come at any time.

--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -142,26 +142,28 @@
 	record := origin.Record{Key: origin.KeyOf(workspace, id), Software: software, Attempts: []origin.Attempt{attempt}}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	if software.Version == "" || !o.awaitMove(ctx, record.Key) {
+	if software.Version == "" || !o.startMove(ctx, record.Key) {
 		return errors.WithStack(ErrUnknown)
 	}
-	if err := o.commit(ctx, []origin.Record{record}); err != nil {
-		return errors.Wrap(ErrUnknown, err.Error())
-	}
+	err := o.commit(ctx, []origin.Record{record})
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if err != nil {
+		o.book.MoveFailed(record.Key)
+		return errors.Wrap(ErrUnknown, err.Error())
+	}
 	if !o.book.Moved(&record) {
 		return errors.WithStack(ErrUnknown)
 	}
 	return nil
 }
 
-// awaitMove waits until a record may be written anew, and reports false where it may not. A
+// startMove waits until a record may be written anew, and reports false where it may not. A
 // request can be recorded while it is sent to a server that turns it away.
-func (o *Origins) awaitMove(ctx context.Context, key origin.Key) bool {
+func (o *Origins) startMove(ctx context.Context, key origin.Key) bool {
 	for {
 		o.mutex.Lock()
-		may, later := o.book.MayMove(key), o.book.MayMoveLater(key)
+		may, later := o.book.StartMove(key), o.book.MayMoveLater(key)
 		o.mutex.Unlock()
 		if may || !later || ctx.Err() != nil {
 			return may
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/state/memory"
 	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 )
 
@@ -119,3 +121,52 @@
 		})
 	}
 }
+
+// lateAnswers answers writes that name a server only some time after they were carried out.
+type lateAnswers struct {
+	*memory.Store
+	slow string
+}
+
+func (s *lateAnswers) Era() uint64 { return 0 }
+
+func (s *lateAnswers) Commit(ctx context.Context, changes []chicoryrock.Change) (uint64, error) {
+	revision, err := s.Store.Commit(ctx, changes)
+	for i := range changes {
+		if strings.Contains(string(changes[i].Value), s.slow) {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+	return revision, err
+}
+
+// Guards against the write of a second attempt, while a move's answer is under way, that gives the
+// record the former version.
+func TestRecordIsNotWrittenWhileItMoves(t *testing.T) {
+	v1, v2 := origin.Software{Service: "s", Version: "v1"}, origin.Software{Service: "s", Version: "v2"}
+	process := func(store Store) *Origins {
+		o := New()
+		o.Store, o.Log, o.Members, o.Changed, o.Ask = store, event.NewNop(), func() int { return 3 }, func() {}, func(context.Context) {}
+		return o
+	}
+	store := &lateAnswers{Store: &memory.Store{}, slow: `"server":"c"`}
+	o := process(store)
+	o.SetServers(time.Now(), []chicoryrock.Server{{Service: "s", Version: "v1"}, {Service: "s", Version: "v2"}})
+	require.NoError(t, o.Write(t.Context()))
+	o.Send(time.Now(), "w", "r", v1, origin.Software{}, origin.Attempt{Server: "a"})
+	require.NoError(t, o.Write(t.Context()))
+	o.Send(time.Now(), "w", "r", v1, v1, origin.Attempt{Server: "b"})
+	moved := make(chan error, 1)
+	go func() { moved <- o.Move(t.Context(), "w", "r", v2, origin.Attempt{Server: "c"}) }()
+	for range 30 {
+		time.Sleep(10 * time.Millisecond)
+		require.NoError(t, o.Write(t.Context()))
+	}
+	require.NoError(t, <-moved)
+	o.Begin(time.Now(), "w", "r", v2, origin.Attempt{Server: "c"})
+	require.NoError(t, o.Write(t.Context()))
+	found, err := process(store).Find(t.Context(), "w", "r", "s", "")
+	require.NoError(t, err)
+	require.Equal(t, v2, found.Software)
+	require.Equal(t, []origin.Attempt{{Server: "c"}}, found.Attempts)
+}
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -80,6 +80,7 @@
 	begun    bool      // its first event has come
 	mixed    bool      // its software has changed within it
 	queued   bool      // it stands in Book.unsaved
+	moving   bool      // its record is being written for other software
 }
 
 // Book is what one process knows. The zero value is empty and ready for use.
@@ -147,30 +148,50 @@
 	return software
 }
 
-// MayMove reports whether the record of a request whose stream has not begun may be written
-// anew, for other software: the store has acknowledged all writes of it.
-func (b *Book) MayMove(key Key) bool {
+// StartMove reports whether the record of a request whose stream has not begun may be written
+// anew, for other software: the store has acknowledged all writes of it. None is handed out
+// until Moved or MoveFailed.
+func (b *Book) StartMove(key Key) bool {
 	known := b.streams[key]
-	return known != nil && known.saved && known.handed == 0 && !known.begun
+	if known == nil || !known.mayMove() || known.changed || known.moving {
+		return false
+	}
+	known.moving = true
+	return true
 }
 
-// MayMoveLater reports whether MayMove may be true once the store has acknowledged more writes.
+func (s *stream) mayMove() bool { return s.saved && s.handed == 0 && !s.begun }
+
+// MayMoveLater reports whether StartMove may be true once the store has acknowledged a write. Of
+// several writes that were handed out one after another, all but the last one have failed.
 func (b *Book) MayMoveLater(key Key) bool {
 	known := b.streams[key]
-	return known != nil && !known.begun
+	return known != nil && !known.begun && known.handed <= 1
 }
 
 // Moved records that the store has acknowledged a record for other software. It reports false
 // where a write of the former one may have been under way besides, as after a restore.
 func (b *Book) Moved(record *Record) bool {
-	if !b.MayMove(record.Key) {
+	known := b.streams[record.Key]
+	if known == nil || !known.moving {
 		return false
 	}
-	known := b.streams[record.Key]
-	known.software, known.attempts, known.changed = record.Software, record.Attempts, false
+	known.moving = false
+	if !known.mayMove() {
+		return false
+	}
+	known.software, known.attempts = record.Software, record.Attempts
 	return true
 }
 
+// MoveFailed records that it isn't known whether the store has taken a record for other software.
+func (b *Book) MoveFailed(key Key) {
+	if known := b.streams[key]; known != nil {
+		known.moving = false
+		known.handed++
+	}
+}
+
 // Begin records that an attempt of this process has brought a stream's first event, from software
 // that Send has returned. The other attempts have not begun the stream.
 func (b *Book) Begin(now time.Time, key Key, software Software, attempt Attempt) {
@@ -276,7 +297,7 @@
 			continue
 		}
 		kept = append(kept, key)
-		if known.software.Version == "" || !b.recorded(known.software.Service) || len(records) == most {
+		if known.software.Version == "" || known.moving || !b.recorded(known.software.Service) || len(records) == most {
 			continue
 		}
 		if !known.ended.IsZero() && now.Sub(known.ended) >= unfinished {
