Go on after replaced weights only if the answer stated those of the stream

It goes on only within the call that got the stream's first answer, and if that stated its weights; others refuse. A start that isn't stated is no same start, and a version with a space in it isn't one with weights.

TestStreamsGoOnByEntriesOfBothServers has the case without a statement, TestHasSoftware the names.

--- a/internal/serve/assembly/copies_version_test.go
+++ b/internal/serve/assembly/copies_version_test.go
@@ -96,18 +96,20 @@
 		born         time.Duration // the start that it states of the first server, from now; zero for that of its entry
 		unread       bool
 		whole        bool
+		stated       string // header of the first answer
 	}{
-		{"the same version", "v1", "v1", 0, false, true},
-		{"the first server has crashed", "", "v1", 0, false, true},
-		{"the other one has started again", "v1", "v2", 0, false, false},
-		{"the other one has gone", "v1", "", 0, false, false},
-		{"the first one had started again", "v2", "v1", -time.Second, false, false},
-		{"the first one had started again, by a clock that differs", "v2", "v1", time.Second / 2, false, false},
-		{"the first one has another version, of the same start", "v2", "v1", 0, false, false},
-		{"the first one has replaced its weights", "v1 m=2", "v1", 0, false, true},
-		{"the first one has replaced its weights and its software", "v2 m=2", "v1", 0, false, false},
-		{"the first one has started again since", "v2", "v1", time.Minute, false, true},
-		{"the store can't be read", "v2", "v2", 0, true, true},
+		{"the same version", "v1", "v1", 0, false, true, ""},
+		{"the first server has crashed", "", "v1", 0, false, true, ""},
+		{"the other one has started again", "v1", "v2", 0, false, false, ""},
+		{"the other one has gone", "v1", "", 0, false, false, ""},
+		{"the first one had started again", "v2", "v1", -time.Second, false, false, ""},
+		{"the first one had started again, by a clock that differs", "v2", "v1", time.Second / 2, false, false, ""},
+		{"the first one has another version, of the same start", "v2", "v1", 0, false, false, ""},
+		{"the first one has replaced its weights", "v1 m=2", "v1", 0, false, true, sample.Weights + ": 1"},
+		{"the first one has replaced its weights, and states none", "v1 m=2", "v1", 0, false, false, ""},
+		{"the first one has replaced its weights and its software", "v2 m=2", "v1", 0, false, false, sample.Weights + ": 1"},
+		{"the first one has started again since", "v2", "v1", time.Minute, false, true, ""},
+		{"the store can't be read", "v2", "v2", 0, true, true, ""},
 	}
 	for _, path := range []string{"/short/", "/long/"} {
 		for _, c := range cases {
@@ -116,6 +118,10 @@
 				d.configureWith(1, sample.Copied)
 				var began atomic.Value
 				began.Store("")
+				line := ""
+				if c.stated != "" {
+					line = "\r\n"
+				}
 				d.front.front.Verify = func(_ context.Context, server string) (chicoryrock.Server, error) {
 					listed := chicoryrock.Server{Version: c.other}
 					if server == began.Load() {
@@ -136,7 +142,7 @@
 				for _, id := range []string{"i-1", "i-2"} {
 					d.addMortal(id, func(w http.ResponseWriter, r *http.Request, crash func()) {
 						if began.CompareAndSwap("", r.Header.Get(sample.Server)) {
-							raw(broken, withFIN)(w, r)
+							raw(strings.Replace(broken, "\r\n", "\r\n"+c.stated+line, 1), withFIN)(w, r)
 							crash()
 							return
 						}
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -67,8 +67,8 @@
 		}
 	case chicoryrock.BuildFor(listed.Build(), c.request.Model) == c.origin.Version || attempt.Before(listed.StartedMs):
 		return true
-	case listed.StartedMs == attempt.StartedMs && listed.HasSoftware(c.origin.Version):
-		return true // it has replaced its weights since, and states in each answer which it has
+	case c.weights != "" && listed.StartedMs == attempt.StartedMs && listed.StartedMs != 0 && listed.HasSoftware(c.origin.Version):
+		return true // it has replaced its weights since its answer, which stated those that wrote the stream
 	default:
 		err = errRestarted
 	}
--- a/platform.go
+++ b/platform.go
@@ -175,7 +175,11 @@
 
 // HasSoftware reports whether a build is of the server's software, whatever its weights.
 func (s *Server) HasSoftware(build string) bool {
-	return build == s.Version || strings.HasPrefix(build, s.Version+" ")
+	if build == s.Version {
+		return true
+	}
+	weights, found := strings.CutPrefix(build, s.Version+" ")
+	return found && !strings.Contains(weights, " ") // which a version may hold, but no weights
 }
 
 // WeightsOf returns the version of a model's weights among those of a server (Server.Weights);
--- a/platform_test.go
+++ b/platform_test.go
@@ -28,3 +28,23 @@
 		require.Equal(t, c.want, chicoryrock.BuildFor(c.want, c.model), c)
 	}
 }
+
+// Weights are told from the rest of a version.
+func TestHasSoftware(t *testing.T) {
+	cases := []struct {
+		version, build string
+		want           bool
+	}{
+		{"v1", "v1", true},
+		{"v1", "v1 m=1,n=2", true},
+		{"v1", "v1 0f3a", true},
+		{"v1", "v1.2 m=1", false},
+		{"v1", "v1 rc m=1", false},
+		{"v1 rc", "v1 rc m=1", true},
+		{"v1", "", false},
+	}
+	for _, c := range cases {
+		server := chicoryrock.Server{Version: c.version}
+		require.Equal(t, c.want, server.HasSoftware(c.build), c)
+	}
+}
