Compare a recorded build by the model of the request that takes it up

The recorded build is reduced to the request's model as well.

TestRecordOfAllWeightsIsComparedByModel fails without it. The other way round stays refused (version-gone): the record has one model's weights.

--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -99,6 +99,29 @@
 	require.Equal(t, 200, rest.status)
 }
 
+// Guards against a stream that is refused as its record names the weights of all models.
+func TestRecordOfAllWeightsIsComparedByModel(t *testing.T) {
+	all := deployMany(t, 2)
+	all[0].configure(2, "k1")
+	for i, version := range []string{"v1", "v1", "v2"} {
+		b := all[0].addVersion(fmt.Sprintf("i-%d", i), version, versioned(version, 4, never))
+		entry := sample.EntryOf(b.service, b.address, "ready", version)
+		all[0].putRaw(b.id, strings.Replace(entry, "{", `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]},{"name":"n","version":1,"adapters":[]}],`, 1))
+	}
+	for _, d := range all {
+		d.settle(2, 3)
+	}
+	for n := range 4 {
+		id := fmt.Sprintf("b%d", n)
+		all[0].begin(id, 1) // names no model
+		request := all[1].ofModel("/long/", "t"+id)
+		request.Header.Set("Last-Event-Id", "1")
+		request.Header.Set(sample.Resumes, id)
+		rest := all[1].do(request)
+		require.Equal(t, http.StatusOK, rest.status, rest.body)
+	}
+}
+
 // Guards against requests that are refused as entries name weights that were replaced.
 func TestStreamsBeginThoughWeightsAreListedLate(t *testing.T) {
 	d := deploy(t)
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -41,7 +41,7 @@
 	if !c.route.HasService(record.Service) {
 		return &gate.RefusedError{Reason: chicoryrock.ReasonVersionGone}
 	}
-	c.origin = record.Software
+	c.origin = origin.Software{Service: record.Service, Version: chicoryrock.BuildFor(record.Version, c.request.Model)}
 	for i := range record.Attempts {
 		if !c.believes(&record.Attempts[i]) {
 			return &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
