Write the register before the mark of a stream whose weights have changed

And the mark held an event back for two writes one after another where the stream had been taken up.

The register is completed first, and the marks are one write. TestMixedStreamIsKnownToAllOnceItIsMarked fails without the first. TestStreamOfTwoWeightsIsNotTakenUp now has servers whose first entry states their weights, and the other front goes first: its register had two builds from the beginning.

--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -21,42 +24,66 @@
 	require.NoError(d.t, err)
 }
 
+// addListed adds an engine whose first entry states its weights, so that the register never has
+// its version without them.
+func (d *deployment) addListed(id string, answer http.HandlerFunc) *backend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(d.t, err)
+	b := &backend{id: id, service: "llm", answer: answer, runs: map[string]int{}, address: netip.MustParseAddrPort(listener.Addr().String())}
+	server := &http.Server{Handler: b}
+	go func() { _ = server.Serve(listener) }()
+	d.t.Cleanup(func() { _ = server.Close() })
+	d.putRaw(id, sample.WeightedOf(sample.EntryOf(b.service, b.address, "ready", "v1"), "m", 1))
+	return b
+}
+
+// replacing answers a stream within which the weights change and which then breaks off; what goes
+// on with one has the first weights.
+func replacing(w http.ResponseWriter, r *http.Request) {
+	from := 0
+	_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(sample.Seal, "s")
+	w.Header().Set(sample.Weights, "1")
+	if from > 0 {
+		for n := from + 1; n <= 4; n++ {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: 1\n\n", n)
+		}
+		return
+	}
+	_, _ = fmt.Fprint(w, "id: 1\ndata: 1\n\nweight-versions: 2\nid: 2\ndata: 2\n\n")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
 // Guards against a stream within which weights changed, and that goes on at the first ones.
 func TestStreamOfTwoWeightsIsNotTakenUp(t *testing.T) {
-	all := deployMany(t, 2)
-	all[0].configure(2, "k1")
-	for i := range 2 {
-		b := all[0].add(fmt.Sprintf("i-%d", i), "llm", func(w http.ResponseWriter, r *http.Request) {
-			from := 0
-			_, _ = fmt.Sscan(r.Header.Get("Last-Event-Id"), &from)
-			w.Header().Set("Content-Type", "text/event-stream")
-			w.Header().Set(sample.Seal, "s")
-			w.Header().Set(sample.Weights, "1")
-			if from > 0 {
-				for n := from + 1; n <= 4; n++ {
-					_, _ = fmt.Fprintf(w, "id: %d\ndata: 1\n\n", n)
-				}
-				return
+	for _, builds := range []int{2, 1, 1, 1, 1} { // that the register has
+		all := deployMany(t, 2)
+		all[0].configure(2, "k1")
+		for i := range 2 {
+			id := fmt.Sprintf("i-%d", i)
+			if builds == 1 {
+				all[0].addListed(id, replacing)
+				continue
+			}
+			b := all[0].add(id, "llm", replacing)
+			all[0].putRaw(b.id, sample.WeightedOf(sample.EntryOf(b.service, b.address, "ready", "v1"), "m", 1))
+		}
+		for _, d := range all {
+			d.settle(2, 2)
+		}
+		for n, d := range slices.Backward(all) { // first at the one that didn't begin it
+			first := all[0].do(all[0].ofModel("/long/", fmt.Sprintf("b%d", n)))
+			require.Error(t, first.err, first.body)
+			request := d.ofModel("/long/", fmt.Sprintf("t%d", n))
+			request.Header.Set("Last-Event-Id", "2")
+			request.Header.Set(sample.Resumes, fmt.Sprintf("b%d", n))
+			rest := d.do(request)
+			t.Logf("front %d: begun %q then %d %q", n, first.body, rest.status, rest.body)
+			if rest.status == http.StatusOK {
+				t.Errorf("front %d: taken up", n)
 			}
-			_, _ = fmt.Fprint(w, "id: 1\ndata: 1\n\nweight-versions: 2\nid: 2\ndata: 2\n\n")
-			_ = http.NewResponseController(w).Flush()
-			panic(http.ErrAbortHandler)
-		})
-		all[0].putRaw(b.id, sample.WeightedOf(sample.EntryOf(b.service, b.address, "ready", "v1"), "m", 1))
-	}
-	for _, d := range all {
-		d.settle(2, 2)
-	}
-	for n, d := range all {
-		first := all[0].do(all[0].ofModel("/long/", fmt.Sprintf("b%d", n)))
-		require.Error(t, first.err, first.body)
-		request := d.ofModel("/long/", fmt.Sprintf("t%d", n))
-		request.Header.Set("Last-Event-Id", "2")
-		request.Header.Set(sample.Resumes, fmt.Sprintf("b%d", n))
-		rest := d.do(request)
-		t.Logf("front %d: begun %q then %d %q", n, first.body, rest.status, rest.body)
-		if rest.status == http.StatusOK {
-			t.Errorf("front %d: taken up", n)
 		}
 	}
 }
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -176,12 +176,14 @@
 func (c *call) weightsChanged(weights string) {
 	c.mixed = true
 	c.front.Observe(time.Now(), startOf(c.replica), c.statedWeights(c.replica, weights))
-	if c.request.Resumable || c.takesUp() {
-		c.front.Origins.Mix(c.ctx, c.request.Workspace, c.ask.ID, c.origin)
-	}
-	if c.takesUp() {
-		c.front.Origins.Mix(c.ctx, c.request.Workspace, c.ask.Resumes, c.origin)
+	ids := []string{c.ask.ID}
+	switch {
+	case c.takesUp():
+		ids = append(ids, c.ask.Resumes)
+	case !c.request.Resumable:
+		return
 	}
+	c.front.Origins.Mix(c.ctx, c.request.Workspace, ids, c.origin)
 }
 
 // streamEnded records that the caller has got the whole stream.
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -196,18 +196,29 @@
 	o.book.Begin(now, origin.KeyOf(workspace, id), software, attempt)
 }
 
-// Mix records that the software which writes a stream has changed within it. It returns once the
-// store has the record, or can't be written in time; the record is written again later.
-func (o *Origins) Mix(ctx context.Context, workspace, id string, software origin.Software) {
-	if id == "" || software.Version == "" {
+// Mix records that the software which writes a stream has changed within it; the stream is known
+// by the IDs of several requests where it was taken up. It returns once the store has the records,
+// and the builds that servers have now, or can't be written in time; both are written again later.
+func (o *Origins) Mix(ctx context.Context, workspace string, ids []string, software origin.Software) {
+	if software.Version == "" {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
+	var records []origin.Record
 	o.mutex.Lock()
-	record := o.book.Mix(time.Now(), origin.KeyOf(workspace, id), software)
+	for _, id := range ids {
+		if id != "" {
+			records = append(records, o.book.Mix(time.Now(), origin.KeyOf(workspace, id), software))
+		}
+	}
 	o.mutex.Unlock()
-	if err := o.commit(ctx, []origin.Record{record}); err != nil {
+	// While the register has one build, nobody looks for a record.
+	err := o.complete(ctx)
+	if err == nil && len(records) > 0 {
+		err = o.commit(ctx, records)
+	}
+	if err != nil {
 		o.Log.Write(event.OriginUnsaved, zap.Int("failures", 1), zap.Error(err))
 	}
 }
--- a/internal/serve/origins/origins_test.go
+++ b/internal/serve/origins/origins_test.go
@@ -170,3 +170,31 @@
 	require.Equal(t, v2, found.Software)
 	require.Equal(t, []origin.Attempt{{Server: "c"}}, found.Attempts)
 }
+
+// Guards against a mark of changed weights that nobody reads, as the register has one build still.
+func TestMixedStreamIsKnownToAllOnceItIsMarked(t *testing.T) {
+	first := origin.Software{Service: "s", Version: "v1 m=1"}
+	process := func(store Store) *Origins {
+		o := New()
+		o.Store, o.Log, o.Members, o.Changed, o.Ask = store, event.NewNop(), func() int { return 3 }, func() {}, func(context.Context) {}
+		return o
+	}
+	store := &lateAnswers{Store: &memory.Store{}, slow: "none"}
+	o := process(store)
+	o.SetServers(time.Now(), []chicoryrock.Server{{Service: "s", Version: "v1", Weights: "m=1"}})
+	require.NoError(t, o.Write(t.Context()))
+	for _, id := range []string{"first", "taken up"} {
+		o.Send(time.Now(), "w", id, first, origin.Software{}, origin.Attempt{Server: "a"})
+		o.Begin(time.Now(), "w", id, first, origin.Attempt{Server: "a"})
+	}
+	other := process(store)
+	found, err := other.Find(t.Context(), "w", "first", "s", "m")
+	require.NoError(t, err)
+	require.Equal(t, first, found.Software)
+	o.SetServers(time.Now(), []chicoryrock.Server{{Service: "s", Version: "v1", Weights: "m=2"}}) // as the stream has said
+	o.Mix(t.Context(), "w", []string{"taken up", "first"}, first)
+	for _, id := range []string{"first", "taken up"} {
+		_, err = other.Find(t.Context(), "w", id, "s", "m")
+		require.ErrorIs(t, err, ErrUnknown, id)
+	}
+}
