Forget stated weights once the entry of their server has changed

The statement is dropped with the first list in which the entry differs.

TestStatedWeightsHoldUntilTheEntryChanges has the case and fails without the change.

--- a/internal/state/servers/servers.go
+++ b/internal/state/servers/servers.go
@@ -275,6 +275,7 @@
 func (l *List) Servers() []chicoryrock.Server {
 	list := make([]chicoryrock.Server, 0, len(l.servers))
 	for _, id := range slices.Sorted(maps.Keys(l.servers)) {
+		l.dropStatedWeights(l.servers[id])
 		list = append(list, l.View(l.servers[id].server))
 	}
 	return list
--- a/internal/state/servers/stated.go
+++ b/internal/state/servers/stated.go
@@ -102,6 +102,13 @@
 	}
 }
 
+// dropStatedWeights forgets what a server's answers said of its weights once its entry has changed.
+func (l *List) dropStatedWeights(e *entry) {
+	if known := l.stated[StartOf(&e.server)]; known != nil && known.listed != e.server.Weights {
+		known.weights = ""
+	}
+}
+
 // View returns a server as its entry and its own answers have it. What these say of its weights
 // counts until the entry states others than it did then.
 func (l *List) View(server chicoryrock.Server) chicoryrock.Server {
--- a/internal/state/servers/stated_test.go
+++ b/internal/state/servers/stated_test.go
@@ -134,6 +134,13 @@
 		{"a model that it isn't listed with", servers.Statement{Model: "o", Weights: "2"}, func(*servers.VersionedList) {}, servers.Resting, false, "m=1,n=1"},
 		{"its entry is written again", servers.Statement{Model: "m", Weights: "2"}, entry("m=1,n=1", 5), servers.Reweighted, true, "m=2,n=1"},
 		{"its entry follows", servers.Statement{Model: "m", Weights: "2"}, entry("m=3,n=1", 5), servers.Reweighted, true, "m=3,n=1"},
+		{"its entry follows and goes back", servers.Statement{Model: "m", Weights: "2"}, func(l *servers.VersionedList) {
+			entry("m=2,n=1", 5)(l)
+			l.Servers()
+			next := server
+			next.Heartbeat += 2
+			watched(l, 10, next, false)
+		}, servers.Reweighted, true, "m=1,n=1"},
 		{"its next start", servers.Statement{Model: "m", Weights: "2"}, entry("m=1,n=1", 6), servers.Reweighted, true, "m=1,n=1"},
 	}
 	for _, c := range cases {
