Don't wait long for an entry where the process has served the stream

A stream that broke off while the store doesn't answer went on only after the store's time-out, though the process needs no entry then: it goes on by what it knows itself. That is since the entries are read before a stream goes on; reading that of a take-up's server makes it two waits. The process that has served the stream waits 300 ms for each now.

TestStreamsGoOnByEntriesOfBothServers has a store that doesn't answer; the case ends without its stream otherwise.

--- a/internal/serve/assembly/copies_version_test.go
+++ b/internal/serve/assembly/copies_version_test.go
@@ -110,6 +110,7 @@
 		{"the first one has replaced its weights and its software", "v2 m=2", "v1", 0, false, false, sample.Weights + ": 1"},
 		{"the first one has started again since", "v2", "v1", time.Minute, false, true, ""},
 		{"the store can't be read", "v2", "v2", 0, true, true, ""},
+		{"the store doesn't answer", "hangs", "hangs", 0, false, true, ""},
 	}
 	for _, path := range []string{"/short/", "/long/"} {
 		for _, c := range cases {
@@ -122,7 +123,7 @@
 				if c.stated != "" {
 					line = "\r\n"
 				}
-				d.front.front.Verify = func(_ context.Context, server string) (chicoryrock.Server, error) {
+				d.front.front.Verify = func(ctx context.Context, server string) (chicoryrock.Server, error) {
 					listed := chicoryrock.Server{Version: c.other}
 					if server == began.Load() {
 						listed.Version, listed.Weights, _ = strings.Cut(c.first, " ")
@@ -132,6 +133,9 @@
 						}
 					}
 					switch {
+					case c.other == "hangs":
+						<-ctx.Done()
+						return listed, ctx.Err()
 					case c.unread:
 						return listed, chicoryrock.ErrUnavailable
 					case listed.Version == "":
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +16,9 @@
 	"github.com/chicoryrock/chicoryrock/platform"
 )
 
+// entryTimeout bounds the read of an entry by a process that can do without.
+const entryTimeout = 300 * time.Millisecond
+
 // errRestarted says that a server was listed late as another build.
 var errRestarted = errors.New("the server has started again as another build, and may have begun the stream")
 
@@ -57,7 +61,7 @@
 	if c.front.Verify == nil {
 		return true
 	}
-	listed, err := c.front.Verify(c.ctx, attempt.Server)
+	listed, err := c.listed(attempt.Server)
 	switch {
 	case errors.Is(err, chicoryrock.ErrNotFound):
 		return true
@@ -76,6 +80,18 @@
 	return false
 }
 
+// listed reads the entry of a backend server from the store. A process that has served the stream
+// itself doesn't wait long for it.
+func (c *call) listed(server string) (chicoryrock.Server, error) {
+	ctx := c.ctx
+	if c.began {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, entryTimeout)
+		defer cancel()
+	}
+	return c.front.Verify(ctx, server)
+}
+
 // attemptAt describes an attempt that is sent to a backend server.
 func attemptAt(sent time.Time, replica *chicoryrock.Replica) origin.Attempt {
 	return origin.Attempt{Server: replica.Name, StartedMs: replica.StartedMs, SentMs: sent.UnixMilli()}
@@ -91,7 +107,7 @@
 	if c.beganBy.Server != "" && c.beganBy.Server != replica.Name && !c.believes(&c.beganBy) {
 		return false, &gate.RefusedError{Reason: chicoryrock.ReasonVersionUnknown}
 	}
-	listed, err := c.front.Verify(c.ctx, replica.Name)
+	listed, err := c.listed(replica.Name)
 	switch {
 	case err == nil && chicoryrock.BuildFor(listed.Build(), c.request.Model) == c.request.Version:
 		return true, nil
