Remember the starts of servers for as long as streams may be taken up

An entry has only the latest start.

What was listed while a front was out of touch, or before it started, it doesn't know.

--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -232,34 +233,59 @@
 	<-turned
 }
 
-// Guards against streams of a server that has started again as another version than listed.
+// Guards against streams of a server that has started again as another version than listed, also
+// where it is listed with yet another start, or not any more, when they are taken up.
 func TestStreamsOfAServerThatIsListedLateAreNotJoined(t *testing.T) {
-	all := deployMany(t, 2)
-	all[0].configure(2, "k1")
-	fresh := all[0].addVersion("i-0", "v1", versioned("v2", 4, never)) // started again, its entry is late
-	all[0].addVersion("i-1", "v1", versioned("v1", 4, never))
-	all[0].addVersion("i-2", "v2", versioned("v2", 4, never))
-	for _, d := range all {
-		d.settle(2, 3)
-	}
-	for _, d := range all {
-		require.Eventually(t, func() bool {
-			return d.front.origins.MayBegin("llm", "v1") && d.front.origins.MayBegin("llm", "v2")
-		}, waitTime, time.Millisecond)
-	}
-	began := map[string]string{}
-	for n := range 8 {
-		id := fmt.Sprintf("s%d", n)
-		began[id] = all[0].begin(id, 1)
+	cases := []struct{ name, then string }{
+		{"listed still", "v2"},
+		{"gone", ""},
+		{"started again as the version that it was listed with", "v1"},
+		{"started again as the same version", "v2"},
 	}
-	entry := sample.EntryOf(fresh.service, fresh.address, "ready", "v2")
-	all[0].putRaw("i-0", strings.Replace(entry, `"born":5`, `"born":9`, 1))
-	time.Sleep(time.Second)
-	for id, first := range began {
-		rest := all[1].takeUp("t"+id, id, 1)
-		versions, _ := versionsOf(first + rest.body)
-		if len(versions) > 1 {
-			t.Errorf("%s joined: %q %q", id, first, rest.body)
-		}
+	for n, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			all := deployMany(t, 2)
+			all[0].configure(2, "k1")
+			var serves atomic.Value
+			serves.Store("v2") // started again, its entry is late
+			fresh := all[0].addVersion("i-0", "v1", func(w http.ResponseWriter, r *http.Request) {
+				versioned(serves.Load().(string), 4, never)(w, r)
+			})
+			all[0].addVersion("i-1", "v1", versioned("v1", 4, never))
+			all[0].addVersion("i-2", "v2", versioned("v2", 4, never))
+			for _, d := range all {
+				d.settle(2, 3)
+			}
+			for _, d := range all {
+				require.Eventually(t, func() bool {
+					return d.front.origins.MayBegin("llm", "v1") && d.front.origins.MayBegin("llm", "v2")
+				}, waitTime, time.Millisecond)
+			}
+			began := map[string]string{}
+			for n := range 8 {
+				id := fmt.Sprintf("s%d", n)
+				began[id] = all[0].begin(id, 1)
+			}
+			entry := sample.EntryOf(fresh.service, fresh.address, "ready", "v2")
+			all[0].putRaw("i-0", strings.Replace(entry, `"born":5`, `"born":9`, 1))
+			time.Sleep(time.Second)
+			switch {
+			case c.then == "":
+				_, err := all[0].store.Commit(t.Context(), []chicoryrock.Change{{Key: platform.ServerPrefix + "i-0", Delete: true, Unconditional: true}})
+				require.NoError(t, err)
+			case n > 0:
+				serves.Store(c.then)
+				later := fmt.Sprintf(`"born":%d`, time.Now().Add(2*time.Second).UnixMilli())
+				all[0].putRaw("i-0", strings.Replace(sample.EntryOf(fresh.service, fresh.address, "ready", c.then), `"born":5`, later, 1))
+			}
+			time.Sleep(500 * time.Millisecond)
+			for id, first := range began {
+				rest := all[1].takeUp("t"+id, id, 1)
+				versions, _ := versionsOf(first + rest.body)
+				if len(versions) > 1 {
+					t.Errorf("%s joined: %q %q", id, first, rest.body)
+				}
+			}
+		})
 	}
 }
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -35,6 +35,7 @@
 	"github.com/chicoryrock/chicoryrock/internal/serve/origins"
 	"github.com/chicoryrock/chicoryrock/internal/serve/upstream"
 	"github.com/chicoryrock/chicoryrock/internal/state/fleet"
+	"github.com/chicoryrock/chicoryrock/internal/state/origin"
 	"github.com/chicoryrock/chicoryrock/internal/state/routing"
 	"github.com/chicoryrock/chicoryrock/internal/state/servers"
 	"github.com/chicoryrock/chicoryrock/platform"
@@ -90,6 +91,7 @@
 	store   *platform.Store
 	mutex   sync.Mutex
 	servers servers.VersionedList
+	starts  servers.Starts
 	clock   billing.Clock
 	book    *billing.Book
 	needs   *demand.Counter
@@ -229,6 +231,7 @@
 func (p *Front) build() {
 	node := p.Node
 	p.origins = origins.New()
+	p.starts.Lifetime = origin.Retention
 	p.origins.Store, p.origins.Log = p.store, p.Log
 	p.origins.Members = func() int { return p.front.Members() }
 	p.origins.Changed, p.origins.Ask = p.republish, p.askSoftware
@@ -257,6 +260,7 @@
 		Sound:   p.parts.Sound,
 		Origins: p.origins,
 		Verify:  p.listedServer,
+		Starts:  p.listedStarts,
 		Observe: p.observeServer,
 	}
 	if node.Bill {
--- a/internal/serve/assembly/servers.go
+++ b/internal/serve/assembly/servers.go
@@ -143,6 +143,13 @@
 	return p.servers.View(read), nil
 }
 
+// listedStarts returns the starts of a backend server that were listed lately.
+func (p *Front) listedStarts(server string) []chicoryrock.Server {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.starts.Of(time.Now(), server)
+}
+
 func (p *Front) readServer(entry chicoryrock.KeyValue) (chicoryrock.Server, bool) {
 	server, err := platform.ReadServer(entry)
 	if err != nil {
@@ -168,6 +175,9 @@
 			p.Log.Write(told, zap.String("server", notice.Server.ID), zap.String("service", notice.Server.Service),
 				zap.Stringer("address", notice.Server.Address), zap.String("centre", notice.Server.Centre), zap.String("software", notice.Server.Build()))
 		}
+		if notice.Kind == servers.Added || notice.Kind == servers.Restarted {
+			p.starts.Note(time.Now(), notice.Server)
+		}
 		if notice.Kind == servers.Removed || notice.Kind == servers.Restarted {
 			p.front.Upstream.Forget(notice.Server.Address)
 		}
--- a/internal/serve/front/front.go
+++ b/internal/serve/front/front.go
@@ -90,6 +90,8 @@
 	// chicoryrock.ErrNotFound for a server that is gone, and those of the store. Nil where
 	// there is nothing to read.
 	Verify func(ctx context.Context, server string) (chicoryrock.Server, error)
+	// Starts returns the starts of a backend server that were listed lately; nil for none.
+	Starts func(server string) []chicoryrock.Server
 	// Origins knows which build began each stream.
 	Origins *origins.Origins
 	// Room is what callers may hold in memory, and how many connections they may have; nil
--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,7 +57,7 @@
 }
 
 // believes reports whether the server of an attempt had the build that began the stream: it is
-// listed with it, or the start that has another one can't have answered.
+// listed with it, or the starts that had another one can't have answered.
 func (c *call) believes(attempt *origin.Attempt) bool {
 	if c.front.Verify == nil {
 		return true
@@ -64,20 +65,37 @@
 	listed, err := c.listed(attempt.Server)
 	switch {
 	case errors.Is(err, chicoryrock.ErrNotFound):
-		return true
+		err = nil
 	case err != nil:
 		if c.began { // the store can't be read, but this process has served the stream
 			return true
 		}
 	case chicoryrock.BuildFor(listed.Build(), c.request.Model) == c.origin.Version || attempt.Before(listed.StartedMs):
-		return true
 	case c.weights != "" && listed.StartedMs == attempt.StartedMs && listed.StartedMs != 0 && listed.HasSoftware(c.origin.Version):
-		return true // it has replaced its weights since its answer, which stated those that wrote the stream
+		// It has replaced its weights since its answer, which stated those that wrote the stream.
 	default:
 		err = errRestarted
 	}
-	c.front.Log.Write(event.OriginUnread, zap.String("ref", c.ask.ID), zap.String("key", attempt.Server), event.Cause(err))
-	return false
+	if err == nil && c.startedBetween(attempt) {
+		err = errRestarted
+	}
+	if err != nil {
+		c.front.Log.Write(event.OriginUnread, zap.String("ref", c.ask.ID), zap.String("key", attempt.Server), event.Cause(err))
+	}
+	return err == nil
+}
+
+// startedBetween reports whether a server was listed lately with another build than the stream's,
+// of a start after the one known at an attempt that may have answered it. Its entry has only its
+// latest start.
+func (c *call) startedBetween(attempt *origin.Attempt) bool {
+	if c.front.Starts == nil {
+		return false
+	}
+	return slices.ContainsFunc(c.front.Starts(attempt.Server), func(start chicoryrock.Server) bool {
+		return start.StartedMs > attempt.StartedMs && !attempt.Before(start.StartedMs) &&
+			chicoryrock.BuildFor(start.Build(), c.request.Model) != c.origin.Version
+	})
 }
 
 // listed reads the entry of a backend server from the store. A process that has served the stream
