Seal no window anew that may be sealed in what the store has lost

A new front found no seal, sealed what was left and reported that. Neither the store nor any process knew then that the window had been sealed.

So a window is sealed only by who knows that it wasn't before. A front reads all seals once and is told of later ones. If it lives through a return without a pause, it writes the seals it knows, tries again until that succeeds, and then writes a mark for the era. One that finds no mark leaves out windows that had ended when it first heard of the era and whose sum it doesn't know (event 606), until one that knows more lowers the mark.

Lost is a window that ended before the return, if nobody who knew lives to write the mark. Nothing is left out where one does.

--- a/internal/ops/event/catalogue.go
+++ b/internal/ops/event/catalogue.go
@@ -86,5 +86,6 @@
 	UsageSealed    = Event{603, zapcore.InfoLevel, "usage window sealed"}
 	UsageSent      = Event{604, zapcore.InfoLevel, "usage window reported"}
 	UsageCounted   = Event{605, zapcore.InfoLevel, "usage counts written"}
+	UsageUnsure    = Event{606, zapcore.WarnLevel, "usage window not sealed again"}
 	UsageFailed    = Event{602, zapcore.WarnLevel, "usage could not be sealed or reported"}
 )
--- a/internal/serve/assembly/front.go
+++ b/internal/serve/assembly/front.go
@@ -178,6 +178,8 @@
 	}
 	if node.Bill {
 		keep(background, "counts", p.book.Run)
+		keep(background, "seals", p.usage.Follow)
+		keep(background, "pauses", p.usage.Attend)
 		keep(ctx, "duty "+dutyUsage, p.hold(p.reporter(process)).Run)
 	}
 	if node.Scale {
@@ -328,6 +330,7 @@
 		Alive:     p.peers.alive,
 		Sent:      p.metrics.Window,
 		Share:     p.shareSeal,
+		Told:      p.toldSeals,
 		Era:       p.store.Era,
 		Unwritten: p.book.Unwritten,
 	}
--- a/internal/serve/assembly/relays.go
+++ b/internal/serve/assembly/relays.go
@@ -106,6 +106,13 @@
 	group.Wait()
 }
 
+// toldSeals says whether others tell this process what usage windows were sealed with: it is
+// among the first that live, also when the one that tells is left out.
+func (p *Front) toldSeals(now time.Time) bool {
+	alive := p.peers.alive(now)
+	return p.settled(now) && slices.Contains(alive[:min(len(alive), sealKeepers)], p.peers.process)
+}
+
 // lives says whether another process was heard of late.
 func (p *Front) lives(now time.Time, process string) bool {
 	return slices.Contains(p.peers.alive(now), process)
--- a/internal/serve/billing/billing.go
+++ b/internal/serve/billing/billing.go
@@ -50,8 +50,6 @@
 	callTimeout = 1500 * time.Millisecond
 	// backlog is how many windows back a new holder looks for unsent ones.
 	backlog = 6
-	// keptSeals is how many windows back a process remembers what it has sealed.
-	keptSeals = 2 * backlog
 	// rewriteTime is how long after the store's return from a copy nothing is sealed: the
 	// processes write their counts again meanwhile.
 	rewriteTime = 2 * time.Second
@@ -298,10 +296,15 @@
 	// never. It is known before Restored is called.
 	Era func() uint64
 
+	// Told says whether other processes tell this one what they seal; nil for always.
+	Told func(now time.Time) bool
+
+	seals     seals
+	following sync.Mutex // held while seals are written or read
+
 	mutex    sync.Mutex
-	era      uint64                 // of the last call of Restored
-	sealed   map[int64]tally.Counts // what the last windows were sealed with, as far as known
-	restored time.Time              // when the store last came back from a copy
+	era      uint64    // of the last call of Restored
+	restored time.Time // when the store last came back from a copy
 
 	alive []string
 	came  time.Time            // when a process last came
@@ -316,36 +319,36 @@
 	if r.Era != nil {
 		r.era = r.Era()
 	}
-	sealed := maps.Clone(r.sealed)
 	r.mutex.Unlock()
-	for number, counts := range sealed {
-		if _, err := tally.SealWith(ctx, r.Store, number, counts); err != nil {
-			r.Log.Write(event.UsageFailed, zap.Int64("window", number), zap.Error(err))
-		}
-	}
+	r.keepUp(ctx, now)
 }
 
-// rewritten says whether the processes have had time to write again what the store has lost.
+// rewritten says whether the processes have had time to write again what the store has lost,
+// and it is known of which windows it may lack seals.
 func (r *Reporter) rewritten(now time.Time) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.current() && (r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime)
+	if r.Era == nil {
+		return r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime
+	}
+	era := r.Era()
+	return era == r.era && r.seals.valid(era) && (r.restored.IsZero() || now.Sub(r.restored) >= rewriteTime)
 }
 
-// current says whether Restored has been called since the store last came back from a copy.
-// The lock is held.
-func (r *Reporter) current() bool { return r.Era == nil || r.Era() == r.era }
-
-// seal seals a window, with the same sum as before if it is known to have been sealed.
+// seal seals a window, with the same sum as before if it is known to have been sealed, and tells
+// others, who may not know of a seal that this process has read from the store.
 func (r *Reporter) seal(ctx context.Context, number int64, required tally.RequiredCounts) (tally.Counts, error) {
-	r.mutex.Lock()
-	known, found := r.sealed[number]
-	r.mutex.Unlock()
+	counts, found, unsure := r.seals.known(number)
+	if unsure {
+		return nil, errMayBeSealed
+	}
+	var err error
 	if found {
-		return tally.SealWith(ctx, r.Store, number, known)
+		counts, err = tally.SealWith(ctx, r.Store, number, counts)
+	} else {
+		required.Current = func() bool { return r.rewritten(time.Now()) }
+		counts, err = tally.Seal(ctx, r.Store, number, required)
 	}
-	required.Current = func() bool { return r.rewritten(time.Now()) }
-	counts, err := tally.Seal(ctx, r.Store, number, required)
 	if err != nil {
 		return nil, err
 	}
@@ -357,17 +360,7 @@
 }
 
 // Hear takes in what a window was sealed with, here or by another process.
-func (r *Reporter) Hear(number int64, counts tally.Counts) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if r.sealed == nil {
-		r.sealed = make(map[int64]tally.Counts)
-	}
-	if _, known := r.sealed[number]; !known {
-		r.sealed[number] = counts
-	}
-	maps.DeleteFunc(r.sealed, func(old int64, _ tally.Counts) bool { return old < number-keptSeals })
-}
+func (r *Reporter) Hear(number int64, counts tally.Counts) { r.seals.hear(number, counts) }
 
 // Work is the duty's work.
 func (r *Reporter) Work(ctx context.Context, grant duty.Grant) {
@@ -377,9 +370,11 @@
 		pause.For(ctx, workInterval)
 		sent, err = tally.Reported(ctx, r.Store)
 	}
+	unsure := make(map[int64]bool)
 	for ctx.Err() == nil {
 		now := time.Now()
 		r.look(now)
+		r.keepUp(ctx, now)
 		if !r.rewritten(now) {
 			pause.For(ctx, workInterval)
 			continue
@@ -393,6 +388,14 @@
 			if errors.Is(err, tally.ErrCountsMissing) {
 				break
 			}
+			if errors.Is(err, errMayBeSealed) {
+				// A process that knows of its seal may still write it again.
+				if !unsure[number] {
+					r.Log.Write(event.UsageUnsure, zap.Int64("window", number), zap.Error(err))
+				}
+				unsure[number] = true
+				continue
+			}
 			if err != nil {
 				r.Log.Write(event.UsageFailed, zap.Int64("window", number), zap.Uint64("fence", grant.Fence), zap.Error(err))
 				if errors.Is(err, chicoryrock.ErrFenced) {
--- a/internal/serve/billing/restored_test.go
+++ b/internal/serve/billing/restored_test.go
@@ -62,8 +62,9 @@
 	write(`{}`)
 	server.Copy()
 	write(`{"w1":5}`)
+	reporter := &Reporter{Length: time.Second, Store: client, Log: event.NewNop(), Clock: &Clock{}, Era: client.Era}
+	reporter.keepUp(t.Context(), time.Now())
 	server.Restore()
-	reporter := &Reporter{Store: client, Log: event.NewNop(), Era: client.Era}
 	required := tally.RequiredCounts{Alive: []string{"a"}}
 	_, err := reporter.seal(t.Context(), 7, required)
 	require.ErrorIs(t, err, tally.ErrCountsMissing)
--- a/internal/state/tally/tally_test.go
+++ b/internal/state/tally/tally_test.go
@@ -205,3 +205,36 @@
 	require.NoError(t, err)
 	require.Equal(t, Counts{"w1": 2}, sum)
 }
+
+// Of two processes that know the seals from different windows on, the mark names the earlier
+// window, whoever writes first, and whatever happens between one's read and its write.
+func TestMarkNamesTheEarliestWindow(t *testing.T) {
+	store := &memory.Store{}
+	mark := func(era uint64, window int64) int64 {
+		first, err := Mark(t.Context(), store, era, window)
+		require.NoError(t, err)
+		return first
+	}
+	require.EqualValues(t, 9, mark(1, 9))
+	require.EqualValues(t, 9, mark(1, 12))
+	require.EqualValues(t, 4, mark(1, 4))
+	require.EqualValues(t, 4, mark(1, 9))
+	require.EqualValues(t, 12, mark(2, 12), "each era has a mark of its own")
+	store.BeforePut = func() { require.EqualValues(t, 5, mark(3, 5)) }
+	require.EqualValues(t, 5, mark(3, 7))
+	store.BeforePut = func() { require.EqualValues(t, 6, mark(4, 6)) }
+	require.EqualValues(t, 2, mark(4, 2))
+	store.Down = true
+	_, err := Mark(t.Context(), store, 5, 1)
+	require.ErrorIs(t, err, chicoryrock.ErrUnavailable)
+}
+
+func TestListedSealsAreThoseOfWindows(t *testing.T) {
+	store := &memory.Store{}
+	_, err := SealWith(t.Context(), store, 7, Counts{"w1": 2})
+	require.NoError(t, err)
+	require.NoError(t, MarkReported(t.Context(), store, 7))
+	sums, err := ListSeals(t.Context(), store)
+	require.NoError(t, err)
+	require.Equal(t, map[int64]Counts{7: {"w1": 2}}, sums)
+}
