--- a/internal/state/servers/starts.go
+++ b/internal/state/servers/starts.go
@@ -29,7 +29,8 @@
 		s.servers = make(map[string][]listedStart)
 	}
 	s.prune(now)
-	starts := append(s.servers[server.ID], listedStart{server, now})
+	starts := s.servers[server.ID]
+	starts = append(starts, listedStart{server, now})
 	s.servers[server.ID] = starts[max(len(starts)-startsKept, 0):]
 }
 
