Let a later complete list overrule what has been told of a removal

Change: a known removal counts against lists of earlier versions only. The store can't have an entry at a version if it had gone before, unless it was written anew; so of two such statements the later, complete one is right, as forgetDepartures has it already for what the list remembers of departures. A server that has lapsed here stays away as before, by its departure.

Tests: TestWrongRemovalIsRepairedByTheNextCompleteList, and wrong removals in TestMissedUpdatesAreRepaired: both fail without the change. That the list is wrong is now looked at under the lock, as the repair may begin after it.

--- a/internal/serve/assembly/servers_test.go
+++ b/internal/serve/assembly/servers_test.go
@@ -24,7 +24,11 @@
 	// An answer to a watch that tells of a removal stands for any update that went wrong.
 	front := all[1].front
 	front.mutex.Lock()
-	revision, _ := all[0].store.Commit(t.Context(), []chicoryrock.Change{{Key: "other", Value: []byte("1"), Unconditional: true}})
+	writeOther := func() uint64 {
+		revision, _ := all[0].store.Commit(t.Context(), []chicoryrock.Change{{Key: "other", Value: []byte("1"), Unconditional: true}})
+		return revision
+	}
+	revision := writeOther()
 	// The first front would take the removal over if it were behind.
 	require.Eventually(t, func() bool {
 		all[0].front.mutex.Lock()
@@ -34,8 +38,15 @@
 	gone := servers.Update{Version: servers.VersionOf(revision), Server: chicoryrock.Server{ID: "i-1"}, Removed: true}
 	notices, _ := front.servers.ApplyWatch(time.Now(), 0, revision, []servers.Update{gone})
 	front.publish(notices)
+	listed := front.front.Gate.Address("llm", "i-1") // the repair may begin once the lock is free
 	front.mutex.Unlock()
-	require.Equal(t, netip.AddrPort{}, front.front.Gate.Address("llm", "i-1"))
+	require.Equal(t, netip.AddrPort{}, listed)
 	all[0].put(platform.ServerPrefix+"odd", "no entry") // the first front hears of a later revision
-	require.Eventually(t, func() bool { return front.front.Gate.Address("llm", "i-1").IsValid() }, waitTime, time.Millisecond)
+	// As others write to the store, a front that reads it again states a revision that the other
+	// one hasn't heard of, and which that one takes over.
+	require.Eventually(t, func() bool {
+		writeOther()
+		return front.front.Gate.Address("llm", "i-1").IsValid()
+	}, waitTime, time.Millisecond)
+	require.True(t, all[0].front.front.Gate.Address("llm", "i-1").IsValid())
 }
--- a/internal/state/servers/repair_test.go
+++ b/internal/state/servers/repair_test.go
@@ -44,6 +44,16 @@
 	m.revision = e.store.revision()
 }
 
+// watchWrongRemoval is watch with the removal of a server that nobody has removed.
+func (e *exchange) watchWrongRemoval(m *member, id string) {
+	e.store.number++ // of another key
+	e.store.commit()
+	changes, _ := e.store.changedAfter(m.revision)
+	changes = append(changes, Update{Version: VersionOf(e.store.revision()), Server: chicoryrock.Server{ID: id}, Removed: true})
+	m.list.ApplyWatch(e.now, m.revision, e.store.revision(), changes)
+	m.revision = e.store.revision()
+}
+
 // report has a front tell the others of its list.
 func (e *exchange) report(i int) {
 	if summary, exact := e.members[i].list.Summary(); exact {
@@ -112,10 +122,10 @@
 	}
 }
 
-// Watches skip changes in silence, reports are lost, and the store may answer some of the
-// fronts or none. The first front misses nothing while the store answers: what all have missed
-// no comparison can show. From the last fault on, all lists are the same after the longest pause
-// between two repairs and two seconds more.
+// Watches skip changes in silence or tell of removals that never happened, reports are lost, and
+// the store may answer some of the fronts or none. The first front hears all and nothing wrong
+// while the store answers: what all have missed no comparison can show. From the last fault on,
+// all lists are the same after the longest pause between two repairs and two seconds more.
 func TestMissedUpdatesAreRepaired(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		fronts := rapid.IntRange(2, 8).Draw(t, "fronts")
@@ -129,6 +139,11 @@
 				i := draw()
 				e.watch(e.members[i], (i > 0 || e.watchers == 0) && rapid.Bool().Draw(t, "skips"))
 			},
+			"wrong removal": func(*rapid.T) {
+				if i := draw(); i > 0 || e.watchers == 0 {
+					e.watchWrongRemoval(e.members[i], id())
+				}
+			},
 			"report": func(*rapid.T) { e.report(draw()) },
 			"round":  func(*rapid.T) { e.round() },
 		})
--- a/internal/state/servers/versioned.go
+++ b/internal/state/servers/versioned.go
@@ -303,13 +303,14 @@
 }
 
 // credible returns the servers of a list of a version, without those whose entries are known
-// to have gone after they were written, and those that were written after that version and
-// not after this list's: this list knows what has become of them.
+// to have gone later, and those that were written after that version and not after this
+// list's: this list knows what has become of them. An entry that a later list still holds has
+// not gone: what told of that was wrong.
 func (l *VersionedList) credible(version Version, servers []Written) []Written {
 	known := l.newest()
 	return slices.DeleteFunc(slices.Clone(servers), func(w Written) bool {
 		own, found := known[w.Server.ID]
-		gone := found && (own.Removed || own.Lapsed) && w.Version < own.Version
+		gone := found && (own.Removed || own.Lapsed) && max(version, w.Version) < own.Version
 		return gone || version < w.Version && w.Version <= l.version
 	})
 }
