Pass on the gaps in the history of the server list with its updates

Cause: a process that reads the same servers as before notes a gap in its history, as it hasn't followed what came and went in between. A peer at the earlier version took its later version over by a delta without updates, and without the gap. It then answered a third process, which had seen a server come within the gap, that nothing has changed. The same came of a delta for a process that got into the gap while the delta was on its way.

Change: deltas name the gaps in their time. A list takes them over with the version, and takes in no delta while it is within one of the gaps: the next call gets the full list. Former builds leave the field out and, by reading, ignore it.

Measured: TestGapsInHistoryArePassedOn fails without the change.

--- a/internal/state/servers/versioned.go
+++ b/internal/state/servers/versioned.go
@@ -61,6 +61,7 @@
 	Lapsed     []string             `json:"lapsed,omitempty"`  // IDs of lapsed servers among Servers
 	Outdated   []OutdatedEntry      `json:"outdated,omitempty"`
 	Updates    []Update             `json:"updates,omitempty"`
+	Gaps       []Gap                `json:"gaps,omitempty"` // in the time of Updates
 }
 
 // OutdatedEntry is an entry that the store has in the copy that it has come back from,
@@ -86,7 +87,7 @@
 	updates      []recorded
 	historyStart Version // updates holds all changes after this version, except within gaps
 	startSum     uint64  // digest of the entries at historyStart
-	gaps         []gap
+	gaps         []Gap
 	repair       repair
 }
 
@@ -97,9 +98,15 @@
 	sum uint64
 }
 
-// gap is a part of the history in which changes were not followed. The list was the
+// Gap is a part of the history in which changes were not followed. The list was the
 // same at both ends.
-type gap struct{ from, to Version }
+type Gap struct {
+	From Version `json:"after"`
+	To   Version `json:"through"`
+}
+
+// holds reports whether a version is between the ends of the gap.
+func (g Gap) holds(version Version) bool { return g.From < version && version < g.To }
 
 // maxGaps is how many gaps are kept before the history is reset.
 const maxGaps = 64
@@ -188,7 +195,7 @@
 		l.version = previous.withLocalChange()
 	}
 	if unchanged && !repairs && previous > 0 && version.era() == previous.era() && len(l.gaps) < maxGaps {
-		l.gaps = append(l.gaps, gap{previous, l.version})
+		l.gaps = append(l.gaps, Gap{previous, l.version})
 	} else {
 		l.resetHistory(l.version)
 	}
@@ -221,6 +228,11 @@
 			delta.Updates = append(delta.Updates, update.Update)
 		}
 	}
+	for _, gap := range l.gaps {
+		if gap.From >= since {
+			delta.Gaps = append(delta.Gaps, gap)
+		}
+	}
 	return delta
 }
 
@@ -250,13 +262,15 @@
 // covers reports whether the updates hold all changes after a version. Version 0 is that of
 // a list that has been told nothing.
 func (l *VersionedList) covers(since Version) bool {
-	return since > 0 && since >= l.historyStart && !slices.ContainsFunc(l.gaps, func(g gap) bool { return g.from < since && since < g.to })
+	return since > 0 && since >= l.historyStart && !slices.ContainsFunc(l.gaps, func(g Gap) bool { return g.holds(since) })
 }
 
 // ApplyDelta applies a delta that another process has returned for a version, and reports
-// whether it was newer than the list.
+// whether it was newer than the list. Where the list has come into a gap meanwhile, the delta
+// doesn't lead on from it.
 func (l *VersionedList) ApplyDelta(now time.Time, since Version, delta *Delta) ([]Change, bool) {
-	if delta.Version <= l.version || !delta.Full && since > l.version {
+	inGap := slices.ContainsFunc(delta.Gaps, func(g Gap) bool { return g.holds(l.version) })
+	if delta.Version <= l.version || !delta.Full && since > l.version || inGap {
 		return nil, false
 	}
 	var changes []Change
@@ -272,8 +286,17 @@
 			changes = append(changes, change)
 		}
 	}
+	previous := l.version
 	l.version = delta.Version
 	l.lastChange = max(l.lastChange, delta.LastChange)
+	for _, gap := range delta.Gaps {
+		if gap.From >= previous {
+			l.gaps = append(l.gaps, gap)
+		}
+	}
+	if len(l.gaps) > maxGaps {
+		l.resetHistory(l.version)
+	}
 	return changes, true
 }
 
--- a/internal/state/servers/versioned_test.go
+++ b/internal/state/servers/versioned_test.go
@@ -323,6 +323,29 @@
 	require.Len(t, from.updates, maxUpdates)
 }
 
+// A read that shows the same servers as the one before says nothing of the time in between. A
+// process that has taken the later version from the reader knows no more of it, and one that
+// has reached a version in between isn't brought up to date by what changed for the reader.
+func TestGapsInHistoryArePassedOn(t *testing.T) {
+	server := chicoryrock.Server{ID: "a", StartedMs: 5}
+	between := chicoryrock.Server{ID: "b", StartedMs: 5}
+	var reader, peer, late VersionedList
+	for _, list := range []*VersionedList{&reader, &peer, &late} {
+		list.ApplyFullRead(start, 10, []Written{{server, VersionOf(9)}})
+	}
+	since := late.Version()
+	reader.ApplyFullRead(start, 14, []Written{{server, VersionOf(9)}}) // b came at 11 and went at 13
+	early := reader.DeltaSince(since)
+	put(&late, 11, between)
+	_, newer := late.ApplyDelta(start, since, &early)
+	require.False(t, newer)
+	_, newer = pass(start, &reader, &peer)
+	require.True(t, newer)
+	_, newer = pass(start, &peer, &late)
+	require.True(t, newer)
+	require.Equal(t, []chicoryrock.Server{server}, late.Servers())
+}
+
 // If a watch silently skips a change, its process advances to a version without it.
 // A later full read shows the change, and peers at that version must get it too.
 func TestFullReadRepairsSilentWatch(t *testing.T) {
