Sort servers into pools by the newest configuration and list, not by the order of calls

Cause: ConfigChanged took the roster's list before it sorted that into the pools, and ServersChanged the table. They run beside each other. At a start, ConfigChanged may have seen no list yet, and may sort after ServersChanged has sorted the first list: then the pools are empty and the entry counts as not ready until the list changes, which may be never. Likewise servers could be sorted by the configuration before.

Change: place reads both itself, one call at a time. Both are stored before their calls, so that the last call has the newest of both.

--- a/internal/serve/assembly/entry.go
+++ b/internal/serve/assembly/entry.go
@@ -159,7 +159,7 @@
 // serversChanged takes in a list of VMs as it was read.
 func (p *Entry) serversChanged(vms []chicoryrock.VM) {
 	p.exchange.ServersChanged(vms)
-	p.entry.ServersChanged(vms)
+	p.entry.ServersChanged()
 }
 
 func (p *Entry) newRoster() *roster.Roster {
--- a/internal/serve/entry/entry.go
+++ b/internal/serve/entry/entry.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,7 +17,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/ops/settings"
 	"github.com/chicoryrock/chicoryrock/internal/policy/demand"
@@ -58,6 +58,7 @@
 	retrier  retrier
 	agents   httpc.Service
 	draining atomic.Bool
+	placing  sync.Mutex
 	placed   atomic.Bool // a list of VMs has been sorted into the pools
 }
 
@@ -132,8 +133,8 @@
 // Placed says whether the entry knows a list of backend servers.
 func (e *Entry) Placed() bool { return e.placed.Load() }
 
-// ServersChanged takes in a list of VMs.
-func (e *Entry) ServersChanged(vms []chicoryrock.VM) { e.place(e.Tables.Table(), vms) }
+// ServersChanged takes in the roster's list of VMs.
+func (e *Entry) ServersChanged() { e.place() }
 
 // ConfigChanged takes in a configuration: calls whose key it no longer has are
 // ended, and the list of VMs is sorted into its pools.
@@ -142,10 +143,15 @@
 	e.Limits.update(time.Now(), table)
 	e.calls.withdraw(table)
 	e.Observer.configured(table)
-	e.place(table, e.Roster.VMs())
+	e.place()
 }
 
-func (e *Entry) place(table *object.Table, vms []chicoryrock.VM) {
+// place sorts the VMs into the pools. Configurations and lists come in beside each other: the
+// last to get here must know both.
+func (e *Entry) place() {
+	e.placing.Lock()
+	defer e.placing.Unlock()
+	table, vms := e.Tables.Table(), e.Roster.VMs()
 	if table == nil {
 		return
 	}
