Don't wait for a record's move where a write of it is lost

Read through once more: a request whose record has a write that failed waited up to 0.6 s for a move that could not come, holding its place at the server; Moved after a failed move was kept apart by a second state that nothing needed; and the first event trusted that the one attempt in the record was its own, which held only as hedges are noted too.

A lost write is remembered, so that nobody waits for its acknowledgement. A move that isn't acknowledged leaves the record as moving, and MoveFailed goes: the request has been refused. The first event puts its own attempt into the record unless the only one there was sent to the same start. What is known of a start is asked in one place (Attempt.SentTo, Before).

--- a/internal/serve/front/origin.go
+++ b/internal/serve/front/origin.go
@@ -71,7 +71,7 @@
 			return true
 		}
 	case chicoryrock.BuildFor(listed.Build(), c.request.Model) == c.origin.Version || attempt.Before(listed.StartedMs):
-	case c.weights != "" && listed.StartedMs == attempt.StartedMs && listed.StartedMs != 0 && listed.HasSoftware(c.origin.Version):
+	case c.weights != "" && attempt.SentTo(listed.StartedMs) && listed.HasSoftware(c.origin.Version):
 		// It has replaced its weights since its answer, which stated those that wrote the stream.
 	default:
 		err = errRestarted
--- a/internal/serve/origins/origins.go
+++ b/internal/serve/origins/origins.go
@@ -147,13 +147,11 @@
 	if software.Version == "" || !o.startMove(ctx, record.Key) {
 		return errors.WithStack(ErrUnknown)
 	}
-	err := o.commit(ctx, []origin.Record{record})
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	if err != nil {
-		o.book.MoveFailed(record.Key)
+	if err := o.commit(ctx, []origin.Record{record}); err != nil {
 		return errors.Wrap(ErrUnknown, err.Error())
 	}
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
 	if !o.book.Moved(&record) {
 		return errors.WithStack(ErrUnknown)
 	}
--- a/internal/state/origin/origin.go
+++ b/internal/state/origin/origin.go
@@ -67,6 +67,15 @@
 	return startedMs > a.SentMs+clockTolerance.Milliseconds()
 }
 
+// SentTo reports whether the attempt was sent to a start of its server, as far as it was listed;
+// false if that isn't known.
+func (a *Attempt) SentTo(startedMs int64) bool { return startedMs != 0 && startedMs == a.StartedMs }
+
+// sameStart reports whether two attempts were sent to the same start of a server.
+func (a *Attempt) sameStart(other *Attempt) bool {
+	return a.Server == other.Server && a.StartedMs == other.StartedMs
+}
+
 // stream is what is known of one stream.
 type stream struct {
 	software Software
@@ -77,6 +86,7 @@
 	fixed    bool      // others may know its software: from its record, or by its first event
 	saved    bool      // the store has it
 	handed   int       // writes that were handed out and not acknowledged
+	lost     bool      // one of these never will be
 	begun    bool      // its first event has come
 	mixed    bool      // its software has changed within it
 	queued   bool      // it stands in Book.unsaved
@@ -132,7 +142,7 @@
 	known := b.streams[key]
 	switch {
 	case known == nil && before.Version != "":
-		b.add(now, key, &stream{software: before, began: now, fixed: true, handed: 1})
+		b.add(now, key, &stream{software: before, began: now, fixed: true, handed: 1, lost: true})
 		b.queue(key)
 		return before
 	case known == nil && software.Version != "":
@@ -150,7 +160,7 @@
 
 // StartMove reports whether the record of a request whose stream has not begun may be written
 // anew, for other software: the store has acknowledged all writes of it. None is handed out
-// until Moved or MoveFailed.
+// until Moved; where the store doesn't acknowledge the move, none ever is.
 func (b *Book) StartMove(key Key) bool {
 	known := b.streams[key]
 	if known == nil || !known.mayMove() || known.changed || known.moving {
@@ -162,11 +172,10 @@
 
 func (s *stream) mayMove() bool { return s.saved && s.handed == 0 && !s.begun }
 
-// MayMoveLater reports whether StartMove may be true once the store has acknowledged a write. Of
-// several writes that were handed out one after another, all but the last one have failed.
+// MayMoveLater reports whether StartMove may be true once the store has acknowledged a write.
 func (b *Book) MayMoveLater(key Key) bool {
 	known := b.streams[key]
-	return known != nil && !known.begun && known.handed <= 1
+	return known != nil && !known.begun && !known.lost && !known.moving
 }
 
 // Moved records that the store has acknowledged a record for other software. It reports false
@@ -184,14 +193,6 @@
 	return true
 }
 
-// MoveFailed records that it isn't known whether the store has taken a record for other software.
-func (b *Book) MoveFailed(key Key) {
-	if known := b.streams[key]; known != nil {
-		known.moving = false
-		known.handed++
-	}
-}
-
 // Begin records that an attempt of this process has brought a stream's first event, from software
 // that Send has returned. The other attempts have not begun the stream.
 func (b *Book) Begin(now time.Time, key Key, software Software, attempt Attempt) {
@@ -201,7 +202,7 @@
 		return
 	}
 	known.fixed, known.begun = true, true
-	if len(known.attempts) != 1 {
+	if len(known.attempts) != 1 || !known.attempts[0].sameStart(&attempt) {
 		known.attempts = []Attempt{attempt}
 		b.change(key, known)
 	}
@@ -308,6 +309,7 @@
 		}
 		known.fixed = true
 		known.saved, known.changed = false, false
+		known.lost = known.lost || known.handed > 0 // records are written one batch after another
 		known.handed++
 		records = append(records, known.record(key))
 	}
--- a/internal/state/origin/register_test.go
+++ b/internal/state/origin/register_test.go
@@ -170,3 +170,34 @@
 	restored := origin.Register{Services: map[string][]string{"s": {"v1"}}, Revision: 2, Era: 0}
 	require.True(t, book.SetRegister(start, restored, 1), "another era counts anew")
 }
+
+// A stream that has no record is known where all builds write its model alike.
+func TestStreamIsFoundByItsModelsOnlyBuild(t *testing.T) {
+	cases := []struct {
+		model string
+		step  origin.Step
+	}{
+		{"m", origin.GoOn},
+		{"n", origin.Refuse},
+		{"", origin.Refuse},
+	}
+	for _, c := range cases {
+		var book origin.Book
+		register := origin.Register{Services: map[string][]string{"s": {"v1 m=1,n=1", "v1 m=1,n=2"}}}
+		lookup := origin.Lookup{Book: &book, Key: origin.KeyOf("w", "r"), Service: "s", Model: c.model}
+		step := lookup.Next(start)
+		for ; step < origin.GoOn; step = lookup.Next(start) {
+			if step == origin.ReadRecord {
+				lookup.Missed()
+			}
+			if step == origin.ReadRegister {
+				book.SetRegister(start, register, 0)
+				lookup.Read()
+			}
+		}
+		require.Equal(t, c.step, step, c.model)
+		if step == origin.GoOn {
+			require.Equal(t, "v1 m=1", lookup.Record().Version)
+		}
+	}
+}
