Test streams whose server has gone, and whose weights others state

Lines that could be undone without a failing test: a take-up of a stream whose server's entry has gone, or names a later start of a newer version, goes on; the mark of a stream that was taken up elsewhere is written under its first ID; a 421 without an expectation, and a version that is no number, say nothing of a server's weights. The tests pass as the code stands.

--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -161,8 +161,8 @@
 // resumes reports whether the caller has the beginning of the answer.
 func (v *visit) resumes() bool { return v.r.Header.Get(wire.Resume) != "" }
 
-// fits reports whether a build may answer: a stream goes on only at the build that began it.
-// Entries that name none go by the software alone.
+// fits reports whether a build may answer: a stream goes on only at the build that began it, which
+// the entry names. Before the request is sent, the build may be unknown.
 func (v *visit) fits(build string, unknown bool) bool {
 	began := v.r.Header.Get(wire.Build)
 	switch {
--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -89,6 +89,38 @@
 	}
 }
 
+// Guards against a stream whose weights change where it is taken up, and that goes on at the first
+// ones at the front that began it.
+func TestStreamOfTwoWeightsIsNotTakenUpWhereItBegan(t *testing.T) {
+	all := deployMany(t, 2)
+	all[0].configure(2, "k1")
+	for i := range 2 {
+		all[0].addListed(fmt.Sprintf("i-%d", i), func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Last-Event-Id") == "" {
+				stream(4, 0)(w, r)
+				return
+			}
+			r.Header.Del("Last-Event-Id")
+			replacing(w, r)
+		})
+	}
+	for _, d := range all {
+		d.settle(2, 2)
+	}
+	first := all[0].do(all[0].ofModel("/long/", "b"))
+	require.NoError(t, first.err)
+	takeUp := func(d *deployment, id string, after int) answered {
+		request := d.ofModel("/long/", id)
+		request.Header.Set("Last-Event-Id", fmt.Sprint(after))
+		request.Header.Set(sample.Resumes, "b")
+		return d.do(request)
+	}
+	second := takeUp(all[1], "t1", 0)
+	require.Equal(t, http.StatusOK, second.status)
+	require.Error(t, second.err)
+	require.NotEqual(t, http.StatusOK, takeUp(all[0], "t2", 2).status)
+}
+
 // Guards against a stream that is lost as another server has one model more.
 func TestOtherModelsOfAServerDoNotMatter(t *testing.T) {
 	d := deploy(t)
@@ -289,3 +321,52 @@
 		})
 	}
 }
+
+// Guards against streams that are lost with the server that began them, or with its release.
+func TestStreamsGoOnThoughTheirServerHasGone(t *testing.T) {
+	cases := []struct{ name, then string }{
+		{"gone", ""},
+		{"started again as a newer version", "v2"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			all := deployMany(t, 2)
+			all[0].configure(2, "k1")
+			var serves atomic.Value
+			serves.Store("v1")
+			first := all[0].addVersion("i-0", "v1", func(w http.ResponseWriter, r *http.Request) {
+				versioned(serves.Load().(string), 4, never)(w, r)
+			})
+			all[0].addVersion("i-1", "v1", versioned("v1", 4, never))
+			all[0].addVersion("i-2", "v2", versioned("v2", 4, never))
+			for _, d := range all {
+				d.settle(2, 3)
+				require.Eventually(t, func() bool {
+					return d.front.origins.MayBegin("llm", "v1") && d.front.origins.MayBegin("llm", "v2")
+				}, waitTime, time.Millisecond)
+			}
+			began := map[string]string{}
+			for n := range 8 {
+				id := fmt.Sprintf("s%d", n)
+				began[id] = all[0].begin(id, 1)
+			}
+			time.Sleep(500 * time.Millisecond) // their records are written
+			change := chicoryrock.Change{Key: platform.ServerPrefix + "i-0", Delete: true, Unconditional: true}
+			if c.then != "" {
+				serves.Store(c.then)
+				entry := sample.EntryOf(first.service, first.address, "ready", c.then)
+				entry = strings.Replace(entry, `"born":5`, fmt.Sprintf(`"born":%d`, time.Now().Add(2*time.Second).UnixMilli()), 1)
+				change = chicoryrock.Change{Key: change.Key, Value: []byte(entry), Unconditional: true}
+			}
+			_, err := all[0].store.Commit(t.Context(), []chicoryrock.Change{change})
+			require.NoError(t, err)
+			time.Sleep(500 * time.Millisecond)
+			for id, begun := range began {
+				rest := all[1].takeUp("t"+id, id, 1)
+				require.Equal(t, http.StatusOK, rest.status, rest.body)
+				versions, _ := versionsOf(begun + rest.body)
+				require.Len(t, versions, 1)
+			}
+		})
+	}
+}
--- a/internal/serve/assembly/weights_test.go
+++ b/internal/serve/assembly/weights_test.go
@@ -134,3 +134,30 @@
 		})
 	}
 }
+
+// Guards against weights that another server at the address states, or that are none.
+func TestOnlyWeightsOfTheServerAreBelieved(t *testing.T) {
+	cases := []struct {
+		name, path, stated, want string
+	}{
+		{"expected others", "/long/", "2", "m=2"},
+		{"expected others, which are no number", "/long/", "m=2,n", "m=1"},
+		{"none expected: another server answers", "/short/", "2", "m=1"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := deploy(t)
+			d.configureWith(1, sample.Copied)
+			b := d.addListed("i-0", func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(sample.Weights, c.stated)
+				w.WriteHeader(http.StatusMisdirectedRequest)
+			})
+			d.settle(1, 1)
+			require.Equal(t, http.StatusServiceUnavailable, d.do(d.ofModel(c.path, "x1")).status)
+			require.NotZero(t, b.total())
+			d.front.mutex.Lock()
+			defer d.front.mutex.Unlock()
+			require.Equal(t, c.want, d.front.servers.Servers()[0].Weights)
+		})
+	}
+}
--- a/internal/serve/front/stated.go
+++ b/internal/serve/front/stated.go
@@ -18,7 +18,8 @@
 func (c *call) observe(replica *chicoryrock.Replica, answer *upstream.Answer) {
 	said := c.statedWeights(replica, platform.Weights(answer.Header))
 	if answer.Status == http.StatusMisdirectedRequest {
-		// Another server may have answered, but not one that has just the weights that were expected.
+		// Without an expectation another server at the address has answered. With one, this server
+		// may have, and its next answer tells if it was the other.
 		if c.expected != "" {
 			c.front.Observe(time.Now(), startOf(replica), said)
 		}
