Test that a later start with more models is no other build to a stream

Undone, the comparison of a server's later starts by the stream's model failed no test. TestRecordOfAllWeightsIsComparedByModel restarts its servers with a third model now, and fails without it, and without that of the recorded build.

--- a/internal/serve/assembly/builds_test.go
+++ b/internal/serve/assembly/builds_test.go
@@ -159,24 +159,36 @@
 	require.Equal(t, 200, rest.status)
 }
 
-// Guards against a stream that is refused as its record names the weights of all models.
+// Guards against a stream that is refused as its record, or a later start of its server, names the
+// weights of more models than its own.
 func TestRecordOfAllWeightsIsComparedByModel(t *testing.T) {
 	all := deployMany(t, 2)
 	all[0].configure(2, "k1")
+	var servers []*backend
+	enter := func(i int, models string, change func(string) string) {
+		entry := change(sample.EntryOf("llm", servers[i].address, "ready", []string{"v1", "v1", "v2"}[i]))
+		all[0].putRaw(servers[i].id, strings.Replace(entry, "{", `{"stage":"both","models":[`+models+`],`, 1))
+	}
+	const two = `{"name":"m","version":1,"adapters":[]},{"name":"n","version":1,"adapters":[]}`
 	for i, version := range []string{"v1", "v1", "v2"} {
-		b := all[0].addVersion(fmt.Sprintf("i-%d", i), version, versioned(version, 4, never))
-		entry := sample.EntryOf(b.service, b.address, "ready", version)
-		all[0].putRaw(b.id, strings.Replace(entry, "{", `{"stage":"both","models":[{"name":"m","version":1,"adapters":[]},{"name":"n","version":1,"adapters":[]}],`, 1))
+		servers = append(servers, all[0].addVersion(fmt.Sprintf("i-%d", i), version, versioned(version, 4, never)))
+		enter(i, two, func(entry string) string { return entry })
 	}
 	for _, d := range all {
 		d.settle(2, 3)
 	}
 	for n := range 4 {
-		id := fmt.Sprintf("b%d", n)
-		all[0].begin(id, 1) // names no model
-		request := all[1].ofModel("/long/", "t"+id)
+		all[0].begin(fmt.Sprintf("b%d", n), 1) // names no model
+	}
+	time.Sleep(500 * time.Millisecond) // the records are written
+	for i := range servers {
+		enter(i, two+`,{"name":"o","version":1,"adapters":[]}`, sample.Restarted)
+	}
+	time.Sleep(500 * time.Millisecond)
+	for n := range 4 {
+		request := all[1].ofModel("/long/", fmt.Sprintf("t%d", n))
 		request.Header.Set("Last-Event-Id", "1")
-		request.Header.Set(sample.Resumes, id)
+		request.Header.Set(sample.Resumes, fmt.Sprintf("b%d", n))
 		rest := all[1].do(request)
 		require.Equal(t, http.StatusOK, rest.status, rest.body)
 	}
