Refuse answers whose status is none

Callers got the body of a broken answer as an answer: behind a head with status 000 or 042, or one that switches protocols, a front read on and took what followed, a second head or the broken answer's own body, for the answer to the request. On the idempotent and on the unsafe route, streams too.

Cause: upstream.receive took each status below 200 for an interim head. The library that parses heads accepts any three digits, and nothing in the product said which are a status.

A front treats what it refuses as a bad answer: an idempotent request goes to another server, an unsafe one gets 502 for an unknown outcome, the connection is closed.

--- a/internal/serve/assembly/cut_answers_test.go
+++ b/internal/serve/assembly/cut_answers_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -24,17 +25,29 @@
 	keeps ending = iota
 	closes
 	resets
+	resetsLater // so that all that it has written is read before
 )
 
+// laterTime is how long a connection stays open that is reset later.
+const laterTime = 30 * time.Millisecond
+
 // written is what a backend server writes to a request.
 type written struct {
 	text string
 	then ending
 }
 
+// wholeUpload has a backend server read a request to its end before it answers.
+const wholeUpload = -1
+
 // addWriter starts a backend server that answers as it is told by each request's ID and the
 // server's name, and enters it in the store.
 func (d *deployment) addWriter(id, service string, answer func(request, server string) written) *backend {
+	return d.addReader(id, service, wholeUpload, answer)
+}
+
+// addReader is addWriter for a server that reads only so many bytes of a request's body.
+func (d *deployment) addReader(id, service string, upload int64, answer func(request, server string) written) *backend {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(d.t, err)
 	d.t.Cleanup(func() { _ = listener.Close() })
@@ -45,14 +58,14 @@
 			if err != nil {
 				return
 			}
-			go b.write(conn, answer)
+			go b.write(conn, upload, answer)
 		}
 	}()
 	d.enter(b, "ready")
 	return b
 }
 
-func (b *backend) write(conn net.Conn, answer func(request, server string) written) {
+func (b *backend) write(conn net.Conn, upload int64, answer func(request, server string) written) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
 	for {
@@ -60,7 +73,11 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		body := io.Reader(request.Body)
+		if upload != wholeUpload {
+			body = io.LimitReader(body, upload)
+		}
+		if _, err := io.Copy(io.Discard, body); err != nil {
 			return
 		}
 		id := request.Header.Get(sample.ID)
@@ -72,6 +89,9 @@
 		switch w.then {
 		case keeps:
 			continue
+		case resetsLater:
+			time.Sleep(laterTime)
+			fallthrough
 		case resets:
 			_ = conn.(*net.TCPConn).SetLinger(0)
 		}
--- a/internal/serve/upstream/endless_test.go
+++ b/internal/serve/upstream/endless_test.go
@@ -83,8 +83,9 @@
 
 // A server may announce an answer some times before it comes.
 func TestInterimHeadsArePassedOver(t *testing.T) {
+	const interim = 8
 	s := start(t, func(r *http.Request, _ []byte, conn net.Conn) bool {
-		for range maxInterim {
+		for range interim {
 			_, _ = io.WriteString(conn, "HTTP/1.1 102 Processing\r\n\r\n")
 		}
 		whole(conn, r.Header.Get("Request-Id"), "fine")
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -42,9 +42,6 @@
 	inlineBody = 16 << 10
 	// maxHead is the longest head of an answer, bytes: many times what servers send.
 	maxHead = 64 << 10
-	// maxInterim is how many heads without an answer of their own, with statuses below
-	// 200, may come before an answer.
-	maxInterim = 8
 	// maxForeign is how many answers to other requests are passed over.
 	maxForeign = 2
 	// maxForeignBody bounds each of them, bytes.
@@ -348,18 +345,19 @@
 // may stand before it; a connection with one isn't clean.
 func (c *conn) receive(call *Call) (response *http.Response, clean bool, err error) {
 	clean = true
-	foreign, interim := 0, 0
+	foreign := 0
+	var heads chicoryrock.Heads
 	for {
-		response, err = c.readHead(call)
+		final := false
+		if response, err = c.readHead(call); err == nil {
+			final, err = heads.Check(response.StatusCode)
+		}
 		switch {
-		case errors.Is(err, errLongHead), errors.Is(err, web.ErrOldCoding):
+		case errors.Is(err, errLongHead), errors.Is(err, web.ErrOldCoding), errors.Is(err, chicoryrock.ErrUnsoundHead):
 			return nil, false, errors.Wrap(ErrBadAnswer, err.Error())
 		case err != nil:
 			return nil, false, MarkClosed(errors.Wrapf(chicoryrock.ErrUnknownOutcome, "read the answer: %v", err), err)
-		case response.StatusCode < http.StatusOK:
-			if interim++; interim > maxInterim {
-				return nil, false, errors.Wrapf(ErrBadAnswer, "more than %d heads without an answer", maxInterim)
-			}
+		case !final:
 		case call.Mine == nil || call.Mine(response.Header):
 			return response, clean, nil
 		default:
