Refuse answers with a field whose name is none

Callers got an answer with a blank in a field's name, with that line left out or, worse, with a body that was not the replica's: beside 'Content-Length : 7' the bytes behind the body, beside 'Transfer-Encoding : chunked' the sizes of the chunks. A refusal with such a line was believed to say that the request had not run.

Cause: the library that parses heads keeps a name with a blank, for old servers' sake, as a field that decides nothing; it drops the line only where it is written again. So a server and a front could see two different ends of one answer. Nothing in the product looked at names.

Heads.Check looks at them too, with the library's own rule for a token, before Mine, the seal, the length, Not-Executed or a limit is believed: in the final head, in interim ones and in those of answers that are passed over.

TestAnswerWithUnsoundNameIsNotPassedOn has 28 answers over four routes. Before, eleven reached the caller: the blanks, also in a 500, in a 503 that says 'not run', in a 103 and in another request's answer. Control bytes, bytes above 127, an empty name, separators, no colon: refused by the library before; these cases stay. TestUnusualHeadsPass passed before and does after: any legal name, folded lines, 100, 103 and 199, 409, 599, 600 and 999.

--- a/head.go
+++ b/head.go
@@ -1,6 +1,9 @@
 package chicoryrock
 
-import "github.com/pkg/errors"
+import (
+	"github.com/pkg/errors"
+	"golang.org/x/net/http/httpguts"
+)
 
 // ErrUnsoundHead says that a head is none that HTTP allows in an answer to the request, so that
 // nothing of the answer can be believed, its end included.
@@ -27,10 +30,13 @@
 // Clients' libraries take any three digits for a status. Those below 100 are none (RFC 9110, section
 // 15), also not of interim heads: a body may follow. After 101 the server speaks another protocol,
 // which no request asks for. A status above 599 counts as a failure.
-func (h *Heads) Check(status int) (final bool, err error) {
+func (h *Heads) Check(status int, header map[string][]string) (final bool, err error) {
 	if status < lowestStatus || status == switchesProtocols {
 		return false, errors.Wrapf(ErrUnsoundHead, "status %03d", status)
 	}
+	if err := CheckNames(header); err != nil {
+		return false, err
+	}
 	if status >= lowestFinal {
 		return true, nil
 	}
@@ -39,3 +45,14 @@
 	}
 	return false, nil
 }
+
+// CheckNames checks the names of fields. A name is a token (RFC 9110, section 5.1); the libraries
+// keep one with a blank in it, as a field that decides nothing. Error: ErrUnsoundHead.
+func CheckNames(header map[string][]string) error {
+	for name := range header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Wrapf(ErrUnsoundHead, "field name %.40q", name)
+		}
+	}
+	return nil
+}
--- a/internal/serve/assembly/unsound_answer_test.go
+++ b/internal/serve/assembly/unsound_answer_test.go
@@ -103,3 +103,69 @@
 // Guards against answers whose status is none that are passed on, or passed over as interim heads,
 // so that what they have for a body is read as the request's answer.
 func TestAnswerOfNoStatusIsNotPassedOn(t *testing.T) { expectUnsound(t, unsoundStatuses()) }
+
+// unsoundNames are answers with a field whose name is none.
+func unsoundNames() []namedAnswer {
+	body := numbered(7)
+	chunks := "\r\n" + chunked(body)
+	long := headOf(eventsType)
+	long = strings.TrimSuffix(long, "\r\n")
+	answers := []namedAnswer{
+		{"a blank before the length, bytes behind the body", long + "Content-Length : 7\r\n\r\n" + body + another},
+		{"a blank before a length beside the true one", withField("Content-Length : 2")},
+		{"a blank before the transfer coding", long + "Transfer-Encoding : chunked\r\n" + chunks},
+		{"a blank before the transfer coding, a length", long + ofLength(body) + "\r\nTransfer-Encoding : chunked\r\n" + chunks},
+		{"a blank in the name of an interim head", "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + another},
+		{"a blank before the seal", strings.Replace(another, sample.Seal+":", sample.Seal+" :", 1)},
+		{"a blank before a seal beside the true one", withField(sample.Seal + " : s")},
+		{"a blank in a failure", ofStatus("500 Internal Server Error", "oops", "X A: 1")},
+		{"a blank in a refusal", ofStatus("503 Service Unavailable", "", "X A: 1", sample.NotRun+": 1")},
+		{"a blank in another request's answer", strings.ReplaceAll(withField("X A: 1"), "%s", "other") + another},
+		{"no colon", withField("X-A")},
+		{"a control byte in a value", withField("X-A: \x00")},
+	}
+	for _, name := range []string{"X-A ", "X A", " X-A", "X\x00A", "X\x07A", "X\x7fA", "X\tA", "X-A\t", "X\rA", "X\x80A", "Xé", "", "X(A", "X\"A", "X/A", "X@A"} {
+		answers = append(answers, namedAnswer{fmt.Sprintf("%q", name), withField(name + ": 1")})
+	}
+	return answers
+}
+
+// Guards against answers with a field whose name is none that are passed on: a field that another
+// reader sees may state another end, another request or another server.
+func TestAnswerWithUnsoundNameIsNotPassedOn(t *testing.T) { expectUnsound(t, unsoundNames()) }
+
+// Guards against sound heads that are refused, as they are unusual.
+func TestUnusualHeadsPass(t *testing.T) {
+	body := numbered(7)
+	cases := []struct {
+		name, text string
+		status     int
+	}{
+		{"a name of all characters", withField("!#$%&'*+-.^_`|~0aZ: 1"), http.StatusOK},
+		{"names in small letters", strings.Replace(withField("x: "), sample.Seal, strings.ToLower(sample.Seal), 1), http.StatusOK},
+		{"any bytes in a value", withField("X-A: \x80\tä : b"), http.StatusOK},
+		{"a folded line", withField("X-A: 1\r\n X-B: 2"), http.StatusOK},
+		{"interim heads", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 199 X\r\n\r\n" + another, http.StatusOK},
+		{"chunks", headOf(eventsType, inChunkedCoding) + chunked(body), http.StatusOK},
+		{"409", ofStatus("409 Conflict", body), http.StatusConflict},
+		{"a failure", ofStatus("599 X", body), 599},
+		{"a failure of no class", ofStatus("600 X", body), 600},
+		{"a failure of the last status", ofStatus("999 X", body), 999},
+	}
+	d := deploy(t, generous)
+	d.configureWith(1, sample.Unhurried)
+	answer := func(request, _ string) written {
+		return written{strings.ReplaceAll(cases[int(request[0]-'a')].text, "%s", request), closes}
+	}
+	d.addWriter("app-1", "app", answer)
+	d.addWriter("llm-1", "llm", answer)
+	d.settle(1, 2)
+	for i, c := range cases {
+		for _, route := range routesOf {
+			got := d.send(http.MethodPost, route.path, fmt.Sprintf("%c%s", 'a'+i, strings.Trim(route.path, "/")), "k1", "x")
+			require.NoError(t, got.err, c.name)
+			require.Equal(t, c.status, got.status, "%s, %s: %q", c.name, route.path, got.body)
+			require.Equal(t, body, got.body, c.name)
+		}
+	}
+}
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -350,7 +350,7 @@
 	for {
 		final := false
 		if response, err = c.readHead(call); err == nil {
-			final, err = heads.Check(response.StatusCode)
+			final, err = heads.Check(response.StatusCode, response.Header)
 		}
 		switch {
 		case errors.Is(err, errLongHead), errors.Is(err, web.ErrOldCoding), errors.Is(err, chicoryrock.ErrUnsoundHead):
