Don't take a reset of the upload for the end of an answer

Callers got a part of an answer as the whole of it: a replica answered a long upload at once, with a 200 that states neither a length nor chunks, wrote a part of the body and reset the connection while the upload was being written. On the idempotent and the unsafe route and in streams; a 404 likewise.

Cause: the error of a socket is told once. The goroutine that writes the upload got the reset, and the one that reads the answer a plain end, which ends an answer that states none. body.Read never asked what had become of the upload.

Such an end counts now only where the request had been sent whole: at the end of an unframed answer the sending is ended (a write that waits for room fails at once, one that the kernel has taken whole has not failed), and its result decides. No wait and no limit of time is needed. The answer counts as broken off: another server for what may run again, 502 for an unknown outcome else, a begun stream goes on elsewhere or is cut. The rule holds for any status, and also where the server closes without a reset, as a crash can look so.

--- a/internal/serve/assembly/unsound_answer_test.go
+++ b/internal/serve/assembly/unsound_answer_test.go
@@ -169,3 +169,115 @@
 		}
 	}
 }
+
+// upload is the body of a request, longer than what the kernel takes of it unread.
+var upload = strings.Repeat("x", 12<<20)
+
+// roomy gives callers room for long uploads.
+func roomy(config string) string {
+	return strings.Replace(sample.Unhurried(config), `"maxBodyBytes":10000`, `"maxBodyBytes":20000000`, 1)
+}
+
+// expectOfUpload sends a long upload on each route to servers that read so much of it, write an
+// answer and end the connection; then the same beside servers that answer soundly.
+func expectOfUpload(t *testing.T, hedge float64, read int64, w written, check func(path string, runs int, alone bool, got answered)) {
+	d := deployWith(t, func(front *Front) {
+		front.Hedge = hedge
+		generous(front.Node)
+	})
+	d.configureWith(1, roomy)
+	answer := func(request, _ string) written {
+		return written{strings.ReplaceAll(w.text, "%s", request), w.then}
+	}
+	servers := []*backend{d.addReader("app-1", "app", read, answer), d.addReader("llm-1", "llm", read, answer)}
+	for _, alone := range []bool{true, false} {
+		if !alone {
+			servers = append(servers, d.add("app-2", "app", stream(2, 0)), d.add("llm-2", "llm", stream(2, 0)))
+		}
+		d.settle(1, len(servers))
+		for n := range 2 {
+			for _, route := range routesOf {
+				id := fmt.Sprint(strings.Trim(route.path, "/"), n, alone)
+				got := d.send(http.MethodPost, route.path, id, "k1", upload)
+				runs := 0
+				for _, server := range servers {
+					runs += server.ran(id)
+				}
+				check(route.path, runs, alone, got)
+			}
+		}
+	}
+}
+
+// Guards against a part of an answer that passes for the whole of it: an early answer that doesn't
+// state its end, and a reset. The error of the connection goes to the one that writes the upload,
+// and the one that reads the answer sees a plain end.
+func TestResetOfAnUploadEndsNoAnswer(t *testing.T) {
+	cases := []struct {
+		name, text string
+		read       int64
+	}{
+		{"nothing read", headOf(eventsType, unframed) + numbered(1), 0},
+		{"a part read", headOf(eventsType, unframed) + numbered(1), 3 << 20},
+		{"without a field for it", headOf(eventsType) + numbered(1), 0},
+		{"HTTP/1.0", strings.Replace(headOf(eventsType), "HTTP/1.1", "HTTP/1.0", 1) + numbered(1), 0},
+		{"within an event", headOf(eventsType) + numbered(1) + "id: 2\nda", 0},
+		{"behind an interim head", "HTTP/1.1 100 Continue\r\n\r\n" + headOf(eventsType) + numbered(1), 0},
+		{"a long event", headOf(eventsType) + "id: 1\n" + strings.Repeat(": x\n", 30<<10), 0},
+		{"a refusal", strings.Replace(headOf("", unframed), "200 OK", "404 Not Found", 1) + "missing", 0},
+	}
+	for _, c := range cases {
+		for _, hedge := range []float64{0, 0.2} {
+			t.Run(fmt.Sprint(c.name, hedge), func(t *testing.T) {
+				t.Parallel()
+				expectOfUpload(t, hedge, c.read, written{c.text, resetsLater}, func(path string, runs int, alone bool, got answered) {
+					what := fmt.Sprintf("%s, alone %v: %d runs, %d %.90q", path, alone, runs, got.status, got.body)
+					cut := got.status == http.StatusOK && got.err != nil
+					switch {
+					case (path == "/read/" || path == "/long/") && !alone, !alone && got.status == http.StatusOK && !cut:
+						require.NoError(t, got.err, what)
+						require.Equal(t, http.StatusOK, got.status, what)
+						require.Equal(t, numbered(1, 2), got.body, what)
+					case cut:
+						require.Contains(t, []string{"/long/", "/short/"}, path, what)
+					default:
+						require.NoError(t, got.err, what)
+						require.Equal(t, http.StatusBadGateway, got.status, what)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against whole answers to long uploads that count as cut: early ones that state their end,
+// though the upload isn't read, and others that don't, once it is.
+func TestWholeAnswersToUploadsPass(t *testing.T) {
+	body := numbered(1)
+	cases := []struct {
+		name string
+		read int64
+		written
+		status int
+	}{
+		{"length", 0, written{headOf(eventsType, ofLength(body)) + body, resetsLater}, http.StatusOK},
+		{"length, a part read", 3 << 20, written{headOf(eventsType, ofLength(body)) + body, resetsLater}, http.StatusOK},
+		{"chunks", 0, written{headOf(eventsType, inChunkedCoding) + chunked(body), resetsLater}, http.StatusOK},
+		{"409", 0, written{ofStatus("409 Conflict", body), resetsLater}, http.StatusConflict},
+		{"no end stated", wholeUpload, written{headOf(eventsType) + body, closes}, http.StatusOK},
+		{"404, no end stated", wholeUpload, written{strings.Replace(headOf(""), "200 OK", "404 Not Found", 1) + body, closes}, http.StatusNotFound},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			expectOfUpload(t, 0, c.read, c.written, func(path string, runs int, alone bool, got answered) {
+				require.NoError(t, got.err, path)
+				require.Equal(t, 1, runs, path)
+				if alone {
+					require.Equal(t, c.status, got.status, path)
+					require.Equal(t, body, got.body, path)
+				}
+			})
+		})
+	}
+}
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -103,7 +103,8 @@
 	Body   io.ReadCloser
 	// Framed says that the answer states where it ends, by a length or in chunks, or has no
 	// body by its kind. Else it ends with its connection, and nothing tells its end from a
-	// break. A success without a byte of a body counts as broken off then.
+	// break. It counts as broken off then if the request had not been sent whole, and a success
+	// if it has no byte of a body.
 	Framed bool
 }
 
@@ -298,6 +299,19 @@
 	return nil
 }
 
+// endSend ends the sending of a request, and reports whether it had been sent whole. A reset of the
+// connection is told once: if the sender gets it, the reader sees a plain end.
+func (c *conn) endSend() bool {
+	if c.wrote == nil {
+		return true
+	}
+	// A write that waits for room fails now. One that the kernel has taken whole doesn't.
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	err := <-c.wrote
+	c.wrote <- err
+	return err == nil
+}
+
 func head(call *Call) []byte {
 	var out bytes.Buffer
 	out.Grow(512)
@@ -421,6 +435,8 @@
 	n, err := b.response.Body.Read(p)
 	b.begun = b.begun || n > 0
 	switch {
+	case errors.Is(err, io.EOF) && !framed(b.response) && !b.conn.endSend():
+		return n, MarkClosed(errUnsent, io.EOF)
 	case errors.Is(err, io.EOF) && !b.begun && !framed(b.response) && b.response.StatusCode < http.StatusMultipleChoices:
 		return n, MarkClosed(errNoBody, io.EOF)
 	case errors.Is(err, io.EOF):
