Refuse unsound heads at agents, entries and in chicoryctl

Callers of an entry got answers with a blank in a field's name, as at a front: 'Content-Length : 2' or 'Transfer-Encoding : chunked' beside another length, the fields that state a limit or a request's name passed over. A switch of protocols or status 000 ended the agent's handler by a panic, after its fields had been believed, so that no line said what was wrong.

Cause: as at the front, the library takes any status and keeps names with a blank. The agent's client of the engine, an entry's of agents and chicoryctl's are one: web.NewClient.

Its transport asks Heads.Check for each interim head and for the final one before it returns an answer, and closes the connection of one that it refuses: the transport would use it again where there is no body to wait for, and read the bytes behind as the next answer. The layer of the agent's connections is an argument now, not a change of the transport made afterwards.

Control bytes and the like were refused by the library before, and so were 000, 042, 099, +20 and 101 by the panic; these cases stay. TestUnsoundAnswersOfAllServers: 502 with an unknown outcome, and the server gets the next call. web.TestUnsoundHeads has the same for the client alone, with the connection's next request.

--- a/internal/serve/agent/engine_conn.go
+++ b/internal/serve/agent/engine_conn.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"net"
 	"net/http"
 
@@ -16,18 +15,7 @@
 
 // newEngineClient returns the client for the engine.
 func newEngineClient() *http.Client {
-	client := web.NewClient(nil)
-	if transport, ok := client.Transport.(*http.Transport); ok {
-		dial := transport.DialContext
-		transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &engineConn{Conn: conn}, nil
-		}
-	}
-	return client
+	return web.NewClientOver(nil, func(conn net.Conn) net.Conn { return &engineConn{Conn: conn} })
 }
 
 // engineConn is a connection for one request. It fails at an answer of a version before
--- a/internal/serve/local/scripted_test.go
+++ b/internal/serve/local/scripted_test.go
@@ -24,12 +24,13 @@
 	mu      sync.Mutex
 	answers []string
 	asked   int
+	hasty   bool // the first one answers before it has read the request, and resets the connection
 }
 
 func (s *script) set(answers ...string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.answers, s.asked = answers, 0
+	s.answers, s.asked, s.hasty = answers, 0, false
 }
 
 func (s *script) next() string {
@@ -69,11 +70,31 @@
 	if err != nil {
 		return // a probe
 	}
+	if s.hastens() {
+		_, _ = io.WriteString(conn, s.next())
+		time.Sleep(30 * time.Millisecond) // so that all of it has been read
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return
+	}
 	if _, err := io.Copy(io.Discard, request.Body); err == nil {
 		_, _ = io.WriteString(conn, s.next())
 	}
 }
 
+// setHasty is set with a server that answers before it has read the request.
+func (s *script) setHasty(answers ...string) {
+	s.set(answers...)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hasty = true
+}
+
+func (s *script) hastens() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hasty && s.asked == 0
+}
+
 // startScripted starts one entry, and backend servers with one script in both pools.
 func startScripted(t *testing.T, backends int) (*System, *script) {
 	t.Helper()
--- /dev/null
+++ b/internal/serve/local/unsound_answer_test.go
@@ -0,0 +1,167 @@
+package local
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+)
+
+// kindOfCall is a call of each kind, with a sound answer.
+type kindOfCall struct {
+	name, path, body string
+	again            bool // it may run again
+	answer, text     string
+}
+
+func kindsOfCalls() []kindOfCall {
+	const completion = `{"choices":[{"text":"ab","finish_reason":"stop"}]}`
+	pieces := []string{"a", "b", ".", "!"}
+	return []kindOfCall{
+		{"service", "/svc/status/a", "", true, answerOf(framed, ok, "text/plain", "lot 4"), "lot 4"},
+		{"booking", "/svc/bookings/a", "", false, answerOf(framed, ok, "text/plain", "lot 4"), "lot 4"},
+		{"completion", "/v1/completions", `{"model":"garland"}`, true, answerOf(framed, ok, "application/json", completion), completion},
+		{"stream", "/v1/completions", asStream, true, streamed(framed, pieces...), completionChunks(pieces...)},
+	}
+}
+
+// outcome is what a caller got of a call.
+type outcome struct {
+	status  int
+	outcome string // as the answer states it
+	text    string
+	err     error // of reading it
+}
+
+func (s *System) call(t *testing.T, path, body string) outcome {
+	t.Helper()
+	response := s.send(t, 0, hawkerKey, http.MethodPost, path, body)
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	return outcome{response.StatusCode, response.Header.Get(wire.Outcome), string(text), err}
+}
+
+// expectUnsound expects that no byte of an answer reaches a caller: a call that may run again gets
+// the answer of another server, any other that of an unknown outcome. A server that wrote it serves
+// the next calls.
+func expectUnsound(t *testing.T, spoil func(sound string) string) {
+	system, script := startScripted(t, 4)
+	for _, c := range kindsOfCalls() {
+		script.set(spoil(c.answer), c.answer)
+		got := system.call(t, c.path, c.body)
+		if !c.again {
+			require.Equal(t, http.StatusBadGateway, got.status, "%s: %q", c.name, got.text)
+			require.Equal(t, wire.OutcomeUnknown, got.outcome, c.name)
+			require.Equal(t, 1, script.requests(), c.name)
+			continue
+		}
+		require.Equal(t, outcome{http.StatusOK, "", c.text, nil}, got, c.name)
+		require.Equal(t, 2, script.requests(), c.name)
+	}
+}
+
+// Guards against broken answers of all servers that end as anything but an unknown outcome, and
+// against servers that get no calls after one.
+func TestUnsoundAnswersOfAllServers(t *testing.T) {
+	for _, c := range kindsOfCalls() {
+		for _, spoil := range []func(string) string{
+			func(sound string) string { return ofStatus(sound, "000 Broken") },
+			func(sound string) string { return withLine(sound, "X-A : 1") },
+		} {
+			t.Run(c.name, func(t *testing.T) {
+				t.Parallel()
+				system, script := startScripted(t, 1)
+				script.set(spoil(c.answer))
+				got := system.call(t, c.path, c.body)
+				require.NoError(t, got.err)
+				require.Equal(t, http.StatusBadGateway, got.status, got.text)
+				require.Equal(t, wire.OutcomeUnknown, got.outcome)
+				script.set(c.answer)
+				require.Equal(t, outcome{http.StatusOK, "", c.text, nil}, system.call(t, c.path, c.body))
+			})
+		}
+	}
+}
+
+// ofStatus returns an answer with another status.
+func ofStatus(answer, status string) string { return strings.Replace(answer, ok, status, 1) }
+
+// withLine returns an answer with one more line in its head.
+func withLine(answer, line string) string {
+	return strings.Replace(answer, "\r\n", "\r\n"+line+"\r\n", 1)
+}
+
+// Guards against answers whose status is none that are passed on, or end the handler.
+func TestAnswerOfNoStatusIsNotPassedOn(t *testing.T) {
+	const empty = "HTTP/1.1 %s Broken\r\nContent-Length: 0\r\n\r\n"
+	for _, status := range []string{"000", "042", "099", "+20"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			expectUnsound(t, func(sound string) string { return ofStatus(sound, status+" Broken") })
+		})
+		t.Run(status+", another answer behind it", func(t *testing.T) {
+			t.Parallel()
+			expectUnsound(t, func(sound string) string { return fmt.Sprintf(empty, status) + sound })
+		})
+		t.Run(status+", another answer in its body", func(t *testing.T) {
+			t.Parallel()
+			expectUnsound(t, func(sound string) string { return answerOf(framed, status+" Broken", "", sound) })
+		})
+	}
+	t.Run("a switch of protocols", func(t *testing.T) {
+		t.Parallel()
+		expectUnsound(t, func(sound string) string {
+			return "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + sound
+		})
+	})
+}
+
+// Guards against answers with a field whose name is none that are passed on.
+func TestAnswerWithUnsoundNameIsNotPassedOn(t *testing.T) {
+	lines := []string{
+		"X-A : 1", "X A: 1", "X\x00A: 1", "X\x07A: 1", "X\x7fA: 1", "X\tA: 1", "X\rA: 1", "X\x80A: 1", ": 1", "X(A: 1", "no colon", "X-A: \x00",
+		"Content-Length : 2", "Transfer-Encoding : chunked", wire.Limit + " : 0.01", wire.RequestID + " : other",
+	}
+	for _, line := range lines {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) {
+			t.Parallel()
+			expectUnsound(t, func(sound string) string { return withLine(sound, line) })
+		})
+	}
+	t.Run("in an interim head", func(t *testing.T) {
+		t.Parallel()
+		expectUnsound(t, func(sound string) string { return "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + sound })
+	})
+	t.Run("behind too many interim heads", func(t *testing.T) {
+		t.Parallel()
+		expectUnsound(t, func(sound string) string { return strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 9) + sound })
+	})
+	t.Run("in a failure", func(t *testing.T) {
+		t.Parallel()
+		expectUnsound(t, func(sound string) string { return withLine(ofStatus(sound, "500 Internal Server Error"), "X A: 1") })
+	})
+	t.Run("in a refusal of weights", func(t *testing.T) {
+		t.Parallel()
+		expectUnsound(t, func(sound string) string { return withLine(ofStatus(sound, "421 Misdirected Request"), "X A: 1") })
+	})
+}
+
+// Guards against sound heads that are refused, as they are unusual.
+func TestUnusualHeadsPass(t *testing.T) {
+	system, script := startScripted(t, 1)
+	for _, c := range kindsOfCalls() {
+		for _, answer := range []string{
+			withLine(c.answer, "!#$%&'*+-.^_`|~0aZ: 1"), withLine(c.answer, "x: "), withLine(c.answer, "X-A: 1\r\n X-B: 2"),
+			"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + c.answer,
+		} {
+			script.set(answer)
+			require.Equal(t, outcome{http.StatusOK, "", c.text, nil}, system.call(t, c.path, c.body), "%s: %q", c.name, answer)
+			require.Equal(t, 1, script.requests())
+		}
+	}
+}
--- a/internal/serve/web/client.go
+++ b/internal/serve/web/client.go
@@ -1,6 +1,7 @@
 package web
 
 import (
+	"context"
 	"crypto/tls"
 	"net"
 	"net/http"
@@ -23,10 +24,23 @@
 
 // NewClient returns an HTTP client for the system's own hops. It takes no proxy
 // from the environment, follows no redirects and waits without limit for slow
-// answers, since deadlines are set by each request's context.
+// answers, since deadlines are set by each request's context. An answer whose heads aren't
+// sound is an error (chicoryrock.ErrUnsoundHead).
 func NewClient(config *tls.Config) *http.Client {
+	return NewClientOver(config, func(conn net.Conn) net.Conn { return conn })
+}
+
+// NewClientOver is NewClient with a layer over each of its connections.
+func NewClientOver(config *tls.Config, layer func(net.Conn) net.Conn) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return layer(conn), nil
+		},
 		TLSClientConfig:     config,
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleLife,
@@ -35,7 +49,7 @@
 		MaxResponseHeaderBytes: maxHeader,
 	}
 	return &http.Client{
-		Transport: transport,
+		Transport: soundTransport{transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- /dev/null
+++ b/internal/serve/web/sound_test.go
@@ -0,0 +1,86 @@
+package web
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock"
+)
+
+const sound = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound"
+
+// write starts a server that writes a text to its first request and a sound answer to each other
+// one, on connections that it keeps open.
+func write(t *testing.T, text string) (url string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	var asked atomic.Int32
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					answer := sound
+					if asked.Add(1) == 1 {
+						answer = text
+					}
+					_, _ = io.WriteString(conn, answer)
+				}
+			}()
+		}
+	}()
+	return fmt.Sprintf("http://%s/", listener.Addr())
+}
+
+// Guards against a head that is believed although it isn't sound, and against the bytes behind it
+// being read as the answer to another request.
+func TestUnsoundHeads(t *testing.T) {
+	stale := strings.Replace(sound, "sound", "stale", 1)
+	cases := []struct{ name, text string }{
+		{"status 000", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + stale},
+		{"status 042 with a body", "HTTP/1.1 042 X\r\nContent-Length: 2\r\n\r\nno" + stale},
+		{"status 099 without a length", "HTTP/1.1 099 X\r\n\r\n" + stale},
+		{"a switch of protocols", "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + stale},
+		{"a blank behind a name", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A : 1\r\n\r\n" + stale},
+		{"a blank before the length", "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n" + stale},
+		{"a blank in a name, no content", "HTTP/1.1 204 No Content\r\nX A: 1\r\n\r\n" + stale},
+		{"a blank in an interim head", "HTTP/1.1 103 X\r\nX A: 1\r\n\r\n" + stale},
+		{"too many interim heads", strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 9) + stale},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			client := NewClient(nil)
+			defer client.CloseIdleConnections()
+			url := write(t, c.text)
+			_, err := client.Get(url)
+			require.ErrorIs(t, err, chicoryrock.ErrUnsoundHead)
+			require.False(t, DialFailed(err))
+			for range 3 {
+				response, err := client.Get(url)
+				require.NoError(t, err)
+				body, err := io.ReadAll(response.Body)
+				require.NoError(t, err)
+				require.NoError(t, response.Body.Close())
+				require.Equal(t, "sound", string(body))
+			}
+		})
+	}
+}
