Don't take a reset of the upload for the end of an answer at agents

Callers of an entry got a part of an answer as the whole of it, as at a front: an engine answered a long upload at once, without a length, and reset the connection. Services and bookings, HTTP/1.0 too, and a 404.

Cause: the same; the agent's client is another one, net/http, whose sender gets the reset while the body ends plainly. The agent then frames the part anew, so that the entry can't see a break.

The transport of web.NewClient learns from the library's trace whether the request was sent whole, and the body of an answer that states no end fails with io.ErrUnexpectedEOF where it wasn't. The library closes the connection at the end of such an answer, so that a write that waits for room has failed by then; only a request whose own body has stopped coming is waited for, one second. The agent cuts its answer to the entry then, as with any other break: another server, or 502 for an unknown outcome.

--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/ops/event"
+	"github.com/chicoryrock/chicoryrock/internal/serve/web"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
 
@@ -36,7 +37,7 @@
 			header.Set(name, value)
 		}
 	}
-	if !framed(response) {
+	if !web.Framed(response) {
 		header.Set(wire.Unframed, "1")
 	}
 	load := v.agent.room.load()
@@ -47,7 +48,7 @@
 	v.w.WriteHeader(response.StatusCode)
 	meter := &meter{path: v.r.URL.Path, status: response.StatusCode}
 	err := v.copy(response.Body, streamed, meter)
-	if err == nil && !streamed && !framed(response) {
+	if err == nil && !streamed && !web.Framed(response) {
 		err = checkUnframed(response, meter.body)
 	}
 	meter.whole = err == nil
@@ -58,11 +59,6 @@
 	wire.SetLoad(header, v.others())
 }
 
-// framed says whether an answer states where it ends.
-func framed(response *http.Response) bool {
-	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
-}
-
 // errCut is for the end of a connection that isn't the end of its answer.
 var errCut = errors.New("the connection ends within the answer")
 
--- a/internal/serve/local/unsound_answer_test.go
+++ b/internal/serve/local/unsound_answer_test.go
@@ -165,3 +165,65 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that passes for the whole of it: an early answer to a long
+// upload that doesn't state its end, and a reset of the connection.
+func TestResetOfAnUploadEndsNoAnswer(t *testing.T) {
+	upload := strings.Repeat("x", 12<<20)
+	cases := []struct{ name, status, kind, body string }{
+		{"text", ok, "text/plain", "lot"},
+		{"no type", ok, "", "lot"},
+		{"JSON", ok, "application/json", `{"lot":4}`},
+		{"a refusal", "404 Not Found", "text/plain", "lot"},
+		{"a completion", ok, "application/json", `{"choices":[{"text":"ab","finish_reason":"stop"}]}`},
+		{"events", ok, events, completionChunks("a", "b", ".", "!")},
+	}
+	for _, c := range cases {
+		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
+			t.Run(c.name+", "+version, func(t *testing.T) {
+				t.Parallel()
+				system, script := startScripted(t, 2)
+				early := version + strings.TrimPrefix(answerOf(unframed, c.status, c.kind, c.body), "HTTP/1.1")
+				sound := answerOf(framed, ok, "text/plain", "lot 4")
+				for range 3 {
+					script.setHasty(early, sound)
+					got := system.call(t, "/svc/status/a", upload)
+					require.Equal(t, outcome{http.StatusOK, "", "lot 4", nil}, got)
+					require.Equal(t, 2, script.requests())
+					script.setHasty(early, sound)
+					got = system.call(t, "/svc/bookings/a", upload)
+					require.Equal(t, http.StatusBadGateway, got.status, got.text)
+					require.Equal(t, wire.OutcomeUnknown, got.outcome)
+					require.Equal(t, 1, script.requests())
+				}
+			})
+		}
+	}
+}
+
+// Guards against whole answers to long uploads that count as cut: early ones that state their end,
+// though the upload isn't read, and others that don't, once it is.
+func TestWholeAnswersToUploadsPass(t *testing.T) {
+	upload := strings.Repeat("x", 12<<20)
+	for _, path := range []string{"/svc/status/a", "/svc/bookings/a"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			system, script := startScripted(t, 1)
+			for _, status := range []string{ok, "409 Conflict"} {
+				for _, framing := range []int{framed, chunked, unframed} {
+					answer := answerOf(framing, status, "text/plain", "lot 4")
+					if framing == unframed {
+						script.set(answer)
+					} else {
+						script.setHasty(answer)
+					}
+					got := system.call(t, path, upload)
+					require.NoError(t, got.err)
+					require.Contains(t, status, fmt.Sprint(got.status), answer)
+					require.Equal(t, "lot 4", got.text, answer)
+					require.Equal(t, 1, script.requests())
+				}
+			}
+		})
+	}
+}
--- a/internal/serve/web/sound.go
+++ b/internal/serve/web/sound.go
@@ -1,15 +1,19 @@
 package web
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/chicoryrock/chicoryrock"
 )
 
-// soundTransport returns only answers whose heads are sound.
+// soundTransport returns only answers whose heads are sound, with bodies whose ends are.
 type soundTransport struct {
 	*http.Transport
 }
@@ -18,8 +22,16 @@
 func (t soundTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var heads chicoryrock.Heads
 	var conn net.Conn
+	sent := make(chan error, 1)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case <-sent: // that of an earlier connection
+			default:
+			}
+			sent <- info.Err
+		},
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
 			_, err := heads.Check(status, header)
 			return err
@@ -35,5 +47,49 @@
 		_ = conn.Close()
 		return nil, err
 	}
+	if !Framed(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, sent: sent}
+	}
 	return response, nil
 }
+
+// Framed reports whether an answer states where it ends, or has no body by its kind.
+func Framed(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
+}
+
+// errUnsent says that a connection has ended before the request was sent whole, under an answer
+// that states no length.
+var errUnsent = errors.WithMessage(io.ErrUnexpectedEOF, "no length, and a request that was not sent whole")
+
+// sentTime bounds the wait for the end of sending after that of the connection. Only a request
+// whose own body has stopped coming takes so long.
+const sentTime = time.Second
+
+// unframedBody is the body of an answer that ends with its connection. A reset is told once: if
+// the sender of the request gets it, the reader sees a plain end, which proves nothing.
+type unframedBody struct {
+	io.ReadCloser
+
+	sent chan error // the result of sending the request
+}
+
+// Read implements io.Reader. Error: io.ErrUnexpectedEOF, or the connection's.
+func (b *unframedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	// The transport has closed the connection, so that a write that waits for room fails.
+	limit := time.NewTimer(sentTime)
+	defer limit.Stop()
+	select {
+	case failure := <-b.sent:
+		b.sent <- failure // for the next call
+		if failure == nil {
+			return n, err
+		}
+	case <-limit.C:
+	}
+	return n, errors.WithStack(errUnsent)
+}
--- a/internal/serve/web/sound_test.go
+++ b/internal/serve/web/sound_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -84,3 +85,74 @@
 		})
 	}
 }
+
+// Guards against the end of a connection that passes for that of an answer, though the request is
+// still being sent: by a server that closes, and one that resets the connection under a write.
+func TestEndBeforeTheRequestIsSent(t *testing.T) {
+	const unframed = "HTTP/1.1 200 OK\r\n\r\npart"
+	cases := []struct {
+		name  string
+		bytes int64 // of the request that come; it states twice as many, or as many if it is whole
+		whole bool
+		text  string
+		reset bool
+		want  error
+	}{
+		{"the rest hasn't come", 1 << 10, false, unframed, false, io.ErrUnexpectedEOF},
+		{"the rest hasn't come, a length", 1 << 10, false, sound, false, nil},
+		{"reset under a write", 12 << 20, true, unframed, true, io.ErrUnexpectedEOF},
+		{"reset under a write, a length", 12 << 20, true, sound, true, nil},
+		{"sent whole", 1 << 10, true, unframed, false, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(t, err)
+			defer func() { _ = listener.Close() }()
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = conn.Close() }()
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.CopyN(io.Discard, request.Body, min(c.bytes, 1<<10))
+				_, _ = io.WriteString(conn, c.text)
+				if c.reset {
+					time.Sleep(30 * time.Millisecond) // so that all of it has been read
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			}()
+			body, rest := io.Pipe()
+			go func() {
+				_, _ = io.CopyN(rest, zeros{}, c.bytes)
+				if c.whole {
+					_ = rest.Close()
+				}
+			}()
+			request, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s/", listener.Addr()), body)
+			require.NoError(t, err)
+			request.ContentLength = c.bytes
+			if !c.whole {
+				request.ContentLength *= 2
+			}
+			client := NewClient(nil)
+			defer client.CloseIdleConnections()
+			response, err := client.Do(request)
+			require.NoError(t, err)
+			got, err := io.ReadAll(response.Body)
+			require.ErrorIs(t, err, c.want)
+			require.True(t, strings.HasSuffix(c.text, string(got)), string(got))
+			require.NoError(t, response.Body.Close())
+		})
+	}
+}
+
+// zeros is a reader without an end.
+type zeros struct{}
+
+func (zeros) Read(p []byte) (int, error) { return len(p), nil }
