Test unsound heads wherever answers are read

Refuted: a blank in a name of a trailer. The last chunk shows that the answer is whole, the caller gets no trailer, and such a field decides nothing; the answer passes, as before.

--- a/internal/serve/assembly/foreign_doors_test.go
+++ b/internal/serve/assembly/foreign_doors_test.go
@@ -100,6 +100,31 @@
 	}
 }
 
+// copyAnswer returns what a caller gets of a stream that breaks off after two events and goes on
+// from its copy, whose server answers with a text.
+func copyAnswer(t *testing.T, text string) answered {
+	t.Helper()
+	d := deploy(t)
+	d.configureWith(1, sample.Copied)
+	answer := func(w http.ResponseWriter, r *http.Request, crash func()) {
+		if r.Header.Get(sample.FromCopy) != "" {
+			raw(text, withFIN)(w, r)
+			return
+		}
+		w.Header().Set("Content-Type", eventsType)
+		w.Header().Set(sample.Seal, "s")
+		_, _ = fmt.Fprint(w, numbered(1, 2))
+		_ = http.NewResponseController(w).Flush()
+		crash()
+	}
+	d.addMortal("i-1", answer)
+	d.addMortal("i-2", answer)
+	d.settle(1, 2)
+	request := d.request(t.Context(), http.MethodPost, "/short/", "x1", "k1", "x")
+	request.Header.Set(sample.Tokens, "600,300")
+	return d.do(request)
+}
+
 // Guards against a copy whose answer doesn't go on with the run being joined with it.
 func TestRunIsNotJoinedWithForeignAnswerOfItsCopy(t *testing.T) {
 	cases := []struct {
@@ -115,25 +140,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			d := deploy(t)
-			d.configureWith(1, sample.Copied)
-			answer := func(w http.ResponseWriter, r *http.Request, crash func()) {
-				if r.Header.Get(sample.FromCopy) != "" {
-					raw(c.answer, withFIN)(w, r)
-					return
-				}
-				w.Header().Set("Content-Type", eventsType)
-				w.Header().Set(sample.Seal, "s")
-				_, _ = fmt.Fprint(w, numbered(1, 2))
-				_ = http.NewResponseController(w).Flush()
-				crash()
-			}
-			d.addMortal("i-1", answer)
-			d.addMortal("i-2", answer)
-			d.settle(1, 2)
-			request := d.request(t.Context(), http.MethodPost, "/short/", "x1", "k1", "x")
-			request.Header.Set(sample.Tokens, "600,300")
-			got := d.do(request)
+			got := copyAnswer(t, c.answer)
 			require.Equal(t, http.StatusOK, got.status)
 			require.Equal(t, c.body, got.body)
 			require.Equal(t, c.whole, got.err == nil)
--- a/internal/serve/assembly/front_waiting_test.go
+++ b/internal/serve/assembly/front_waiting_test.go
@@ -28,6 +28,22 @@
 	return l.text.Write(p)
 }
 
+// line returns the last line that holds a text, once there is one.
+func (l *lines) line(t *testing.T, text string) (found string) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		l.mutex.Lock()
+		defer l.mutex.Unlock()
+		for line := range strings.Lines(l.text.String()) {
+			if strings.Contains(line, text) {
+				found = line
+			}
+		}
+		return found != ""
+	}, waitTime, time.Millisecond)
+	return found
+}
+
 // tells says whether a line holds all of some texts.
 func (l *lines) tells(texts ...string) bool {
 	l.mutex.Lock()
--- a/internal/serve/assembly/unsound_answer_test.go
+++ b/internal/serve/assembly/unsound_answer_test.go
@@ -7,7 +7,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zapcore"
 
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/platform/sample"
 )
 
@@ -52,10 +54,14 @@
 // gets the answer of another server, any other that of an unknown outcome. The servers that wrote
 // it serve the next requests.
 func expectUnsound(t *testing.T, answers []namedAnswer) {
-	for _, c := range answers {
-		t.Run(c.name, func(t *testing.T) {
+	for i := range 2 * len(answers) {
+		c, hedge := answers[i/2], 0.2*float64(i%2)
+		t.Run(fmt.Sprint(c.name, ", hedge ", hedge), func(t *testing.T) {
 			t.Parallel()
-			d := deploy(t, generous)
+			d := deployWith(t, func(front *Front) {
+				front.Hedge = hedge
+				generous(front.Node)
+			})
 			d.configureWith(1, sample.Unhurried)
 			answer := func(request, server string) written {
 				text := headOf(eventsType, ofLength(numbered(1))) + numbered(1)
@@ -121,6 +127,8 @@
 		{"a blank in a failure", ofStatus("500 Internal Server Error", "oops", "X A: 1")},
 		{"a blank in a refusal", ofStatus("503 Service Unavailable", "", "X A: 1", sample.NotRun+": 1")},
 		{"a blank in another request's answer", strings.ReplaceAll(withField("X A: 1"), "%s", "other") + another},
+		{"a blank in a name, and a limit", withField(sample.Limit + ": 0.01\r\nX A: 1")},
+		{"a blank in a name, and a farewell", withField(sample.Leaving + ": 1\r\nX A: 1")},
 		{"no colon", withField("X-A")},
 		{"a control byte in a value", withField("X-A: \x00")},
 	}
@@ -147,6 +155,7 @@
 		{"a folded line", withField("X-A: 1\r\n X-B: 2"), http.StatusOK},
 		{"interim heads", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 199 X\r\n\r\n" + another, http.StatusOK},
 		{"chunks", headOf(eventsType, inChunkedCoding) + chunked(body), http.StatusOK},
+		{"chunks and a blank in a name of the trailer", headOf(eventsType, inChunkedCoding) + open(body) + "0\r\nX A: 1\r\n" + sample.Seal + " : x\r\n\r\n", http.StatusOK},
 		{"409", ofStatus("409 Conflict", body), http.StatusConflict},
 		{"a failure", ofStatus("599 X", body), 599},
 		{"a failure of no class", ofStatus("600 X", body), 600},
@@ -281,3 +290,77 @@
 		})
 	}
 }
+
+// Guards against unsound answers in what a stream goes on with: at another server after a break,
+// from its copy and as its caller takes it up.
+func TestStreamDoesNotGoOnWithUnsoundAnswer(t *testing.T) {
+	rest := headOf(eventsType, inChunkedCoding) + chunked(numbered(3, 4))
+	empty := strings.Replace(headOf(eventsType, "Content-Length: 0"), "200 OK", "000 Broken", 1)
+	cases := []namedAnswer{
+		{"status 000", strings.Replace(rest, "200 OK", "000 Broken", 1)},
+		{"status 000, another answer behind it", empty + rest},
+		{"a blank behind a name", strings.Replace(rest, "\r\n", "\r\nX-A : 1\r\n", 1)},
+		{"a blank in a name", strings.Replace(rest, "\r\n", "\r\nX A: 1\r\n", 1)},
+		{"a blank in the name of an interim head", "HTTP/1.1 103 Early Hints\r\nX A: 1\r\n\r\n" + rest},
+		{"a blank before the version of the weights", strings.Replace(rest, "\r\n", "\r\n"+sample.Weights+" : 1\r\n", 1)},
+	}
+	for _, c := range cases {
+		t.Run(c.name+", another server", func(t *testing.T) {
+			t.Parallel()
+			got, _ := secondAnswer(t, raw(broken, withFIN), raw(c.text, withFIN))
+			require.Equal(t, numbered(1, 2), got.body)
+			require.Error(t, got.err)
+		})
+		t.Run(c.name+", copy", func(t *testing.T) {
+			t.Parallel()
+			got := copyAnswer(t, c.text)
+			require.Equal(t, numbered(1, 2), got.body)
+			require.Error(t, got.err)
+		})
+		t.Run(c.name+", take-up", func(t *testing.T) {
+			t.Parallel()
+			d := deploy(t)
+			d.configure(1, "k1")
+			d.add("i-1", "llm", raw(c.text, withFIN))
+			d.add("i-2", "llm", raw(c.text, withFIN))
+			d.settle(1, 2)
+			got := d.takeUp("t1", "b1", 2)
+			require.Equal(t, http.StatusBadGateway, got.status, got.body)
+		})
+	}
+}
+
+// Guards against a line on a broken answer that doesn't say whose it was and what was wrong, or that
+// has control bytes of it.
+func TestLogSaysWhatWasWrongWithAnAnswer(t *testing.T) {
+	cases := []struct{ name, text, want string }{
+		{"status", ofStatus("000 Broken", "x"), "status 000"},
+		{"a name", withField("X-A : 1"), `field name \"X-A \"`},
+		{"a long name", withField(strings.Repeat("x", 9000) + " : 1"), `field name \"xxxxx`},
+		{"a control byte", withField("X\x07\x7f\u0085A: 1"), "malformed"},
+		{"a long line of control bytes", withField(strings.Repeat("\x7f", 9000)), "malformed"},
+		{"a reset", headOf(eventsType) + "x", "a request that was not sent whole"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			log := &lines{}
+			d := deployWith(t, func(front *Front) {
+				front.Log = event.New(zapcore.InfoLevel, log)
+				generous(front.Node)
+			})
+			d.configureWith(1, roomy)
+			answer := func(request, _ string) written {
+				return written{strings.ReplaceAll(c.text, "%s", request), resetsLater}
+			}
+			d.addReader("app-1", "app", 0, answer)
+			d.settle(1, 1)
+			require.Equal(t, http.StatusBadGateway, d.send(http.MethodPost, "/book/", "b1", "k1", upload).status)
+			line := log.line(t, `"event":306,`)
+			require.Contains(t, line, `"server":"app-1"`)
+			require.Contains(t, line, c.want)
+			require.Less(t, len(line), 1000)
+			require.NotRegexp(t, "[\\x00-\\x09\\x0b-\\x1f\\x7f-\\x9f]", line)
+		})
+	}
+}
--- a/internal/serve/local/scripted_test.go
+++ b/internal/serve/local/scripted_test.go
@@ -14,8 +14,10 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 	"github.com/chicoryrock/chicoryrock/internal/standin/host"
+	"github.com/chicoryrock/chicoryrock/internal/state/member"
 )
 
 // script is what some backend servers answer: the next one that is asked sends the next
@@ -97,12 +99,26 @@
 
 // startScripted starts one entry, and backend servers with one script in both pools.
 func startScripted(t *testing.T, backends int) (*System, *script) {
+	t.Helper()
+	return startScriptedBehind(t, backends, (*System).startAgent)
+}
+
+// startScriptedAgents is startScripted with agents that answer by the script themselves.
+func startScriptedAgents(t *testing.T, agents int) (*System, *script) {
+	t.Helper()
+	return startScriptedBehind(t, agents, func(s *System, centre *Centre, name, pool string, address netip.AddrPort) error {
+		s.show(centre, chicoryrock.VM{Name: name, Role: member.RoleAgent, Pool: pool, Address: address})
+		return nil
+	})
+}
+
+func startScriptedBehind(t *testing.T, backends int, add func(s *System, centre *Centre, name, pool string, address netip.AddrPort) error) (*System, *script) {
 	t.Helper()
 	system := startSystem(t, twoWorkspaces(), Centre{Name: "hoan-kiem", Region: "hanoi"})
 	script := &script{}
 	for n := range backends {
 		for _, pool := range []string{system.Pool, system.Service} {
-			require.NoError(t, system.startAgent(&system.Centres[0], fmt.Sprint(pool, "-", n), pool, listen(t, script.serve)))
+			require.NoError(t, add(system, &system.Centres[0], fmt.Sprint(pool, "-", n), pool, listen(t, script.serve)))
 		}
 	}
 	require.NoError(t, system.StartEntry(&system.Centres[0]))
--- a/internal/serve/local/unsound_answer_test.go
+++ b/internal/serve/local/unsound_answer_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/chicoryrock/chicoryrock"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
 )
 
@@ -51,6 +52,10 @@
 // the next calls.
 func expectUnsound(t *testing.T, spoil func(sound string) string) {
 	system, script := startScripted(t, 4)
+	expectUnsoundOf(t, system, script, spoil)
+}
+
+func expectUnsoundOf(t *testing.T, system *System, script *script, spoil func(sound string) string) {
 	for _, c := range kindsOfCalls() {
 		script.set(spoil(c.answer), c.answer)
 		got := system.call(t, c.path, c.body)
@@ -65,6 +70,47 @@
 	}
 }
 
+// Guards against unsound heads of agents that are believed: that a call has not run, or was preempted.
+func TestUnsoundAnswersOfAgents(t *testing.T) {
+	refusal := func(outcome string) func(string) string {
+		return func(sound string) string {
+			return withLine(ofStatus(sound, "503 Service Unavailable"), "X A: 1\r\n"+wire.Outcome+": "+outcome+"\r\n"+wire.Reason+": "+chicoryrock.ReasonQueueFull.String())
+		}
+	}
+	cases := []struct {
+		name  string
+		spoil func(sound string) string
+	}{
+		{"status", func(sound string) string { return ofStatus(sound, "000 Broken") }},
+		{"another answer behind a status", func(sound string) string { return "HTTP/1.1 042 X\r\nContent-Length: 0\r\n\r\n" + sound }},
+		{"a name", func(sound string) string { return withLine(sound, "X-A : 1") }},
+		{"a name in an interim head", func(sound string) string { return "HTTP/1.1 103 X\r\nX A: 1\r\n\r\n" + sound }},
+		{"a name beside not run", refusal(wire.OutcomeNotRun)},
+		{"a name beside preempted", refusal(wire.OutcomePreempted)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			system, script := startScriptedAgents(t, 4)
+			expectUnsoundOf(t, system, script, c.spoil)
+		})
+	}
+}
+
+// Guards against answers that are refused for a name in their trailer: their last chunk shows that
+// they are whole, and the field decides nothing.
+func TestUnsoundNameInATrailerDecidesNothing(t *testing.T) {
+	for _, start := range []func(*testing.T, int) (*System, *script){startScripted, startScriptedAgents} {
+		system, script := start(t, 1)
+		for _, line := range []string{"X A: 1", wire.Load + ` : {"slots":0,"running":9}`} {
+			script.set(strings.Replace(answerOf(chunked, ok, "text/plain", "lot 4"), "0\r\n\r\n", "0\r\n"+line+"\r\n\r\n", 1))
+			for range 3 {
+				require.Equal(t, outcome{http.StatusOK, "", "lot 4", nil}, system.call(t, "/svc/bookings/a", ""), line)
+			}
+		}
+	}
+}
+
 // Guards against broken answers of all servers that end as anything but an unknown outcome, and
 // against servers that get no calls after one.
 func TestUnsoundAnswersOfAllServers(t *testing.T) {
