Say in the log which server sent a broken answer, and bound what it quotes

An agent's line on a failed answer didn't name its server, an entry wrote none where an agent's own answer is refused, and a head of 9 kB of control bytes made a line of 45 kB at a front: the library quotes what it can't parse.

--- a/internal/ops/event/event.go
+++ b/internal/ops/event/event.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"strings"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -40,13 +41,20 @@
 // NewNop returns a Log that writes nothing.
 func NewNop() *Log { return &Log{Zap: zap.NewNop()} }
 
+// maxCause is the longest text of an error, bytes. Some quote what came from outside.
+const maxCause = 500
+
 // Cause is the field of an error, without the stack that some errors carry: many
 // lines a second are written of failed attempts.
 func Cause(err error) zap.Field {
 	if err == nil {
 		return zap.Skip()
 	}
-	return zap.String("error", err.Error())
+	text := err.Error()
+	if len(text) > maxCause {
+		text = strings.ToValidUTF8(text[:maxCause], "") + "..."
+	}
+	return zap.String("error", text)
 }
 
 // Write logs one event with its fields.
--- a/internal/serve/agent/forward.go
+++ b/internal/serve/agent/forward.go
@@ -147,7 +147,7 @@
 		return
 	}
 	if !v.fits(build, false) {
-		a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("software", build))
+		a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("server", a.Settings.Name), zap.String("software", build))
 		v.refuseUnknown(wire.OutcomeUnknown)
 		return
 	}
@@ -219,7 +219,7 @@
 	if v.ctx.Err() != nil {
 		return
 	}
-	a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.Error(err))
+	a.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("server", v.agent.Settings.Name), event.Cause(err))
 	if web.DialFailed(err) {
 		a.once.forget(v.r.Header)
 		a.refuse(v.w, chicoryrock.ReasonNoServer, 0)
@@ -238,6 +238,6 @@
 
 // crossed drops an answer that belongs to another request.
 func (v *visit) crossed(echoed string) {
-	v.agent.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("crossed", echoed))
+	v.agent.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("server", v.agent.Settings.Name), zap.String("crossed", echoed))
 	v.refuseUnknown(wire.OutcomeUnknown)
 }
--- a/internal/serve/agent/relay.go
+++ b/internal/serve/agent/relay.go
@@ -139,7 +139,7 @@
 	case preempted && streamed:
 		v.say(wire.PreemptedComment())
 	case v.ctx.Err() == nil:
-		v.agent.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.Error(err))
+		v.agent.Log.Write(event.EngineFailed, zap.String("ref", v.request.ID), zap.String("server", v.agent.Settings.Name), event.Cause(err))
 		crash, crashed := v.agent.crashes.failed(v.agent.room.load().Running)
 		if crashed && streamed {
 			v.say(wire.CrashComment(crash))
--- a/internal/serve/entry/call.go
+++ b/internal/serve/entry/call.go
@@ -169,6 +169,9 @@
 	}
 	response, err := c.entry.agents.DoRequest(request)
 	if err != nil {
+		if errors.Is(err, chicoryrock.ErrUnsoundHead) {
+			c.entry.Log.Write(event.EngineFailed, zap.String("ref", c.request.ID), zap.String("server", replica.Name), event.Cause(err))
+		}
 		return c.classify(err)
 	}
 	response.Body = c.metered(replica, response.Body)
