Don't take an end for that of an answer while a part of the request is unsent

A part of an answer could still pass for the whole of it: where the kernel has taken all of an upload, its sending has succeeded, and a server, or a proxy before it, that ends its side and then resets the connection shows a plain end.

Cause: what was written counted as sent, also what was still in this side's kernel, which is lost when the other side closes.

web.Arrived asks the kernel whether all that was written has been acknowledged (TIOCOUTQ). A server that has read the whole request has acknowledged it by its answer, so that no sound answer is refused.

The whole answers to short and long uploads pass, as before.

--- a/internal/serve/agent/engine_conn.go
+++ b/internal/serve/agent/engine_conn.go
@@ -23,8 +23,8 @@
 
 // engineConn is a connection for one request. It fails at an answer of a version before
 // HTTP/1.1 that states a transfer coding, before the client has all of its head; and at its end,
-// if a write has failed. A reset is told once, and the client may believe that it has sent a
-// request whose last bytes are still in its buffer.
+// if a write has failed or has not reached the engine's side. A reset is told once, and the client
+// may believe that it has sent a request whose last bytes are still in its buffer.
 type engineConn struct {
 	net.Conn
 
@@ -66,14 +66,18 @@
 	return n, err
 }
 
-// end returns the error of a write, or else that of the read which has found the connection's end.
+// end returns the error of what was written, or else that of the read which has found the
+// connection's end.
 func (c *engineConn) end(err error) error {
 	// A write that waits for room fails now.
 	_ = c.SetWriteDeadline(time.Unix(1, 0))
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	if c.failure != nil {
+	switch {
+	case c.failure != nil:
 		return c.failure
+	case !web.Arrived(c.Conn):
+		return errors.WithMessage(io.ErrUnexpectedEOF, "the rest of the request has not reached the other side")
 	}
 	return err
 }
--- a/internal/serve/assembly/cut_answers_test.go
+++ b/internal/serve/assembly/cut_answers_test.go
@@ -26,6 +26,7 @@
 	closes
 	resets
 	resetsLater // so that all that it has written is read before
+	endsThenResets
 )
 
 // laterTime is how long a connection stays open that is reset later.
@@ -89,6 +90,9 @@
 		switch w.then {
 		case keeps:
 			continue
+		case endsThenResets:
+			_ = conn.(*net.TCPConn).CloseWrite()
+			fallthrough
 		case resetsLater:
 			time.Sleep(laterTime)
 			fallthrough
--- a/internal/serve/assembly/unsound_answer_test.go
+++ b/internal/serve/assembly/unsound_answer_test.go
@@ -179,26 +179,34 @@
 	}
 }
 
-// upload is the body of a request, longer than what the kernel takes of it unread.
-var upload = strings.Repeat("x", 12<<20)
+// longUpload is more of a request than what the kernel takes unread, and shortUpload is less. Bytes.
+const longUpload, shortUpload = 12 << 20, 1 << 20
 
 // roomy gives callers room for long uploads.
 func roomy(config string) string {
 	return strings.Replace(sample.Unhurried(config), `"maxBodyBytes":10000`, `"maxBodyBytes":20000000`, 1)
 }
 
-// expectOfUpload sends a long upload on each route to servers that read so much of it, write an
+// uploaded is how a backend server answers a long upload.
+type uploaded struct {
+	size int   // of the upload, bytes
+	read int64 // of it, before the answer
+	written
+}
+
+// expectOfUpload sends an upload on each route to servers that read so much of it, write an
 // answer and end the connection; then the same beside servers that answer soundly.
-func expectOfUpload(t *testing.T, hedge float64, read int64, w written, check func(path string, runs int, alone bool, got answered)) {
+func expectOfUpload(t *testing.T, hedge float64, w uploaded, check func(path string, runs int, alone bool, got answered)) {
 	d := deployWith(t, func(front *Front) {
 		front.Hedge = hedge
 		generous(front.Node)
 	})
 	d.configureWith(1, roomy)
+	body := strings.Repeat("x", w.size)
 	answer := func(request, _ string) written {
 		return written{strings.ReplaceAll(w.text, "%s", request), w.then}
 	}
-	servers := []*backend{d.addReader("app-1", "app", read, answer), d.addReader("llm-1", "llm", read, answer)}
+	servers := []*backend{d.addReader("app-1", "app", w.read, answer), d.addReader("llm-1", "llm", w.read, answer)}
 	for _, alone := range []bool{true, false} {
 		if !alone {
 			servers = append(servers, d.add("app-2", "app", stream(2, 0)), d.add("llm-2", "llm", stream(2, 0)))
@@ -207,7 +215,7 @@
 		for n := range 2 {
 			for _, route := range routesOf {
 				id := fmt.Sprint(strings.Trim(route.path, "/"), n, alone)
-				got := d.send(http.MethodPost, route.path, id, "k1", upload)
+				got := d.send(http.MethodPost, route.path, id, "k1", body)
 				runs := 0
 				for _, server := range servers {
 					runs += server.ran(id)
@@ -222,24 +230,29 @@
 // state its end, and a reset. The error of the connection goes to the one that writes the upload,
 // and the one that reads the answer sees a plain end.
 func TestResetOfAnUploadEndsNoAnswer(t *testing.T) {
+	plain := headOf(eventsType) + numbered(1)
 	cases := []struct {
-		name, text string
-		read       int64
+		name string
+		uploaded
 	}{
-		{"nothing read", headOf(eventsType, unframed) + numbered(1), 0},
-		{"a part read", headOf(eventsType, unframed) + numbered(1), 3 << 20},
-		{"without a field for it", headOf(eventsType) + numbered(1), 0},
-		{"HTTP/1.0", strings.Replace(headOf(eventsType), "HTTP/1.1", "HTTP/1.0", 1) + numbered(1), 0},
-		{"within an event", headOf(eventsType) + numbered(1) + "id: 2\nda", 0},
-		{"behind an interim head", "HTTP/1.1 100 Continue\r\n\r\n" + headOf(eventsType) + numbered(1), 0},
-		{"a long event", headOf(eventsType) + "id: 1\n" + strings.Repeat(": x\n", 30<<10), 0},
-		{"a refusal", strings.Replace(headOf("", unframed), "200 OK", "404 Not Found", 1) + "missing", 0},
+		{"nothing read", uploaded{longUpload, 0, written{headOf(eventsType, unframed) + numbered(1), resetsLater}}},
+		{"a part read", uploaded{longUpload, 3 << 20, written{headOf(eventsType, unframed) + numbered(1), resetsLater}}},
+		{"without a field for it", uploaded{longUpload, 0, written{plain, resetsLater}}},
+		{"HTTP/1.0", uploaded{longUpload, 0, written{strings.Replace(plain, "HTTP/1.1", "HTTP/1.0", 1), resetsLater}}},
+		{"within an event", uploaded{longUpload, 0, written{plain + "id: 2\nda", resetsLater}}},
+		{"behind an interim head", uploaded{longUpload, 0, written{"HTTP/1.1 100 Continue\r\n\r\n" + plain, resetsLater}}},
+		{"a long event", uploaded{longUpload, 0, written{headOf(eventsType) + "id: 1\n" + strings.Repeat(": x\n", 30<<10), resetsLater}}},
+		{"a refusal", uploaded{longUpload, 0, written{strings.Replace(headOf("", unframed), "200 OK", "404 Not Found", 1) + "missing", resetsLater}}},
+		{"an end before the reset", uploaded{longUpload, 0, written{plain, endsThenResets}}},
+		{"an end before the reset, a part read", uploaded{longUpload, 3 << 20, written{plain, endsThenResets}}},
+		{"an end, and the rest in the kernel", uploaded{shortUpload, 0, written{plain, endsThenResets}}},
+		{"a reset, and the rest in the kernel", uploaded{shortUpload, 0, written{plain, resetsLater}}},
 	}
 	for _, c := range cases {
 		for _, hedge := range []float64{0, 0.2} {
 			t.Run(fmt.Sprint(c.name, hedge), func(t *testing.T) {
 				t.Parallel()
-				expectOfUpload(t, hedge, c.read, written{c.text, resetsLater}, func(path string, runs int, alone bool, got answered) {
+				expectOfUpload(t, hedge, c.uploaded, func(path string, runs int, alone bool, got answered) {
 					what := fmt.Sprintf("%s, alone %v: %d runs, %d %.90q", path, alone, runs, got.status, got.body)
 					cut := got.status == http.StatusOK && got.err != nil
 					switch {
@@ -263,23 +276,26 @@
 // though the upload isn't read, and others that don't, once it is.
 func TestWholeAnswersToUploadsPass(t *testing.T) {
 	body := numbered(1)
+	missing := strings.Replace(headOf(""), "200 OK", "404 Not Found", 1) + body
 	cases := []struct {
 		name string
-		read int64
-		written
+		uploaded
 		status int
 	}{
-		{"length", 0, written{headOf(eventsType, ofLength(body)) + body, resetsLater}, http.StatusOK},
-		{"length, a part read", 3 << 20, written{headOf(eventsType, ofLength(body)) + body, resetsLater}, http.StatusOK},
-		{"chunks", 0, written{headOf(eventsType, inChunkedCoding) + chunked(body), resetsLater}, http.StatusOK},
-		{"409", 0, written{ofStatus("409 Conflict", body), resetsLater}, http.StatusConflict},
-		{"no end stated", wholeUpload, written{headOf(eventsType) + body, closes}, http.StatusOK},
-		{"404, no end stated", wholeUpload, written{strings.Replace(headOf(""), "200 OK", "404 Not Found", 1) + body, closes}, http.StatusNotFound},
+		{"length", uploaded{longUpload, 0, written{headOf(eventsType, ofLength(body)) + body, resetsLater}}, http.StatusOK},
+		{"length, a part read", uploaded{longUpload, 3 << 20, written{headOf(eventsType, ofLength(body)) + body, resetsLater}}, http.StatusOK},
+		{"chunks", uploaded{longUpload, 0, written{headOf(eventsType, inChunkedCoding) + chunked(body), resetsLater}}, http.StatusOK},
+		{"409", uploaded{longUpload, 0, written{ofStatus("409 Conflict", body), resetsLater}}, http.StatusConflict},
+		{"409, the rest in the kernel", uploaded{shortUpload, 0, written{ofStatus("409 Conflict", body), endsThenResets}}, http.StatusConflict},
+		{"no end stated", uploaded{longUpload, wholeUpload, written{headOf(eventsType) + body, closes}}, http.StatusOK},
+		{"no end stated, short", uploaded{shortUpload, wholeUpload, written{headOf(eventsType) + body, closes}}, http.StatusOK},
+		{"no end stated, no upload", uploaded{1, wholeUpload, written{headOf(eventsType) + body, closes}}, http.StatusOK},
+		{"404, no end stated", uploaded{longUpload, wholeUpload, written{missing, closes}}, http.StatusNotFound},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
-			expectOfUpload(t, 0, c.read, c.written, func(path string, runs int, alone bool, got answered) {
+			expectOfUpload(t, 0, c.uploaded, func(path string, runs int, alone bool, got answered) {
 				require.NoError(t, got.err, path)
 				require.Equal(t, 1, runs, path)
 				if alone {
@@ -355,7 +371,7 @@
 			}
 			d.addReader("app-1", "app", 0, answer)
 			d.settle(1, 1)
-			require.Equal(t, http.StatusBadGateway, d.send(http.MethodPost, "/book/", "b1", "k1", upload).status)
+			require.Equal(t, http.StatusBadGateway, d.send(http.MethodPost, "/book/", "b1", "k1", strings.Repeat("x", longUpload)).status)
 			line := log.line(t, `"event":306,`)
 			require.Contains(t, line, `"server":"app-1"`)
 			require.Contains(t, line, c.want)
--- a/internal/serve/local/scripted_test.go
+++ b/internal/serve/local/scripted_test.go
@@ -20,6 +20,9 @@
 	"github.com/chicoryrock/chicoryrock/internal/state/member"
 )
 
+// laterTime is how long after an early answer its connection ends.
+const laterTime = 30 * time.Millisecond
+
 // script is what some backend servers answer: the next one that is asked sends the next
 // answer, byte for byte, and closes the connection. The last one is sent again and again.
 type script struct {
@@ -27,6 +30,7 @@
 	answers []string
 	asked   int
 	hasty   bool // the first one answers before it has read the request, and resets the connection
+	ends    bool // it ends its side before the reset
 }
 
 func (s *script) set(answers ...string) {
@@ -74,7 +78,11 @@
 	}
 	if s.hastens() {
 		_, _ = io.WriteString(conn, s.next())
-		time.Sleep(30 * time.Millisecond) // so that all of it has been read
+		time.Sleep(laterTime) // so that all of it has been read
+		if s.ends {
+			_ = conn.(*net.TCPConn).CloseWrite()
+			time.Sleep(laterTime)
+		}
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		return
 	}
@@ -84,11 +92,11 @@
 }
 
 // setHasty is set with a server that answers before it has read the request.
-func (s *script) setHasty(answers ...string) {
+func (s *script) setHasty(ends bool, answers ...string) {
 	s.set(answers...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hasty = true
+	s.hasty, s.ends = true, ends
 }
 
 func (s *script) hastens() bool {
--- a/internal/serve/local/unsound_answer_test.go
+++ b/internal/serve/local/unsound_answer_test.go
@@ -215,28 +215,36 @@
 // Guards against a part of an answer that passes for the whole of it: an early answer to a long
 // upload that doesn't state its end, and a reset of the connection.
 func TestResetOfAnUploadEndsNoAnswer(t *testing.T) {
-	upload := strings.Repeat("x", 12<<20)
-	cases := []struct{ name, status, kind, body string }{
-		{"text", ok, "text/plain", "lot"},
-		{"no type", ok, "", "lot"},
-		{"JSON", ok, "application/json", `{"lot":4}`},
-		{"a refusal", "404 Not Found", "text/plain", "lot"},
-		{"a completion", ok, "application/json", `{"choices":[{"text":"ab","finish_reason":"stop"}]}`},
-		{"events", ok, events, completionChunks("a", "b", ".", "!")},
+	const long, short = 12 << 20, 1 << 20 // more than what the kernel takes unread, and less
+	cases := []struct {
+		name, status, kind, body string
+		size                     int  // of the upload, bytes
+		ends                     bool // before the reset
+	}{
+		{"text", ok, "text/plain", "lot", long, false},
+		{"no type", ok, "", "lot", long, false},
+		{"JSON", ok, "application/json", `{"lot":4}`, long, false},
+		{"a refusal", "404 Not Found", "text/plain", "lot", long, false},
+		{"a completion", ok, "application/json", `{"choices":[{"text":"ab","finish_reason":"stop"}]}`, long, false},
+		{"events", ok, events, completionChunks("a", "b", ".", "!"), long, false},
+		{"an end before the reset", ok, "text/plain", "lot", long, true},
+		{"the rest in the kernel", ok, "text/plain", "lot", short, false},
+		{"an end, and the rest in the kernel", ok, "text/plain", "lot", short, true},
 	}
 	for _, c := range cases {
 		for _, version := range []string{"HTTP/1.1", "HTTP/1.0"} {
 			t.Run(c.name+", "+version, func(t *testing.T) {
 				t.Parallel()
 				system, script := startScripted(t, 2)
+				upload := strings.Repeat("x", c.size)
 				early := version + strings.TrimPrefix(answerOf(unframed, c.status, c.kind, c.body), "HTTP/1.1")
 				sound := answerOf(framed, ok, "text/plain", "lot 4")
 				for range 3 {
-					script.setHasty(early, sound)
+					script.setHasty(c.ends, early, sound)
 					got := system.call(t, "/svc/status/a", upload)
 					require.Equal(t, outcome{http.StatusOK, "", "lot 4", nil}, got)
 					require.Equal(t, 2, script.requests())
-					script.setHasty(early, sound)
+					script.setHasty(c.ends, early, sound)
 					got = system.call(t, "/svc/bookings/a", upload)
 					require.Equal(t, http.StatusBadGateway, got.status, got.text)
 					require.Equal(t, wire.OutcomeUnknown, got.outcome)
@@ -261,7 +269,7 @@
 					if framing == unframed {
 						script.set(answer)
 					} else {
-						script.setHasty(answer)
+						script.setHasty(false, answer)
 					}
 					got := system.call(t, path, upload)
 					require.NoError(t, got.err)
