--- a/internal/serve/peer/cut_answers_test.go
+++ b/internal/serve/peer/cut_answers_test.go
@@ -127,6 +127,7 @@
 		append(binary.AppendUvarint(nil, uint64(2*len(message))), message+message...),
 		append(binary.AppendUvarint(nil, uint64(len(message)+1)), message+"x"...),
 		[]byte("HTTP/1.1 200 OK\r\n\r\n"),
+		append([]byte("HTTP/1.1 000 X\r\nX-A : 1\r\n\r\n"), framed(t, message)...),
 	} {
 		_, err := ask(t, data, false, false)
 		require.Error(t, err, "%q", data)
