--- a/internal/serve/local/local.go
+++ b/internal/serve/local/local.go
@@ -61,6 +61,7 @@
 	Token   time.Duration         // time of one token
 	Prefill time.Duration         // time of one prompt token
 	Address func() netip.AddrPort // where each process listens next; nil for any free port
+	Log     *event.Log            // of the entries that start; nil for none
 
 	Store   *store.Server
 	VMs     *vms.Server
@@ -227,9 +228,13 @@
 func (s *System) StartEntry(centre *Centre) error {
 	name := fmt.Sprintf("entry-%d", len(s.Entries)+1)
 	opened := make(chan netip.AddrPort, 1)
+	log := s.Log
+	if log == nil {
+		log = event.NewNop()
+	}
 	entry := &assembly.Entry{
 		Settings: &settings.Entry{Common: s.common(name, centre), Listen: s.listen(), MaxBody: maxBody},
-		Log:      event.NewNop(),
+		Log:      log,
 		Opened:   func(address netip.AddrPort) { opened <- address },
 	}
 	address, err := s.run(name, entry.Run, opened)
--- a/internal/serve/local/unsound_answer_test.go
+++ b/internal/serve/local/unsound_answer_test.go
@@ -1,16 +1,21 @@
 package local
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/chicoryrock/chicoryrock"
+	"github.com/chicoryrock/chicoryrock/internal/ops/event"
 	"github.com/chicoryrock/chicoryrock/internal/serve/wire"
+	"github.com/chicoryrock/chicoryrock/internal/state/member"
 )
 
 // kindOfCall is a call of each kind, with a sound answer.
@@ -97,6 +102,39 @@
 	}
 }
 
+// Guards against a refused answer of an agent that no line tells of.
+func TestLogSaysWhatWasWrongWithAnAgentsAnswer(t *testing.T) {
+	system, script := startScriptedAgents(t, 0)
+	var log lockedBuffer
+	system.Log = event.New(zapcore.WarnLevel, &log)
+	require.NoError(t, system.StartEntry(&system.Centres[0]))
+	system.show(&system.Centres[0], chicoryrock.VM{Name: "status-1", Role: member.RoleAgent, Pool: system.Service, Address: listen(t, script.serve)})
+	require.NoError(t, system.awaitReady())
+	script.set(withLine(answerOf(framed, ok, "text/plain", "lot 4"), "X-A : 1"))
+	response := system.send(t, 1, hawkerKey, http.MethodPost, "/svc/bookings/a", "")
+	require.Equal(t, http.StatusBadGateway, response.StatusCode)
+	require.Contains(t, log.String(), `"server":"status-1"`)
+	require.Contains(t, log.String(), `field name \"X-A \"`)
+}
+
+// lockedBuffer is a buffer that is read while it is written to.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	bytes bytes.Buffer
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.bytes.String()
+}
+
 // Guards against answers that are refused for a name in their trailer: their last chunk shows that
 // they are whole, and the field decides nothing.
 func TestUnsoundNameInATrailerDecidesNothing(t *testing.T) {
