--- a/internal/serve/local/unsound_answer_test.go
+++ b/internal/serve/local/unsound_answer_test.go
@@ -89,7 +89,7 @@
 		{"status", func(sound string) string { return ofStatus(sound, "000 Broken") }},
 		{"another answer behind a status", func(sound string) string { return "HTTP/1.1 042 X\r\nContent-Length: 0\r\n\r\n" + sound }},
 		{"a name", func(sound string) string { return withLine(sound, "X-A : 1") }},
-		{"a name in an interim head", func(sound string) string { return "HTTP/1.1 103 X\r\nX A: 1\r\n\r\n" + sound }},
+		{"a name in an interim head", func(sound string) string { return "HTTP/1.1 103 Early\r\nX A: 1\r\n\r\n" + sound }},
 		{"a name beside not run", refusal(wire.OutcomeNotRun)},
 		{"a name beside preempted", refusal(wire.OutcomePreempted)},
 	}
--- a/internal/serve/web/fuzz_test.go
+++ b/internal/serve/web/fuzz_test.go
@@ -48,7 +48,7 @@
 func FuzzAnswer(f *testing.F) {
 	for _, seed := range []string{
 		sound, stale + sound, "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.0 200 OK\r\n\r\npart", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + sound,
-		"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + sound, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nfine", "HTTP/1.1 103 X\r\nX A: 1\r\n\r\n" + sound,
+		"HTTP/1.1 101 X\r\nUpgrade: x\r\n\r\n" + sound, "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nfine", "HTTP/1.1 103 Early\r\nX A: 1\r\n\r\n" + sound,
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfine\r\n0\r\nX A: 1\r\n\r\n", "HTTP/1.1 200 OK\r\nX\x07: 1\r\n\r\n", "HTTP/1.1 999\r\n\r\n",
 	} {
 		f.Add([]byte(seed), true)
--- a/internal/serve/web/sound.go
+++ b/internal/serve/web/sound.go
@@ -22,7 +22,7 @@
 func (t soundTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	var heads chicoryrock.Heads
 	var conn net.Conn
-	sent := make(chan error, 1)
+	sent := make(chan httptrace.WroteRequestInfo, 1)
 	trace := &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn },
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
@@ -30,7 +30,7 @@
 			case <-sent: // that of an earlier connection
 			default:
 			}
-			sent <- info.Err
+			sent <- info
 		},
 		Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
 			_, err := heads.Check(status, header)
@@ -71,7 +71,7 @@
 type unframedBody struct {
 	io.ReadCloser
 
-	sent chan error // the result of sending the request
+	sent chan httptrace.WroteRequestInfo
 }
 
 // Read implements io.Reader. Error: io.ErrUnexpectedEOF, or the connection's.
@@ -84,9 +84,9 @@
 	limit := time.NewTimer(sentTime)
 	defer limit.Stop()
 	select {
-	case failure := <-b.sent:
-		b.sent <- failure // for the next call
-		if failure == nil {
+	case info := <-b.sent:
+		b.sent <- info // for the next call
+		if info.Err == nil {
 			return n, err
 		}
 	case <-limit.C:
--- a/internal/serve/web/sound_test.go
+++ b/internal/serve/web/sound_test.go
@@ -67,7 +67,7 @@
 		{"a blank behind a name", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A : 1\r\n\r\n" + stale},
 		{"a blank before the length", "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n" + stale},
 		{"a blank in a name, no content", "HTTP/1.1 204 No Content\r\nX A: 1\r\n\r\n"},
-		{"a blank in an interim head", "HTTP/1.1 103 X\r\nX A: 1\r\n\r\n" + stale},
+		{"a blank in an interim head", "HTTP/1.1 103 Early\r\nX A: 1\r\n\r\n" + stale},
 		{"too many interim heads", strings.Repeat("HTTP/1.1 103 X\r\n\r\n", 9) + stale},
 	}
 	for _, c := range cases {
