Have one error for a request that was not sent whole

The same sentence stood at the front's client, at the other one and, in other words, at the agent's connection. It is web.ErrUnsent now; checkNames is only used by Heads. No behaviour changes but the agent's text.

--- a/head.go
+++ b/head.go
@@ -5,8 +5,8 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrUnsoundHead says that a head is none that HTTP allows in an answer to the request, so that
-// nothing of the answer can be believed, its end included.
+// ErrUnsoundHead says that the head of an answer breaks the rules of HTTP, so that nothing of the
+// answer can be believed, its end included.
 var ErrUnsoundHead = errors.New("unsound head of an answer")
 
 // Statuses that bound the sound ones.
@@ -34,7 +34,7 @@
 	if status < lowestStatus || status == switchesProtocols {
 		return false, errors.Wrapf(ErrUnsoundHead, "status %03d", status)
 	}
-	if err := CheckNames(header); err != nil {
+	if err := checkNames(header); err != nil {
 		return false, err
 	}
 	if status >= lowestFinal {
@@ -46,9 +46,9 @@
 	return false, nil
 }
 
-// CheckNames checks the names of fields. A name is a token (RFC 9110, section 5.1); the libraries
+// checkNames checks the names of fields. A name is a token (RFC 9110, section 5.1); the libraries
 // keep one with a blank in it, as a field that decides nothing. Error: ErrUnsoundHead.
-func CheckNames(header map[string][]string) error {
+func checkNames(header map[string][]string) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
 			return errors.Wrapf(ErrUnsoundHead, "field name %.40q", name)
--- a/internal/serve/agent/engine_conn.go
+++ b/internal/serve/agent/engine_conn.go
@@ -77,7 +77,7 @@
 	case c.failure != nil:
 		return c.failure
 	case !web.Arrived(c.Conn):
-		return errors.WithMessage(io.ErrUnexpectedEOF, "the rest of the request has not reached the other side")
+		return errors.WithStack(web.ErrUnsent)
 	}
 	return err
 }
--- a/internal/serve/upstream/errors.go
+++ b/internal/serve/upstream/errors.go
@@ -13,10 +13,6 @@
 // errNoBody says that the connection has ended after a head that states no length.
 var errNoBody = errors.WithMessage(io.ErrUnexpectedEOF, "no length and no body")
 
-// errUnsent says that the connection has ended before the request was sent whole, under an answer
-// that states no length.
-var errUnsent = errors.WithMessage(io.ErrUnexpectedEOF, "no length, and a request that was not sent whole")
-
 // ErrClosed says that the backend server's side has closed the connection before the end of
 // an answer. It comes with ErrUnknownOutcome, or by the error of an answer's body.
 var ErrClosed = errors.New("connection closed by the backend server")
--- a/internal/serve/upstream/upstream.go
+++ b/internal/serve/upstream/upstream.go
@@ -438,7 +438,7 @@
 	b.begun = b.begun || n > 0
 	switch {
 	case errors.Is(err, io.EOF) && !framed(b.response) && !b.conn.endSend():
-		return n, MarkClosed(errUnsent, io.EOF)
+		return n, MarkClosed(web.ErrUnsent, io.EOF)
 	case errors.Is(err, io.EOF) && !b.begun && !framed(b.response) && b.response.StatusCode < http.StatusMultipleChoices:
 		return n, MarkClosed(errNoBody, io.EOF)
 	case errors.Is(err, io.EOF):
--- a/internal/serve/web/sound.go
+++ b/internal/serve/web/sound.go
@@ -58,9 +58,9 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
 }
 
-// errUnsent says that a connection has ended before the request was sent whole, under an answer
-// that states no length.
-var errUnsent = errors.WithMessage(io.ErrUnexpectedEOF, "no length, and a request that was not sent whole")
+// ErrUnsent says that a connection has ended before the request was sent whole, under an answer
+// that states no length. It matches io.ErrUnexpectedEOF.
+var ErrUnsent = errors.WithMessage(io.ErrUnexpectedEOF, "no length, and a request that was not sent whole")
 
 // sentTime bounds the wait for the end of sending after that of the connection. Only a request
 // whose own body has stopped coming takes so long.
@@ -74,7 +74,7 @@
 	sent chan httptrace.WroteRequestInfo
 }
 
-// Read implements io.Reader. Error: io.ErrUnexpectedEOF, or the connection's.
+// Read implements io.Reader. Error: ErrUnsent, or the connection's.
 func (b *unframedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if !errors.Is(err, io.EOF) {
@@ -91,5 +91,5 @@
 		}
 	case <-limit.C:
 	}
-	return n, errors.WithStack(errUnsent)
+	return n, errors.WithStack(ErrUnsent)
 }
--- a/internal/serve/web/sound_test.go
+++ b/internal/serve/web/sound_test.go
@@ -102,9 +102,9 @@
 		reset bool
 		want  error
 	}{
-		{"the rest hasn't come", 1 << 10, false, unframed, false, io.ErrUnexpectedEOF},
+		{"the rest hasn't come", 1 << 10, false, unframed, false, ErrUnsent},
 		{"the rest hasn't come, a length", 1 << 10, false, sound, false, nil},
-		{"reset under a write", 12 << 20, true, unframed, true, io.ErrUnexpectedEOF},
+		{"reset under a write", 12 << 20, true, unframed, true, ErrUnsent},
 		{"reset under a write, a length", 12 << 20, true, sound, true, nil},
 		{"sent whole", 1 << 10, true, unframed, false, nil},
 	}
