--- a/internal/serve/upstream/room.go
+++ b/internal/serve/upstream/room.go
@@ -61,9 +61,3 @@
 		delete(c.open, address)
 	}
 }
-
-// Sent says whether the request has been sent to its end.
-func (a *Answer) Sent() bool {
-	from, known := a.Body.(*body)
-	return !known || from.conn.wrote == nil || len(from.conn.wrote) > 0
-}
