--- a/internal/serve/local/scripted_test.go
+++ b/internal/serve/local/scripted_test.go
@@ -76,10 +76,10 @@
 	if err != nil {
 		return // a probe
 	}
-	if s.hastens() {
+	if hasty, ends := s.hastens(); hasty {
 		_, _ = io.WriteString(conn, s.next())
 		time.Sleep(laterTime) // so that all of it has been read
-		if s.ends {
+		if ends {
 			_ = conn.(*net.TCPConn).CloseWrite()
 			time.Sleep(laterTime)
 		}
@@ -99,10 +99,10 @@
 	s.hasty, s.ends = true, ends
 }
 
-func (s *script) hastens() bool {
+func (s *script) hastens() (hasty, ends bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hasty && s.asked == 0
+	return s.hasty && s.asked == 0, s.ends
 }
 
 // startScripted starts one entry, and backend servers with one script in both pools.
