Refuse answers whose status is above 599

Callers got statuses that are none: 600 and 999 were passed on as they were, with their bodies, at a front on each route and at an entry, and a 700 that said 'not run' was believed: its caller got 503, which promises that the request has not run. Found by reading the change again.

Cause: Heads.Check took them for failures of the server's own, on the ground that RFC 9110 has clients treat them so. But a proxy passes on what it treats as a 5xx, and fields of such a head were used. A status is from 100 to 599 (section 15); all else is refused now, by the same check, at each reader.

The platform's client refused 600 as another status before. 599 still passes.

--- a/head.go
+++ b/head.go
@@ -14,24 +14,25 @@
 	lowestStatus      = 100
 	switchesProtocols = 101
 	lowestFinal       = 200
+	highestStatus     = 599
 )
 
 // maxInterim is how many interim heads may come before the final one.
 const maxInterim = 8
 
-// Heads checks the heads of one answer: interim ones, if any, and the final one. All readers of
-// answers ask it before they believe a field of a head.
+// Heads checks the heads of one answer: interim ones, if any, and the final one. Each reader of
+// answers has a head checked before it uses a field of it.
 type Heads struct {
 	interim int // that have come
 }
 
 // Check checks the next head, and reports whether it is the final one. Error: ErrUnsoundHead.
 //
-// Clients' libraries take any three digits for a status. Those below 100 are none (RFC 9110, section
-// 15), also not of interim heads: a body may follow. After 101 the server speaks another protocol,
-// which no request asks for. A status above 599 counts as a failure.
+// A status is from 100 to 599 (RFC 9110, section 15); clients' libraries take any three digits. A
+// head with a lower one is no interim head, as a body may follow it. After 101 the server speaks
+// another protocol, which no request asks for.
 func (h *Heads) Check(status int, header map[string][]string) (final bool, err error) {
-	if status < lowestStatus || status == switchesProtocols {
+	if status < lowestStatus || status > highestStatus || status == switchesProtocols {
 		return false, errors.Wrapf(ErrUnsoundHead, "status %03d", status)
 	}
 	if err := checkNames(header); err != nil {
@@ -47,7 +48,7 @@
 }
 
 // checkNames checks the names of fields. A name is a token (RFC 9110, section 5.1); the libraries
-// keep one with a blank in it, as a field that decides nothing. Error: ErrUnsoundHead.
+// also keep one with a blank in it, as a field that nothing looks up. Error: ErrUnsoundHead.
 func checkNames(header map[string][]string) error {
 	for name := range header {
 		if !httpguts.ValidHeaderFieldName(name) {
--- a/internal/serve/web/sound_test.go
+++ b/internal/serve/web/sound_test.go
@@ -63,6 +63,7 @@
 		{"status 000, bytes behind", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" + stale},
 		{"status 042 with a body", "HTTP/1.1 042 X\r\nContent-Length: 2\r\n\r\nno" + stale},
 		{"status 099 without a length", "HTTP/1.1 099 X\r\n\r\n" + stale},
+		{"status 600", "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"},
 		{"a switch of protocols", "HTTP/1.1 101 X\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + stale},
 		{"a blank behind a name", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A : 1\r\n\r\n" + stale},
 		{"a blank before the length", "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n" + stale},
