Have one layer that knows whether a request was sent, for all clients

A part of an agent's answer passed for the whole of it at an entry, where it stated no length and the rest of the upload lay in the kernel. Agents state where their answers end, so that only a broken one, or another process at its address, answers so. Found by reading the change again.

Cause: the layer that asks whether what was written has failed or has arrived lay over the agent's connections to its engine only.

Its errors are one, ErrUnsent, whose text names what happened and no longer supposes why it matters.

--- a/internal/serve/agent/engine_conn.go
+++ b/internal/serve/agent/engine_conn.go
@@ -1,11 +1,8 @@
 package agent
 
 import (
-	"io"
 	"net"
 	"net/http"
-	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -22,36 +19,17 @@
 }
 
 // engineConn is a connection for one request. It fails at an answer of a version before
-// HTTP/1.1 that states a transfer coding, before the client has all of its head; and at its end,
-// if a write has failed or has not reached the engine's side. A reset is told once, and the client
-// may believe that it has sent a request whose last bytes are still in its buffer.
+// HTTP/1.1 that states a transfer coding, before the client has all of its head.
 type engineConn struct {
 	net.Conn
 
 	head    []byte // of the answer so far
 	checked bool
-
-	writing sync.Mutex
-	failure error // of a write
-}
-
-// Write implements net.Conn.
-func (c *engineConn) Write(p []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	n, err := c.Conn.Write(p)
-	if err != nil {
-		c.failure = err
-	}
-	return n, err
 }
 
 // Read implements net.Conn. Error: web.ErrOldCoding, or the connection's.
 func (c *engineConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if errors.Is(err, io.EOF) {
-		err = c.end(err)
-	}
 	if c.checked || n == 0 {
 		return n, err
 	}
@@ -65,19 +43,3 @@
 	}
 	return n, err
 }
-
-// end returns the error of what was written, or else that of the read which has found the
-// connection's end.
-func (c *engineConn) end(err error) error {
-	// A write that waits for room fails now.
-	_ = c.SetWriteDeadline(time.Unix(1, 0))
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	switch {
-	case c.failure != nil:
-		return c.failure
-	case !web.Arrived(c.Conn):
-		return errors.WithStack(web.ErrUnsent)
-	}
-	return err
-}
--- a/internal/serve/assembly/unsound_answer_test.go
+++ b/internal/serve/assembly/unsound_answer_test.go
@@ -357,7 +357,7 @@
 		{"a long name", withField(strings.Repeat("x", 9000) + " : 1"), `field name \"xxxxx`},
 		{"a control byte", withField("X\x07\x7f\u0085A: 1"), "malformed"},
 		{"a long line of control bytes", withField(strings.Repeat("\x7f", 9000)), "malformed"},
-		{"an end under an upload", headOf(eventsType) + "x", "a request that was not sent whole"},
+		{"an end under an upload", headOf(eventsType) + "x", "before the request was sent whole"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/serve/local/unsound_answer_test.go
+++ b/internal/serve/local/unsound_answer_test.go
@@ -135,6 +135,25 @@
 	return b.bytes.String()
 }
 
+// Guards against a part of an agent's answer that passes for the whole of it. Agents state where
+// their answers end; what doesn't is broken or comes from another process.
+func TestResetUnderAnAgentsAnswer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		size int // of the upload, bytes
+		ends bool
+	}{{"unread", 12 << 20, false}, {"unread, an end before the reset", 12 << 20, true}, {"in the kernel", 1 << 20, false}, {"in the kernel, an end before the reset", 1 << 20, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			system, script := startScriptedAgents(t, 1)
+			script.setHasty(c.ends, answerOf(unframed, ok, "text/plain", "lot"))
+			got := system.call(t, "/svc/bookings/a", strings.Repeat("x", c.size))
+			require.Equal(t, http.StatusBadGateway, got.status, got.text)
+			require.Equal(t, wire.OutcomeUnknown, got.outcome)
+		})
+	}
+}
+
 // Guards against answers that are refused for a name in their trailer: their last chunk shows that
 // they are whole, and the field decides nothing.
 func TestUnsoundNameInATrailerDecidesNothing(t *testing.T) {
--- a/internal/serve/web/client.go
+++ b/internal/serve/web/client.go
@@ -39,7 +39,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return layer(conn), nil
+			return layer(&sentConn{Conn: conn}), nil
 		},
 		TLSClientConfig:     config,
 		MaxIdleConnsPerHost: idlePerHost,
--- a/internal/serve/agent/engine_conn_test.go
+++ b/internal/serve/web/sent_test.go
@@ -1,4 +1,4 @@
-package agent
+package web
 
 import (
 	"io"
@@ -47,11 +47,11 @@
 		want error
 	}{
 		{"written", &endingConn{}, io.EOF},
-		{"reset", &endingConn{failure: syscall.ECONNRESET}, syscall.ECONNRESET},
-		{"waiting for room", &endingConn{began: make(chan struct{}), late: make(chan struct{})}, os.ErrDeadlineExceeded},
+		{"reset", &endingConn{failure: syscall.ECONNRESET}, ErrUnsent},
+		{"waiting for room", &endingConn{began: make(chan struct{}), late: make(chan struct{})}, ErrUnsent},
 	}
 	for _, c := range cases {
-		conn := &engineConn{Conn: c.conn}
+		conn := &sentConn{Conn: c.conn}
 		if c.conn.late == nil {
 			_, _ = conn.Write([]byte("x"))
 		} else {
--- a/internal/serve/web/sound.go
+++ b/internal/serve/web/sound.go
@@ -58,10 +58,6 @@
 	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || response.Request.Method == http.MethodHead
 }
 
-// ErrUnsent says that a connection has ended before the request was sent whole, under an answer
-// that states no length. It matches io.ErrUnexpectedEOF.
-var ErrUnsent = errors.WithMessage(io.ErrUnexpectedEOF, "no length, and a request that was not sent whole")
-
 // sentTime bounds the wait for the end of sending after that of the connection. Only a request
 // whose own body has stopped coming takes so long.
 const sentTime = time.Second
