Give each server of a soak an address of its own

Traced by the fronts' logs: the server went down at 35.8 s and gave up its port on 127.0.0.1; from 35.97 s on every connection to that port was taken and ended without an answer, until 38.9 s, and then streams came from it of which this soak has no run. Another soak, whose servers have the same names, had begun at 35.96 s; its own logs aren't kept, as it passed.

A proxy listens on an address of its process's own (host.Own) now, whose port the system gives to nobody.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
+
+	"github.com/chicoryrock/chicoryrock/internal/standin/host"
 )
 
 // mood is what a proxy does to the bytes that go through it.
@@ -48,7 +50,8 @@
 
 func newProxy(t *testing.T, target netip.AddrPort) *proxy {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// An address of its own stays free for it while it takes no connections.
+	listener, err := net.Listen("tcp", host.Own().String())
 	require.NoError(t, err)
 	p := &proxy{target: target, listener: listener, conns: make(map[net.Conn]struct{})}
 	t.Cleanup(func() {
